Lay out the workspace: shared types, borders and messages

Ruled out: one control crate for all controllers, since its parts share no state; a generator in the build, since a fresh machine has none.

--- /dev/null
+++ b/crates/magnoliaspar-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the policy in virtual time, with bounds.
--- /dev/null
+++ b/crates/magnoliaspar-claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims on non-idempotent requests, written before dispatch.
--- /dev/null
+++ b/crates/magnoliaspar-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/crates/magnoliaspar-configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration in force: accepted once at the platform, spread between instances, never reverting.
--- /dev/null
+++ b/crates/magnoliaspar-core/src/clock.rs
@@ -0,0 +1,67 @@
+use std::cell::Cell;
+use std::time::{Duration, Instant, SystemTime};
+
+/// A source of time.
+///
+/// Code that measures time takes a clock as a parameter, so that tests can run in virtual time.
+pub trait Clock {
+    /// Returns the current monotonic time.
+    fn now(&self) -> Instant;
+
+    /// Returns the current wall-clock time, which may step backwards.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to.
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    elapsed: Cell<Duration>,
+}
+
+impl ManualClock {
+    /// Creates a clock that stands at an arbitrary start.
+    pub fn new() -> Self {
+        Self { start: Instant::now(), elapsed: Cell::new(Duration::ZERO) }
+    }
+
+    /// Moves the clock forward by `step`.
+    pub fn advance(&self, step: Duration) {
+        self.elapsed.set(self.elapsed.get() + step);
+    }
+
+    /// Returns how far the clock has moved since its start.
+    pub fn elapsed(&self) -> Duration {
+        self.elapsed.get()
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed.get()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.elapsed.get()
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-core/src/finding.rs
@@ -0,0 +1,129 @@
+use std::fmt::{self, Display};
+
+use serde::{Deserialize, Serialize};
+
+/// Several findings, collected so that they can be reported together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Creates an empty collection.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds one finding.
+    pub fn push(&mut self, finding: Finding) {
+        self.0.push(finding);
+    }
+
+    /// Adds all findings of `other`.
+    pub fn append(&mut self, mut other: Findings) {
+        self.0.append(&mut other.0);
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns the number of findings.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Iterates over the findings in the order in which they were found.
+    pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
+        self.0.iter()
+    }
+
+    /// Iterates over the findings, so that their places can be completed.
+    pub fn iter_mut(&mut self) -> std::slice::IterMut<'_, Finding> {
+        self.0.iter_mut()
+    }
+
+    /// Returns `value` if nothing was found, and the findings otherwise.
+    pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
+        if self.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.0 {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+impl From<Finding> for Findings {
+    fn from(finding: Finding) -> Self {
+        Self(vec![finding])
+    }
+}
+
+/// One thing that is wrong with an input.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Where the finding is.
+    pub place: Place,
+    /// What is wrong, as a phrase without a full stop.
+    pub message: Box<str>,
+    /// What to do about it, if that is known.
+    pub hint: Option<Box<str>>,
+}
+
+impl Finding {
+    /// Creates a finding at the JSON path `path`.
+    pub fn at(path: impl Into<Box<str>>, message: impl Into<Box<str>>) -> Self {
+        let place = Place { path: path.into(), ..Place::default() };
+        Self { place, message: message.into(), hint: None }
+    }
+
+    /// Adds a hint.
+    pub fn with_hint(mut self, hint: impl Into<Box<str>>) -> Self {
+        self.hint = Some(hint.into());
+        self
+    }
+}
+
+impl Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)?;
+        if let Some(hint) = &self.hint {
+            write!(f, " (hint: {hint})")?;
+        }
+        Ok(())
+    }
+}
+
+/// A place in a document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The file, if the document came from one.
+    pub file: Option<Box<str>>,
+    /// The line, counted from 1; 0 if it is not known.
+    pub line: usize,
+    /// The column in characters, counted from 1; 0 if it is not known.
+    pub column: usize,
+    /// The JSON path, such as `$.routes[0].name`; empty if it is not known.
+    pub path: Box<str>,
+}
+
+impl Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(file) = &self.file {
+            write!(f, "{file}:")?;
+        }
+        if self.line > 0 {
+            write!(f, "{}:{}:", self.line, self.column)?;
+        }
+        if (self.file.is_some() || self.line > 0) && !self.path.is_empty() {
+            f.write_str(" ")?;
+        }
+        f.write_str(&self.path)
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Identifiers, keys, the clock and the outcomes that all other crates share.
+
+mod clock;
+mod finding;
+mod id;
+mod key;
+mod outcome;
+mod prefix;
+
+pub use self::clock::{Clock, ManualClock, SystemClock};
+pub use self::finding::{Finding, Findings, Place};
+pub use self::id::{
+    AttemptId, IdempotencyKey, Incarnation, InstanceName, ModelName, NameError, PoolName,
+    RequestId, RouteName, ServerName, WorkspaceName, ZoneName,
+};
+pub use self::key::{InstanceKey, JobKey, ServerKey, WorkspaceKey, ZoneKey};
+pub use self::outcome::{Outcome, Refusal, RefusalCode};
+pub use self::prefix::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, hash_blocks};
--- /dev/null
+++ b/crates/magnoliaspar-declaration/src/document.rs
@@ -0,0 +1,82 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The declarations as they are stored and sent: one JSON value for each declared thing.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Document {
+    /// The declared things.
+    pub entities: BTreeMap<EntityId, Value>,
+}
+
+impl Document {
+    /// Returns the changes that lead from this document to `target`.
+    pub fn diff(&self, target: &Document) -> DocumentDelta {
+        let mut delta = DocumentDelta::default();
+        for (id, value) in &target.entities {
+            if self.entities.get(id) != Some(value) {
+                delta.upserts.insert(id.clone(), value.clone());
+            }
+        }
+        for id in self.entities.keys() {
+            if !target.entities.contains_key(id) {
+                delta.removals.insert(id.clone());
+            }
+        }
+        delta
+    }
+
+    /// Applies changes.
+    pub fn apply(&mut self, delta: &DocumentDelta) {
+        for id in &delta.removals {
+            self.entities.remove(id);
+        }
+        for (id, value) in &delta.upserts {
+            self.entities.insert(id.clone(), value.clone());
+        }
+    }
+}
+
+/// Identifies a declared thing, as `pools/NAME`, `routes/NAME` or `workspaces/NAME`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EntityId(pub Box<str>);
+
+/// Changes between two documents.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct DocumentDelta {
+    /// The things that are new or changed.
+    pub upserts: BTreeMap<EntityId, Value>,
+    /// The things that are gone.
+    pub removals: BTreeSet<EntityId>,
+}
+
+impl DocumentDelta {
+    /// Whether nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.upserts.is_empty() && self.removals.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::{Document, EntityId};
+
+    #[test]
+    fn applying_a_diff_reaches_the_target() {
+        let mut from = Document::default();
+        from.entities.insert(EntityId("pools/a".into()), json!({"kind": "prefill"}));
+        from.entities.insert(EntityId("pools/b".into()), json!({"kind": "decode"}));
+        let mut target = Document::default();
+        target.entities.insert(EntityId("pools/b".into()), json!({"kind": "prefill"}));
+        target.entities.insert(EntityId("routes/c".into()), json!({}));
+        let delta = from.diff(&target);
+        from.apply(&delta);
+        assert_eq!(from, target);
+        assert!(from.diff(&target).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-engine/src/lib.rs
@@ -0,0 +1,12 @@
+//! Backend servers as traits, with adapters over HTTP.
+
+mod engine;
+mod error;
+mod message;
+
+pub use self::engine::{Engine, EngineConnector, TokenStream};
+pub use self::error::EngineError;
+pub use self::message::{
+    CacheEvents, DecodeCall, EndReason, EngineStatus, HeldStream, KvSource, LoadSnapshot, Order,
+    OrderKind, PrefillCall, Prefilled, Stage, StreamFrame, StreamId,
+};
--- /dev/null
+++ b/crates/magnoliaspar-event/src/lib.rs
@@ -0,0 +1,1 @@
+//! A bounded ring of events and the time line merged from many instances.
--- /dev/null
+++ b/crates/magnoliaspar-fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! In-memory fakes of the platform's services, with faults that tests switch on.
--- /dev/null
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -0,0 +1,148 @@
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use displaydoc::Display;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Answers one request.
+pub type Handler =
+    Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Response<BoxBody>>>> + 'static>;
+
+/// How long a connection may stay open between two requests.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// How long a caller may take to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A listener and the handler for its requests.
+pub struct Server {
+    listener: TcpListener,
+    handler: Handler,
+    stop: StopHandle,
+}
+
+impl Server {
+    /// Listens on `address`; port 0 takes a free port.
+    pub async fn bind(address: SocketAddr, handler: Handler) -> Result<Self, ServerError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
+        Ok(Self { listener, handler, stop: StopHandle::default() })
+    }
+
+    /// Returns the address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("a bound listener has an address")
+    }
+
+    /// Returns a handle that stops the server.
+    pub fn stop_handle(&self) -> StopHandle {
+        self.stop.clone()
+    }
+
+    /// Accepts connections until the server is stopped, and serves each as a task of its own.
+    pub async fn run(self) {
+        let handler = self.handler;
+        let service = HttpService::build()
+            .keep_alive(KEEP_ALIVE)
+            .client_request_timeout(HEAD_TIMEOUT)
+            .finish(fn_service(move |req: Request| {
+                let answer = handler(req);
+                async move { Ok::<_, Infallible>(answer.await) }
+            }))
+            .tcp();
+        let Ok(service) = service.new_service(()).await else { return };
+        let service = Rc::new(service);
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = self.stop.stopped() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                // The process is out of descriptors; wait for connections to close.
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            spawn_connection(service.clone(), self.stop.clone(), stream);
+        }
+    }
+}
+
+fn spawn_connection<S>(service: Rc<S>, stop: StopHandle, stream: TcpStream)
+where
+    S: Service<TcpStream> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    actix_rt::spawn(async move {
+        tokio::select! {
+            _ = service.call(stream) => {}
+            () = stop.aborted() => {}
+        }
+    });
+}
+
+/// Stops a server.
+#[derive(Debug, Clone, Default)]
+pub struct StopHandle(Rc<StopState>);
+
+#[derive(Debug, Default)]
+struct StopState {
+    is_stopped: Cell<bool>,
+    is_aborted: Cell<bool>,
+    changed: Notify,
+}
+
+impl StopHandle {
+    /// Accepts no more connections; open ones go on.
+    pub fn stop(&self) {
+        self.0.is_stopped.set(true);
+        self.0.changed.notify_waiters();
+    }
+
+    /// Accepts no more connections and cuts the open ones, as a crash would.
+    pub fn abort(&self) {
+        self.0.is_aborted.set(true);
+        self.stop();
+    }
+
+    async fn stopped(&self) {
+        self.wait(|state| state.is_stopped.get()).await;
+    }
+
+    async fn aborted(&self) {
+        self.wait(|state| state.is_aborted.get()).await;
+    }
+
+    async fn wait(&self, condition: impl Fn(&StopState) -> bool) {
+        loop {
+            let changed = self.0.changed.notified();
+            if condition(&self.0) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+/// Why a server cannot run.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ServerError {
+    /// cannot listen on {address}: {message}
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        message: Box<str>,
+    },
+}
+
+impl std::error::Error for ServerError {}
--- /dev/null
+++ b/crates/magnoliaspar-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which instances and backend servers live, leave or are dead.
--- /dev/null
+++ b/crates/magnoliaspar-order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines under a lease with a fencing number.
--- /dev/null
+++ b/crates/magnoliaspar-platform/src/error.rs
@@ -0,0 +1,21 @@
+use std::time::Duration;
+
+use displaydoc::Display;
+
+/// Why a call to the platform gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum PlatformError {
+    /// the platform is unavailable and the call took no effect: {0}
+    Unavailable(Box<str>),
+    /// no answer arrived, and the call may have taken effect: {0}
+    Ambiguous(Box<str>),
+    /// the platform limits the rate of calls
+    RateLimited {
+        /// After how long a retry is worthwhile.
+        retry_after: Duration,
+    },
+    /// the platform rejected the call: {0}
+    Rejected(Box<str>),
+}
+
+impl std::error::Error for PlatformError {}
--- /dev/null
+++ b/crates/magnoliaspar-platform/src/table.rs
@@ -0,0 +1,86 @@
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+
+use crate::PlatformError;
+
+/// The platform's transactional table service.
+#[async_trait(?Send)]
+pub trait TableService {
+    /// Reads one row.
+    async fn read(&self, key: &RowKey) -> Result<Option<Row>, PlatformError>;
+
+    /// Reads up to `limit` rows whose keys start with `prefix` and come after `after`, in order.
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: Option<&RowKey>,
+        limit: usize,
+    ) -> Result<Vec<Row>, PlatformError>;
+
+    /// Applies all writes of a transaction, or none.
+    async fn commit(&self, transaction: &Transaction) -> Result<WriteOutcome, PlatformError>;
+}
+
+/// The key of a row, as a path such as `claim/midlands/voucher-17`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RowKey(pub Box<str>);
+
+/// The version of a row, which grows with each write to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RowVersion(pub u64);
+
+/// A row as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The key.
+    pub key: RowKey,
+    /// The version.
+    pub version: RowVersion,
+    /// The content, which only the writer interprets.
+    pub value: serde_json::Value,
+}
+
+/// Writes that take effect together or not at all.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    /// The writes, at most one for each key.
+    pub writes: Vec<Write>,
+}
+
+/// One conditional write.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// The key of the row.
+    pub key: RowKey,
+    /// What must hold for the row before the write.
+    pub condition: Condition,
+    /// The new content; none deletes the row.
+    pub value: Option<serde_json::Value>,
+}
+
+/// What must hold for a row before it is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Condition {
+    /// The row does not exist.
+    Absent,
+    /// The row has this version.
+    Version(RowVersion),
+    /// Anything.
+    Always,
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WriteOutcome {
+    /// All writes took effect; the versions are in the order of the writes.
+    Applied(Vec<RowVersion>),
+    /// No write took effect, since the condition on this row did not hold.
+    Conflict {
+        /// The key whose condition failed.
+        key: RowKey,
+        /// The row as it is, if it exists.
+        current: Option<Row>,
+    },
+}
--- /dev/null
+++ b/crates/magnoliaspar-query/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, backoff, hedging, outlier ejection and quarantine.
--- /dev/null
+++ b/crates/magnoliaspar-settings/src/lib.rs
@@ -0,0 +1,9 @@
+//! The checked settings of one instance.
+
+mod secret;
+mod settings;
+
+pub use self::secret::Secret;
+pub use self::settings::{
+    LogSettings, OperatorKey, OperatorRights, PeerKeys, PlatformSettings, Settings,
+};
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the tests of whole behaviour.
