--- a/crates/magnoliaspar-engine/src/engine.rs
+++ b/crates/magnoliaspar-engine/src/engine.rs
@@ -48,4 +48,9 @@
 pub trait EngineConnector {
     /// Returns the engine that listens on `address`.
     fn connect(&self, address: SocketAddr) -> Rc<dyn Engine>;
+
+    /// Returns the engine that listens on `address`, without any of the connections used so far.
+    ///
+    /// A call over a connection that went silent is settled by asking again on a fresh one.
+    fn connect_afresh(&self, address: SocketAddr) -> Rc<dyn Engine>;
 }
--- a/crates/magnoliaspar-engine/src/message.rs
+++ b/crates/magnoliaspar-engine/src/message.rs
@@ -57,6 +57,8 @@
     pub owner: Box<str>,
     /// Where the KV cache is.
     pub source: KvSource,
+    /// The length of the prompt in tokens, emitted ones included.
+    pub prompt_tokens: u32,
     /// The index of the first token to produce.
     pub first_index: u32,
     /// The most tokens that the whole answer may have, earlier ones included.
@@ -223,3 +225,27 @@
         role: Box<str>,
     },
 }
+
+/// The body of an engine's answer when it refuses a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refused {
+    /// The engine has no room.
+    Full,
+    /// The engine does not know the stream.
+    UnknownStream,
+    /// The KV cache is no longer held.
+    KvGone,
+    /// The order's fencing number is old.
+    Fenced {
+        /// The number in the order.
+        given: u64,
+        /// The highest number that the engine has seen.
+        seen: u64,
+    },
+    /// Anything else.
+    Other {
+        /// What is wrong.
+        message: Box<str>,
+    },
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/caller/filters.rs
@@ -0,0 +1,245 @@
+use async_trait::async_trait;
+use magnoliaspar_core::{Refusal, RefusalCode, RouteName};
+use magnoliaspar_declaration::{Declarations, Route, RouteTarget};
+
+use super::body::{read_body, too_large};
+use super::completion::{CompletionCall, CompletionShape};
+use super::context::{CallContext, CallerWorkspace, ChosenRoute, DEADLINE_HEADER};
+use super::filter::{Filter, FilterChain};
+use crate::instance::Readiness;
+
+/// The largest body of a completion on any route in bytes.
+const MAX_COMPLETION_BYTES: usize = 4 << 20;
+
+/// Returns the filters for completions.
+pub fn for_completions(shape: CompletionShape) -> FilterChain {
+    FilterChain::new(vec![
+        Box::new(CheckHead),
+        Box::new(CheckReadiness),
+        Box::new(Authenticate),
+        Box::new(ReadCompletion { shape }),
+        Box::new(CheckRouteLimits),
+        Box::new(LimitConcurrency),
+    ])
+}
+
+/// Returns the filters for calls of plain services.
+pub fn for_services() -> FilterChain {
+    FilterChain::new(vec![
+        Box::new(CheckHead),
+        Box::new(CheckReadiness),
+        Box::new(Authenticate),
+        Box::new(MatchPrefix),
+        Box::new(CheckRouteLimits),
+        Box::new(LimitConcurrency),
+    ])
+}
+
+/// Checks the identifier and the deadline in the head.
+struct CheckHead;
+
+#[async_trait(?Send)]
+impl Filter for CheckHead {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        if cx.has_bad_id {
+            let message = "x-request-id must have 1 to 64 letters, digits or -_.:/";
+            return Err(Refusal::not_run(RefusalCode::BadRequest, message));
+        }
+        let Some(text) = cx.head.header(DEADLINE_HEADER) else { return Ok(()) };
+        let Ok(deadline_ms) = text.parse::<u32>() else {
+            let message = "x-deadline-ms must be a number of milliseconds";
+            return Err(Refusal::not_run(RefusalCode::BadRequest, message));
+        };
+        let left = std::time::Duration::from_millis(deadline_ms.into());
+        cx.deadline = Some(cx.accepted_at + left);
+        Ok(())
+    }
+}
+
+/// Refuses requests while the instance cannot serve them.
+struct CheckReadiness;
+
+#[async_trait(?Send)]
+impl Filter for CheckReadiness {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let code = match cx.instance.readiness() {
+            Readiness::Ready => {
+                cx.in_force = cx.instance.in_force();
+                return Ok(());
+            }
+            Readiness::NoConfiguration => RefusalCode::NotReady,
+            Readiness::Draining => RefusalCode::Draining,
+        };
+        let message = cx.instance.readiness().to_string();
+        Err(Refusal::not_run(code, message).with_retry_after(RETRY_ELSEWHERE))
+    }
+}
+
+/// After how long a caller may try again, which will reach another instance.
+const RETRY_ELSEWHERE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Finds the caller's workspace by its key.
+struct Authenticate;
+
+#[async_trait(?Send)]
+impl Filter for Authenticate {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let header = cx.head.header("authorization").unwrap_or("");
+        let Some(key) = header.strip_prefix("Bearer ") else {
+            cx.instance.metrics.count_auth_failure("caller");
+            let message = "the authorization header must hold a bearer key";
+            return Err(Refusal::not_run(RefusalCode::Unauthenticated, message));
+        };
+        let found = cx.declarations()?.workspace_of_key(key);
+        let Some((name, workspace)) = found else {
+            cx.instance.metrics.count_auth_failure("caller");
+            let message = "the key belongs to no workspace";
+            return Err(Refusal::not_run(RefusalCode::Unauthenticated, message));
+        };
+        cx.workspace = Some(CallerWorkspace {
+            name: name.clone(),
+            share: workspace.share,
+            concurrency: workspace.concurrency,
+        });
+        Ok(())
+    }
+}
+
+/// Reads the body of a completion and finds its route by the model's name.
+struct ReadCompletion {
+    shape: CompletionShape,
+}
+
+#[async_trait(?Send)]
+impl Filter for ReadCompletion {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        cx.body = read_body(&mut cx.payload, MAX_COMPLETION_BYTES).await?;
+        let call = CompletionCall::parse(self.shape, &cx.body)?;
+        let route = find_completion(cx.declarations()?, &call.model);
+        let Some((name, route)) = route else {
+            let message = format!("no route leads to a model named {:?}", call.model);
+            return Err(Refusal::not_run(RefusalCode::UnknownModel, message));
+        };
+        cx.route = Some(ChosenRoute { name: name.clone(), route: route.clone() });
+        cx.completion = Some(call);
+        Ok(())
+    }
+}
+
+/// Finds the route of a service call by the longest matching path prefix.
+struct MatchPrefix;
+
+#[async_trait(?Send)]
+impl Filter for MatchPrefix {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let path = cx.head.uri.path();
+        let Some((name, route)) = find_service(cx.declarations()?, path) else {
+            let message = "no route leads to this path";
+            return Err(Refusal::not_run(RefusalCode::NotFound, message));
+        };
+        cx.route = Some(ChosenRoute { name: name.clone(), route: route.clone() });
+        Ok(())
+    }
+}
+
+/// Checks the size of a request against its route.
+struct CheckRouteLimits;
+
+#[async_trait(?Send)]
+impl Filter for CheckRouteLimits {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let limits = cx.chosen_route()?.route.limits;
+        if cx.body.len() > limits.body_bytes {
+            return Err(too_large(limits.body_bytes));
+        }
+        if cx.head.header_bytes() > limits.header_bytes {
+            let message = format!("the headers have more than {} bytes", limits.header_bytes);
+            return Err(Refusal::not_run(RefusalCode::TooLarge, message));
+        }
+        Ok(())
+    }
+}
+
+/// Limits how many requests of a route and of a workspace are in progress.
+struct LimitConcurrency;
+
+#[async_trait(?Send)]
+impl Filter for LimitConcurrency {
+    async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let route = cx.chosen_route()?;
+        let workspace = cx.caller_workspace()?;
+        let limits = &cx.instance.concurrency;
+        let route_key = format!("route/{}", route.name);
+        let workspace_key = format!("workspace/{}", workspace.name);
+        let of_route = limits.acquire(&route_key, route.route.limits.concurrency)?;
+        let of_workspace = limits.acquire(&workspace_key, workspace.concurrency)?;
+        cx.permits.push(of_route);
+        cx.permits.push(of_workspace);
+        Ok(())
+    }
+}
+
+impl CallContext {
+    /// Returns the declarations in force.
+    pub fn declarations(&self) -> Result<&Declarations, Refusal> {
+        let Some(in_force) = &self.in_force else {
+            let message = "no configuration is in force";
+            return Err(Refusal::not_run(RefusalCode::NotReady, message));
+        };
+        Ok(&in_force.declarations)
+    }
+
+    /// Returns the route that was found.
+    pub fn chosen_route(&self) -> Result<&ChosenRoute, Refusal> {
+        self.route
+            .as_ref()
+            .ok_or_else(|| Refusal::not_run(RefusalCode::NotFound, "the request has no route"))
+    }
+
+    /// Returns the workspace that was found.
+    pub fn caller_workspace(&self) -> Result<&CallerWorkspace, Refusal> {
+        self.workspace.as_ref().ok_or_else(|| {
+            Refusal::not_run(RefusalCode::Unauthenticated, "the caller is not known")
+        })
+    }
+}
+
+fn find_completion<'a>(
+    declarations: &'a Declarations,
+    model: &str,
+) -> Option<(&'a RouteName, &'a Route)> {
+    let mut by_model = None;
+    for (name, route) in &declarations.routes {
+        let RouteTarget::Completion(completion) = &route.target else { continue };
+        if name.as_str() == model {
+            return Some((name, route));
+        }
+        if by_model.is_none() && completion.model.as_str() == model {
+            by_model = Some((name, route));
+        }
+    }
+    by_model
+}
+
+fn find_service<'a>(
+    declarations: &'a Declarations,
+    path: &str,
+) -> Option<(&'a RouteName, &'a Route)> {
+    let mut best: Option<(usize, &RouteName, &Route)> = None;
+    for (name, route) in &declarations.routes {
+        let RouteTarget::Service(service) = &route.target else { continue };
+        if !is_below(path, &service.prefix) {
+            continue;
+        }
+        let length = service.prefix.len();
+        if best.is_none_or(|(longest, _, _)| length > longest) {
+            best = Some((length, name, route));
+        }
+    }
+    best.map(|(_, name, route)| (name, route))
+}
+
+fn is_below(path: &str, prefix: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix.trim_end_matches('/')) else { return false };
+    rest.is_empty() || rest.starts_with('/')
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -0,0 +1,44 @@
+//! What callers see: HTTP requests, their checks, answers and refusals.
+
+mod body;
+mod completion;
+mod context;
+mod filter;
+mod filters;
+mod relay;
+mod respond;
+mod service;
+
+pub use self::completion::{CompletionCall, CompletionShape};
+pub use self::context::{CallContext, CallerWorkspace, ChosenRoute};
+pub use self::filter::{Filter, FilterChain};
+
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response};
+use magnoliaspar_core::{Refusal, RefusalCode};
+
+use crate::instance::Instance;
+
+/// Answers one request of a caller.
+pub async fn handle(instance: Rc<Instance>, req: Request) -> Response<BoxBody> {
+    let mut cx = CallContext::new(instance, req);
+    let result = dispatch(&mut cx).await;
+    let mut res = result.unwrap_or_else(|refusal| respond::refuse(&cx, &refusal));
+    respond::add_request_id(&mut res, &cx.request_id);
+    res
+}
+
+async fn dispatch(cx: &mut CallContext) -> Result<Response<BoxBody>, Refusal> {
+    let Some(shape) = CompletionShape::of_path(cx.head.uri.path()) else {
+        filters::for_services().apply(cx).await?;
+        return service::call(cx).await;
+    };
+    if cx.head.method != Method::POST {
+        let message = "completions are asked for with POST";
+        return Err(Refusal::not_run(RefusalCode::MethodNotAllowed, message));
+    }
+    filters::for_completions(shape).apply(cx).await?;
+    relay::answer(cx, shape).await
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/run/attempt.rs
@@ -0,0 +1,28 @@
+use std::cell::Cell;
+use std::time::SystemTime;
+
+use magnoliaspar_core::{AttemptId, Clock};
+
+/// How many low bits of an attempt's number are random.
+const RANDOM_BITS: u32 = 20;
+
+/// Gives out numbers for attempts that no other instance gives out.
+///
+/// The high bits are the wall-clock time in milliseconds, so that later attempts have higher
+/// numbers; the low bits are random.
+#[derive(Debug, Default)]
+pub struct AttemptIds {
+    last: Cell<u64>,
+}
+
+impl AttemptIds {
+    /// Returns a new number.
+    pub fn next(&self, clock: &dyn Clock) -> AttemptId {
+        let since_epoch = clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let random = rand::random::<u64>() >> (u64::BITS - RANDOM_BITS);
+        let fresh = (since_epoch.as_millis() as u64) << RANDOM_BITS | random;
+        let next = fresh.max(self.last.get() + 1);
+        self.last.set(next);
+        AttemptId(next)
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -0,0 +1,257 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
+use magnoliaspar_engine::Engine;
+use magnoliaspar_policy::{
+    Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
+};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// How long the dispatcher sleeps at most.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
+
+/// Carries what happens to the policy, and the policy's decisions to those who wait for them.
+pub struct Dispatcher {
+    clock: Rc<dyn Clock>,
+    policy: RefCell<Box<dyn Policy>>,
+    waiters: RefCell<BTreeMap<JobKey, UnboundedSender<Step>>>,
+    engines: RefCell<BTreeMap<ServerKey, EngineHandle>>,
+    wake: Notify,
+}
+
+/// A model engine that a dispatcher can choose.
+#[derive(Clone)]
+pub struct EngineHandle {
+    /// The key under which the policy knows it.
+    pub key: ServerKey,
+    /// The name.
+    pub name: ServerName,
+    /// The address.
+    pub address: SocketAddr,
+    /// The engine.
+    pub engine: Rc<dyn Engine>,
+}
+
+/// What to do next for a job.
+#[derive(Clone)]
+pub enum Step {
+    /// Start the prefill.
+    Prefill(EngineHandle),
+    /// Transfer the KV cache and decode.
+    Transfer(EnginePair),
+    /// Refuse the request.
+    Refuse {
+        /// Why.
+        reason: RefuseReason,
+        /// After how long a retry is worthwhile.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// The engines of a transfer.
+#[derive(Clone)]
+pub struct EnginePair {
+    /// The engine that holds the KV cache.
+    pub prefill: EngineHandle,
+    /// The engine that imports it.
+    pub decode: EngineHandle,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher for a policy.
+    pub fn new(clock: Rc<dyn Clock>, policy: Box<dyn Policy>) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            policy: RefCell::new(policy),
+            waiters: RefCell::default(),
+            engines: RefCell::default(),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Hands out decisions for as long as the dispatcher is in use.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let woken = self.wake.notified();
+            self.hand_out();
+            let sleep = self.time_to_next_poll();
+            tokio::select! {
+                () = woken => {}
+                () = tokio::time::sleep(sleep) => {}
+            }
+        }
+    }
+
+    /// Submits a job; dropping the result before the job has ended cancels it.
+    pub fn submit(self: &Rc<Self>, job: Job) -> PlacedJob {
+        let (tx, rx) = unbounded_channel();
+        let key = self.tell(|policy, now| policy.submit(now, job));
+        self.waiters.borrow_mut().insert(key, tx);
+        PlacedJob { dispatcher: self.clone(), key, rx, is_ended: false }
+    }
+
+    /// Adds an engine or renews what is known of it.
+    pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
+        let name = spec.name.clone();
+        let key = self.tell(|policy, now| policy.add_server(now, spec));
+        let handle = EngineHandle { key, name, address, engine };
+        self.engines.borrow_mut().insert(key, handle);
+    }
+
+    /// Gives no new work to an engine.
+    pub fn seal_engine(&self, name: &ServerName) {
+        let Some(key) = self.key_of(name) else { return };
+        self.tell(|policy, now| policy.seal_server(now, key));
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn remove_engine(&self, name: &ServerName) {
+        let Some(key) = self.key_of(name) else { return };
+        self.tell(|policy, now| policy.remove_server(now, key));
+        self.engines.borrow_mut().remove(&key);
+    }
+
+    /// Takes in a load report.
+    pub fn report(&self, name: &ServerName, report: LoadReport) {
+        let Some(key) = self.key_of(name) else { return };
+        self.tell(|policy, now| policy.report(now, key, report));
+    }
+
+    /// Takes in cache events.
+    pub fn cache_events(
+        &self,
+        name: &ServerName,
+        stored: &[BlockHash],
+        evicted: &[BlockHash],
+        gap: bool,
+    ) {
+        let Some(key) = self.key_of(name) else { return };
+        self.tell(|policy, now| policy.cache_events(now, key, stored, evicted, gap));
+    }
+
+    /// Returns the engines.
+    pub fn engines(&self) -> Vec<EngineHandle> {
+        self.engines.borrow().values().cloned().collect()
+    }
+
+    fn key_of(&self, name: &ServerName) -> Option<ServerKey> {
+        for (key, engine) in self.engines.borrow().iter() {
+            if engine.name == *name {
+                return Some(*key);
+            }
+        }
+        None
+    }
+
+    fn tell<T>(&self, message: impl FnOnce(&mut dyn Policy, Instant) -> T) -> T {
+        let now = self.clock.now();
+        let answer = message(&mut **self.policy.borrow_mut(), now);
+        self.wake.notify_one();
+        answer
+    }
+
+    fn hand_out(&self) {
+        let actions = self.policy.borrow_mut().poll(self.clock.now());
+        for action in actions {
+            let job = job_of(&action);
+            let Some(step) = self.to_step(action) else {
+                self.tell(|policy, now| policy.failed(now, job, FailedStage::Prefill, None));
+                continue;
+            };
+            let waiters = self.waiters.borrow();
+            let Some(waiter) = waiters.get(&job) else { continue };
+            // A waiter that is gone has cancelled its job already.
+            let _ = waiter.send(step);
+        }
+    }
+
+    fn to_step(&self, action: Action) -> Option<Step> {
+        let engines = self.engines.borrow();
+        match action {
+            Action::Prefill { server, .. } => Some(Step::Prefill(engines.get(&server)?.clone())),
+            Action::Transfer { prefill, decode, .. } => {
+                let prefill = engines.get(&prefill)?.clone();
+                let decode = engines.get(&decode)?.clone();
+                Some(Step::Transfer(EnginePair { prefill, decode }))
+            }
+            Action::Refuse { reason, retry_after, .. } => {
+                Some(Step::Refuse { reason, retry_after })
+            }
+        }
+    }
+
+    fn time_to_next_poll(&self) -> Duration {
+        let Some(at) = self.policy.borrow().next_poll() else { return MAX_SLEEP };
+        at.saturating_duration_since(self.clock.now()).min(MAX_SLEEP)
+    }
+}
+
+/// A job that waits for decisions or runs.
+pub struct PlacedJob {
+    dispatcher: Rc<Dispatcher>,
+    key: JobKey,
+    rx: UnboundedReceiver<Step>,
+    is_ended: bool,
+}
+
+impl PlacedJob {
+    /// Waits for the next decision.
+    pub async fn next(&mut self) -> Option<Step> {
+        let step = self.rx.recv().await;
+        self.is_ended |= matches!(step, Some(Step::Refuse { .. }));
+        step
+    }
+
+    /// Reports that the prefill is done.
+    pub fn prefilled(&self, cached_tokens: u32, held_until: Instant) {
+        self.dispatcher
+            .tell(|policy, now| policy.prefilled(now, self.key, cached_tokens, held_until));
+    }
+
+    /// Reports that the KV cache is imported.
+    pub fn transferred(&self) {
+        self.dispatcher.tell(|policy, now| policy.transferred(now, self.key));
+    }
+
+    /// Reports how many tokens were produced.
+    pub fn progressed(&self, tokens: u32) {
+        self.dispatcher.policy.borrow_mut().progressed(
+            self.dispatcher.clock.now(),
+            self.key,
+            tokens,
+        );
+    }
+
+    /// Reports that a stage failed.
+    pub fn failed(&self, stage: FailedStage, kv_held_until: Option<Instant>) {
+        self.dispatcher.tell(|policy, now| policy.failed(now, self.key, stage, kv_held_until));
+    }
+
+    /// Reports that the answer is complete.
+    pub fn finished(mut self) {
+        self.is_ended = true;
+        self.dispatcher.tell(|policy, now| policy.finished(now, self.key));
+    }
+}
+
+impl Drop for PlacedJob {
+    fn drop(&mut self) {
+        self.dispatcher.waiters.borrow_mut().remove(&self.key);
+        if !self.is_ended {
+            self.dispatcher.tell(|policy, now| policy.cancelled(now, self.key));
+        }
+    }
+}
+
+fn job_of(action: &Action) -> JobKey {
+    match action {
+        Action::Prefill { job, .. }
+        | Action::Transfer { job, .. }
+        | Action::Refuse { job, .. } => *job,
+    }
+}
