Add in-memory fakes of the platform with faults

Cause: the controllers are tested against outages, slowness, rate limits and answers that are lost after the write took effect; each needs the same fakes.

Change: MemoryTable, MemoryObjects, MemoryWeights and MemoryInstances implement the platform's traits. Faults are switched on one by one, queued for the next call, or drawn with a seed; calls are counted. A write may also take effect late, after a read has missed it, as happens when a request outlives its caller's timeout. RateBudget, a token bucket by a passed clock, joins the platform crate since the fakes limit their rates by it.

Ruled out: one version counter for each row, which would repeat after a delete.

--- /dev/null
+++ b/crates/magnoliaspar-fake/src/instances.rs
@@ -0,0 +1,104 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use magnoliaspar_core::{Clock, ZoneName};
+use magnoliaspar_platform::{InstanceList, ListEntry, ListState, PlatformError};
+
+use crate::fault::Faults;
+
+/// The platform's list in memory, which lags; a clone is a handle to the same list.
+#[derive(Clone)]
+pub struct MemoryInstances {
+    state: Rc<RefCell<State>>,
+    faults: Faults,
+    clock: Rc<dyn Clock>,
+}
+
+struct State {
+    lag: Duration,
+    /// The lists as they became true, the oldest first; there is always one.
+    history: Vec<(Instant, Vec<ListEntry>)>,
+}
+
+impl MemoryInstances {
+    /// Creates an empty list without a lag.
+    pub fn new(clock: Rc<dyn Clock>) -> Self {
+        let history = vec![(clock.now(), Vec::new())];
+        let state = State { lag: Duration::ZERO, history };
+        let faults = Faults::new(clock.clone());
+        Self { state: Rc::new(RefCell::new(state)), faults, clock }
+    }
+
+    /// Returns the knobs of the list.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Makes the list show the state of `lag` ago.
+    pub fn set_lag(&self, lag: Duration) {
+        self.state.borrow_mut().lag = lag;
+    }
+
+    /// Adds an entry, or replaces the one of the same name.
+    pub fn put(&self, entry: ListEntry) {
+        self.change(|entries| {
+            entries.retain(|known| known.name != entry.name);
+            entries.push(entry);
+        });
+    }
+
+    /// Marks an entry as leaving.
+    pub fn leave(&self, name: &str) {
+        self.change(|entries| {
+            for entry in entries {
+                if &*entry.name == name {
+                    entry.state = ListState::Leaving;
+                }
+            }
+        });
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, name: &str) {
+        self.change(|entries| entries.retain(|known| &*known.name != name));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<ListEntry>)) {
+        let mut state = self.state.borrow_mut();
+        let mut entries = match state.history.last() {
+            Some((_, entries)) => entries.clone(),
+            None => Vec::new(),
+        };
+        change(&mut entries);
+        state.history.push((self.clock.now(), entries));
+    }
+
+    /// Returns the list as it was `lag` ago, and forgets the ones before it.
+    fn lagging(&self) -> Vec<ListEntry> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let lag = state.lag;
+        let mut shown = 0;
+        for (index, (since, _)) in state.history.iter().enumerate() {
+            if now.saturating_duration_since(*since) >= lag {
+                shown = index;
+            }
+        }
+        state.history.drain(..shown);
+        state.history[0].1.clone()
+    }
+}
+
+#[async_trait(?Send)]
+impl InstanceList for MemoryInstances {
+    async fn list(&self, zone: Option<&ZoneName>) -> Result<Vec<ListEntry>, PlatformError> {
+        self.faults.before_read().await?;
+        let mut entries = self.lagging();
+        if let Some(zone) = zone {
+            entries.retain(|entry| entry.zone == *zone);
+        }
+        Ok(entries)
+    }
+}
--- a/crates/magnoliaspar-fake/src/lib.rs
+++ b/crates/magnoliaspar-fake/src/lib.rs
@@ -1,1 +1,13 @@
 //! In-memory fakes of the platform's services, with faults that tests switch on.
+
+mod fault;
+mod instances;
+mod objects;
+mod table;
+mod weights;
+
+pub use self::fault::{CallCounts, Chances, Fault, Faults, Sleeper};
+pub use self::instances::MemoryInstances;
+pub use self::objects::MemoryObjects;
+pub use self::table::MemoryTable;
+pub use self::weights::MemoryWeights;
--- /dev/null
+++ b/crates/magnoliaspar-fake/src/table.rs
@@ -0,0 +1,183 @@
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::rc::Rc;
+
+use async_trait::async_trait;
+use magnoliaspar_core::Clock;
+use magnoliaspar_platform::{
+    Condition, PlatformError, Row, RowKey, RowVersion, TableService, Transaction, Write,
+    WriteOutcome,
+};
+
+use crate::fault::{Fault, Faults, ambiguous};
+
+/// A transactional table service in memory; a clone is a handle to the same rows.
+#[derive(Clone)]
+pub struct MemoryTable {
+    store: Rc<RefCell<Store>>,
+    faults: Faults,
+}
+
+#[derive(Default)]
+struct Store {
+    rows: BTreeMap<RowKey, Row>,
+    last_version: u64,
+    late: Vec<LateWrite>,
+}
+
+struct LateWrite {
+    calls_left: u32,
+    transaction: Transaction,
+}
+
+/// Before which later call a late write takes effect.
+const LATE_CALLS: u32 = 3;
+
+impl MemoryTable {
+    /// Creates an empty table.
+    pub fn new(clock: Rc<dyn Clock>) -> Self {
+        Self { store: Rc::default(), faults: Faults::new(clock) }
+    }
+
+    /// Returns the knobs of the table.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Returns the rows whose keys start with `prefix`, whatever the knobs say.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.store.borrow().scan(prefix, None, usize::MAX)
+    }
+
+    /// Lets all late writes take effect now.
+    pub fn apply_late_writes(&self) {
+        self.store.borrow_mut().apply_late(u32::MAX);
+    }
+}
+
+#[async_trait(?Send)]
+impl TableService for MemoryTable {
+    async fn read(&self, key: &RowKey) -> Result<Option<Row>, PlatformError> {
+        self.faults.before_read().await?;
+        let mut store = self.store.borrow_mut();
+        store.apply_late(1);
+        Ok(store.rows.get(key).cloned())
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: Option<&RowKey>,
+        limit: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        self.faults.before_read().await?;
+        let mut store = self.store.borrow_mut();
+        store.apply_late(1);
+        Ok(store.scan(prefix, after, limit))
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<WriteOutcome, PlatformError> {
+        let fault = self.faults.before_write().await?;
+        check_keys(transaction)?;
+        let mut store = self.store.borrow_mut();
+        store.apply_late(1);
+        match fault {
+            Fault::None => Ok(store.commit(transaction)),
+            Fault::LostAnswer => {
+                store.commit(transaction);
+                Err(ambiguous())
+            }
+            Fault::LateEffect => {
+                let transaction = transaction.clone();
+                store.late.push(LateWrite { calls_left: LATE_CALLS, transaction });
+                Err(ambiguous())
+            }
+            Fault::LostRequest | Fault::Unavailable => Err(ambiguous()),
+        }
+    }
+}
+
+impl Store {
+    fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Vec<Row> {
+        let first = RowKey(prefix.into());
+        let start = match after {
+            Some(after) if *after >= first => Bound::Excluded(after),
+            _ => Bound::Included(&first),
+        };
+        let mut rows = Vec::new();
+        for (key, row) in self.rows.range::<RowKey, _>((start, Bound::Unbounded)) {
+            if rows.len() == limit || !key.0.starts_with(prefix) {
+                break;
+            }
+            rows.push(row.clone());
+        }
+        rows
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> WriteOutcome {
+        for write in &transaction.writes {
+            let current = self.rows.get(&write.key);
+            if !holds(write.condition, current) {
+                return WriteOutcome::Conflict {
+                    key: write.key.clone(),
+                    current: current.cloned(),
+                };
+            }
+        }
+        let mut versions = Vec::with_capacity(transaction.writes.len());
+        for write in &transaction.writes {
+            versions.push(self.apply(write));
+        }
+        WriteOutcome::Applied(versions)
+    }
+
+    fn apply(&mut self, write: &Write) -> RowVersion {
+        // One counter for all rows, so that a deleted row's versions never come back.
+        self.last_version += 1;
+        let version = RowVersion(self.last_version);
+        let key = write.key.clone();
+        match &write.value {
+            Some(value) => {
+                let row = Row { key: key.clone(), version, value: value.clone() };
+                self.rows.insert(key, row);
+            }
+            None => {
+                self.rows.remove(&key);
+            }
+        }
+        version
+    }
+
+    fn apply_late(&mut self, calls: u32) {
+        let mut waiting = Vec::new();
+        for mut write in std::mem::take(&mut self.late) {
+            write.calls_left = write.calls_left.saturating_sub(calls);
+            if write.calls_left > 0 {
+                waiting.push(write);
+                continue;
+            }
+            self.commit(&write.transaction);
+        }
+        self.late = waiting;
+    }
+}
+
+fn holds(condition: Condition, current: Option<&Row>) -> bool {
+    match condition {
+        Condition::Absent => current.is_none(),
+        Condition::Version(version) => current.is_some_and(|row| row.version == version),
+        Condition::Always => true,
+    }
+}
+
+fn check_keys(transaction: &Transaction) -> Result<(), PlatformError> {
+    let mut keys = BTreeSet::new();
+    for write in &transaction.writes {
+        if !keys.insert(&write.key) {
+            let message = format!("the key {} is written twice", write.key.0);
+            return Err(PlatformError::Rejected(message.into()));
+        }
+    }
+    Ok(())
+}
--- a/crates/magnoliaspar-platform/src/lib.rs
+++ b/crates/magnoliaspar-platform/src/lib.rs
@@ -1,11 +1,13 @@
 //! The platform's services as traits, with adapters over HTTP and JSON.
 
+mod budget;
 mod error;
 mod instances;
 mod objects;
 mod table;
 mod weights;
 
+pub use self::budget::RateBudget;
 pub use self::error::PlatformError;
 pub use self::instances::{InstanceList, ListEntry, ListState, ListedKind, ServerRole};
 pub use self::objects::ObjectStore;
