Add the platform's adapters, settled writes and shared rates

Cause: controllers write through a table service that may be slow, limited or silent, and whose answers may be lost after the write took effect.

Ruled out: leases on parts of the rate, which cost writes themselves.

--- /dev/null
+++ b/crates/magnoliaspar-platform/src/protocol.rs
@@ -0,0 +1,53 @@
+//! The messages of the protocol over HTTP, for both of its ends.
+
+use serde::{Deserialize, Serialize};
+
+use crate::RowKey;
+
+/// The path of table reads.
+pub const TABLE_READ_PATH: &str = "/table/read";
+
+/// The path of table scans.
+pub const TABLE_SCAN_PATH: &str = "/table/scan";
+
+/// The path of table transactions.
+pub const TABLE_COMMIT_PATH: &str = "/table/commit";
+
+/// What stands before an object's name in its path.
+pub const OBJECTS_PATH: &str = "/objects/";
+
+/// The path on which downloads of weights are asked for.
+pub const WEIGHTS_PATH: &str = "/weights/acquire";
+
+/// The path of the list of instances and backend servers.
+pub const INSTANCES_PATH: &str = "/instances";
+
+/// The header of a rate-limited answer that tells in milliseconds when a retry is worthwhile.
+pub const RETRY_AFTER_HEADER: &str = "retry-after-ms";
+
+/// The body of a table read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadRequest {
+    /// The key of the row.
+    pub key: RowKey,
+}
+
+/// The body of a table scan.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScanRequest {
+    /// What the keys start with.
+    pub prefix: Box<str>,
+    /// The key after which the scan starts.
+    pub after: Option<RowKey>,
+    /// The most rows to return.
+    pub limit: usize,
+}
+
+/// The body of a request to download weights.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcquireRequest {
+    /// The model.
+    pub model: Box<str>,
+    /// The size of the download in bytes.
+    pub bytes: u64,
+}
--- /dev/null
+++ b/crates/magnoliaspar-platform/src/settle.rs
@@ -0,0 +1,181 @@
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{
+    Backoff, PlatformError, Row, RowKey, RowVersion, TableService, Transaction, WriteOutcome,
+};
+
+/// Commits a transaction and finds out what became of it, also when answers are lost.
+///
+/// Every written value must be a JSON object; it gets the field [`TOKEN_FIELD`] with `token`, which
+/// no other transaction may use. After an ambiguous answer a row is read back: if it carries the
+/// token, the whole transaction took effect. If it does not, the transaction may still arrive late,
+/// so it is sent again under the same conditions, which at most one of the sends can meet. The
+/// transaction must therefore contain a value, no condition may be
+/// [`Condition::Always`](crate::Condition::Always), and a row that was created under
+/// [`Condition::Absent`](crate::Condition::Absent) must outlive all late sends.
+pub async fn commit_settled(
+    table: &dyn TableService,
+    backoff: &Backoff,
+    transaction: &Transaction,
+    token: &WriteToken,
+) -> Settled {
+    let transaction = match stamp(transaction, token) {
+        Ok(transaction) => transaction,
+        Err(error) => return Settled::NotApplied(error),
+    };
+    let attempt = Attempt { table, transaction: &transaction, token };
+    let mut is_in_doubt = false;
+    let mut last_error = PlatformError::Unavailable("no try was made".into());
+    for number in 0..backoff.tries {
+        if number > 0 {
+            wait(backoff, number, token, &last_error).await;
+        }
+        match attempt.run(is_in_doubt).await {
+            Ok(settled) => return settled,
+            Err(error @ PlatformError::Rejected(_)) if !is_in_doubt => {
+                return Settled::NotApplied(error);
+            }
+            Err(error) => {
+                is_in_doubt |= matches!(error, PlatformError::Ambiguous(_));
+                last_error = error;
+            }
+        }
+    }
+    match is_in_doubt {
+        true => Settled::Unknown,
+        false => Settled::NotApplied(last_error),
+    }
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settled {
+    /// All writes took effect; the versions are in the order of the writes, and 0 for a row that
+    /// has been overwritten since.
+    Applied(Vec<RowVersion>),
+    /// A condition does not hold.
+    Conflict {
+        /// The key whose condition failed.
+        key: RowKey,
+        /// The row as it is, if it exists.
+        current: Option<Row>,
+        /// Whether the writes may have taken effect and been overwritten since.
+        may_have_applied: bool,
+    },
+    /// No write took effect, and none will.
+    NotApplied(PlatformError),
+    /// The writes may have taken effect, or may yet.
+    Unknown,
+}
+
+/// Marks the rows that one transaction wrote.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WriteToken(pub Box<str>);
+
+impl WriteToken {
+    /// Whether a row was last written under this token.
+    pub fn is_on(&self, row: &Row) -> bool {
+        row.value.get(TOKEN_FIELD).and_then(Value::as_str) == Some(&*self.0)
+    }
+
+    fn to_seed(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.0.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// The field of a row's value that holds the token of its last write.
+pub const TOKEN_FIELD: &str = "token";
+
+/// One try of a transaction.
+struct Attempt<'a> {
+    table: &'a dyn TableService,
+    transaction: &'a Transaction,
+    token: &'a WriteToken,
+}
+
+impl Attempt<'_> {
+    async fn run(&self, is_in_doubt: bool) -> Result<Settled, PlatformError> {
+        if is_in_doubt && self.first_row_is_own().await? {
+            return Ok(Settled::Applied(self.own_versions().await?.into()));
+        }
+        match self.table.commit(self.transaction).await? {
+            WriteOutcome::Applied(versions) => Ok(Settled::Applied(versions)),
+            WriteOutcome::Conflict { key, current } => {
+                if !is_in_doubt {
+                    return Ok(Settled::Conflict { key, current, may_have_applied: false });
+                }
+                let versions = self.own_versions().await?;
+                if versions.iter().any(|version| *version != OVERWRITTEN) {
+                    return Ok(Settled::Applied(versions.into()));
+                }
+                Ok(Settled::Conflict { key, current, may_have_applied: true })
+            }
+        }
+    }
+
+    async fn first_row_is_own(&self) -> Result<bool, PlatformError> {
+        for write in &self.transaction.writes {
+            if write.value.is_none() {
+                continue;
+            }
+            let row = self.table.read(&write.key).await?;
+            return Ok(row.is_some_and(|row| self.token.is_on(&row)));
+        }
+        Ok(false)
+    }
+
+    /// Returns the versions of all rows that carry the token, and [`OVERWRITTEN`] for others.
+    async fn own_versions(&self) -> Result<Box<[RowVersion]>, PlatformError> {
+        let mut versions = Vec::with_capacity(self.transaction.writes.len());
+        for write in &self.transaction.writes {
+            let row = match write.value {
+                Some(_) => self.table.read(&write.key).await?,
+                None => None,
+            };
+            let own = row.filter(|row| self.token.is_on(row));
+            versions.push(own.map_or(OVERWRITTEN, |row| row.version));
+        }
+        Ok(versions.into())
+    }
+}
+
+/// The version of a row that was deleted or overwritten since, which no row ever has.
+const OVERWRITTEN: RowVersion = RowVersion(0);
+
+async fn wait(backoff: &Backoff, attempt: u32, token: &WriteToken, error: &PlatformError) {
+    if let PlatformError::RateLimited { retry_after } = error {
+        let wait: Duration = (*retry_after).min(backoff.longest);
+        backoff.sleep.sleep(wait).await;
+    }
+    backoff.wait(attempt, token.to_seed()).await;
+}
+
+fn stamp(transaction: &Transaction, token: &WriteToken) -> Result<Transaction, PlatformError> {
+    let mut stamped = transaction.clone();
+    let mut has_value = false;
+    for write in &mut stamped.writes {
+        if write.condition == crate::Condition::Always {
+            return Err(rejected("a settled write needs a condition"));
+        }
+        let Some(value) = &mut write.value else { continue };
+        let Some(fields) = value.as_object_mut() else {
+            return Err(rejected("a settled write needs an object as its value"));
+        };
+        fields.insert(TOKEN_FIELD.to_owned(), Value::from(&*token.0));
+        has_value = true;
+    }
+    match has_value {
+        true => Ok(stamped),
+        false => Err(rejected("a settled transaction needs a write with a value")),
+    }
+}
+
+fn rejected(message: &str) -> PlatformError {
+    PlatformError::Rejected(message.into())
+}
--- /dev/null
+++ b/crates/magnoliaspar-platform/tests/http.rs
@@ -0,0 +1,177 @@
+//! The adapters over HTTP keep apart what took no effect from what may have taken effect.
+
+use std::cell::Cell;
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use futures_util::StreamExt;
+use magnoliaspar_core::ManualClock;
+use magnoliaspar_fake::MemoryTable;
+use magnoliaspar_http::{Handler, Server};
+use magnoliaspar_platform::protocol::{RETRY_AFTER_HEADER, ReadRequest, ScanRequest};
+use magnoliaspar_platform::{
+    Condition, HttpObjectStore, HttpTableService, HttpTimeouts, ObjectStore, PlatformError, RowKey,
+    TableService, Transaction, Write, WriteOutcome,
+};
+use serde::Serialize;
+use serde_json::json;
+
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect: Duration::from_millis(200),
+    request: Duration::from_millis(200),
+    connection_age: Duration::from_secs(60),
+};
+
+/// How the server treats calls.
+#[derive(Clone, Copy, PartialEq)]
+enum Mood {
+    Answer,
+    Silent,
+    Status(u16),
+}
+
+async fn start(table: MemoryTable, mood: Rc<Cell<Mood>>) -> SocketAddr {
+    let handler: Handler = Rc::new(move |req| {
+        let table = table.clone();
+        let mood = mood.clone();
+        Box::pin(async move { answer(req, table, mood.get()).await })
+    });
+    let server = Server::bind("127.0.0.1:0".parse().unwrap(), handler).await.unwrap();
+    let address = server.address();
+    actix_rt::spawn(server.run());
+    address
+}
+
+async fn answer(mut req: Request, table: MemoryTable, mood: Mood) -> Response<BoxBody> {
+    let mut body = Vec::new();
+    let mut payload = req.take_payload();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.unwrap());
+    }
+    let response = match req.path() {
+        "/table/read" => {
+            let req: ReadRequest = serde_json::from_slice(&body).unwrap();
+            json_response(&table.read(&req.key).await.unwrap())
+        }
+        "/table/scan" => {
+            let req: ScanRequest = serde_json::from_slice(&body).unwrap();
+            json_response(&table.scan(&req.prefix, req.after.as_ref(), req.limit).await.unwrap())
+        }
+        "/table/commit" => {
+            let transaction: Transaction = serde_json::from_slice(&body).unwrap();
+            json_response(&table.commit(&transaction).await.unwrap())
+        }
+        _ => Response::build(StatusCode::NOT_FOUND).finish().map_into_boxed_body(),
+    };
+    match mood {
+        Mood::Answer => response,
+        Mood::Silent => std::future::pending().await,
+        Mood::Status(status) => Response::build(StatusCode::from_u16(status).unwrap())
+            .insert_header((RETRY_AFTER_HEADER, "70"))
+            .finish()
+            .map_into_boxed_body(),
+    }
+}
+
+fn json_response<T: Serialize>(value: &T) -> Response<BoxBody> {
+    Response::ok().set_body(BoxBody::new(serde_json::to_vec(value).unwrap()))
+}
+
+fn create(key: &str) -> Transaction {
+    let key = RowKey(key.into());
+    let value = Some(json!({ "n": 1 }));
+    Transaction { writes: vec![Write { key, condition: Condition::Absent, value }] }
+}
+
+#[actix_rt::test]
+async fn rows_go_there_and_back() {
+    let memory = MemoryTable::new(Rc::new(ManualClock::new()));
+    let address = start(memory.clone(), Rc::new(Cell::new(Mood::Answer))).await;
+    let table = HttpTableService::new(address, TIMEOUTS);
+    let Ok(WriteOutcome::Applied(versions)) = table.commit(&create("a/1")).await else {
+        panic!("a free key is written");
+    };
+    let row = table.read(&RowKey("a/1".into())).await.unwrap().unwrap();
+    assert_eq!(row.version, versions[0]);
+    assert_eq!(table.scan("a/", None, 10).await.unwrap(), std::slice::from_ref(&row));
+    let current = Some(row);
+    let conflict = WriteOutcome::Conflict { key: RowKey("a/1".into()), current };
+    assert_eq!(table.commit(&create("a/1")).await, Ok(conflict));
+    let objects = HttpObjectStore::new(address, TIMEOUTS);
+    assert_eq!(objects.get("missing").await, Ok(None));
+    assert!(matches!(objects.get("a b").await, Err(PlatformError::Rejected(_))));
+}
+
+#[actix_rt::test]
+async fn statuses_become_errors() {
+    let mood = Rc::new(Cell::new(Mood::Status(429)));
+    let memory = MemoryTable::new(Rc::new(ManualClock::new()));
+    let table = HttpTableService::new(start(memory, mood.clone()).await, TIMEOUTS);
+    let retry_after = Duration::from_millis(70);
+    assert_eq!(table.commit(&create("a")).await, Err(PlatformError::RateLimited { retry_after }));
+    mood.set(Mood::Status(503));
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Unavailable(_))));
+    mood.set(Mood::Status(400));
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Rejected(_))));
+    mood.set(Mood::Status(500));
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Ambiguous(_))));
+    let read = table.read(&RowKey("a".into())).await;
+    assert!(matches!(read, Err(PlatformError::Unavailable(_))));
+}
+
+#[actix_rt::test]
+async fn a_silent_connection_leaves_a_write_in_doubt_and_is_not_used_again() {
+    let mood = Rc::new(Cell::new(Mood::Silent));
+    let memory = MemoryTable::new(Rc::new(ManualClock::new()));
+    let table = HttpTableService::new(start(memory.clone(), mood.clone()).await, TIMEOUTS);
+    let read = table.read(&RowKey("a".into())).await;
+    assert!(matches!(read, Err(PlatformError::Unavailable(_))));
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Ambiguous(_))));
+    assert_eq!(memory.rows("a").len(), 1);
+    mood.set(Mood::Answer);
+    assert!(matches!(table.commit(&create("a")).await, Ok(WriteOutcome::Conflict { .. })));
+}
+
+/// Answers the first request on each of three connections and is silent from then on.
+fn answer_once_per_connection(listener: TcpListener) {
+    for _ in 0..3 {
+        let (mut stream, _) = listener.accept().unwrap();
+        std::thread::spawn(move || {
+            let mut buf = [0; 4096];
+            assert!(stream.read(&mut buf).unwrap() > 0);
+            // Both of the first two calls must be on their way before one is answered.
+            std::thread::sleep(Duration::from_millis(50));
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull").unwrap();
+            while stream.read(&mut buf).unwrap_or(0) > 0 {}
+        });
+    }
+}
+
+#[actix_rt::test]
+async fn after_one_silent_connection_all_pooled_ones_are_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || answer_once_per_connection(listener));
+    let table = HttpTableService::new(address, TIMEOUTS);
+    let key = RowKey("a".into());
+    let both = futures_util::future::join(table.read(&key), table.read(&key)).await;
+    assert_eq!(both, (Ok(None), Ok(None)));
+    assert!(matches!(table.read(&key).await, Err(PlatformError::Unavailable(_))));
+    assert_eq!(table.read(&key).await, Ok(None));
+    server.join().unwrap();
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_took_no_effect_and_a_broken_one_may_have() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let table = HttpTableService::new(address, TIMEOUTS);
+    let closer = actix_rt::task::spawn_blocking(move || drop(listener.accept().unwrap()));
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Ambiguous(_))));
+    closer.await.unwrap();
+    assert!(matches!(table.commit(&create("a")).await, Err(PlatformError::Unavailable(_))));
+}
--- /dev/null
+++ b/crates/magnoliaspar-platform/tests/share.rs
@@ -0,0 +1,58 @@
+//! Instances that do not talk about it stay within the platform's rates together.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_core::ManualClock;
+use magnoliaspar_fake::MemoryTable;
+use magnoliaspar_platform::{
+    BudgetedTable, Condition, InstanceBudget, RowKey, TableService, Transaction, Write,
+};
+use serde_json::json;
+
+/// How long the instances write.
+const SECONDS: u32 = 120;
+
+/// Counts what `live` instances write in all when each sees `seen` instances.
+async fn count_writes(live: u32, seen: u32) -> u64 {
+    let clock = Rc::new(ManualClock::new());
+    let memory = MemoryTable::new(clock.clone());
+    let mut tables = Vec::new();
+    for _ in 0..live {
+        let inner = Rc::new(memory.clone());
+        let table = BudgetedTable::new(inner, clock.clone(), InstanceBudget::default());
+        table.set_live_instances(seen);
+        tables.push(table);
+    }
+    let key = RowKey("row".into());
+    let write = Write { key, condition: Condition::Always, value: Some(json!({})) };
+    let transaction = Transaction { writes: vec![write] };
+    for _ in 0..10 * SECONDS {
+        clock.advance(Duration::from_millis(100));
+        for table in &tables {
+            while table.commit(&transaction).await.is_ok() {}
+        }
+    }
+    memory.faults().counts().writes
+}
+
+#[actix_rt::test]
+async fn instances_share_the_rate_at_several_sizes() {
+    for live in [1, 6, 60, 600] {
+        let total = InstanceBudget::default().writes_per_second * f64::from(SECONDS);
+        // The first burst of each instance comes on top.
+        let bursts = 2.0 * f64::from(live) + 300.0;
+        let exact = count_writes(live, live).await as f64;
+        assert!(exact <= total * 0.75 + bursts, "{live} instances wrote {exact}");
+        assert!(exact >= total * 0.74, "{live} instances wrote {exact}");
+        let undercounted = count_writes(live, (live * 3).div_ceil(4)).await as f64;
+        assert!(undercounted <= total + bursts, "{live} instances wrote {undercounted}");
+    }
+}
+
+#[test]
+fn an_instance_without_a_list_takes_the_smallest_share() {
+    let unknown = InstanceBudget::share(300.0, 0);
+    assert_eq!(unknown, InstanceBudget::share(300.0, u32::MAX));
+    assert!(unknown < InstanceBudget::share(300.0, 3800));
+}
