--- /dev/null
+++ b/crates/magnoliaspar-json/src/path.rs
@@ -0,0 +1,38 @@
+/// The path of a document's outermost value.
+pub const ROOT: &str = "$";
+
+/// Returns the path of the member `name` of the object at `parent`.
+pub fn child_path(parent: &str, name: &str) -> Box<str> {
+    if is_plain(name) {
+        return format!("{parent}.{name}").into();
+    }
+    format!("{parent}[{name:?}]").into()
+}
+
+/// Returns the path of the element `index` of the array at `parent`.
+pub fn element_path(parent: &str, index: usize) -> Box<str> {
+    format!("{parent}[{index}]").into()
+}
+
+/// Returns the text of `path` up to its last separator, which is the parent's path once that
+/// text is the path of a value.
+pub(crate) fn shorten(path: &str) -> Option<&str> {
+    let end = path.rfind(['.', '['])?;
+    Some(&path[..end])
+}
+
+fn is_plain(name: &str) -> bool {
+    !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || matches!(c, '_' | '-'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{child_path, element_path};
+
+    #[test]
+    fn unusual_names_are_quoted() {
+        assert_eq!(&*child_path("$.routes", "assess"), "$.routes.assess");
+        assert_eq!(&*child_path("$.routes", "v1.assess"), "$.routes[\"v1.assess\"]");
+        assert_eq!(&*element_path("$.seeds", 2), "$.seeds[2]");
+    }
+}
