Read settings and declarations into checked types

Cause: an instance needs its settings and declarations checked as a whole before it takes work, and operators need every mistake named at once.

Cross-checks: pools exist and are of the right kind, weights add up to 1, prefixes and key digests belong to one thing. `route_of_model` and `route_of_path` find the route of a request. In magnoliaspar-core: `Findings::sort_by_place` and `Extend<Finding>`.

Ruled out: keeping places inside the document, since instances receive documents without files.

--- a/crates/magnoliaspar-core/src/finding.rs
+++ b/crates/magnoliaspar-core/src/finding.rs
@@ -42,6 +42,15 @@
         self.0.iter_mut()
     }
 
+    /// Sorts the findings by file, line and column; findings of one place stay in order.
+    pub fn sort_by_place(&mut self) {
+        self.0.sort_by(|a, b| {
+            let a = &a.place;
+            let b = &b.place;
+            (&a.file, a.line, a.column).cmp(&(&b.file, b.line, b.column))
+        });
+    }
+
     /// Returns `value` if nothing was found, and the findings otherwise.
     pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
         if self.is_empty() { Ok(value) } else { Err(self) }
@@ -59,6 +68,12 @@
 
 impl std::error::Error for Findings {}
 
+impl Extend<Finding> for Findings {
+    fn extend<T: IntoIterator<Item = Finding>>(&mut self, findings: T) {
+        self.0.extend(findings);
+    }
+}
+
 impl From<Finding> for Findings {
     fn from(finding: Finding) -> Self {
         Self(vec![finding])
--- /dev/null
+++ b/crates/magnoliaspar-declaration/src/check.rs
@@ -0,0 +1,204 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use magnoliaspar_core::{Finding, Findings, PoolName};
+use magnoliaspar_json::{closest, element_path};
+
+use crate::read::{field_path, read_entities};
+use crate::{Declarations, Document, EntityId, EntityKind, PoolKind, RouteTarget};
+
+impl TryFrom<&Document> for Declarations {
+    type Error = Findings;
+
+    /// Checks a document as a whole; findings have paths such as `$.routes.NAME.limits`.
+    fn try_from(document: &Document) -> Result<Self, Findings> {
+        let findings = RefCell::new(Findings::new());
+        let declarations = read_entities(document, &findings);
+        let mut findings = findings.into_inner();
+        check_pools(document, &declarations, &mut findings);
+        check_prefixes(&declarations, &mut findings);
+        check_keys(&declarations, &mut findings);
+        findings.into_result(declarations)
+    }
+}
+
+/// Checks that routes name pools that exist and are of the right kind.
+fn check_pools(document: &Document, declarations: &Declarations, findings: &mut Findings) {
+    for (name, route) in &declarations.routes {
+        let id = EntityId::new(EntityKind::Route, name.as_str());
+        match &route.target {
+            RouteTarget::Completion(target) => {
+                let uses = [
+                    ("prefill_pool", &target.prefill_pool, PoolKind::Prefill),
+                    ("decode_pool", &target.decode_pool, PoolKind::Decode),
+                ];
+                for (field, pool, kind) in uses {
+                    let path = field_path(&id, &["completion", field]);
+                    findings.extend(check_pool(document, declarations, path, pool, kind));
+                }
+            }
+            RouteTarget::Service(target) => {
+                let path = field_path(&id, &["service", "pool"]);
+                let kind = PoolKind::Service;
+                findings.extend(check_pool(document, declarations, path, &target.pool, kind));
+            }
+        }
+    }
+}
+
+fn check_pool(
+    document: &Document,
+    declarations: &Declarations,
+    path: Box<str>,
+    name: &PoolName,
+    kind: PoolKind,
+) -> Option<Finding> {
+    if let Some(pool) = declarations.pools.get(name) {
+        if pool.kind == kind {
+            return None;
+        }
+        let message = format!("the pool \"{name}\" is of kind {}, not {kind}", pool.kind);
+        return Some(Finding::at(path, message));
+    }
+    if document.entities.contains_key(&EntityId::new(EntityKind::Pool, name.as_str())) {
+        // The pool is declared and has findings of its own.
+        return None;
+    }
+    let finding = Finding::at(path, format!("the pool \"{name}\" is not declared"));
+    let names = declarations.pools.keys().map(PoolName::as_str);
+    match closest(name.as_str(), names) {
+        Some(meant) => Some(finding.with_hint(format!("did you mean {meant:?}?"))),
+        None => Some(finding),
+    }
+}
+
+/// Checks that no two services have the same path prefix.
+fn check_prefixes(declarations: &Declarations, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (name, route) in &declarations.routes {
+        let RouteTarget::Service(service) = &route.target else { continue };
+        let Some(owner) = owners.insert(&service.prefix, name) else { continue };
+        let id = EntityId::new(EntityKind::Route, name.as_str());
+        let path = field_path(&id, &["service", "prefix"]);
+        let message = format!("the route \"{owner}\" has the prefix {:?} too", service.prefix);
+        findings.push(Finding::at(path, message));
+    }
+}
+
+/// Checks that a caller's key leads to one workspace.
+fn check_keys(declarations: &Declarations, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (name, workspace) in &declarations.workspaces {
+        for (index, digest) in workspace.keys.iter().enumerate() {
+            let Some(owner) = owners.insert(digest, name) else { continue };
+            let id = EntityId::new(EntityKind::Workspace, name.as_str());
+            let path = element_path(&field_path(&id, &["key_digests"]), index);
+            let message = format!("the workspace \"{owner}\" has the key already");
+            findings.push(Finding::at(path, message));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use crate::{Declarations, Document, EntityId, KeyDigest, PoolKind, RouteTarget};
+
+    fn document(things: &[(&str, serde_json::Value)]) -> Document {
+        let mut document = Document::default();
+        for (id, value) in things {
+            document.entities.insert(EntityId((*id).into()), value.clone());
+        }
+        document
+    }
+
+    fn findings(things: &[(&str, serde_json::Value)]) -> String {
+        Declarations::try_from(&document(things)).unwrap_err().to_string()
+    }
+
+    fn completion(prefill: &str, decode: &str) -> serde_json::Value {
+        json!({"completion": {
+            "model": "m", "version": "1", "prefill_pool": prefill, "decode_pool": decode,
+        }})
+    }
+
+    #[test]
+    fn a_stored_document_is_checked_without_files() {
+        let digest = KeyDigest::of("a caller's key");
+        let declarations = Declarations::try_from(&document(&[
+            ("pools/p", json!({"kind": "prefill", "fencing": true})),
+            ("pools/d", json!({"kind": "decode"})),
+            ("routes/r", completion("p", "d")),
+            ("workspaces/w", json!({"share": 3, "key_digests": [digest.to_string()]})),
+        ]))
+        .unwrap();
+        assert!(declarations.pools.values().any(|pool| pool.is_fencing));
+        let (name, workspace) = declarations.workspace_of_key("a caller's key").unwrap();
+        assert_eq!((name.as_str(), workspace.share), ("w", 3));
+        let route = declarations.routes.values().next().unwrap();
+        let RouteTarget::Completion(target) = &route.target else { panic!("no completion") };
+        assert_eq!(target.weights.goodput, 0.5);
+        assert_eq!(declarations.pools.values().next().unwrap().kind, PoolKind::Decode);
+    }
+
+    #[test]
+    fn pools_are_checked_across_declarations() {
+        let text = findings(&[
+            ("pools/writers", json!({"kind": "decode"})),
+            ("pools/odd", json!({"kind": "decoder"})),
+            ("routes/a", completion("writers", "writer")),
+            ("routes/b", json!({"service": {"prefix": "/b", "pool": "odd", "repeat": "lookup"}})),
+        ]);
+        let expected = "\
+$.pools.odd.kind: \"decoder\" is not one of prefill, decode, service (hint: did you mean \"decode\"?)
+$.routes.a.completion.prefill_pool: the pool \"writers\" is of kind decode, not prefill
+$.routes.a.completion.decode_pool: the pool \"writer\" is not declared (hint: did you mean \"writers\"?)
+";
+        assert_eq!(text, expected);
+    }
+
+    #[test]
+    fn prefixes_and_keys_belong_to_one_thing() {
+        let service = json!({"service": {"prefix": "/s", "pool": "s", "repeat": "at_most_once"}});
+        let digest = KeyDigest::of("key").to_string();
+        let text = findings(&[
+            ("pools/s", json!({"kind": "service"})),
+            ("routes/a", service.clone()),
+            ("routes/b", service),
+            ("workspaces/a", json!({"key_digests": [digest, "12"]})),
+            ("workspaces/b", json!({"share": 0, "key_digests": [digest]})),
+            ("workspaces/c", json!({"key_digests": [digest, digest]})),
+            ("queues/x", json!({})),
+        ]);
+        let expected = "\
+$: \"queues/x\" is not a pool, route or workspace
+$.workspaces.a.key_digests[1]: a key digest has 64 hexadecimal digits (hint: give the SHA-256 digest of the key, not the key)
+$.workspaces.b.share: 0 is not a whole number from 1 to 1000000
+$.routes.b.service.prefix: the route \"a\" has the prefix \"/s\" too
+$.workspaces.c.key_digests[1]: the workspace \"c\" has the key already
+";
+        assert_eq!(text, expected);
+    }
+
+    #[test]
+    fn weights_and_limits_are_checked() {
+        let mut route = completion("p", "d");
+        route["completion"]["weights"] = json!({"goodput": 0.7, "wasted_prefill": 0.4});
+        route["limits"] = json!({"duration": "2s", "progress": "3s"});
+        let text = findings(&[
+            ("pools/p", json!({"kind": "prefill"})),
+            ("pools/d", json!({"kind": "decode"})),
+            ("routes/r", route),
+            ("routes/s", json!({"service": {"prefix": "/v1/x", "pool": "p", "repeat": "lookup"}})),
+            ("routes/t", json!({"service": {"prefix": "/x/", "pool": "p", "repeat": "lookup"}})),
+        ]);
+        let expected = "\
+$.routes.r.limits: \"progress\" is longer than \"duration\"
+$.routes.r.completion.weights: the weights add up to 1.1, not to 1 (hint: a weight that is left out is what the other leaves of 1)
+$.routes.s.service.prefix: the path /v1 is kept for completions
+$.routes.t.service.prefix: the path prefix has an empty segment (hint: leave out the '/' at the end)
+";
+        assert_eq!(text, expected);
+    }
+}
--- a/crates/magnoliaspar-declaration/src/declarations.rs
+++ b/crates/magnoliaspar-declaration/src/declarations.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
+use std::fmt;
 
 use magnoliaspar_core::{PoolName, RouteName, WorkspaceName};
 use sha2::{Digest, Sha256};
 
-use crate::Route;
+use crate::{CompletionRoute, Route, RouteTarget, ServiceRoute};
 
 /// All declarations of a deployment, checked as a whole.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -27,6 +28,41 @@
         }
         None
     }
+
+    /// Returns the completion route that callers mean by `name`.
+    ///
+    /// A route's own name goes first; a model's name stands for the only route to that model.
+    pub fn route_of_model(&self, name: &str) -> Option<(&RouteName, &Route, &CompletionRoute)> {
+        let mut found = None;
+        let mut is_only = true;
+        for (route_name, route) in &self.routes {
+            let RouteTarget::Completion(target) = &route.target else { continue };
+            if route_name.as_str() == name {
+                return Some((route_name, route, target));
+            }
+            if target.model.as_str() == name {
+                is_only &= found.is_none();
+                found = Some((route_name, route, target));
+            }
+        }
+        found.filter(|_| is_only)
+    }
+
+    /// Returns the service route whose prefix covers most segments of `path`.
+    pub fn route_of_path(&self, path: &str) -> Option<(&RouteName, &Route, &ServiceRoute)> {
+        let mut found: Option<(&RouteName, &Route, &ServiceRoute)> = None;
+        for (name, route) in &self.routes {
+            let RouteTarget::Service(target) = &route.target else { continue };
+            let Some(rest) = path.strip_prefix(&*target.prefix) else { continue };
+            if !rest.is_empty() && !rest.starts_with(['/', '?']) {
+                continue;
+            }
+            if found.is_none_or(|(.., best)| best.prefix.len() < target.prefix.len()) {
+                found = Some((name, route, target));
+            }
+        }
+        found
+    }
 }
 
 /// A pool of backend servers.
@@ -49,6 +85,16 @@
     Service,
 }
 
+impl fmt::Display for PoolKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+            Self::Service => "service",
+        })
+    }
+}
+
 /// A tenant.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Workspace {
@@ -69,4 +115,75 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
+
+    /// Reads a digest from its 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let digits = text.as_bytes();
+        let mut digest = [0; 32];
+        if digits.len() != 2 * digest.len() {
+            return None;
+        }
+        for (byte, pair) in digest.iter_mut().zip(digits.chunks_exact(2)) {
+            let high = char::from(pair[0]).to_digit(16)?;
+            let low = char::from(pair[1]).to_digit(16)?;
+            *byte = u8::try_from(high << 4 | low).ok()?;
+        }
+        Some(Self(digest))
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::{Declarations, KeyDigest};
+    use crate::{Document, EntityId};
+
+    #[test]
+    fn a_digest_is_read_as_it_is_written() {
+        let digest = KeyDigest::of("key");
+        assert_eq!(KeyDigest::from_hex(&digest.to_string()), Some(digest));
+        assert_eq!(KeyDigest::from_hex("12"), None);
+        assert_eq!(KeyDigest::from_hex(&"g".repeat(64)), None);
+    }
+
+    #[test]
+    fn routes_are_found_by_path_and_model() {
+        let mut document = Document::default();
+        let mut add = |id: &str, value| document.entities.insert(EntityId(id.into()), value);
+        add("pools/s", json!({"kind": "service"}));
+        add("pools/p", json!({"kind": "prefill"}));
+        add("pools/d", json!({"kind": "decode"}));
+        for (id, prefix) in [("routes/grants", "/grants"), ("routes/payouts", "/grants/payouts")] {
+            add(id, json!({"service": {"prefix": prefix, "pool": "s", "repeat": "lookup"}}));
+        }
+        for (id, model) in [("routes/a", "one"), ("routes/b", "one"), ("routes/c", "two")] {
+            add(
+                id,
+                json!({"completion": {
+                    "model": model, "version": "1", "prefill_pool": "p", "decode_pool": "d",
+                }}),
+            );
+        }
+        let declarations = Declarations::try_from(&document).unwrap();
+        let by_path = |path| declarations.route_of_path(path).map(|(name, ..)| name.as_str());
+        assert_eq!(by_path("/grants/status"), Some("grants"));
+        assert_eq!(by_path("/grants?x=1"), Some("grants"));
+        assert_eq!(by_path("/grants/payouts/7"), Some("payouts"));
+        assert_eq!(by_path("/grantsx"), None);
+        let by_model = |name| declarations.route_of_model(name).map(|(name, ..)| name.as_str());
+        assert_eq!(by_model("a"), Some("a"));
+        assert_eq!(by_model("two"), Some("c"));
+        assert_eq!(by_model("one"), None);
+        assert_eq!(by_model("grants"), None);
+    }
 }
--- a/crates/magnoliaspar-declaration/src/document.rs
+++ b/crates/magnoliaspar-declaration/src/document.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
+use magnoliaspar_json::{ROOT, child_path};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -44,6 +45,58 @@
 #[serde(transparent)]
 pub struct EntityId(pub Box<str>);
 
+impl EntityId {
+    /// Creates the identifier of the thing `name`.
+    pub fn new(kind: EntityKind, name: &str) -> Self {
+        Self(format!("{}/{name}", kind.group()).into())
+    }
+
+    /// Returns what kind of thing is identified, or `None` if there is no such kind.
+    pub fn kind(&self) -> Option<EntityKind> {
+        let (group, _) = self.0.split_once('/')?;
+        EntityKind::ALL.into_iter().find(|kind| kind.group() == group)
+    }
+
+    /// Returns the name of the thing.
+    pub fn name(&self) -> &str {
+        match self.0.split_once('/') {
+            Some((_, name)) => name,
+            None => &self.0,
+        }
+    }
+
+    /// Returns the JSON path of the thing in a declarations file.
+    pub fn path(&self) -> Box<str> {
+        let Some(kind) = self.kind() else { return ROOT.into() };
+        child_path(&child_path(ROOT, kind.group()), self.name())
+    }
+}
+
+/// The kinds of things that are declared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EntityKind {
+    /// A pool of backend servers.
+    Pool,
+    /// A route.
+    Route,
+    /// A workspace.
+    Workspace,
+}
+
+impl EntityKind {
+    /// All kinds.
+    pub const ALL: [Self; 3] = [Self::Pool, Self::Route, Self::Workspace];
+
+    /// Returns the name of the group in which files declare things of this kind.
+    pub fn group(self) -> &'static str {
+        match self {
+            Self::Pool => "pools",
+            Self::Route => "routes",
+            Self::Workspace => "workspaces",
+        }
+    }
+}
+
 /// Changes between two documents.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DocumentDelta {
--- /dev/null
+++ b/crates/magnoliaspar-declaration/src/read.rs
@@ -0,0 +1,293 @@
+use std::cell::RefCell;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use magnoliaspar_core::{Finding, Findings};
+use magnoliaspar_json::{Cursor, ROOT, child_path};
+
+use crate::{
+    CompletionRoute, Declarations, Document, EntityId, EntityKind, KeyDigest, Pool, PoolKind,
+    RepeatRule, Route, RouteLimits, RouteTarget, RouteWeights, ServiceRoute, WaitRule, Workspace,
+};
+
+/// The limits of a route whose declaration gives none.
+const DEFAULT_LIMITS: RouteLimits = RouteLimits {
+    body_bytes: 1 << 20,
+    header_bytes: 16 << 10,
+    concurrency: 1_000,
+    duration: Duration::from_secs(120),
+    progress: Duration::from_secs(5),
+};
+
+/// The target for the time to the first token of a route whose declaration gives none.
+const DEFAULT_TTFT_TARGET: Duration = Duration::from_millis(970);
+
+/// The target for the time between tokens of a route whose declaration gives none.
+const DEFAULT_ITL_TARGET: Duration = Duration::from_millis(62);
+
+/// The expected number of output tokens of a route whose declaration gives none.
+const DEFAULT_OUTPUT_TOKENS: u32 = 214;
+
+/// The share of a workspace whose declaration gives none.
+const DEFAULT_SHARE: u32 = 1;
+
+/// The concurrency of a workspace whose declaration gives none.
+const DEFAULT_CONCURRENCY: u32 = 100;
+
+/// The weights of a route whose declaration gives none.
+const DEFAULT_WEIGHTS: RouteWeights = RouteWeights { wasted_prefill: 0.5, goodput: 0.5 };
+
+/// By how much the sum of the weights may differ from 1.
+const WEIGHT_TOLERANCE: f64 = 1e-6;
+
+/// The durations that limits and targets may have.
+const DURATIONS: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(86_400);
+
+/// The sizes in bytes that limits may have.
+const SIZES: RangeInclusive<u64> = 1..=1 << 30;
+
+/// The counts that limits and shares may have.
+const COUNTS: RangeInclusive<u32> = 1..=1_000_000;
+
+/// The number of hexadecimal digits of a key digest.
+const DIGEST_DIGITS: usize = 64;
+
+/// The path prefix that is kept for completions.
+const COMPLETIONS_PREFIX: &str = "/v1";
+
+/// The names of pool kinds in declarations.
+const POOL_KINDS: [(&str, PoolKind); 3] =
+    [("prefill", PoolKind::Prefill), ("decode", PoolKind::Decode), ("service", PoolKind::Service)];
+
+/// The names of wait rules in declarations.
+const WAIT_RULES: [(&str, WaitRule); 2] =
+    [("refuse_late", WaitRule::RefuseLate), ("may_wait", WaitRule::MayWait)];
+
+/// The names of repeat rules in declarations.
+const REPEAT_RULES: [(&str, RepeatRule); 3] = [
+    ("lookup", RepeatRule::Lookup),
+    ("idempotent", RepeatRule::Idempotent),
+    ("at_most_once", RepeatRule::AtMostOnce),
+];
+
+/// Reads each declared thing by itself; things with findings are left out.
+pub(crate) fn read_entities(document: &Document, findings: &RefCell<Findings>) -> Declarations {
+    let mut declarations = Declarations::default();
+    for (id, value) in &document.entities {
+        let Some(kind) = id.kind() else {
+            let message = format!("{:?} is not a pool, route or workspace", id.0);
+            findings.borrow_mut().push(Finding::at(ROOT, message));
+            continue;
+        };
+        let cursor = Cursor::new(value, id.path(), findings);
+        match kind {
+            EntityKind::Pool => insert(&mut declarations.pools, id, &cursor, read_pool),
+            EntityKind::Route => insert(&mut declarations.routes, id, &cursor, read_route),
+            EntityKind::Workspace => {
+                insert(&mut declarations.workspaces, id, &cursor, read_workspace);
+            }
+        }
+    }
+    declarations
+}
+
+fn insert<'a, N, T>(
+    map: &mut std::collections::BTreeMap<N, T>,
+    id: &'a EntityId,
+    cursor: &Cursor,
+    read: impl Fn(&Cursor) -> Option<T>,
+) where
+    N: TryFrom<&'a str> + Ord,
+    N::Error: std::fmt::Display,
+{
+    let value = read(cursor);
+    match (N::try_from(id.name()), value) {
+        (Ok(name), Some(value)) => {
+            map.insert(name, value);
+        }
+        (Err(err), _) => cursor.report(err.to_string()),
+        (Ok(_), None) => {}
+    }
+}
+
+fn read_pool(cursor: &Cursor) -> Option<Pool> {
+    let object = cursor.object()?;
+    let kind = object.required("kind").and_then(|field| field.one_of(&POOL_KINDS));
+    let is_fencing = object.with_default("fencing", false, Cursor::boolean);
+    object.finish();
+    Some(Pool { kind: kind?, is_fencing: is_fencing? })
+}
+
+fn read_route(cursor: &Cursor) -> Option<Route> {
+    let object = cursor.object()?;
+    let completion = object.optional("completion");
+    let service = object.optional("service");
+    let limits = object.with_default("limits", DEFAULT_LIMITS, read_limits);
+    object.finish();
+    let target = match (completion, service) {
+        (Some(completion), None) => read_completion(&completion).map(RouteTarget::Completion),
+        (None, Some(service)) => read_service(&service).map(RouteTarget::Service),
+        (Some(_), Some(_)) => {
+            cursor.report("a route leads to a completion or a service, not to both");
+            None
+        }
+        (None, None) => {
+            cursor.report("the field \"completion\" or \"service\" is missing");
+            None
+        }
+    };
+    Some(Route { target: target?, limits: limits? })
+}
+
+fn read_completion(cursor: &Cursor) -> Option<CompletionRoute> {
+    let object = cursor.object()?;
+    let model = object.required("model").and_then(|field| field.parsed());
+    let version = object.required("version").and_then(|field| field.filled_text());
+    let adapters = object.with_default("adapters", [].into(), |field| {
+        field.list(|adapter| Some(adapter.filled_text()?.into()))
+    });
+    let prefill_pool = object.required("prefill_pool").and_then(|field| field.parsed());
+    let decode_pool = object.required("decode_pool").and_then(|field| field.parsed());
+    let weights = object.with_default("weights", DEFAULT_WEIGHTS, read_weights);
+    let wait = object.with_default("wait", WaitRule::RefuseLate, |field| field.one_of(&WAIT_RULES));
+    let ttft_target = object.with_default("ttft_target", DEFAULT_TTFT_TARGET, read_duration);
+    let itl_target = object.with_default("itl_target", DEFAULT_ITL_TARGET, read_duration);
+    let expected_output_tokens =
+        object.with_default("expected_output_tokens", DEFAULT_OUTPUT_TOKENS, read_count);
+    object.finish();
+    Some(CompletionRoute {
+        model: model?,
+        version: version?.into(),
+        adapters: adapters?,
+        prefill_pool: prefill_pool?,
+        decode_pool: decode_pool?,
+        weights: weights?,
+        wait: wait?,
+        ttft_target: ttft_target?,
+        itl_target: itl_target?,
+        expected_output_tokens: expected_output_tokens?,
+    })
+}
+
+/// Reads weights; one that is left out is what the other leaves of 1.
+fn read_weights(cursor: &Cursor) -> Option<RouteWeights> {
+    let object = cursor.object()?;
+    let wasted_prefill = object.optional("wasted_prefill").map(|field| field.number(0.0..=1.0));
+    let goodput = object.optional("goodput").map(|field| field.number(0.0..=1.0));
+    object.finish();
+    let (wasted_prefill, goodput) = match (wasted_prefill, goodput) {
+        (Some(wasted_prefill), Some(goodput)) => (wasted_prefill?, goodput?),
+        (Some(wasted_prefill), None) => (wasted_prefill?, 1.0 - wasted_prefill?),
+        (None, Some(goodput)) => (1.0 - goodput?, goodput?),
+        (None, None) => return Some(DEFAULT_WEIGHTS),
+    };
+    let sum = wasted_prefill + goodput;
+    if (sum - 1.0).abs() > WEIGHT_TOLERANCE {
+        cursor.report_with_hint(
+            format!("the weights add up to {sum}, not to 1"),
+            "a weight that is left out is what the other leaves of 1",
+        );
+        return None;
+    }
+    Some(RouteWeights { wasted_prefill, goodput })
+}
+
+fn read_service(cursor: &Cursor) -> Option<ServiceRoute> {
+    let object = cursor.object()?;
+    let prefix = object.required("prefix").and_then(|field| read_prefix(&field));
+    let pool = object.required("pool").and_then(|field| field.parsed());
+    let repeat = object.required("repeat").and_then(|field| field.one_of(&REPEAT_RULES));
+    object.finish();
+    Some(ServiceRoute { prefix: prefix?, pool: pool?, repeat: repeat? })
+}
+
+fn read_prefix(cursor: &Cursor) -> Option<Box<str>> {
+    let text = cursor.text()?;
+    let Some(rest) = text.strip_prefix('/') else {
+        cursor.report("a path prefix starts with '/'");
+        return None;
+    };
+    for segment in rest.split('/') {
+        if segment.is_empty() {
+            cursor.report_with_hint(
+                "the path prefix has an empty segment",
+                "leave out the '/' at the end",
+            );
+            return None;
+        }
+        let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+        if !segment.bytes().all(is_plain) || matches!(segment, "." | "..") {
+            cursor.report(format!("{segment:?} is not a plain path segment"));
+            return None;
+        }
+    }
+    if text == COMPLETIONS_PREFIX || text.starts_with("/v1/") {
+        cursor.report(format!("the path {COMPLETIONS_PREFIX} is kept for completions"));
+        return None;
+    }
+    Some(text.into())
+}
+
+fn read_limits(cursor: &Cursor) -> Option<RouteLimits> {
+    let default = DEFAULT_LIMITS;
+    let object = cursor.object()?;
+    let body_bytes = object.with_default("body_bytes", default.body_bytes, read_size);
+    let header_bytes = object.with_default("header_bytes", default.header_bytes, read_size);
+    let concurrency = object.with_default("concurrency", default.concurrency, read_count);
+    let duration = object.with_default("duration", default.duration, read_duration);
+    let progress = object.with_default("progress", default.progress, read_duration);
+    object.finish();
+    let limits = RouteLimits {
+        body_bytes: body_bytes?,
+        header_bytes: header_bytes?,
+        concurrency: concurrency?,
+        duration: duration?,
+        progress: progress?,
+    };
+    if limits.progress > limits.duration {
+        cursor.report("\"progress\" is longer than \"duration\"");
+        return None;
+    }
+    Some(limits)
+}
+
+fn read_workspace(cursor: &Cursor) -> Option<Workspace> {
+    let object = cursor.object()?;
+    let share = object.with_default("share", DEFAULT_SHARE, read_count);
+    let concurrency = object.with_default("concurrency", DEFAULT_CONCURRENCY, read_count);
+    let keys = object.with_default("key_digests", [].into(), |field| field.list(read_digest));
+    object.finish();
+    Some(Workspace { share: share?, concurrency: concurrency?, keys: keys? })
+}
+
+fn read_digest(cursor: &Cursor) -> Option<KeyDigest> {
+    let Some(digest) = KeyDigest::from_hex(cursor.text()?) else {
+        cursor.report_with_hint(
+            format!("a key digest has {DIGEST_DIGITS} hexadecimal digits"),
+            "give the SHA-256 digest of the key, not the key",
+        );
+        return None;
+    };
+    Some(digest)
+}
+
+fn read_duration(cursor: &Cursor) -> Option<Duration> {
+    cursor.duration(DURATIONS)
+}
+
+fn read_size(cursor: &Cursor) -> Option<usize> {
+    usize::try_from(cursor.integer(SIZES)?).ok()
+}
+
+fn read_count(cursor: &Cursor) -> Option<u32> {
+    cursor.integer_u32(COUNTS)
+}
+
+/// Returns the path of the field `name` within the declared thing `id`.
+pub(crate) fn field_path(id: &EntityId, names: &[&str]) -> Box<str> {
+    let mut path = id.path();
+    for name in names {
+        path = child_path(&path, name);
+    }
+    path
+}
--- a/crates/magnoliaspar-json/src/cursor.rs
+++ b/crates/magnoliaspar-json/src/cursor.rs
@@ -98,13 +98,14 @@
         Some(cursors)
     }
 
-    /// Reads an array whose elements are read by `read`; elements with findings are left out.
+    /// Reads an array whose elements are read by `read`; all elements are read in any case.
     pub fn list<T>(&self, read: impl Fn(&Cursor<'a>) -> Option<T>) -> Option<Box<[T]>> {
         let mut list = Vec::new();
-        for element in self.array()? {
-            list.extend(read(&element));
+        let elements = self.array()?;
+        for element in &elements {
+            list.extend(read(element));
         }
-        Some(list.into())
+        (list.len() == elements.len()).then(|| list.into())
     }
 
     /// Reads a text.
--- a/crates/magnoliaspar-json/src/source.rs
+++ b/crates/magnoliaspar-json/src/source.rs
@@ -54,24 +54,17 @@
     }
 
     /// Completes the places of findings that have only a path, and sorts all by place.
-    pub fn locate(&self, findings: Findings) -> Findings {
-        let mut located: Vec<Finding> = Vec::new();
-        for finding in findings.iter() {
-            let mut finding = finding.clone();
-            if finding.place.line == 0
-                && let Some(place) = self.place(&finding.place.path)
-            {
-                let path = finding.place.path;
-                finding.place = Place { path, ..place.clone() };
+    pub fn locate(&self, mut findings: Findings) -> Findings {
+        for finding in findings.iter_mut() {
+            if finding.place.line > 0 {
+                continue;
             }
-            located.push(finding);
+            let Some(place) = self.place(&finding.place.path) else { continue };
+            let path = finding.place.path.clone();
+            finding.place = Place { path, ..place.clone() };
         }
-        located.sort_by_key(|finding| (finding.place.line, finding.place.column));
-        let mut sorted = Findings::new();
-        for finding in located {
-            sorted.push(finding);
-        }
-        sorted
+        findings.sort_by_place();
+        findings
     }
 }
 
--- a/crates/magnoliaspar-settings/src/lib.rs
+++ b/crates/magnoliaspar-settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! The checked settings of one instance.
 
+mod read;
 mod secret;
 mod settings;
 
