Rank instances for a pool shard by rendezvous hashing

Cause: the serving path needs a home instance for each pool shard that all instances agree on.

Ruled out: a hash ring, which needs many points for each instance to spread evenly.

--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -6,10 +6,12 @@
 mod job;
 mod scheduler;
 mod server;
+mod shard;
 
 pub use self::job::{FailedStage, Job, RefuseReason, Urgency, Weights};
 pub use self::scheduler::Scheduler;
 pub use self::server::{LoadReport, Role, ServerSpec};
+pub use self::shard::rank_by_rendezvous;
 
 use std::time::{Duration, Instant};
 
