--- a/crates/magnoliaspar-serve/src/caller/context.rs
+++ b/crates/magnoliaspar-serve/src/caller/context.rs
@@ -67,8 +67,6 @@
 pub struct CallerWorkspace {
     /// The name.
     pub name: WorkspaceName,
-    /// The share of capacity.
-    pub share: u32,
     /// How many of its requests may be in progress on one instance.
     pub concurrency: u32,
 }
--- a/crates/magnoliaspar-serve/src/caller/filters.rs
+++ b/crates/magnoliaspar-serve/src/caller/filters.rs
@@ -1,6 +1,6 @@
 use async_trait::async_trait;
-use magnoliaspar_core::{Refusal, RefusalCode, RouteName};
-use magnoliaspar_declaration::{Declarations, Route, RouteTarget};
+use magnoliaspar_core::{Refusal, RefusalCode};
+use magnoliaspar_declaration::Declarations;
 
 use super::body::{read_body, too_large};
 use super::completion::{CompletionCall, CompletionShape};
@@ -96,11 +96,8 @@
             let message = "the key belongs to no workspace";
             return Err(Refusal::not_run(RefusalCode::Unauthenticated, message));
         };
-        cx.workspace = Some(CallerWorkspace {
-            name: name.clone(),
-            share: workspace.share,
-            concurrency: workspace.concurrency,
-        });
+        cx.workspace =
+            Some(CallerWorkspace { name: name.clone(), concurrency: workspace.concurrency });
         Ok(())
     }
 }
@@ -115,8 +112,7 @@
     async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
         cx.body = read_body(&mut cx.payload, MAX_COMPLETION_BYTES).await?;
         let call = CompletionCall::parse(self.shape, &cx.body)?;
-        let route = find_completion(cx.declarations()?, &call.model);
-        let Some((name, route)) = route else {
+        let Some((name, route, _)) = cx.declarations()?.route_of_model(&call.model) else {
             let message = format!("no route leads to a model named {:?}", call.model);
             return Err(Refusal::not_run(RefusalCode::UnknownModel, message));
         };
@@ -133,7 +129,7 @@
 impl Filter for MatchPrefix {
     async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
         let path = cx.head.uri.path();
-        let Some((name, route)) = find_service(cx.declarations()?, path) else {
+        let Some((name, route, _)) = cx.declarations()?.route_of_path(path) else {
             let message = "no route leads to this path";
             return Err(Refusal::not_run(RefusalCode::NotFound, message));
         };
@@ -203,43 +199,3 @@
         })
     }
 }
-
-fn find_completion<'a>(
-    declarations: &'a Declarations,
-    model: &str,
-) -> Option<(&'a RouteName, &'a Route)> {
-    let mut by_model = None;
-    for (name, route) in &declarations.routes {
-        let RouteTarget::Completion(completion) = &route.target else { continue };
-        if name.as_str() == model {
-            return Some((name, route));
-        }
-        if by_model.is_none() && completion.model.as_str() == model {
-            by_model = Some((name, route));
-        }
-    }
-    by_model
-}
-
-fn find_service<'a>(
-    declarations: &'a Declarations,
-    path: &str,
-) -> Option<(&'a RouteName, &'a Route)> {
-    let mut best: Option<(usize, &RouteName, &Route)> = None;
-    for (name, route) in &declarations.routes {
-        let RouteTarget::Service(service) = &route.target else { continue };
-        if !is_below(path, &service.prefix) {
-            continue;
-        }
-        let length = service.prefix.len();
-        if best.is_none_or(|(longest, _, _)| length > longest) {
-            best = Some((length, name, route));
-        }
-    }
-    best.map(|(_, name, route)| (name, route))
-}
-
-fn is_below(path: &str, prefix: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix.trim_end_matches('/')) else { return false };
-    rest.is_empty() || rest.starts_with('/')
-}
--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -8,10 +8,7 @@
 mod relay;
 mod respond;
 mod service;
-
-pub use self::completion::{CompletionCall, CompletionShape};
-pub use self::context::{CallContext, CallerWorkspace, ChosenRoute};
-pub use self::filter::{Filter, FilterChain};
+mod shape;
 
 use std::rc::Rc;
 
@@ -19,6 +16,9 @@
 use actix_http::{Method, Request, Response};
 use magnoliaspar_core::{Refusal, RefusalCode};
 
+use self::completion::CompletionShape;
+use self::context::CallContext;
+use self::filter::Filter;
 use crate::instance::Instance;
 
 /// Answers one request of a caller.
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -0,0 +1,62 @@
+//! The instances and backend servers that this instance knows.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use magnoliaspar_core::{PoolName, ServerName};
+use magnoliaspar_platform::ServerRole;
+
+/// Backend servers by pool.
+#[derive(Debug, Default)]
+pub struct Directory {
+    servers: RefCell<BTreeMap<ServerName, KnownServer>>,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownServer {
+    /// The name.
+    pub name: ServerName,
+    /// The address.
+    pub address: SocketAddr,
+    /// The pool.
+    pub pool: PoolName,
+    /// What the server does.
+    pub role: ServerRole,
+    /// Whether the server may get new work.
+    pub is_live: bool,
+}
+
+impl Directory {
+    /// Replaces what is known of a server.
+    pub fn put(&self, server: KnownServer) {
+        self.servers.borrow_mut().insert(server.name.clone(), server);
+    }
+
+    /// Forgets servers that are not in `names`.
+    pub fn retain(&self, keep: impl Fn(&ServerName) -> bool) {
+        self.servers.borrow_mut().retain(|name, _| keep(name));
+    }
+
+    /// Returns the live servers of a pool.
+    pub fn live_of(&self, pool: &PoolName) -> Vec<KnownServer> {
+        let mut live = Vec::new();
+        for server in self.servers.borrow().values() {
+            if server.is_live && server.pool == *pool {
+                live.push(server.clone());
+            }
+        }
+        live
+    }
+
+    /// Returns how many servers a pool has, leaving ones included.
+    pub fn count_of(&self, pool: &PoolName) -> usize {
+        self.servers.borrow().values().filter(|server| server.pool == *pool).count()
+    }
+
+    /// Returns all servers.
+    pub fn all(&self) -> Vec<KnownServer> {
+        self.servers.borrow().values().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -0,0 +1,100 @@
+//! What all parts of one instance share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use displaydoc::Display;
+use magnoliaspar_core::Clock;
+use magnoliaspar_declaration::Declarations;
+use magnoliaspar_settings::Settings;
+
+use crate::directory::Directory;
+use crate::limit::ConcurrencyLimits;
+use crate::metrics::Metrics;
+use crate::peer::ZoneHomes;
+use crate::run::{Homes, LocalHome};
+use crate::service::ServiceCaller;
+
+/// One entry instance.
+pub struct Instance {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// The configuration in force.
+    pub configuration: Rc<ConfigurationInForce>,
+    /// Reads answers from their home instances.
+    pub homes: Homes,
+    /// This instance as a home.
+    pub home: Rc<LocalHome>,
+    /// Chooses home instances.
+    pub zone_homes: Rc<ZoneHomes>,
+    /// Calls plain services.
+    pub services: ServiceCaller,
+    /// The backend servers.
+    pub directory: Rc<Directory>,
+    /// Limits how many requests are in progress.
+    pub concurrency: ConcurrencyLimits,
+    /// Counts what happens.
+    pub metrics: Rc<Metrics>,
+    /// Whether the instance drains.
+    pub is_draining: Cell<bool>,
+}
+
+impl Instance {
+    /// Returns the configuration in force, if one is known.
+    pub fn in_force(&self) -> Option<Rc<InForce>> {
+        self.configuration.current()
+    }
+
+    /// Whether the instance can take requests.
+    pub fn readiness(&self) -> Readiness {
+        if self.is_draining.get() {
+            return Readiness::Draining;
+        }
+        if self.configuration.current().is_none() {
+            return Readiness::NoConfiguration;
+        }
+        Readiness::Ready
+    }
+}
+
+/// Whether an instance can take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Readiness {
+    /// the instance takes requests
+    Ready,
+    /// the instance could not learn any configuration yet
+    NoConfiguration,
+    /// the instance drains and takes no more requests
+    Draining,
+}
+
+/// The configuration that an instance serves by.
+#[derive(Debug, Default)]
+pub struct ConfigurationInForce(RefCell<Option<Rc<InForce>>>);
+
+impl ConfigurationInForce {
+    /// Returns the configuration, if one is known.
+    pub fn current(&self) -> Option<Rc<InForce>> {
+        self.0.borrow().clone()
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub fn set(&self, fresh: InForce) {
+        let mut current = self.0.borrow_mut();
+        if current.as_ref().is_some_and(|current| current.version >= fresh.version) {
+            return;
+        }
+        *current = Some(Rc::new(fresh));
+    }
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// The version.
+    pub version: u64,
+    /// The declarations.
+    pub declarations: Declarations,
+}
--- a/crates/magnoliaspar-serve/src/limit.rs
+++ b/crates/magnoliaspar-serve/src/limit.rs
@@ -34,11 +34,6 @@
         *count += 1;
         Ok(Permit { limits: self.clone(), key: key.into() })
     }
-
-    /// Returns how many requests are in progress under `key`.
-    pub fn in_progress(&self, key: &str) -> u32 {
-        self.0.borrow().get(key).copied().unwrap_or(0)
-    }
 }
 
 impl Drop for Permit {
@@ -63,6 +58,6 @@
         assert!(limits.acquire("route/a", 1).is_err());
         drop(permit);
         assert!(limits.acquire("route/a", 1).is_ok());
-        assert_eq!(limits.in_progress("route/a"), 0);
+        assert!(limits.0.borrow().is_empty());
     }
 }
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Metrics in the format of Prometheus.
+
+use magnoliaspar_core::{Outcome, Refusal};
+use prometheus::{Encoder, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+
+/// The metrics of one instance.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Completions that were accepted.
+    pub requests: IntCounter,
+    /// Complete answers that were delivered.
+    pub answers: IntCounter,
+    /// Tokens that were relayed.
+    pub tokens: IntCounter,
+    refusals: IntCounterVec,
+    auth_failures: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates metrics that stand at zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: counter(&registry, "requests_total", "Completions that were accepted."),
+            answers: counter(&registry, "answers_total", "Complete answers delivered."),
+            tokens: counter(&registry, "tokens_total", "Tokens relayed to callers."),
+            refusals: counters(
+                &registry,
+                "refusals_total",
+                "Refusals by code and outcome.",
+                &["code", "outcome"],
+            ),
+            auth_failures: counters(
+                &registry,
+                "auth_failures_total",
+                "Wrong or missing keys by who showed them.",
+                &["who"],
+            ),
+            registry,
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, refusal: &Refusal) {
+        let code = refusal.code.to_string();
+        let outcome = match refusal.outcome {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not_run",
+            Outcome::MayHaveRun => "may_have_run",
+        };
+        self.refusals.with_label_values(&[code.as_str(), outcome]).inc();
+    }
+
+    /// Counts a wrong or missing key.
+    pub fn count_auth_failure(&self, who: &str) {
+        self.auth_failures.with_label_values(&[who]).inc();
+    }
+
+    /// Returns the counter of wrong or missing keys that `who` showed.
+    pub fn auth_failures_of(&self, who: &str) -> IntCounter {
+        self.auth_failures.with_label_values(&[who])
+    }
+
+    /// Returns all metrics as text.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .expect("metrics are written to memory");
+        buf
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::with_opts(Opts::new(name, help).namespace("magnoliaspar"))
+        .expect("the name is valid");
+    registry.register(Box::new(counter.clone())).expect("the name is used once");
+    counter
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(name, help).namespace("magnoliaspar");
+    let counters = IntCounterVec::new(opts, labels).expect("the names are valid");
+    registry.register(Box::new(counters.clone())).expect("the name is used once");
+    counters
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -0,0 +1,196 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use magnoliaspar_core::{Clock, InstanceName};
+use magnoliaspar_settings::Secret;
+use magnoliaspar_wire::peer::peer_client::PeerClient as GeneratedClient;
+use magnoliaspar_wire::peer::run_event::Event;
+use magnoliaspar_wire::peer::run_frame::Frame;
+use magnoliaspar_wire::peer::{RunCancel, RunDelivered, RunEvent, RunFrame};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::metadata::MetadataValue;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Request, Status, Streaming};
+
+use super::convert::{from_event, from_refused, to_open};
+use super::server::{KEY_HEADER, MAX_MESSAGE_BYTES};
+use crate::run::{CompletionRequest, Home, LinkBroken, OpenError, RunLink, RunUpdate};
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an instance may take to accept a run.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How often a link is probed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a probe may go unanswered.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The links to other instances, one for each address.
+pub struct PeerClients {
+    clock: Rc<dyn Clock>,
+    key: Secret,
+    channels: RefCell<BTreeMap<SocketAddr, Channel>>,
+}
+
+impl PeerClients {
+    /// Creates an empty set of links that show `key`.
+    pub fn new(clock: Rc<dyn Clock>, key: Secret) -> Self {
+        Self { clock, key, channels: RefCell::default() }
+    }
+
+    /// Returns the link to an instance; it connects when it is first used.
+    pub fn client(&self, name: &InstanceName, address: SocketAddr) -> PeerClient {
+        let mut channels = self.channels.borrow_mut();
+        let channel = channels.entry(address).or_insert_with(|| connect(address)).clone();
+        PeerClient { name: name.clone(), clock: self.clock.clone(), key: self.key.clone(), channel }
+    }
+}
+
+/// A link to another instance.
+#[derive(Clone)]
+pub struct PeerClient {
+    name: InstanceName,
+    clock: Rc<dyn Clock>,
+    key: Secret,
+    channel: Channel,
+}
+
+impl PeerClient {
+    fn generated(&self) -> GeneratedClient<Channel> {
+        GeneratedClient::new(self.channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
+    }
+
+    fn sign<T>(&self, message: T) -> Request<T> {
+        let mut req = Request::new(message);
+        let bearer = format!("Bearer {}", self.key.expose());
+        if let Ok(value) = MetadataValue::try_from(bearer) {
+            req.metadata_mut().insert(KEY_HEADER, value);
+        }
+        req
+    }
+
+    async fn start(&self, req: &CompletionRequest) -> Result<RemoteLink, OpenError> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let open = RunFrame { frame: Some(Frame::Open(to_open(req, self.clock.now()))) };
+        let _ = tx.send(open);
+        let call = self.sign(UnboundedReceiverStream::new(rx));
+        let events = self.generated().run(call).await.map_err(map_status)?.into_inner();
+        let mut link = RemoteLink { home: self.name.clone(), is_new: false, tx, events };
+        match link.events.message().await.map_err(map_status)? {
+            Some(RunEvent { event: Some(Event::Accepted(accepted)) }) => {
+                link.is_new = accepted.is_new;
+                Ok(link)
+            }
+            Some(RunEvent { event: Some(Event::Refused(refused)) }) => {
+                match from_refused(refused) {
+                    Ok(refusal) => Err(OpenError::Refused(refusal)),
+                    Err(error) => Err(OpenError::Lost(error.to_string().into())),
+                }
+            }
+            _ => Err(OpenError::Lost("the run was neither accepted nor refused".into())),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl Home for PeerClient {
+    fn name(&self) -> &InstanceName {
+        &self.name
+    }
+
+    async fn open(&self, req: &CompletionRequest) -> Result<Box<dyn RunLink>, OpenError> {
+        match tokio::time::timeout(OPEN_TIMEOUT, self.start(req)).await {
+            Ok(Ok(link)) => Ok(Box::new(link)),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(OpenError::Lost("the home instance does not answer".into())),
+        }
+    }
+}
+
+/// A reader's link to a run on another instance.
+struct RemoteLink {
+    home: InstanceName,
+    is_new: bool,
+    tx: mpsc::UnboundedSender<RunFrame>,
+    events: Streaming<RunEvent>,
+}
+
+impl RemoteLink {
+    fn send(&self, frame: Frame) {
+        // A link that is broken already has nothing to tell.
+        let _ = self.tx.send(RunFrame { frame: Some(frame) });
+    }
+}
+
+#[async_trait(?Send)]
+impl RunLink for RemoteLink {
+    fn is_new(&self) -> bool {
+        self.is_new
+    }
+
+    fn home(&self) -> Option<&InstanceName> {
+        Some(&self.home)
+    }
+
+    async fn next(&mut self) -> Result<RunUpdate, LinkBroken> {
+        match self.events.message().await {
+            Ok(Some(RunEvent { event: Some(event) })) => {
+                from_event(event).map_err(|error| broken(&error.to_string()))
+            }
+            Ok(_) => Err(broken("the answer ended without an end mark")),
+            Err(status) => Err(broken(status.message())),
+        }
+    }
+
+    fn cancel(&mut self) {
+        self.send(Frame::Cancel(RunCancel {}));
+    }
+
+    fn set_delivered(&mut self) {
+        self.send(Frame::Delivered(RunDelivered {}));
+    }
+}
+
+fn connect(address: SocketAddr) -> Channel {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("a socket address is a valid authority")
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .tcp_nodelay(true)
+        .connect_lazy()
+}
+
+/// Tells calls that certainly had no effect from those that may have had one.
+fn map_status(status: Status) -> OpenError {
+    let message = status.message().into();
+    let is_connect_error = status.code() == Code::Unavailable && is_connect_error(&status);
+    match status.code() {
+        Code::Unauthenticated | Code::InvalidArgument => OpenError::Unreachable(message),
+        _ if is_connect_error => OpenError::Unreachable(message),
+        _ => OpenError::Lost(message),
+    }
+}
+
+fn is_connect_error(status: &Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return error.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        source = error.source();
+    }
+    false
+}
+
+fn broken(message: &str) -> LinkBroken {
+    LinkBroken { message: message.into() }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -0,0 +1,111 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use magnoliaspar_core::{InstanceName, ZoneName};
+use magnoliaspar_declaration::RouteTarget;
+use magnoliaspar_policy::rank_by_rendezvous;
+
+use super::client::PeerClients;
+use crate::instance::ConfigurationInForce;
+use crate::run::{CompletionRequest, Home, HomeChooser, LocalHome, LocalHomeHandle, Shard};
+
+/// How many instances of other zones are asked when the own zone cannot serve a request.
+const SPILL_OVER_TRIES: usize = 2;
+
+/// Chooses home instances by rendezvous hashing inside the own availability zone.
+///
+/// The requests of one pool with the same first block share a home, whose books are exact for the
+/// servers of its shard; every instance of the zone comes to the same choice without talking.
+pub struct ZoneHomes {
+    own: InstanceName,
+    zone: ZoneName,
+    configuration: Rc<ConfigurationInForce>,
+    home: Rc<LocalHome>,
+    clients: Rc<PeerClients>,
+    instances: RefCell<BTreeMap<InstanceName, KnownInstance>>,
+}
+
+/// Another instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownInstance {
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The address on which it serves other instances.
+    pub peers: SocketAddr,
+}
+
+impl ZoneHomes {
+    /// Creates a chooser that knows only its own instance.
+    pub fn new(
+        own: InstanceName,
+        zone: ZoneName,
+        configuration: Rc<ConfigurationInForce>,
+        home: Rc<LocalHome>,
+        clients: Rc<PeerClients>,
+    ) -> Self {
+        let instances = RefCell::default();
+        Self { own, zone, configuration, home, clients, instances }
+    }
+
+    /// Replaces the instances that may be homes; the own one need not be among them.
+    pub fn set_instances(&self, instances: BTreeMap<InstanceName, KnownInstance>) {
+        *self.instances.borrow_mut() = instances;
+    }
+
+    fn rank(&self, key: &str, is_own_zone: bool) -> Vec<InstanceName> {
+        let instances = self.instances.borrow();
+        let mut names = Vec::new();
+        for (name, instance) in instances.iter() {
+            if (instance.zone == self.zone) == is_own_zone && *name != self.own {
+                names.push(name.as_str());
+            }
+        }
+        if is_own_zone {
+            names.push(self.own.as_str());
+        }
+        let mut ranked = Vec::new();
+        for name in rank_by_rendezvous(key, names) {
+            ranked.extend(InstanceName::try_from(name).ok());
+        }
+        ranked
+    }
+
+    fn home_of(&self, name: &InstanceName) -> Option<Rc<dyn Home>> {
+        if *name == self.own {
+            let home = self.home.clone();
+            return Some(Rc::new(LocalHomeHandle { name: name.clone(), home }));
+        }
+        let address = self.instances.borrow().get(name)?.peers;
+        Some(Rc::new(self.clients.client(name, address)))
+    }
+
+    /// Whether this instance is the home of a shard.
+    pub fn is_own(&self, shard: &Shard) -> bool {
+        self.rank(&shard.to_key(), true).first() == Some(&self.own)
+    }
+
+    /// Returns the text by which the home of a request is chosen.
+    fn shard_key(&self, req: &CompletionRequest) -> Box<str> {
+        let route_key = req.route.as_str().into();
+        let Some(in_force) = self.configuration.current() else { return route_key };
+        let Some(route) = in_force.declarations.routes.get(&req.route) else { return route_key };
+        let RouteTarget::Completion(completion) = &route.target else { return route_key };
+        self.home.shards().of_prompt(completion, &req.prompt).to_key()
+    }
+}
+
+impl HomeChooser for ZoneHomes {
+    fn choose(&self, req: &CompletionRequest) -> Vec<Rc<dyn Home>> {
+        let key = self.shard_key(req);
+        let mut homes = Vec::new();
+        for name in self.rank(&key, true) {
+            homes.extend(self.home_of(&name));
+        }
+        for name in self.rank(&key, false).iter().take(SPILL_OVER_TRIES) {
+            homes.extend(self.home_of(name));
+        }
+        homes
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! The links between instances.
+
+mod client;
+mod convert;
+mod homes;
+mod server;
+
+pub use self::client::PeerClients;
+pub use self::homes::{KnownInstance, ZoneHomes};
+pub use self::server::{PeerError, PeerServer};
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -0,0 +1,249 @@
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use futures_core::Stream;
+use magnoliaspar_settings::PeerKeys;
+use magnoliaspar_wire::peer::peer_server::{Peer, PeerServer as GeneratedServer};
+use magnoliaspar_wire::peer::run_event::Event;
+use magnoliaspar_wire::peer::run_frame::Frame;
+use magnoliaspar_wire::peer::{
+    GossipFrame, QueryAnswer, QueryRequest, RunAccepted, RunEvent, RunFrame, RunOpen,
+};
+use prometheus::IntCounter;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::convert::{from_open, to_event, to_refused};
+use crate::instance::Instance;
+use crate::run::{LocalLink, RunLink, RunResult, RunUpdate};
+
+/// How often an idle link is probed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a probe may go unanswered.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How many events wait for a slow reader.
+const EVENTS_AHEAD: usize = 64;
+
+/// How many calls wait to be taken up.
+const CALLS_AHEAD: usize = 1_024;
+
+/// The largest message in bytes; prompts are the largest content.
+pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// The key that every call between instances carries.
+pub const KEY_HEADER: &str = "authorization";
+
+/// Serves the calls of other instances.
+pub struct PeerServer {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+}
+
+impl PeerServer {
+    /// Listens on the address in the settings and serves calls until stopped.
+    pub async fn start(instance: Rc<Instance>) -> Result<Self, PeerError> {
+        let address = instance.settings.peers;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| PeerError { address, message: error.to_string().into() })?;
+        let address = listener.local_addr().unwrap_or(address);
+        let (tx, rx) = mpsc::channel(CALLS_AHEAD);
+        let (stop, stopped) = oneshot::channel();
+        let service =
+            GeneratedServer::new(PeerService { tx }).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let key_check = KeyCheck {
+            keys: instance.settings.peer_keys.clone(),
+            failures: instance.metrics.auth_failures_of("peer"),
+        };
+        let service = InterceptedService::new(service, key_check);
+        actix_rt::spawn(take_calls(instance, rx));
+        actix_rt::spawn(async move {
+            let served = Server::builder()
+                .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
+                .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
+                .add_service(service)
+                .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
+                    let _ = stopped.await;
+                });
+            if let Err(error) = served.await {
+                log::error!("the listener for other instances failed: {error}");
+            }
+        });
+        Ok(Self { address, stop })
+    }
+
+    /// Returns the address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no more calls; those in progress go on.
+    pub fn stop(self) {
+        let _ = self.stop.send(());
+    }
+}
+
+/// Why the server cannot run.
+#[derive(Debug, Display)]
+#[displaydoc("cannot listen on {address}: {message}")]
+pub struct PeerError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What the operating system said.
+    pub message: Box<str>,
+}
+
+impl std::error::Error for PeerError {}
+
+/// A call of another instance, on its way to the thread that owns the state.
+enum PeerCall {
+    Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+}
+
+/// Hands calls over to the thread that owns the state.
+struct PeerService {
+    tx: mpsc::Sender<PeerCall>,
+}
+
+type EventStream<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    type RunStream = EventStream<RunEvent>;
+    type GossipStream = EventStream<GossipFrame>;
+
+    async fn run(
+        &self,
+        req: Request<Streaming<RunFrame>>,
+    ) -> Result<Response<Self::RunStream>, Status> {
+        let (tx, rx) = mpsc::channel(EVENTS_AHEAD);
+        let call = PeerCall::Run { frames: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
+    }
+
+    async fn gossip(
+        &self,
+        _req: Request<Streaming<GossipFrame>>,
+    ) -> Result<Response<Self::GossipStream>, Status> {
+        Err(Status::unimplemented("state is not exchanged yet"))
+    }
+
+    async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
+        Err(Status::unimplemented("queries are not passed on yet"))
+    }
+}
+
+async fn take_calls(instance: Rc<Instance>, mut rx: mpsc::Receiver<PeerCall>) {
+    while let Some(call) = rx.recv().await {
+        match call {
+            PeerCall::Run { frames, tx } => {
+                actix_rt::spawn(serve_run(instance.clone(), frames, tx));
+            }
+        }
+    }
+}
+
+async fn serve_run(
+    instance: Rc<Instance>,
+    mut frames: Streaming<RunFrame>,
+    tx: mpsc::Sender<Result<RunEvent, Status>>,
+) {
+    let Ok(Some(RunFrame { frame: Some(Frame::Open(open)) })) = frames.message().await else {
+        let _ = tx.send(Err(Status::invalid_argument("the first frame must open a run"))).await;
+        return;
+    };
+    let link = match open_link(&instance, open) {
+        Ok(link) => link,
+        Err(event) => {
+            let _ = tx.send(event).await;
+            return;
+        }
+    };
+    let accepted = RunAccepted { hlc: 0, is_new: link.is_new };
+    if tx.send(Ok(RunEvent { event: Some(Event::Accepted(accepted)) })).await.is_err() {
+        return;
+    }
+    relay(link, frames, tx).await;
+}
+
+fn open_link(instance: &Instance, open: RunOpen) -> Result<LocalLink, Result<RunEvent, Status>> {
+    let req = from_open(open, instance.clock.now())
+        .map_err(|error| Err(Status::invalid_argument(error.to_string())))?;
+    instance
+        .home
+        .open_run(&req)
+        .map_err(|refusal| Ok(RunEvent { event: Some(Event::Refused(to_refused(&refusal))) }))
+}
+
+/// Sends a run's updates until it ends, the reader cancels, or the link breaks.
+///
+/// A broken link leaves the run going, since the caller may come back through another instance.
+async fn relay(
+    mut link: LocalLink,
+    mut frames: Streaming<RunFrame>,
+    tx: mpsc::Sender<Result<RunEvent, Status>>,
+) {
+    loop {
+        tokio::select! {
+            update = link.next() => {
+                let Ok(update) = update else { return };
+                let is_end = matches!(update, RunUpdate::Ended(_) | RunUpdate::Superseded);
+                let is_complete = matches!(update, RunUpdate::Ended(RunResult::Completed(_)));
+                if tx.send(Ok(to_event(update))).await.is_err() {
+                    return;
+                }
+                if is_complete {
+                    return wait_for_delivery(link, frames).await;
+                }
+                if is_end {
+                    return;
+                }
+            }
+            frame = frames.message() => match frame {
+                Ok(Some(RunFrame { frame: Some(Frame::Cancel(_)) })) => return link.cancel(),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
+            },
+        }
+    }
+}
+
+async fn wait_for_delivery(mut link: LocalLink, mut frames: Streaming<RunFrame>) {
+    while let Ok(Some(frame)) = frames.message().await {
+        if matches!(frame.frame, Some(Frame::Delivered(_))) {
+            return link.set_delivered();
+        }
+    }
+}
+
+/// Checks the key that every call carries.
+#[derive(Clone)]
+struct KeyCheck {
+    keys: PeerKeys,
+    failures: IntCounter,
+}
+
+impl Interceptor for KeyCheck {
+    fn call(&mut self, req: Request<()>) -> Result<Request<()>, Status> {
+        let shown = req.metadata().get(KEY_HEADER).and_then(|value| value.to_str().ok());
+        let key = shown.and_then(|shown| shown.strip_prefix("Bearer "));
+        if key.is_some_and(|key| self.keys.accepts(key)) {
+            return Ok(req);
+        }
+        self.failures.inc();
+        Err(Status::unauthenticated("the key of the other instance is not valid"))
+    }
+}
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,9 +6,7 @@
 
 use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
-use magnoliaspar_policy::{
-    Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
-};
+use magnoliaspar_policy::{Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -27,14 +25,14 @@
 /// A model engine that a dispatcher can choose.
 #[derive(Clone)]
 pub struct EngineHandle {
-    /// The key under which the policy knows it.
-    pub key: ServerKey,
     /// The name.
     pub name: ServerName,
     /// The address.
     pub address: SocketAddr,
     /// The engine.
     pub engine: Rc<dyn Engine>,
+    /// The number of the last event of its prefix cache that was read.
+    pub last_cache_event: Rc<Cell<u64>>,
 }
 
 /// What to do next for a job.
@@ -99,7 +97,7 @@
     pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
         let name = spec.name.clone();
         let key = self.tell(|policy, now| policy.add_server(now, spec));
-        let handle = EngineHandle { key, name, address, engine };
+        let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
         self.engines.borrow_mut().insert(key, handle);
     }
 
@@ -134,6 +132,11 @@
         self.tell(|policy, now| policy.cache_events(now, key, stored, evicted, gap));
     }
 
+    /// Whether an engine is known.
+    pub fn has_engine(&self, name: &ServerName) -> bool {
+        self.key_of(name).is_some()
+    }
+
     /// Returns the engines.
     pub fn engines(&self) -> Vec<EngineHandle> {
         self.engines.borrow().values().cloned().collect()
@@ -250,8 +253,8 @@
 
 fn job_of(action: &Action) -> JobKey {
     match action {
-        Action::Prefill { job, .. }
-        | Action::Transfer { job, .. }
-        | Action::Refuse { job, .. } => *job,
+        Action::Prefill { job, .. } | Action::Transfer { job, .. } | Action::Refuse { job, .. } => {
+            *job
+        }
     }
 }
--- a/crates/magnoliaspar-serve/src/run/driver.rs
+++ b/crates/magnoliaspar-serve/src/run/driver.rs
@@ -49,21 +49,20 @@
         dispatcher: &Rc<Dispatcher>,
         run: &Rc<Run>,
         req: &CompletionRequest,
-        route: &CompletionRoute,
-        is_suspect: bool,
+        plan: &RunPlan,
     ) {
         let mut task = RunTask {
             driver: self,
             run,
             req,
-            route,
+            plan,
             blocks: hash_blocks(req.prompt.as_bytes()),
             held: Vec::new(),
             prefilled: None,
         };
         let deadline = tokio::time::Instant::from_std(req.deadline);
         tokio::select! {
-            result = task.run_to_end(dispatcher, is_suspect) => run.finish(result),
+            result = task.run_to_end(dispatcher) => run.finish(result),
             () = run.cancelled() => run.finish(RunResult::Refused(cancelled(run))),
             () = tokio::time::sleep_until(deadline) => {
                 run.finish(RunResult::Refused(timed_out(run)));
@@ -73,12 +72,23 @@
     }
 }
 
+/// How a run is to be driven.
+#[derive(Debug, Clone)]
+pub struct RunPlan {
+    /// The route.
+    pub route: CompletionRoute,
+    /// The share of the caller's workspace.
+    pub share: u32,
+    /// Whether the request is suspected of crashing engines.
+    pub is_suspect: bool,
+}
+
 /// One run on its way through the stages.
 struct RunTask<'a> {
     driver: &'a Driver,
     run: &'a Rc<Run>,
     req: &'a CompletionRequest,
-    route: &'a CompletionRoute,
+    plan: &'a RunPlan,
     blocks: Box<[BlockHash]>,
     held: Vec<HeldMemory>,
     prefilled: Option<HeldPrefill>,
@@ -106,11 +116,11 @@
 }
 
 impl RunTask<'_> {
-    async fn run_to_end(&mut self, dispatcher: &Rc<Dispatcher>, is_suspect: bool) -> RunResult {
+    async fn run_to_end(&mut self, dispatcher: &Rc<Dispatcher>) -> RunResult {
         if let Some(result) = self.resume().await {
             return result;
         }
-        let mut job = dispatcher.submit(self.describe_job(is_suspect));
+        let mut job = dispatcher.submit(self.describe_job());
         while let Some(step) = job.next().await {
             match step {
                 Step::Refuse { reason, retry_after } => {
@@ -130,28 +140,28 @@
         RunResult::Refused(Refusal::may_have_run(RefusalCode::Internal, message))
     }
 
-    fn describe_job(&self, is_suspect: bool) -> Job {
+    fn describe_job(&self) -> Job {
         let tokens = self.req.prompt.len().div_ceil(TOKEN_BYTES) as u32 + self.run.token_count();
-        let expected = self.route.expected_output_tokens.min(self.req.max_tokens);
+        let expected = self.plan.route.expected_output_tokens.min(self.req.max_tokens);
         Job {
             workspace: self.req.id.workspace.clone(),
-            share: 1,
+            share: self.plan.share,
             blocks: self.blocks.clone(),
             prompt_tokens: tokens,
             max_output_tokens: self.req.max_tokens,
             expected_output_tokens: expected,
             accepted_at: self.req.accepted_at,
-            ttft_target: self.route.ttft_target,
+            ttft_target: self.plan.route.ttft_target,
             deadline: Some(self.req.deadline),
-            urgency: match self.route.wait {
+            urgency: match self.plan.route.wait {
                 WaitRule::RefuseLate => Urgency::Interactive,
                 WaitRule::MayWait => Urgency::Deferrable,
             },
             weights: Weights {
-                wasted_prefill: self.route.weights.wasted_prefill,
-                goodput: self.route.weights.goodput,
+                wasted_prefill: self.plan.route.weights.wasted_prefill,
+                goodput: self.plan.route.weights.goodput,
             },
-            is_suspect,
+            is_suspect: self.plan.is_suspect,
         }
     }
 
@@ -180,9 +190,9 @@
         let call = PrefillCall {
             stream: stream.clone(),
             owner: self.driver.owner.clone(),
-            model: self.route.model.clone(),
-            version: self.route.version.clone(),
-            adapters: self.route.adapters.to_vec(),
+            model: self.plan.route.model.clone(),
+            version: self.plan.route.version.clone(),
+            adapters: self.plan.route.adapters.to_vec(),
             prompt: self.req.prompt.clone(),
             emitted,
             blocks: self.blocks.to_vec(),
@@ -311,7 +321,9 @@
                 }
                 StreamFrame::End { tokens, reason } => {
                     if tokens != self.run.token_count() {
-                        return Err(EngineError::Crossed("the end mark counts other tokens".into()));
+                        return Err(EngineError::Crossed(
+                            "the end mark counts other tokens".into(),
+                        ));
                     }
                     return Ok((tokens, reason));
                 }
@@ -362,7 +374,7 @@
     }
 
     fn priority(&self) -> i32 {
-        match self.route.wait {
+        match self.plan.route.wait {
             WaitRule::RefuseLate => 1,
             WaitRule::MayWait => 0,
         }
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/run/reader.rs
@@ -0,0 +1,173 @@
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use magnoliaspar_core::{InstanceName, Outcome, Refusal, RefusalCode};
+
+use super::completion::CompletionRequest;
+use super::link::{Home, OpenError, RunLink};
+use super::running::{RunResult, RunUpdate};
+
+/// How often an answer is taken up again after its home instance was lost.
+const MAX_REOPENS: u32 = 4;
+
+/// How long to wait before the first try to take an answer up again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Chooses the home instance of a request.
+pub trait HomeChooser {
+    /// Returns the homes to try, the best first.
+    fn choose(&self, req: &CompletionRequest) -> Vec<Rc<dyn Home>>;
+}
+
+/// Reads answers from their home instances.
+pub struct Homes {
+    chooser: Rc<dyn HomeChooser>,
+}
+
+impl Homes {
+    /// Creates a reader of answers.
+    pub fn new(chooser: Rc<dyn HomeChooser>) -> Self {
+        Self { chooser }
+    }
+
+    /// Opens a run on its home instance and reads its answer.
+    pub async fn read(&self, req: CompletionRequest) -> Result<Reader, Refusal> {
+        let wanted = req.from;
+        let req = CompletionRequest { from: 0, ..req };
+        let lost = BTreeSet::new();
+        let opened = open(&*self.chooser, &req, &lost).await;
+        let link = opened.map_err(|failure| failure.refusal)?;
+        // A run that is new starts its answer again, so that two answers are never mixed.
+        let skip_until = if link.is_new() { 0 } else { wanted };
+        let chooser = self.chooser.clone();
+        Ok(Reader { chooser, req, link, skip_until, lost, failures: 0 })
+    }
+}
+
+/// Reads one answer, also after its home instance was lost.
+pub struct Reader {
+    chooser: Rc<dyn HomeChooser>,
+    req: CompletionRequest,
+    link: Box<dyn RunLink>,
+    skip_until: u32,
+    lost: BTreeSet<InstanceName>,
+    failures: u32,
+}
+
+impl Reader {
+    /// Waits for what comes next; after an end there is nothing more.
+    pub async fn next(&mut self) -> RunUpdate {
+        loop {
+            let update = match self.link.next().await {
+                Ok(update) => update,
+                Err(broken) => match self.reopen(&broken.message).await {
+                    Ok(()) => continue,
+                    Err(refusal) => return RunUpdate::Ended(RunResult::Refused(refusal)),
+                },
+            };
+            self.remember(&update);
+            if self.is_skipped(&update) {
+                continue;
+            }
+            return update;
+        }
+    }
+
+    /// Frees everything that the run holds, since the caller is gone.
+    pub fn cancel(&mut self) {
+        self.link.cancel();
+    }
+
+    /// Notes that the caller has received the whole answer.
+    pub fn set_delivered(&mut self) {
+        self.link.set_delivered();
+    }
+
+    fn is_skipped(&self, update: &RunUpdate) -> bool {
+        matches!(update, RunUpdate::Token { index, .. } if *index < self.skip_until)
+    }
+
+    fn remember(&mut self, update: &RunUpdate) {
+        match update {
+            RunUpdate::Placed(placement) => self.req.placement = Some(placement.clone()),
+            RunUpdate::Token { index, text } => {
+                self.req.from = index + 1;
+                if *index == self.req.emitted.len() as u32 {
+                    self.req.emitted.push(text.clone());
+                }
+            }
+            RunUpdate::Ended(_) | RunUpdate::Superseded => {}
+        }
+    }
+
+    /// Takes the answer up again on another home, from the first token that is missing.
+    async fn reopen(&mut self, cause: &str) -> Result<(), Refusal> {
+        if let Some(home) = self.link.home() {
+            self.lost.insert(home.clone());
+        }
+        while self.failures < MAX_REOPENS {
+            info!(request = self.req.id.request.as_str(); "taking the answer up again: {cause}");
+            tokio::time::sleep(REOPEN_PAUSE * 2u32.pow(self.failures)).await;
+            self.failures += 1;
+            match open(&*self.chooser, &self.req, &self.lost).await {
+                Ok(link) => {
+                    self.link = link;
+                    return Ok(());
+                }
+                Err(failure) if !failure.is_final => {}
+                Err(mut failure) => {
+                    failure.refusal.outcome = Outcome::MayHaveRun;
+                    return Err(failure.refusal);
+                }
+            }
+        }
+        let message = "the home instance of the request was lost";
+        Err(Refusal::may_have_run(RefusalCode::ServerFailed, message))
+    }
+}
+
+/// Opens a run on the first home that can be reached; those in `lost` are tried last.
+async fn open(
+    chooser: &dyn HomeChooser,
+    req: &CompletionRequest,
+    lost: &BTreeSet<InstanceName>,
+) -> Result<Box<dyn RunLink>, OpenFailure> {
+    let mut homes = chooser.choose(req);
+    homes.sort_by_key(|home| lost.contains(home.name()));
+    let mut failure = OpenFailure::unreachable("no instance serves the pool");
+    let mut may_have_run = false;
+    for home in homes {
+        match home.open(req).await {
+            Ok(link) => return Ok(link),
+            Err(OpenError::Refused(mut refusal)) => {
+                if may_have_run && refusal.outcome == Outcome::NotRun {
+                    refusal.outcome = Outcome::MayHaveRun;
+                }
+                return Err(OpenFailure { refusal, is_final: true });
+            }
+            Err(OpenError::Unreachable(message)) => failure = OpenFailure::unreachable(&message),
+            Err(OpenError::Lost(message)) => {
+                may_have_run = true;
+                failure = OpenFailure::unreachable(&message);
+            }
+        }
+    }
+    if may_have_run {
+        failure.refusal.outcome = Outcome::MayHaveRun;
+    }
+    Err(failure)
+}
+
+/// Why no home opened a run.
+struct OpenFailure {
+    refusal: Refusal,
+    is_final: bool,
+}
+
+impl OpenFailure {
+    fn unreachable(message: &str) -> Self {
+        Self { refusal: Refusal::not_run(RefusalCode::NoServer, message), is_final: false }
+    }
+}
--- a/crates/magnoliaspar-serve/src/run/running.rs
+++ b/crates/magnoliaspar-serve/src/run/running.rs
@@ -110,6 +110,11 @@
         self.state.borrow().result.is_some()
     }
 
+    /// Returns what the run ended with.
+    pub fn result(&self) -> Option<RunResult> {
+        self.state.borrow().result.clone()
+    }
+
     /// Whether the caller has received the whole answer.
     pub fn is_delivered(&self) -> bool {
         self.state.borrow().is_delivered
@@ -173,10 +178,16 @@
         &self.run
     }
 
+    /// Whether no other reader has taken this one's place.
+    pub fn is_latest(&self) -> bool {
+        self.run.state.borrow().latest_subscription == self.number
+    }
+
     /// Waits for what comes next.
     pub async fn next(&mut self) -> RunUpdate {
         loop {
-            let changed = self.run.changed.notified();
+            let run = self.run.clone();
+            let changed = run.changed.notified();
             if let Some(update) = self.poll_update() {
                 return update;
             }
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -0,0 +1,112 @@
+//! Calls of plain services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Payload};
+use awc::error::SendRequestError;
+use awc::{Client, ClientResponse, Connector};
+use displaydoc::Display;
+use futures_util::TryStreamExt;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a pooled connection is used at most.
+const CONNECTION_MAX_AGE: Duration = Duration::from_secs(60);
+
+/// How long a pooled connection may be idle.
+const CONNECTION_MAX_IDLE: Duration = Duration::from_secs(5);
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+];
+
+/// Calls plain services over HTTP.
+pub struct ServiceCaller {
+    client: Client,
+}
+
+/// A call to pass on.
+pub struct ServiceCall<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path and the query.
+    pub path: &'a str,
+    /// The headers of the caller.
+    pub headers: &'a HeaderMap,
+    /// The body.
+    pub body: Payload,
+}
+
+impl ServiceCaller {
+    /// Creates a caller with a connection pool of its own.
+    pub fn new() -> Self {
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .conn_lifetime(CONNECTION_MAX_AGE)
+            .conn_keep_alive(CONNECTION_MAX_IDLE);
+        let client =
+            Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
+        Self { client }
+    }
+
+    /// Passes a call on and waits up to `timeout` for the head of the answer.
+    pub async fn call(
+        &self,
+        server: SocketAddr,
+        call: ServiceCall<'_>,
+        timeout: Duration,
+    ) -> Result<ClientResponse, ServiceError> {
+        let url = format!("http://{server}{}", call.path);
+        let mut req = self.client.request(call.method, url);
+        for (name, value) in call.headers {
+            if is_passed_on(name.as_str()) {
+                req = req.insert_header((name.clone(), value.clone()));
+            }
+        }
+        let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
+        match tokio::time::timeout(timeout, sent).await {
+            Ok(Ok(res)) => Ok(res),
+            Ok(Err(SendRequestError::Connect(error))) => {
+                Err(ServiceError::NotReached(error.to_string().into()))
+            }
+            Ok(Err(error)) => Err(ServiceError::Lost(error.to_string().into())),
+            Err(_) => Err(ServiceError::Stalled(timeout)),
+        }
+    }
+}
+
+impl Default for ServiceCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Whether a header is passed on from one hop to the next.
+pub fn is_passed_on(name: &str) -> bool {
+    !HOP_HEADERS.contains(&name) && name != "authorization"
+}
+
+/// Why a service gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ServiceError {
+    /// the server cannot be reached, so the call was not run: {0}
+    NotReached(Box<str>),
+    /// the connection broke, and the call may have run: {0}
+    Lost(Box<str>),
+    /// no answer within {0:?}, and the call may have run
+    Stalled(Duration),
+}
+
+impl std::error::Error for ServiceError {}
--- a/crates/magnoliaspar-standin/src/engine/decode.rs
+++ b/crates/magnoliaspar-standin/src/engine/decode.rs
@@ -121,17 +121,20 @@
     }
 
     async fn finish(&self, id: StreamId, stream: Rc<EngineStream>) {
-        let mut state = self.shared.state.borrow_mut();
         if stream.inner.borrow().is_released {
             return;
         }
-        state.release(&id);
-        state.ended.insert(id.clone(), stream);
-        drop(state);
+        self.keep_ended(&id, stream);
         tokio::time::sleep(ENDED_KEPT).await;
         self.shared.state.borrow_mut().ended.remove(&id);
     }
 
+    fn keep_ended(&self, id: &StreamId, stream: Rc<EngineStream>) {
+        let mut state = self.shared.state.borrow_mut();
+        state.release(id);
+        state.ended.insert(id.clone(), stream);
+    }
+
     fn token_time(&self) -> Duration {
         let state = self.shared.state.borrow();
         let others = state.streams.len().saturating_sub(1) as f64;
--- /dev/null
+++ b/crates/magnoliaspar-standin/src/platform.rs
@@ -0,0 +1,211 @@
+//! The platform's services over HTTP, on top of the fakes in memory.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use magnoliaspar_core::{Clock, SystemClock, ZoneName};
+use magnoliaspar_fake::{MemoryInstances, MemoryObjects, MemoryTable, MemoryWeights};
+use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
+use magnoliaspar_platform::protocol::{
+    AcquireRequest, INSTANCES_PATH, OBJECTS_PATH, RETRY_AFTER_HEADER, ReadRequest, ScanRequest,
+    TABLE_COMMIT_PATH, TABLE_READ_PATH, TABLE_SCAN_PATH, WEIGHTS_PATH,
+};
+use magnoliaspar_platform::{
+    InstanceList, ObjectStore, PlatformError, TableService, Transaction, WeightStore,
+};
+use serde_json::json;
+
+use crate::web::{answer, answer_with, query_parameter, read_body, read_json};
+
+/// How often a listener that was healed tries to listen again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// How often it tries at most.
+const MAX_LISTEN_TRIES: u32 = 200;
+
+/// The platform, which lives on the thread that created it.
+#[derive(Clone)]
+pub struct Platform {
+    /// The table service.
+    pub table: MemoryTable,
+    /// The object store.
+    pub objects: MemoryObjects,
+    /// The weight store.
+    pub weights: MemoryWeights,
+    /// The list of instances and backend servers.
+    pub instances: MemoryInstances,
+}
+
+impl Platform {
+    /// Creates an empty platform.
+    pub fn new() -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+        Self {
+            table: MemoryTable::new(clock.clone()),
+            objects: MemoryObjects::new(clock.clone()),
+            weights: MemoryWeights::new(clock.clone()),
+            instances: MemoryInstances::new(clock),
+        }
+    }
+
+    /// Serves the platform on an address; each availability zone may have one of its own.
+    pub async fn listen(&self, address: SocketAddr) -> Result<PlatformAccess, ServerError> {
+        let server = Server::bind(address, self.handler()).await?;
+        let access = PlatformAccess {
+            platform: self.clone(),
+            address: server.address(),
+            stop: Rc::new(RefCell::new(server.stop_handle())),
+            is_cut: Rc::new(Cell::new(false)),
+        };
+        actix_rt::spawn(server.run());
+        Ok(access)
+    }
+
+    fn handler(&self) -> Handler {
+        let platform = self.clone();
+        Rc::new(move |req| {
+            let platform = platform.clone();
+            Box::pin(async move { platform.handle(req).await })
+        })
+    }
+
+    async fn handle(&self, req: Request) -> Response<BoxBody> {
+        let path = req.path().to_owned();
+        let result = match path.as_str() {
+            TABLE_READ_PATH => self.read(req).await,
+            TABLE_SCAN_PATH => self.scan(req).await,
+            TABLE_COMMIT_PATH => self.commit(req).await,
+            WEIGHTS_PATH => self.acquire(req).await,
+            INSTANCES_PATH => self.list(&req).await,
+            _ => match path.strip_prefix(OBJECTS_PATH) {
+                Some(name) => self.object(req, name).await,
+                None => Err(answer_with(StatusCode::NOT_FOUND, &json!({}))),
+            },
+        };
+        result.unwrap_or_else(|refused| refused)
+    }
+
+    async fn read(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        let read: ReadRequest = read_json(req).await?;
+        let row = self.table.read(&read.key).await.map_err(fail)?;
+        match row {
+            Some(row) => Ok(answer(&row)),
+            None => Err(answer_with(StatusCode::NOT_FOUND, &json!({}))),
+        }
+    }
+
+    async fn scan(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        let scan: ScanRequest = read_json(req).await?;
+        let rows = self.table.scan(&scan.prefix, scan.after.as_ref(), scan.limit).await;
+        Ok(answer(&rows.map_err(fail)?))
+    }
+
+    async fn commit(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        let transaction: Transaction = read_json(req).await?;
+        let outcome = self.table.commit(&transaction).await;
+        if matches!(outcome, Err(PlatformError::Ambiguous(_))) {
+            // The caller's timeout decides, as with an answer that is lost on the way.
+            std::future::pending::<()>().await;
+        }
+        Ok(answer(&outcome.map_err(fail)?))
+    }
+
+    async fn acquire(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        let call: AcquireRequest = read_json(req).await?;
+        self.weights.acquire(&call.model, call.bytes).await.map_err(fail)?;
+        Ok(answer(&json!({})))
+    }
+
+    async fn list(&self, req: &Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        let zone = query_parameter(req, "zone").and_then(|zone| ZoneName::try_from(zone).ok());
+        let entries = self.instances.list(zone.as_ref()).await.map_err(fail)?;
+        Ok(answer(&entries))
+    }
+
+    async fn object(
+        &self,
+        req: Request,
+        name: &str,
+    ) -> Result<Response<BoxBody>, Response<BoxBody>> {
+        if req.method() == Method::PUT {
+            let content = read_body(req).await?;
+            self.objects.put(name, content).await.map_err(fail)?;
+            return Ok(answer(&json!({})));
+        }
+        let Some(content) = self.objects.get(name).await.map_err(fail)? else {
+            return Err(answer_with(StatusCode::NOT_FOUND, &json!({})));
+        };
+        Ok(Response::with_body(StatusCode::OK, BoxBody::new(content)))
+    }
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// One way to the platform, which can be cut and healed.
+#[derive(Clone)]
+pub struct PlatformAccess {
+    platform: Platform,
+    address: SocketAddr,
+    stop: Rc<RefCell<StopHandle>>,
+    is_cut: Rc<Cell<bool>>,
+}
+
+impl PlatformAccess {
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts all connections and takes no new ones.
+    pub fn cut(&self) {
+        self.is_cut.set(true);
+        self.stop.borrow().abort();
+    }
+
+    /// Takes connections again.
+    pub async fn heal(&self) -> Result<(), ServerError> {
+        if !self.is_cut.replace(false) {
+            return Ok(());
+        }
+        let mut tries = 0;
+        loop {
+            match Server::bind(self.address, self.platform.handler()).await {
+                Ok(server) => {
+                    *self.stop.borrow_mut() = server.stop_handle();
+                    actix_rt::spawn(server.run());
+                    return Ok(());
+                }
+                Err(error) if tries >= MAX_LISTEN_TRIES => return Err(error),
+                Err(_) => tries += 1,
+            }
+            tokio::time::sleep(LISTEN_PAUSE).await;
+        }
+    }
+}
+
+fn fail(error: PlatformError) -> Response<BoxBody> {
+    let message = error.to_string();
+    match error {
+        PlatformError::RateLimited { retry_after } => {
+            let mut res = answer_with(StatusCode::TOO_MANY_REQUESTS, &message);
+            let value = HeaderValue::from(retry_after.as_millis() as u64);
+            res.headers_mut().insert(HeaderName::from_static(RETRY_AFTER_HEADER), value);
+            res
+        }
+        PlatformError::Rejected(_) => answer_with(StatusCode::BAD_REQUEST, &message),
+        PlatformError::Unavailable(_) | PlatformError::Ambiguous(_) => {
+            let res = answer_with(StatusCode::SERVICE_UNAVAILABLE, &message);
+            res.map_body(|_, _| BoxBody::new(Bytes::new()))
+        }
+    }
+}
