--- /dev/null
+++ b/crates/magnoliaspar-bench/src/arrival.rs
@@ -0,0 +1,191 @@
+use std::time::Duration;
+
+use magnoliaspar_core::{BLOCK_TOKENS, BlockHash, WorkspaceName};
+use magnoliaspar_policy::Urgency;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::catalogue::{Catalogue, Document};
+use crate::deployment::{Deployment, WorkloadSize};
+use crate::limit::capacity;
+use crate::scenario::{Scenario, Shape, WARM_UP, WARM_UP_LOAD, WINDOW};
+
+/// A request as its caller sends it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When the request is accepted, from the start of the run.
+    pub at: Duration,
+    /// The number of the workspace that sends it.
+    pub workspace: u32,
+    /// The chained hashes of the prompt's whole blocks.
+    pub blocks: Box<[BlockHash]>,
+    /// The length of the prompt in tokens.
+    pub prompt_tokens: u32,
+    /// How many tokens the answer has, which no policy is told.
+    pub output_tokens: u32,
+    /// Whether the request may wait.
+    pub urgency: Urgency,
+    /// After how long the caller gives up.
+    pub deadline: Duration,
+    /// After how long the caller cancels, if it does.
+    pub cancel_after: Option<Duration>,
+    /// Whether the request arrives in the window in which requests are counted.
+    pub is_counted: bool,
+}
+
+impl Arrival {
+    /// Returns the name of the workspace.
+    pub fn workspace_name(&self) -> WorkspaceName {
+        let name = format!("workspace-{}", self.workspace);
+        WorkspaceName::try_from(name.as_str()).expect("the name has only allowed letters")
+    }
+}
+
+/// The purposes for which random numbers are drawn, each from a stream of its own.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Stream {
+    Catalogue = 1,
+    Arrival = 2,
+    Prompt = 3,
+    Output = 4,
+    Caller = 5,
+    CacheEvent = 6,
+}
+
+impl Stream {
+    pub(crate) fn seed(self, seed: u64) -> u64 {
+        seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self as u64
+    }
+
+    pub(crate) fn rng(self, seed: u64) -> StdRng {
+        StdRng::seed_from_u64(self.seed(seed))
+    }
+}
+
+/// The earliest time after acceptance at which a caller cancels.
+const MIN_CANCEL: Duration = Duration::from_millis(50);
+
+/// The latest time after acceptance at which a caller cancels.
+const MAX_CANCEL: Duration = Duration::from_secs(3);
+
+/// Draws the requests of a scenario; the same seed gives the same requests.
+pub fn arrivals(deployment: &Deployment, scenario: Scenario, seed: u64) -> Vec<Arrival> {
+    let workload = &deployment.workload;
+    let catalogue = Catalogue::new(workload, Stream::Catalogue.seed(seed));
+    let capacity = capacity(deployment, &catalogue);
+    let shape = scenario.shape();
+    let mut streams = Streams::new(seed);
+    let mut arrivals = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let rate = capacity * load_at(&shape, at);
+        at += Duration::from_secs_f64(exponential(&mut streams.arrival) / rate);
+        if at >= WARM_UP + WINDOW {
+            return arrivals;
+        }
+        arrivals.push(draw(workload, &catalogue, &shape, at, &mut streams));
+    }
+}
+
+struct Streams {
+    arrival: StdRng,
+    prompt: StdRng,
+    output: StdRng,
+    caller: StdRng,
+}
+
+impl Streams {
+    fn new(seed: u64) -> Self {
+        Self {
+            arrival: Stream::Arrival.rng(seed),
+            prompt: Stream::Prompt.rng(seed),
+            output: Stream::Output.rng(seed),
+            caller: Stream::Caller.rng(seed),
+        }
+    }
+}
+
+fn draw(
+    workload: &WorkloadSize,
+    catalogue: &Catalogue,
+    shape: &Shape,
+    at: Duration,
+    streams: &mut Streams,
+) -> Arrival {
+    let is_hot = streams.prompt.random_bool(shape.hot_share);
+    let drawn = catalogue.draw(&mut streams.prompt);
+    let document = if is_hot { &catalogue.documents[0] } else { drawn };
+    let (blocks, prompt_tokens) = prompt(workload, document, &mut streams.prompt);
+    let urgency = if streams.caller.random_bool(workload.deferrable_share) {
+        Urgency::Deferrable
+    } else {
+        Urgency::Interactive
+    };
+    let cancels = streams.caller.random_bool(shape.cancel_share);
+    let cancel_after = streams.caller.random_range(MIN_CANCEL..MAX_CANCEL);
+    let is_greedy = streams.caller.random_bool(shape.greedy_share);
+    let other = streams.caller.random_range(1..workload.workspaces);
+    let any = streams.caller.random_range(0..workload.workspaces);
+    let workspace = match (shape.greedy_share > 0.0, is_greedy) {
+        (true, true) => 0,
+        (true, false) => other,
+        (false, _) => any,
+    };
+    let tail = exponential(&mut streams.output) * workload.output_scale_tokens;
+    Arrival {
+        at,
+        workspace,
+        blocks,
+        prompt_tokens,
+        output_tokens: (workload.min_output_tokens + tail as u32).min(workload.max_output_tokens),
+        urgency,
+        deadline: match urgency {
+            Urgency::Interactive => workload.interactive_deadline,
+            Urgency::Deferrable => workload.deferrable_deadline,
+        },
+        cancel_after: cancels.then_some(cancel_after),
+        is_counted: at >= WARM_UP,
+    }
+}
+
+fn prompt(
+    workload: &WorkloadSize,
+    document: &Document,
+    rng: &mut StdRng,
+) -> (Box<[BlockHash]>, u32) {
+    let question = rng.random_range(workload.min_question_tokens..=workload.max_question_tokens);
+    let mut blocks = document.blocks.to_vec();
+    let document_tokens = blocks.len() as u32 * BLOCK_TOKENS;
+    for _ in 0..question / BLOCK_TOKENS {
+        blocks.push(BlockHash(rng.random()));
+    }
+    (blocks.into(), document_tokens + question)
+}
+
+fn load_at(shape: &Shape, at: Duration) -> f64 {
+    let progress = (at.as_secs_f64() / WARM_UP.as_secs_f64()).min(1.0);
+    WARM_UP_LOAD + (shape.load - WARM_UP_LOAD) * progress
+}
+
+fn exponential(rng: &mut StdRng) -> f64 {
+    let uniform: f64 = rng.random();
+    -(1.0 - uniform).ln()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::arrivals;
+    use crate::deployment::Deployment;
+    use crate::scenario::Scenario;
+
+    #[test]
+    fn the_same_seed_gives_the_same_requests() {
+        let deployment = Deployment::midlands();
+        let one = arrivals(&deployment, Scenario::Peak, 7);
+        let other = arrivals(&deployment, Scenario::Peak, 7);
+        let different = arrivals(&deployment, Scenario::Peak, 8);
+        assert!(!one.is_empty());
+        assert_eq!(format!("{one:?}"), format!("{other:?}"));
+        assert_ne!(format!("{one:?}"), format!("{different:?}"));
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/baseline/mod.rs
@@ -0,0 +1,330 @@
+//! Policies that are in common use, to compare with.
+
+mod placement;
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{BlockHash, JobKey, ServerKey};
+use magnoliaspar_policy::{
+    Action, FailedStage, Job, LoadReport, Policy, RefuseReason, Role, ServerSpec, Urgency,
+};
+use slotmap::SlotMap;
+
+pub use self::placement::Placement;
+
+/// A policy that does not reserve decode slots.
+///
+/// It limits the prompts on each prefill engine, serves requests that can still meet their target
+/// first, refuses what comes too late or too much, and tries other decode engines while the KV
+/// cache is held.
+#[derive(Debug)]
+pub struct Baseline {
+    placement: Placement,
+    servers: SlotMap<ServerKey, Known>,
+    jobs: SlotMap<JobKey, JobState>,
+    fresh: VecDeque<JobKey>,
+    late: VecDeque<JobKey>,
+    /// The jobs whose KV cache waits for a decode engine.
+    held: Vec<JobKey>,
+    actions: Vec<Action>,
+    turn: u64,
+}
+
+/// What a baseline knows of a server.
+#[derive(Debug)]
+struct Known {
+    spec: ServerSpec,
+    is_sealed: bool,
+    report: Option<LoadReport>,
+    blocks: BTreeSet<BlockHash>,
+    /// The jobs that were given to the server and have not left it.
+    jobs: u32,
+    /// The prompt tokens of these jobs.
+    tokens: u64,
+    /// When the server was last chosen, in turns.
+    turn: u64,
+}
+
+#[derive(Debug)]
+struct JobState {
+    job: Job,
+    prefill: Option<ServerKey>,
+    decode: Option<ServerKey>,
+    has_tokens: bool,
+    failures: u32,
+    held_until: Option<Instant>,
+    retry_at: Instant,
+}
+
+/// How many jobs may wait.
+const MAX_QUEUE: usize = 256;
+
+/// How often a job is tried again before it is refused.
+const MAX_FAILURES: u32 = 5;
+
+/// The time before another decode engine is tried.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Baseline {
+    /// Creates a policy that chooses servers by `placement`.
+    pub fn new(placement: Placement) -> Self {
+        Self {
+            placement,
+            servers: SlotMap::with_key(),
+            jobs: SlotMap::with_key(),
+            fresh: VecDeque::new(),
+            late: VecDeque::new(),
+            held: Vec::new(),
+            actions: Vec::new(),
+            turn: 0,
+        }
+    }
+
+    /// Returns the server with the least cost among those that may take a job.
+    fn pick(&mut self, role: Role, job: &Job) -> Option<ServerKey> {
+        let mut best = None;
+        for (key, known) in &self.servers {
+            if known.spec.role != role || known.is_sealed {
+                continue;
+            }
+            if role == Role::Prefill && known.jobs >= known.spec.slots {
+                continue;
+            }
+            let cost = (self.placement.cost(known, job), known.turn);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        let (_, key) = best?;
+        self.turn += 1;
+        self.servers[key].turn = self.turn;
+        Some(key)
+    }
+
+    fn take(&mut self, server: ServerKey, tokens: u32) {
+        let Some(known) = self.servers.get_mut(server) else { return };
+        known.jobs += 1;
+        known.tokens += u64::from(tokens);
+    }
+
+    fn release(&mut self, server: Option<ServerKey>, tokens: u32) {
+        let Some(known) = server.and_then(|key| self.servers.get_mut(key)) else { return };
+        known.jobs = known.jobs.saturating_sub(1);
+        known.tokens = known.tokens.saturating_sub(u64::from(tokens));
+    }
+
+    fn release_all(&mut self, key: JobKey) {
+        let Some(state) = self.jobs.get_mut(key) else { return };
+        let (prefill, decode) = (state.prefill.take(), state.decode.take());
+        let tokens = state.job.prompt_tokens;
+        self.release(prefill, tokens);
+        self.release(decode, tokens);
+    }
+
+    fn forget(&mut self, key: JobKey) {
+        self.release_all(key);
+        self.jobs.remove(key);
+        self.fresh.retain(|queued| *queued != key);
+        self.late.retain(|queued| *queued != key);
+        self.held.retain(|held| *held != key);
+    }
+
+    fn refuse(&mut self, job: JobKey, reason: RefuseReason) {
+        self.forget(job);
+        self.actions.push(Action::Refuse { job, reason, retry_after: None });
+    }
+
+    /// Moves jobs that have missed their target behind the others, or refuses them.
+    fn sort_out_late(&mut self, now: Instant) {
+        for key in std::mem::take(&mut self.fresh) {
+            let state = &self.jobs[key];
+            let is_late = now > state.job.accepted_at + state.job.ttft_target;
+            if !is_late || state.has_tokens {
+                self.fresh.push_back(key);
+            } else if state.job.urgency == Urgency::Interactive {
+                self.refuse(key, RefuseReason::TargetMissed);
+            } else {
+                self.late.push_back(key);
+            }
+        }
+    }
+
+    fn start_prefills(&mut self) {
+        while let Some(key) = self.fresh.front().or(self.late.front()).copied() {
+            let job = self.jobs[key].job.clone();
+            let Some(server) = self.pick(Role::Prefill, &job) else { return };
+            if self.fresh.pop_front().is_none() {
+                self.late.pop_front();
+            }
+            self.take(server, job.prompt_tokens);
+            self.jobs[key].prefill = Some(server);
+            self.actions.push(Action::Prefill { job: key, server, decode: None });
+        }
+    }
+
+    fn start_transfers(&mut self, now: Instant) {
+        for key in std::mem::take(&mut self.held) {
+            let state = &self.jobs[key];
+            if state.held_until.is_none_or(|until| until <= now) {
+                self.queue_again(key);
+                continue;
+            }
+            if now < state.retry_at {
+                self.held.push(key);
+                continue;
+            }
+            self.start_transfer(key);
+        }
+    }
+
+    fn start_transfer(&mut self, key: JobKey) {
+        let job = self.jobs[key].job.clone();
+        let Some(prefill) = self.jobs[key].prefill else { return };
+        let Some(decode) = self.pick(Role::Decode, &job) else {
+            self.held.push(key);
+            return;
+        };
+        self.take(decode, job.prompt_tokens);
+        self.jobs[key].decode = Some(decode);
+        self.actions.push(Action::Transfer { job: key, prefill, decode });
+    }
+
+    fn queue_again(&mut self, key: JobKey) {
+        self.release_all(key);
+        let state = &mut self.jobs[key];
+        state.held_until = None;
+        state.failures += 1;
+        if state.failures > MAX_FAILURES && !state.has_tokens {
+            self.refuse(key, RefuseReason::RetriesExhausted);
+            return;
+        }
+        self.fresh.push_front(key);
+    }
+}
+
+impl Policy for Baseline {
+    fn add_server(&mut self, _now: Instant, spec: ServerSpec) -> ServerKey {
+        self.servers.insert(Known {
+            spec,
+            is_sealed: false,
+            report: None,
+            blocks: BTreeSet::new(),
+            jobs: 0,
+            tokens: 0,
+            turn: 0,
+        })
+    }
+
+    fn seal_server(&mut self, _now: Instant, server: ServerKey) {
+        let Some(known) = self.servers.get_mut(server) else { return };
+        known.is_sealed = true;
+    }
+
+    fn remove_server(&mut self, _now: Instant, server: ServerKey) {
+        self.servers.remove(server);
+    }
+
+    fn submit(&mut self, now: Instant, job: Job) -> JobKey {
+        let is_full = self.fresh.len() + self.late.len() >= MAX_QUEUE;
+        let key = self.jobs.insert(JobState {
+            job,
+            prefill: None,
+            decode: None,
+            has_tokens: false,
+            failures: 0,
+            held_until: None,
+            retry_at: now,
+        });
+        if is_full {
+            self.refuse(key, RefuseReason::QueueFull);
+        } else {
+            self.fresh.push_back(key);
+        }
+        key
+    }
+
+    fn prefilled(&mut self, now: Instant, job: JobKey, _cached_tokens: u32, held_until: Instant) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        state.held_until = Some(held_until);
+        state.retry_at = now;
+        self.held.push(job);
+    }
+
+    fn transferred(&mut self, _now: Instant, job: JobKey) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        let prefill = state.prefill.take();
+        let tokens = state.job.prompt_tokens;
+        self.release(prefill, tokens);
+    }
+
+    fn progressed(&mut self, _now: Instant, job: JobKey, _tokens: u32) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        state.has_tokens = true;
+    }
+
+    fn finished(&mut self, _now: Instant, job: JobKey) {
+        self.forget(job);
+    }
+
+    fn cancelled(&mut self, _now: Instant, job: JobKey) {
+        self.forget(job);
+    }
+
+    fn failed(
+        &mut self,
+        now: Instant,
+        job: JobKey,
+        _stage: FailedStage,
+        kv_held_until: Option<Instant>,
+    ) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        let decode = state.decode.take();
+        let tokens = state.job.prompt_tokens;
+        let can_export = kv_held_until.is_some() && state.prefill.is_some();
+        state.held_until = kv_held_until;
+        state.retry_at = now + RETRY_INTERVAL;
+        self.release(decode, tokens);
+        if can_export {
+            self.held.push(job);
+        } else {
+            self.queue_again(job);
+        }
+    }
+
+    fn report(&mut self, _now: Instant, server: ServerKey, report: LoadReport) {
+        let Some(known) = self.servers.get_mut(server) else { return };
+        known.report = Some(report);
+    }
+
+    fn cache_events(
+        &mut self,
+        _now: Instant,
+        server: ServerKey,
+        stored: &[BlockHash],
+        evicted: &[BlockHash],
+        _gap: bool,
+    ) {
+        let Some(known) = self.servers.get_mut(server) else { return };
+        known.blocks.extend(stored);
+        for block in evicted {
+            known.blocks.remove(block);
+        }
+    }
+
+    fn poll(&mut self, now: Instant) -> Vec<Action> {
+        self.sort_out_late(now);
+        self.start_transfers(now);
+        self.start_prefills();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn next_poll(&self) -> Option<Instant> {
+        let mut next = None;
+        for key in &self.held {
+            let at = self.jobs[*key].retry_at;
+            next = Some(next.map_or(at, |before: Instant| before.min(at)));
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/catalogue.rs
@@ -0,0 +1,91 @@
+use magnoliaspar_core::{BLOCK_TOKENS, BlockHash};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::deployment::WorkloadSize;
+
+/// The documents that callers of a deployment ask about again and again.
+#[derive(Debug, Clone)]
+pub struct Catalogue {
+    /// The documents, the most popular one first.
+    pub documents: Box<[Document]>,
+}
+
+/// A document that many prompts begin with.
+#[derive(Debug, Clone)]
+pub struct Document {
+    /// The chained hashes of the document's blocks.
+    pub blocks: Box<[BlockHash]>,
+    /// The share of requests that ask about the document.
+    pub share: f64,
+}
+
+impl Catalogue {
+    /// Creates the documents of a workload.
+    pub fn new(workload: &WorkloadSize, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut total = 0.0;
+        for rank in 1..=workload.documents {
+            total += weight(rank, workload.popularity_exponent);
+        }
+        let mut documents = Vec::new();
+        for rank in 1..=workload.documents {
+            let blocks =
+                rng.random_range(workload.min_document_blocks..=workload.max_document_blocks);
+            let mut hashes = Vec::new();
+            for _ in 0..blocks {
+                hashes.push(BlockHash(rng.random()));
+            }
+            let share = weight(rank, workload.popularity_exponent) / total;
+            documents.push(Document { blocks: hashes.into(), share });
+        }
+        Self { documents: documents.into() }
+    }
+
+    /// Draws a document by popularity.
+    pub fn draw(&self, rng: &mut StdRng) -> &Document {
+        let mut point: f64 = rng.random();
+        for document in &self.documents {
+            point -= document.share;
+            if point < 0.0 {
+                return document;
+            }
+        }
+        &self.documents[self.documents.len() - 1]
+    }
+
+    /// Returns the mean number of document tokens in a prompt.
+    pub fn mean_tokens(&self) -> f64 {
+        let mut tokens = 0.0;
+        for document in &self.documents {
+            tokens += document.share * document.tokens();
+        }
+        tokens
+    }
+
+    /// Returns the mean number of document tokens that must be read if `cache_blocks` blocks of
+    /// the most popular documents are always cached.
+    pub fn mean_uncached_tokens(&self, cache_blocks: u32) -> f64 {
+        let mut room = cache_blocks as usize;
+        let mut tokens = 0.0;
+        for document in &self.documents {
+            if document.blocks.len() <= room {
+                room -= document.blocks.len();
+                continue;
+            }
+            tokens += document.share * document.tokens();
+        }
+        tokens
+    }
+}
+
+impl Document {
+    /// Returns the length of the document in tokens.
+    pub fn tokens(&self) -> f64 {
+        self.blocks.len() as f64 * f64::from(BLOCK_TOKENS)
+    }
+}
+
+fn weight(rank: u32, exponent: f64) -> f64 {
+    f64::from(rank).powf(-exponent)
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/deployment.rs
@@ -0,0 +1,277 @@
+use std::time::Duration;
+
+use magnoliaspar_core::{ServerName, ZoneName};
+use magnoliaspar_policy::{Role, ServerSpec, Weights};
+
+/// The target for the time from acceptance to the first token.
+pub const TTFT_TARGET: Duration = Duration::from_millis(970);
+
+/// The target for the time between two tokens.
+pub const ITL_TARGET: Duration = Duration::from_millis(62);
+
+/// The share of a request's gaps between tokens that must meet the target.
+pub const ITL_SHARE: f64 = 0.95;
+
+/// A deployment: its engines, its callers and what they ask for.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// The name of the deployment.
+    pub name: Box<str>,
+    /// The availability zones; the first one is where decisions are made.
+    pub zones: Box<[ZoneName]>,
+    /// How many of the workers read prompts.
+    pub prefill_engines: u32,
+    /// How many of the workers produce tokens.
+    pub decode_engines: u32,
+    /// The network latency between two availability zones, one way.
+    pub zone_latency: Duration,
+    /// The network latency between a caller and an availability zone, one way.
+    pub caller_latency: Duration,
+    /// The size of each engine.
+    pub engine: EngineSize,
+    /// What callers ask for.
+    pub workload: WorkloadSize,
+    /// How much the deployment's route cares for each measure.
+    pub weights: Weights,
+}
+
+/// The size of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineSize {
+    /// How many requests a decode engine runs at the same time.
+    pub decode_slots: u32,
+    /// How many requests a prefill engine runs or queues at the same time.
+    pub prefill_slots: u32,
+    /// How many pieces of KV cache memory an engine has.
+    pub memory_pieces: u32,
+    /// How many tokens a piece of memory holds.
+    pub piece_tokens: u32,
+    /// How many tokens that are not cached a prefill engine reads in a second.
+    pub prefill_tokens_per_second: f64,
+    /// The part of a prefill that does not depend on its length.
+    pub prefill_overhead: Duration,
+    /// How many tokens of KV cache a link carries in a second.
+    pub link_tokens_per_second: f64,
+    /// The part of a decode step that does not depend on the batch.
+    pub step_base: Duration,
+    /// The part of a decode step for each request of the batch.
+    pub step_per_request: Duration,
+    /// The seconds of a decode step for each token of context in the batch.
+    pub step_seconds_per_token: f64,
+    /// For how long a prefill engine holds the KV cache of a finished prefill.
+    pub hold: Duration,
+}
+
+/// What the callers of a deployment ask for.
+#[derive(Debug, Clone)]
+pub struct WorkloadSize {
+    /// The number of documents that are read again and again.
+    pub documents: u32,
+    /// The exponent of the Zipf distribution of the documents' popularity.
+    pub popularity_exponent: f64,
+    /// The fewest blocks in a document.
+    pub min_document_blocks: u32,
+    /// The most blocks in a document.
+    pub max_document_blocks: u32,
+    /// The fewest tokens in a question.
+    pub min_question_tokens: u32,
+    /// The most tokens in a question.
+    pub max_question_tokens: u32,
+    /// The fewest tokens in an answer.
+    pub min_output_tokens: u32,
+    /// The scale of the exponential distribution of the tokens beyond the fewest.
+    pub output_scale_tokens: f64,
+    /// The most tokens in an answer, which callers declare.
+    pub max_output_tokens: u32,
+    /// The number of workspaces that send requests.
+    pub workspaces: u32,
+    /// The share of the requests that may wait.
+    pub deferrable_share: f64,
+    /// When a caller that waits for its answer gives up.
+    pub interactive_deadline: Duration,
+    /// When a caller that may wait gives up.
+    pub deferrable_deadline: Duration,
+}
+
+impl Deployment {
+    /// Returns both deployments.
+    pub fn all() -> [Self; 2] {
+        [Self::midlands(), Self::benang_merah()]
+    }
+
+    /// Returns the deployment with the long packs, whose officers can wait.
+    pub fn midlands() -> Self {
+        Self {
+            name: "midlands".into(),
+            zones: zones(["mid-a", "mid-b", "mid-c", "mid-d"]),
+            prefill_engines: 4,
+            decode_engines: 10,
+            zone_latency: Duration::from_micros(500),
+            caller_latency: Duration::from_millis(3),
+            engine: EngineSize {
+                piece_tokens: 128,
+                prefill_tokens_per_second: 40_000.0,
+                link_tokens_per_second: 150_000.0,
+                step_seconds_per_token: 0.09e-6,
+                ..EngineSize::common()
+            },
+            workload: WorkloadSize {
+                min_document_blocks: 80,
+                max_document_blocks: 240,
+                min_question_tokens: 64,
+                max_question_tokens: 256,
+                min_output_tokens: 30,
+                output_scale_tokens: 100.0,
+                max_output_tokens: 400,
+                workspaces: 12,
+                deferrable_share: 0.8,
+                ..WorkloadSize::common()
+            },
+            weights: Weights { wasted_prefill: 0.7, goodput: 0.3 },
+        }
+    }
+
+    /// Returns the deployment with the order sheets, whose callers stand at a counter.
+    pub fn benang_merah() -> Self {
+        Self {
+            name: "benang-merah".into(),
+            zones: zones(["jawa-barat", "jawa-tengah", "jawa-timur", "yogya"]),
+            prefill_engines: 4,
+            decode_engines: 8,
+            zone_latency: Duration::from_micros(1_500),
+            caller_latency: Duration::from_millis(1),
+            engine: EngineSize {
+                piece_tokens: 64,
+                prefill_tokens_per_second: 20_000.0,
+                link_tokens_per_second: 75_000.0,
+                step_seconds_per_token: 0.18e-6,
+                ..EngineSize::common()
+            },
+            workload: WorkloadSize {
+                min_document_blocks: 40,
+                max_document_blocks: 120,
+                min_question_tokens: 40,
+                max_question_tokens: 160,
+                min_output_tokens: 20,
+                output_scale_tokens: 90.0,
+                max_output_tokens: 320,
+                workspaces: 24,
+                deferrable_share: 0.0,
+                ..WorkloadSize::common()
+            },
+            weights: Weights { wasted_prefill: 0.3, goodput: 0.7 },
+        }
+    }
+
+    /// Returns the specifications of all servers, prefill engines first.
+    pub fn servers(&self) -> Vec<ServerSpec> {
+        let mut servers = Vec::new();
+        for index in 0..self.prefill_engines {
+            servers.push(self.server(Role::Prefill, index));
+        }
+        for index in 0..self.decode_engines {
+            servers.push(self.server(Role::Decode, index));
+        }
+        servers
+    }
+
+    fn server(&self, role: Role, index: u32) -> ServerSpec {
+        let engine = &self.engine;
+        let (kind, slots) = match role {
+            Role::Prefill => ("prefill", engine.prefill_slots),
+            Role::Decode => ("decode", engine.decode_slots),
+        };
+        let name = format!("{kind}-{index}");
+        ServerSpec {
+            name: ServerName::try_from(name.as_str()).expect("the name has only allowed letters"),
+            zone: self.zones[index as usize % self.zones.len()].clone(),
+            role,
+            slots,
+            memory_pieces: engine.memory_pieces,
+            piece_tokens: engine.piece_tokens,
+            prefill_tokens_per_second: engine.prefill_tokens_per_second,
+            link_tokens_per_second: engine.link_tokens_per_second,
+            seconds_per_token: self.full_step().as_secs_f64(),
+            hold_seconds: engine.hold.as_secs_f64(),
+        }
+    }
+
+    /// Returns the time of a decode step with all slots and the usual context taken.
+    pub fn full_step(&self) -> Duration {
+        let blocks = (self.workload.min_document_blocks + self.workload.max_document_blocks) / 2;
+        let context = u64::from(blocks * magnoliaspar_core::BLOCK_TOKENS);
+        let slots = self.engine.decode_slots;
+        self.engine.step(slots, context * u64::from(slots))
+    }
+}
+
+impl EngineSize {
+    /// Returns how long a decode step takes.
+    pub fn step(&self, batch: u32, context_tokens: u64) -> Duration {
+        let context = Duration::from_secs_f64(self.step_seconds_per_token * context_tokens as f64);
+        self.step_base + self.step_per_request * batch + context
+    }
+
+    /// Returns how long a prefill takes.
+    pub fn prefill(&self, uncached_tokens: u32) -> Duration {
+        let seconds = f64::from(uncached_tokens) / self.prefill_tokens_per_second;
+        self.prefill_overhead + Duration::from_secs_f64(seconds)
+    }
+
+    /// Returns how many pieces of memory a request needs on a decode engine.
+    pub fn pieces(&self, prompt_tokens: u32, max_output_tokens: u32) -> u32 {
+        (prompt_tokens + max_output_tokens).div_ceil(self.piece_tokens)
+    }
+
+    /// Returns how many blocks a prefill engine can cache.
+    pub fn cache_blocks(&self) -> u32 {
+        self.memory_pieces * self.piece_tokens / magnoliaspar_core::BLOCK_TOKENS
+    }
+
+    fn common() -> Self {
+        Self {
+            decode_slots: 20,
+            prefill_slots: 8,
+            memory_pieces: 2_000,
+            piece_tokens: 64,
+            prefill_tokens_per_second: 20_000.0,
+            prefill_overhead: Duration::from_millis(10),
+            link_tokens_per_second: 75_000.0,
+            step_base: Duration::from_millis(22),
+            step_per_request: Duration::from_micros(800),
+            step_seconds_per_token: 0.18e-6,
+            hold: Duration::from_millis(800),
+        }
+    }
+}
+
+impl WorkloadSize {
+    /// Returns the mean number of tokens in an answer.
+    pub fn mean_output_tokens(&self) -> f64 {
+        let span = f64::from(self.max_output_tokens - self.min_output_tokens);
+        let tail = 1.0 - (-span / self.output_scale_tokens).exp();
+        f64::from(self.min_output_tokens) + self.output_scale_tokens * tail
+    }
+
+    fn common() -> Self {
+        Self {
+            documents: 300,
+            popularity_exponent: 0.9,
+            min_document_blocks: 40,
+            max_document_blocks: 120,
+            min_question_tokens: 40,
+            max_question_tokens: 160,
+            min_output_tokens: 20,
+            output_scale_tokens: 90.0,
+            max_output_tokens: 320,
+            workspaces: 24,
+            deferrable_share: 0.0,
+            interactive_deadline: Duration::from_secs(20),
+            deferrable_deadline: Duration::from_secs(90),
+        }
+    }
+}
+
+fn zones(names: [&str; 4]) -> Box<[ZoneName]> {
+    names.map(|name| ZoneName::try_from(name).expect("the name has only allowed letters")).into()
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/driver/mod.rs
@@ -0,0 +1,304 @@
+//! Drives a policy in virtual time against the fake engines.
+
+mod action;
+mod caller;
+mod fault;
+mod stage;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{Clock, JobKey, ManualClock, ServerKey};
+use magnoliaspar_policy::{Policy, Role, ServerSpec};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use crate::arrival::{Arrival, Stream};
+use crate::deployment::Deployment;
+use crate::engine::{CacheChange, DecodeEngine, Link, PrefillEngine};
+use crate::event::{Event, EventQueue};
+use crate::ledger::{Ledger, Violation};
+use crate::report::Report;
+use crate::scenario::{Scenario, WARM_UP, WINDOW};
+use crate::state::{Engine, Request, Server};
+
+/// The time between two load reports of a server.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time from the making of a load report to its arrival.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+
+/// The time from a change in a prefix cache to the arrival of its events.
+const CACHE_EVENT_LAG: Duration = Duration::from_millis(300);
+
+/// The share of the cache events that are lost.
+const CACHE_EVENT_LOSS: f64 = 0.02;
+
+/// The least time between two polls that the policy asks for.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// How often the policy may answer with new orders at one moment.
+const MAX_ROUNDS: u32 = 1_000;
+
+/// How long a run may take beyond the last deadline.
+const MAX_OVERTIME: Duration = Duration::from_secs(30);
+
+/// Drives `policy` through the requests of a scenario and reports what became of them.
+pub fn run(
+    policy: &mut dyn Policy,
+    name: &str,
+    deployment: &Deployment,
+    scenario: Scenario,
+    seed: u64,
+    arrivals: &[Arrival],
+) -> Report {
+    let mut driver = Driver::new(policy, deployment, scenario, seed, arrivals);
+    driver.drive();
+    driver.check_engines();
+    Report::new(name, deployment, scenario, seed, &driver.requests, &driver.ledger)
+}
+
+struct Driver<'a> {
+    policy: &'a mut dyn Policy,
+    deployment: &'a Deployment,
+    scenario: Scenario,
+    start: Instant,
+    events: EventQueue,
+    servers: Vec<Server>,
+    server_keys: BTreeMap<ServerKey, usize>,
+    requests: Vec<Request>,
+    jobs: BTreeMap<JobKey, usize>,
+    open_requests: usize,
+    polled_at: Option<Instant>,
+    cache_events: StdRng,
+    ledger: Ledger,
+}
+
+impl<'a> Driver<'a> {
+    fn new(
+        policy: &'a mut dyn Policy,
+        deployment: &'a Deployment,
+        scenario: Scenario,
+        seed: u64,
+        arrivals: &[Arrival],
+    ) -> Self {
+        let start = ManualClock::new().now();
+        let mut requests = Vec::new();
+        for arrival in arrivals {
+            requests.push(Request::new(arrival.clone(), start));
+        }
+        let mut driver = Self {
+            policy,
+            deployment,
+            scenario,
+            start,
+            events: EventQueue::default(),
+            servers: Vec::new(),
+            server_keys: BTreeMap::new(),
+            open_requests: requests.len(),
+            requests,
+            jobs: BTreeMap::new(),
+            polled_at: None,
+            cache_events: Stream::CacheEvent.rng(seed),
+            ledger: Ledger::new(),
+        };
+        driver.add_servers();
+        driver.schedule_callers();
+        driver.schedule_fault();
+        driver
+    }
+
+    fn add_servers(&mut self) {
+        for spec in self.deployment.servers() {
+            let server = self.servers.len();
+            let added = self.server(spec);
+            self.servers.push(added);
+            self.introduce(self.start, server);
+            // Reports of different servers do not come at the same moment.
+            let offset = REPORT_INTERVAL.mul_f64(server as f64 / 16.0);
+            self.events.push(self.start + offset, Event::MakeReport { server });
+        }
+    }
+
+    fn server(&self, spec: ServerSpec) -> Server {
+        let is_local = spec.zone == self.deployment.zones[0];
+        let engine = match spec.role {
+            Role::Prefill => Engine::Prefill(PrefillEngine::new(&self.deployment.engine)),
+            Role::Decode => Engine::Decode(DecodeEngine::new(&self.deployment.engine)),
+        };
+        Server {
+            key: None,
+            is_dead: false,
+            is_cut: false,
+            latency: if is_local { Duration::ZERO } else { self.deployment.zone_latency },
+            link: Link::new(self.start, spec.link_tokens_per_second),
+            engine,
+            has_gap: false,
+            spec,
+        }
+    }
+
+    fn introduce(&mut self, now: Instant, server: usize) {
+        let key = self.policy.add_server(now, self.servers[server].spec.clone());
+        self.servers[server].key = Some(key);
+        self.server_keys.insert(key, server);
+    }
+
+    fn drive(&mut self) {
+        let last_deadline = self.deployment.workload.deferrable_deadline;
+        let end = self.start + WARM_UP + WINDOW + last_deadline + MAX_OVERTIME;
+        while let Some((now, event)) = self.events.pop() {
+            if now > end {
+                self.ledger.violations.push(Violation::NoEnd);
+                return;
+            }
+            if self.handle(now, event) {
+                self.poll(now);
+            }
+        }
+    }
+
+    /// Handles an event; returns whether the policy was told something.
+    fn handle(&mut self, now: Instant, event: Event) -> bool {
+        match event {
+            Event::Arrive(request) => self.arrive(now, request),
+            Event::Cancel(request) => return self.cancel(now, request),
+            Event::GiveUp(request) => return self.give_up(now, request),
+            Event::PrefillOrder { server, request, tag } => {
+                self.start_prefill(now, server, request, tag);
+                return false;
+            }
+            Event::PrefillEnd { server, epoch } => {
+                self.end_prefill(now, server, epoch);
+                return false;
+            }
+            Event::Prefilled { request, tag, cached_tokens, held_until } => {
+                return self.prefilled(now, request, tag, cached_tokens, held_until);
+            }
+            Event::HoldEnd { request, tag } => {
+                self.end_hold(now, request, tag);
+                return false;
+            }
+            Event::TransferOrder { request, tag } => {
+                self.start_transfer(now, request, tag);
+                return false;
+            }
+            Event::TransferEnd { server, request, tag } => {
+                self.end_transfer(now, server, request, tag);
+                return false;
+            }
+            Event::Transferred { request, tag } => return self.transferred(now, request, tag),
+            Event::StepEnd { server, epoch } => {
+                self.end_step(now, server, epoch);
+                return false;
+            }
+            Event::Finished { request, tag } => return self.finished(now, request, tag),
+            Event::Failed { request, tag, stage, held_until } => {
+                return self.failed(now, request, tag, stage, held_until);
+            }
+            Event::MakeReport { server } => {
+                self.make_report(now, server);
+                return false;
+            }
+            Event::Report { server, report } => {
+                let Some(key) = self.servers[server].key else { return false };
+                self.policy.report(now, key, report);
+            }
+            Event::Cache { server, stored, evicted, gap } => {
+                let Some(key) = self.servers[server].key else { return false };
+                self.policy.cache_events(now, key, &stored, &evicted, gap);
+            }
+            Event::FaultBegin => {
+                self.begin_fault(now);
+                return false;
+            }
+            Event::FaultNoticed => self.notice_fault(now),
+            Event::FaultEnd => self.end_fault(now),
+            Event::Poll => {
+                if self.polled_at == Some(now) {
+                    self.polled_at = None;
+                }
+            }
+        }
+        true
+    }
+
+    fn poll(&mut self, now: Instant) {
+        let mut rounds = 0;
+        loop {
+            let actions = self.policy.poll(now);
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.apply(now, action);
+            }
+            rounds += 1;
+            if rounds > MAX_ROUNDS {
+                self.ledger.violations.push(Violation::Endless);
+                break;
+            }
+        }
+        self.schedule_poll(now);
+    }
+
+    fn schedule_poll(&mut self, now: Instant) {
+        if self.open_requests == 0 {
+            return;
+        }
+        let Some(at) = self.policy.next_poll() else { return };
+        let at = at.max(now + MIN_POLL_INTERVAL);
+        if self.polled_at.is_some_and(|before| before <= at) {
+            return;
+        }
+        self.polled_at = Some(at);
+        self.events.push(at, Event::Poll);
+    }
+
+    fn make_report(&mut self, now: Instant, server: usize) {
+        if self.open_requests == 0 {
+            return;
+        }
+        self.events.push(now + REPORT_INTERVAL, Event::MakeReport { server });
+        let state = &self.servers[server];
+        if !state.is_reachable() {
+            return;
+        }
+        let report = match &state.engine {
+            Engine::Prefill(engine) => engine.report(now),
+            Engine::Decode(engine) => engine.report(now),
+        };
+        self.events.push(now + REPORT_LAG, Event::Report { server, report });
+    }
+
+    fn publish(&mut self, now: Instant, server: usize, change: CacheChange) {
+        let is_lost = self.cache_events.random_bool(CACHE_EVENT_LOSS);
+        let state = &mut self.servers[server];
+        if is_lost || !state.is_reachable() {
+            state.has_gap = true;
+            return;
+        }
+        let gap = std::mem::take(&mut state.has_gap);
+        let stored = change.stored.into();
+        let evicted = change.evicted.into();
+        self.events.push(now + CACHE_EVENT_LAG, Event::Cache { server, stored, evicted, gap });
+    }
+
+    fn check_engines(&mut self) {
+        for server in &self.servers {
+            let held = match &server.engine {
+                Engine::Prefill(engine) => engine.running(),
+                Engine::Decode(engine) => engine.requests().len(),
+            };
+            if held > 0 {
+                let name = server.spec.name.as_str().into();
+                self.ledger.violations.push(Violation::Held(name, held));
+            }
+        }
+        for (number, request) in self.requests.iter().enumerate() {
+            if request.ends != 1 {
+                self.ledger.violations.push(Violation::Ends(number, request.ends));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/engine/cache.rs
@@ -0,0 +1,84 @@
+use std::collections::BTreeMap;
+
+use magnoliaspar_core::BlockHash;
+
+/// The prefix blocks that a prefill engine keeps, the least recently used one leaving first.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    used_at: BTreeMap<BlockHash, u64>,
+    by_use: BTreeMap<u64, BlockHash>,
+    uses: u64,
+}
+
+/// The blocks that came and went with one prefill.
+#[derive(Debug, Default)]
+pub(crate) struct CacheChange {
+    pub(crate) stored: Vec<BlockHash>,
+    pub(crate) evicted: Vec<BlockHash>,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: u32) -> Self {
+        Self {
+            capacity: capacity as usize,
+            used_at: BTreeMap::new(),
+            by_use: BTreeMap::new(),
+            uses: 0,
+        }
+    }
+
+    /// Returns how many of the first blocks are cached without a break.
+    pub(crate) fn matched(&self, blocks: &[BlockHash]) -> usize {
+        let mut matched = 0;
+        for block in blocks {
+            if !self.used_at.contains_key(block) {
+                break;
+            }
+            matched += 1;
+        }
+        matched
+    }
+
+    /// Stores blocks and marks them as used, the first block as the last used.
+    pub(crate) fn insert(&mut self, blocks: &[BlockHash]) -> CacheChange {
+        let mut change = CacheChange::default();
+        for block in blocks.iter().rev() {
+            self.uses += 1;
+            match self.used_at.insert(*block, self.uses) {
+                Some(before) => {
+                    self.by_use.remove(&before);
+                }
+                None => change.stored.push(*block),
+            }
+            self.by_use.insert(self.uses, *block);
+        }
+        while self.used_at.len() > self.capacity {
+            let Some((_, block)) = self.by_use.pop_first() else { break };
+            self.used_at.remove(&block);
+            change.evicted.push(block);
+        }
+        change
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.used_at.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use magnoliaspar_core::BlockHash;
+
+    use super::PrefixCache;
+
+    #[test]
+    fn the_end_of_the_oldest_prefix_leaves_first() {
+        let mut cache = PrefixCache::new(3);
+        let old = [BlockHash(1), BlockHash(2)];
+        cache.insert(&old);
+        let change = cache.insert(&[BlockHash(7), BlockHash(8)]);
+        assert_eq!(change.evicted, [BlockHash(2)]);
+        assert_eq!(cache.matched(&old), 1);
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/engine/mod.rs
@@ -0,0 +1,11 @@
+//! Small fakes of engines and links, as far as a policy can notice them.
+
+mod cache;
+mod decode;
+mod link;
+mod prefill;
+
+pub(crate) use self::cache::CacheChange;
+pub(crate) use self::decode::{DecodeEngine, Run};
+pub(crate) use self::link::Link;
+pub(crate) use self::prefill::{PrefillEngine, PrefillTask};
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/event.rs
@@ -0,0 +1,106 @@
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Instant;
+
+use magnoliaspar_core::BlockHash;
+use magnoliaspar_policy::{FailedStage, LoadReport};
+
+/// Something that happens at a moment of virtual time.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A caller sends a request.
+    Arrive(usize),
+    /// A caller cancels a request.
+    Cancel(usize),
+    /// A caller has waited too long.
+    GiveUp(usize),
+    /// An order to prefill reaches an engine.
+    PrefillOrder { server: usize, request: usize, tag: Tag },
+    /// An engine ends the prefill it is running.
+    PrefillEnd { server: usize, epoch: u32 },
+    /// The policy learns that a prefill is done.
+    Prefilled { request: usize, tag: Tag, cached_tokens: u32, held_until: Instant },
+    /// The hold of a KV cache ends.
+    HoldEnd { request: usize, tag: Tag },
+    /// An order to import a KV cache reaches a decode engine.
+    TransferOrder { request: usize, tag: Tag },
+    /// A KV cache has been imported.
+    TransferEnd { server: usize, request: usize, tag: Tag },
+    /// The policy learns that a KV cache has been imported.
+    Transferred { request: usize, tag: Tag },
+    /// A decode engine ends a step.
+    StepEnd { server: usize, epoch: u32 },
+    /// The policy learns that an answer is complete.
+    Finished { request: usize, tag: Tag },
+    /// The policy learns that a stage failed.
+    Failed { request: usize, tag: Tag, stage: FailedStage, held_until: Option<Instant> },
+    /// A server makes a load report.
+    MakeReport { server: usize },
+    /// A load report arrives.
+    Report { server: usize, report: LoadReport },
+    /// Cache events arrive.
+    Cache { server: usize, stored: Box<[BlockHash]>, evicted: Box<[BlockHash]>, gap: bool },
+    /// A fault begins.
+    FaultBegin,
+    /// A fault is noticed.
+    FaultNoticed,
+    /// A fault ends.
+    FaultEnd,
+    /// The policy asked to be polled.
+    Poll,
+}
+
+/// Tells the attempts of one request apart, so that late messages can be dropped.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Tag {
+    /// The number of the prefill.
+    pub(crate) prefill: u32,
+    /// The number of the transfer of this prefill's KV cache.
+    pub(crate) transfer: u32,
+}
+
+/// The events to come, in order of time and then of insertion.
+#[derive(Debug, Default)]
+pub(crate) struct EventQueue {
+    heap: BinaryHeap<Entry>,
+    inserted: u64,
+}
+
+impl EventQueue {
+    pub(crate) fn push(&mut self, at: Instant, event: Event) {
+        self.inserted += 1;
+        self.heap.push(Entry { at, number: self.inserted, event });
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<(Instant, Event)> {
+        let entry = self.heap.pop()?;
+        Some((entry.at, entry.event))
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    at: Instant,
+    number: u64,
+    event: Event,
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Entry {}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/ledger.rs
@@ -0,0 +1,99 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use displaydoc::Display;
+use hdrhistogram::Histogram;
+use magnoliaspar_policy::RefuseReason;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// The caller has the whole answer.
+    Answered,
+    /// The policy refused the request.
+    Refused(RefuseReason),
+    /// The caller cancelled.
+    Cancelled,
+    /// The caller's deadline passed.
+    DeadlinePassed,
+}
+
+/// Why the result of a prefill was thrown away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum WasteCause {
+    /// no decode slot
+    NoDecodeSlot,
+    /// hold ran out
+    HoldExpired,
+    /// cancelled
+    Cancelled,
+    /// engine lost
+    EngineLost,
+    /// given up by the policy
+    GivenUp,
+}
+
+/// A promise that a policy has broken.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Violation {
+    /// request {0} was refused after it had produced tokens
+    RefusedAfterTokens(usize),
+    /// request {0} was refused with the untrue reason "{1}"
+    UntrueReason(usize, RefuseReason),
+    /// request {0} ended {1} times
+    Ends(usize, u32),
+    /// request {0} was answered with {1} tokens instead of {2}
+    Tokens(usize, u32, u32),
+    /// server {0} still holds {1} requests after the end
+    Held(Box<str>, usize),
+    /// the policy ordered a stage of request {0} that does not follow from its state
+    WrongStage(usize),
+    /// the policy named a job or server that does not exist
+    UnknownKey,
+    /// the policy went on giving orders at one moment without an end
+    Endless,
+    /// the run did not come to an end
+    NoEnd,
+}
+
+/// Everything that is counted during a run.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    pub(crate) computed_tokens: u64,
+    pub(crate) cached_tokens: u64,
+    pub(crate) wasted_tokens: BTreeMap<WasteCause, u64>,
+    pub(crate) itl: Histogram<u64>,
+    pub(crate) violations: Vec<Violation>,
+}
+
+/// The longest time that is told apart in histograms.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// The significant figures that histograms keep.
+const FIGURES: u8 = 3;
+
+impl Ledger {
+    pub(crate) fn new() -> Self {
+        Self {
+            computed_tokens: 0,
+            cached_tokens: 0,
+            wasted_tokens: BTreeMap::new(),
+            itl: histogram(),
+            violations: Vec::new(),
+        }
+    }
+
+    pub(crate) fn waste(&mut self, cause: WasteCause, tokens: u32) {
+        if tokens > 0 {
+            *self.wasted_tokens.entry(cause).or_default() += u64::from(tokens);
+        }
+    }
+}
+
+pub(crate) fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(time.as_micros() as u64);
+}
+
+pub(crate) fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_MICROS, FIGURES).expect("the bounds are valid")
+}
--- /dev/null
+++ b/crates/magnoliaspar-bench/src/report.rs
@@ -0,0 +1,272 @@
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::catalogue::Catalogue;
+use crate::deployment::{Deployment, ITL_SHARE, TTFT_TARGET};
+use crate::ledger::{End, Ledger, WasteCause, histogram, record};
+use crate::limit::Limit;
+use crate::scenario::Scenario;
+use crate::state::Request;
+
+/// What became of the requests of one run.
+///
+/// Requests and latencies are those of the window; prefill tokens are those of the whole run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The name of the policy.
+    pub policy: Box<str>,
+    /// The name of the deployment.
+    pub deployment: Box<str>,
+    /// The name of the scenario.
+    pub scenario: Box<str>,
+    /// The seed from which the requests were drawn.
+    pub seed: u64,
+    /// The requests that were offered, cancelled ones included.
+    pub offered: u64,
+    /// The requests whose caller cancelled before the answer was complete.
+    pub cancelled: u64,
+    /// The requests with a whole answer.
+    pub answered: u64,
+    /// The requests that were answered within both latency targets.
+    pub goodput: u64,
+    /// The requests whose deadline passed.
+    pub deadline_passed: u64,
+    /// The requests that were refused, by reason.
+    pub refused: BTreeMap<Box<str>, u64>,
+    /// The goodput as a share of the requests that were offered and not cancelled.
+    pub share_of_offered: f64,
+    /// The most that any policy can reach.
+    pub limit: Limit,
+    /// The goodput as a share of the limit.
+    pub share_of_limit: f64,
+    /// The prompt tokens that engines computed.
+    pub computed_tokens: u64,
+    /// The prompt tokens that engines found in their caches.
+    pub cached_tokens: u64,
+    /// The computed tokens whose result was thrown away.
+    pub waste: Waste,
+    /// The time to the first token.
+    pub ttft: Latency,
+    /// The time between tokens.
+    pub itl: Latency,
+    /// Jain's index over the share of its fair part that each workspace got.
+    pub fairness: f64,
+    /// The promises that were broken.
+    pub violations: Vec<Box<str>>,
+}
+
+/// The computed prompt tokens whose result was thrown away, by cause.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Waste {
+    /// The tokens for which there was no decode slot in time.
+    pub no_decode_slot: u64,
+    /// The tokens whose hold ran out for another reason.
+    pub hold_expired: u64,
+    /// The tokens whose caller cancelled before the first token.
+    pub cancelled: u64,
+    /// The tokens that were lost with an engine or behind a cut.
+    pub engine_lost: u64,
+    /// The tokens that the policy gave up without need.
+    pub given_up: u64,
+}
+
+/// The distribution of a latency, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Latency {
+    /// The median.
+    pub p50: f64,
+    /// The 95th percentile.
+    pub p95: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+}
+
+impl Report {
+    pub(crate) fn new(
+        policy: &str,
+        deployment: &Deployment,
+        scenario: Scenario,
+        seed: u64,
+        requests: &[Request],
+        ledger: &Ledger,
+    ) -> Self {
+        let limit = limit(deployment, scenario, seed, requests);
+        let ttft = ttft(requests);
+        let mut report = Self {
+            policy: policy.into(),
+            deployment: deployment.name.clone(),
+            scenario: scenario.to_string().into(),
+            seed,
+            offered: 0,
+            cancelled: 0,
+            answered: 0,
+            goodput: 0,
+            deadline_passed: 0,
+            refused: BTreeMap::new(),
+            share_of_offered: 0.0,
+            limit,
+            share_of_limit: 0.0,
+            computed_tokens: ledger.computed_tokens,
+            cached_tokens: ledger.cached_tokens,
+            waste: Waste::new(ledger),
+            ttft: Latency::new(&ttft),
+            itl: Latency::new(&ledger.itl),
+            fairness: fairness(requests, limit.service()),
+            violations: Vec::new(),
+        };
+        for request in requests {
+            if request.arrival.is_counted {
+                report.count(request);
+            }
+        }
+        report.share_of_offered = share(report.goodput, report.offered - report.cancelled);
+        report.share_of_limit = report.goodput as f64 / limit.feasible();
+        for violation in &ledger.violations {
+            report.violations.push(violation.to_string().into());
+        }
+        report
+    }
+
+    fn count(&mut self, request: &Request) {
+        self.offered += 1;
+        match request.end {
+            None => {}
+            Some(End::Answered) => self.answered += 1,
+            Some(End::Cancelled) => self.cancelled += 1,
+            Some(End::DeadlinePassed) => self.deadline_passed += 1,
+            Some(End::Refused(reason)) => {
+                *self.refused.entry(reason.to_string().into()).or_default() += 1;
+            }
+        }
+        self.goodput += u64::from(is_good(request));
+    }
+
+    /// Returns the number of requests that were refused.
+    pub fn refusals(&self) -> u64 {
+        self.refused.values().sum()
+    }
+}
+
+impl Waste {
+    fn new(ledger: &Ledger) -> Self {
+        let tokens = |cause| ledger.wasted_tokens.get(&cause).copied().unwrap_or(0);
+        Self {
+            no_decode_slot: tokens(WasteCause::NoDecodeSlot),
+            hold_expired: tokens(WasteCause::HoldExpired),
+            cancelled: tokens(WasteCause::Cancelled),
+            engine_lost: tokens(WasteCause::EngineLost),
+            given_up: tokens(WasteCause::GivenUp),
+        }
+    }
+
+    /// Returns the tokens that were wasted for any cause.
+    pub fn total(&self) -> u64 {
+        self.avoidable() + self.cancelled + self.engine_lost
+    }
+
+    /// Returns the tokens that were wasted although no caller cancelled and no engine was lost.
+    pub fn avoidable(&self) -> u64 {
+        self.no_decode_slot + self.hold_expired + self.given_up
+    }
+}
+
+impl Latency {
+    fn new(histogram: &Histogram<u64>) -> Self {
+        let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Self { p50: millis(0.5), p95: millis(0.95), p99: millis(0.99) }
+    }
+}
+
+fn ttft(requests: &[Request]) -> Histogram<u64> {
+    let mut ttft = histogram();
+    for request in requests {
+        let Some(time) = request.ttft else { continue };
+        if request.arrival.is_counted {
+            record(&mut ttft, time);
+        }
+    }
+    ttft
+}
+
+/// Whether a request was answered within both latency targets.
+fn is_good(request: &Request) -> bool {
+    if request.end != Some(End::Answered) || request.ttft.is_none_or(|ttft| ttft > TTFT_TARGET) {
+        return false;
+    }
+    let gaps = request.tokens.saturating_sub(1);
+    f64::from(request.late_gaps) <= f64::from(gaps) * (1.0 - ITL_SHARE)
+}
+
+fn limit(deployment: &Deployment, scenario: Scenario, seed: u64, requests: &[Request]) -> Limit {
+    let mut arrivals = Vec::new();
+    for request in requests {
+        arrivals.push(&request.arrival);
+    }
+    let catalogue =
+        Catalogue::new(&deployment.workload, crate::arrival::Stream::Catalogue.seed(seed));
+    Limit::new(deployment, scenario, &catalogue, &arrivals)
+}
+
+/// Returns Jain's index over the share of its fair part that each workspace got.
+///
+/// The fair parts of the service are equal, except that no workspace gets more than it asks for.
+fn fairness(requests: &[Request], service: f64) -> f64 {
+    let mut offered: BTreeMap<u32, f64> = BTreeMap::new();
+    let mut served: BTreeMap<u32, f64> = BTreeMap::new();
+    for request in requests {
+        let arrival = &request.arrival;
+        if !arrival.is_counted || request.end == Some(End::Cancelled) {
+            continue;
+        }
+        *offered.entry(arrival.workspace).or_default() += 1.0;
+        *served.entry(arrival.workspace).or_default() += f64::from(u8::from(is_good(request)));
+    }
+    let fair = fair_parts(&offered, service);
+    let mut sum = 0.0;
+    let mut squares = 0.0;
+    for (workspace, part) in &fair {
+        let ratio = (served[workspace] / part).min(1.0);
+        sum += ratio;
+        squares += ratio * ratio;
+    }
+    if squares == 0.0 { 0.0 } else { sum * sum / (fair.len() as f64 * squares) }
+}
+
+/// Divides the service equally, giving to the others what one does not ask for.
+fn fair_parts(offered: &BTreeMap<u32, f64>, service: f64) -> BTreeMap<u32, f64> {
+    let mut by_demand: Vec<(f64, u32)> = Vec::new();
+    for (workspace, demand) in offered {
+        by_demand.push((*demand, *workspace));
+    }
+    by_demand.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut parts = BTreeMap::new();
+    let mut left = service;
+    let mut waiting = by_demand.len();
+    for (demand, workspace) in by_demand {
+        let part = demand.min(left / waiting as f64);
+        parts.insert(workspace, part);
+        left -= part;
+        waiting -= 1;
+    }
+    parts
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::fair_parts;
+
+    #[test]
+    fn what_one_workspace_leaves_goes_to_the_others() {
+        let offered = BTreeMap::from([(0, 100.0), (1, 10.0), (2, 50.0)]);
+        let parts = fair_parts(&offered, 90.0);
+        assert_eq!(parts, BTreeMap::from([(0, 40.0), (1, 10.0), (2, 40.0)]));
+    }
+}
