--- /dev/null
+++ b/crates/magnoliaspar-policy/src/decoding.rs
@@ -0,0 +1,314 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::JobKey;
+
+use crate::history::History;
+use crate::{LoadReport, ServerSpec};
+
+/// How much longer an answer that is overdue is expected to take.
+const OVERDUE_STEP: Duration = Duration::from_millis(100);
+
+/// How long an engine that refused a job counts as full without a newer sign of its load.
+const REFUSAL_LASTS: Duration = Duration::from_millis(500);
+
+/// What a decode engine has been granted: slots that are in use and slots that are reserved.
+#[derive(Debug, Default)]
+pub(crate) struct DecodingBook {
+    grants: BTreeMap<JobKey, Grant>,
+    /// The predicted ends of the running jobs.
+    ends: BTreeSet<(Instant, JobKey)>,
+    running: Usage,
+    reserved: Usage,
+    foreign: Usage,
+    refused_at: Option<Instant>,
+    slots_in_time: History,
+    pieces_in_time: History,
+}
+
+/// A number of slots and pieces of memory.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Usage {
+    /// The number of slots.
+    pub(crate) slots: u32,
+    /// The number of pieces of memory.
+    pub(crate) pieces: u32,
+}
+
+/// When an engine has a slot for one more job; the soonest is the least.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Rank {
+    /// A slot is free.
+    Free,
+    /// A slot falls free at the predicted time.
+    FreeAt(Instant),
+    /// All running jobs make place for jobs that have a reservation.
+    Full,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    granted_at: Instant,
+    pieces: u32,
+    /// When the job is expected to end, if it runs.
+    ends_at: Option<Instant>,
+}
+
+impl DecodingBook {
+    /// Reserves a slot and memory for a job.
+    pub(crate) fn reserve(&mut self, now: Instant, job: JobKey, pieces: u32) {
+        self.release(now, job);
+        self.reserved.add(pieces);
+        self.grants.insert(job, Grant { granted_at: now, pieces, ends_at: None });
+    }
+
+    /// Lets a job use a slot and memory from now on, reserved or not.
+    pub(crate) fn run(&mut self, now: Instant, job: JobKey, pieces: u32, ends_at: Instant) {
+        self.release(now, job);
+        self.running.add(pieces);
+        self.ends.insert((ends_at, job));
+        self.grants.insert(job, Grant { granted_at: now, pieces, ends_at: Some(ends_at) });
+    }
+
+    /// Changes what is expected of a running job.
+    pub(crate) fn update(&mut self, job: JobKey, pieces: u32, ends_at: Instant) {
+        let Some(grant) = self.grants.get_mut(&job) else { return };
+        let Some(old) = grant.ends_at.replace(ends_at) else { return };
+        self.ends.remove(&(old, job));
+        self.ends.insert((ends_at, job));
+        self.running.pieces = self.running.pieces - grant.pieces + pieces;
+        grant.pieces = pieces;
+    }
+
+    /// Forgets a job.
+    pub(crate) fn release(&mut self, now: Instant, job: JobKey) {
+        let Some(grant) = self.grants.remove(&job) else { return };
+        let Some(ends_at) = grant.ends_at else {
+            self.reserved.remove(grant.pieces);
+            return;
+        };
+        self.ends.remove(&(ends_at, job));
+        self.running.remove(grant.pieces);
+        self.slots_in_time.end(now, grant.granted_at, 1);
+        self.pieces_in_time.end(now, grant.granted_at, grant.pieces);
+        // A slot that is known to be free makes an earlier refusal void.
+        self.refused_at = None;
+    }
+
+    /// Takes in a report: what it shows beyond the grants of its time was granted by others.
+    pub(crate) fn report(&mut self, report: &LoadReport) {
+        let at = report.made_at;
+        let mut slots = self.slots_in_time.count_at(at);
+        let mut pieces = self.pieces_in_time.amount_at(at);
+        for grant in self.grants.values() {
+            if grant.ends_at.is_some() && grant.granted_at <= at {
+                slots += 1;
+                pieces += grant.pieces;
+            }
+        }
+        self.foreign.slots = (report.running + report.waiting).saturating_sub(slots);
+        self.foreign.pieces = report.used_pieces.saturating_sub(pieces);
+        if self.refused_at.is_some_and(|refused_at| refused_at < at) {
+            self.refused_at = None;
+        }
+    }
+
+    /// Takes in that the engine refused a job for which the books showed room.
+    pub(crate) fn refuse(&mut self, now: Instant) {
+        self.refused_at = Some(now);
+    }
+
+    /// Returns whether a job can start right now, in a slot that is not in use.
+    pub(crate) fn has_room(&self, now: Instant, spec: &ServerSpec, pieces: u32) -> bool {
+        !self.is_refusing(now)
+            && self.running.slots + self.foreign.slots < spec.slots
+            && self.running.pieces + self.foreign.pieces + pieces <= spec.memory_pieces
+    }
+
+    /// Returns when a further job can start, after all jobs that have a reservation.
+    ///
+    /// Running jobs leave when predicted; reservations are taken to last, which errs on the safe
+    /// side as long as a prefill is short beside an answer.
+    pub(crate) fn available_at(
+        &self,
+        now: Instant,
+        spec: &ServerSpec,
+        pieces: u32,
+    ) -> Option<Instant> {
+        let used_slots = self.running.slots + self.reserved.slots + self.foreign.slots;
+        let used_pieces = self.running.pieces + self.reserved.pieces + self.foreign.pieces;
+        let mut free_slots = i64::from(spec.slots) - i64::from(used_slots);
+        let mut free_pieces = i64::from(spec.memory_pieces) - i64::from(used_pieces);
+        let needed = i64::from(pieces);
+        let mut at = now;
+        if let Some(refused_at) = self.refused_at {
+            at = at.max(refused_at + REFUSAL_LASTS);
+        }
+        if free_slots >= 1 && free_pieces >= needed {
+            return Some(at);
+        }
+        for (ends_at, job) in &self.ends {
+            free_slots += 1;
+            free_pieces += i64::from(self.grants[job].pieces);
+            if free_slots < 1 || free_pieces < needed {
+                continue;
+            }
+            let ends_at = if *ends_at < now { now + OVERDUE_STEP } else { *ends_at };
+            return Some(at.max(ends_at));
+        }
+        None
+    }
+
+    /// Returns when the next slot falls free beyond reservations, to rank engines by.
+    pub(crate) fn rank(&self, spec: &ServerSpec) -> Rank {
+        let used = self.running.slots + self.reserved.slots + self.foreign.slots;
+        let Some(index) = used.checked_sub(spec.slots) else { return Rank::Free };
+        match self.ends.iter().nth(index as usize) {
+            Some((at, _)) => Rank::FreeAt(*at),
+            None => Rank::Full,
+        }
+    }
+
+    /// Returns whether the engine lately refused a job.
+    pub(crate) fn is_refusing(&self, now: Instant) -> bool {
+        self.refused_at.is_some_and(|refused_at| now < refused_at + REFUSAL_LASTS)
+    }
+
+    /// Returns what the running jobs use.
+    pub(crate) fn running(&self) -> Usage {
+        self.running
+    }
+
+    /// Returns what is reserved for jobs that do not run yet.
+    pub(crate) fn reserved(&self) -> Usage {
+        self.reserved
+    }
+
+    /// Returns what others use, by the last report.
+    pub(crate) fn foreign(&self) -> Usage {
+        self.foreign
+    }
+
+    /// Returns the jobs that have a reservation and do not run yet.
+    pub(crate) fn reservations(&self) -> Vec<JobKey> {
+        let mut jobs = Vec::new();
+        for (job, grant) in &self.grants {
+            if grant.ends_at.is_none() {
+                jobs.push(*job);
+            }
+        }
+        jobs
+    }
+
+    /// Returns how many jobs use the engine or have a reservation.
+    pub(crate) fn len(&self) -> usize {
+        self.grants.len()
+    }
+}
+
+impl Usage {
+    fn add(&mut self, pieces: u32) {
+        self.slots += 1;
+        self.pieces += pieces;
+    }
+
+    fn remove(&mut self, pieces: u32) {
+        self.slots -= 1;
+        self.pieces -= pieces;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use magnoliaspar_core::JobKey;
+    use slotmap::SlotMap;
+
+    use super::{DecodingBook, REFUSAL_LASTS, Rank, Usage};
+    use crate::LoadReport;
+    use crate::testing::decode_spec;
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    fn jobs(count: usize) -> Vec<JobKey> {
+        let mut jobs: SlotMap<JobKey, ()> = SlotMap::with_key();
+        (0..count).map(|_| jobs.insert(())).collect()
+    }
+
+    fn report(made_at: Instant, running: u32, used_pieces: u32) -> LoadReport {
+        LoadReport { made_at, running, waiting: 0, used_pieces, queued_tokens: 0 }
+    }
+
+    #[test]
+    fn a_reservation_takes_the_next_slot_that_falls_free() {
+        let mut spec = decode_spec("d");
+        spec.slots = 2;
+        let keys = jobs(4);
+        let now = Instant::now();
+        let mut book = DecodingBook::default();
+        book.run(now, keys[0], 10, now + SECOND);
+        book.run(now, keys[1], 10, now + 3 * SECOND);
+        assert_eq!(book.available_at(now, &spec, 10), Some(now + SECOND));
+        assert_eq!(book.rank(&spec), Rank::FreeAt(now + SECOND));
+        book.reserve(now, keys[2], 10);
+        assert_eq!(book.available_at(now, &spec, 10), Some(now + 3 * SECOND));
+        book.reserve(now, keys[3], 10);
+        assert_eq!(book.available_at(now, &spec, 10), None);
+        assert!(!book.has_room(now, &spec, 10));
+        book.release(now + SECOND, keys[0]);
+        assert!(book.has_room(now + SECOND, &spec, 10));
+    }
+
+    #[test]
+    fn memory_is_counted_besides_slots() {
+        let mut spec = decode_spec("d");
+        spec.memory_pieces = 100;
+        let keys = jobs(3);
+        let now = Instant::now();
+        let mut book = DecodingBook::default();
+        book.run(now, keys[0], 60, now + SECOND);
+        book.run(now, keys[1], 30, now + 2 * SECOND);
+        assert_eq!(book.available_at(now, &spec, 10), Some(now));
+        assert_eq!(book.available_at(now, &spec, 11), Some(now + SECOND));
+        assert_eq!(book.available_at(now, &spec, 71), Some(now + 2 * SECOND));
+        assert_eq!(book.available_at(now, &spec, 101), None);
+        book.update(keys[0], 70, now + SECOND);
+        assert_eq!(book.running(), Usage { slots: 2, pieces: 100 });
+    }
+
+    #[test]
+    fn a_report_is_compared_with_the_grants_of_its_time() {
+        let spec = decode_spec("d");
+        let keys = jobs(2);
+        let now = Instant::now();
+        let mut book = DecodingBook::default();
+        book.run(now, keys[0], 10, now + 9 * SECOND);
+        book.run(now + 2 * SECOND, keys[1], 10, now + 9 * SECOND);
+        book.release(now + 3 * SECOND, keys[0]);
+        // At the time of the report the first job ran and the second was not yet granted.
+        book.report(&report(now + SECOND, 1, 10));
+        assert_eq!(book.foreign(), Usage::default());
+        book.report(&report(now + SECOND, 4, 25));
+        assert_eq!(book.foreign(), Usage { slots: 3, pieces: 15 });
+        book.report(&report(now + 4 * SECOND, 1, 10));
+        assert_eq!(book.foreign(), Usage::default());
+        assert_eq!(book.available_at(now, &spec, 1), Some(now));
+    }
+
+    #[test]
+    fn a_refusal_counts_until_something_newer_is_known() {
+        let spec = decode_spec("d");
+        let now = Instant::now();
+        let mut book = DecodingBook::default();
+        book.refuse(now);
+        assert!(!book.has_room(now, &spec, 1));
+        assert_eq!(book.available_at(now, &spec, 1), Some(now + REFUSAL_LASTS));
+        book.report(&report(now - SECOND, 0, 0));
+        assert!(book.is_refusing(now));
+        book.report(&report(now + SECOND, 0, 0));
+        assert!(book.has_room(now, &spec, 1));
+        book.refuse(now);
+        assert!(book.has_room(now + REFUSAL_LASTS, &spec, 1));
+    }
+}
--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -3,14 +3,33 @@
 //! A [`Policy`] is told what happened and answers with [`Action`]s. Time is passed in, so that the
 //! same code runs behind a network and in virtual time.
 
+mod caution;
+mod decoding;
+mod explain;
+mod history;
 mod job;
+mod link;
+mod output;
+mod placement;
+mod pool;
+mod prefix;
+mod queue;
+mod reading;
+mod release;
+mod retry;
 mod scheduler;
 mod server;
+mod settings;
 mod shard;
+mod state;
+#[cfg(test)]
+mod testing;
 
+pub use self::explain::{Decision, Explanation, Inputs, RejectReason, Rejected, WaitReason};
 pub use self::job::{FailedStage, Job, RefuseReason, Urgency, Weights};
 pub use self::scheduler::Scheduler;
-pub use self::server::{LoadReport, Role, ServerSpec};
+pub use self::server::{LoadReport, Role, ServerSpec, ServerUsage};
+pub use self::settings::SchedulerSettings;
 pub use self::shard::rank_by_rendezvous;
 
 use std::time::{Duration, Instant};
@@ -81,6 +100,11 @@
 
     /// Returns when [`poll`](Self::poll) should be called next if nothing happens before.
     fn next_poll(&self) -> Option<Instant>;
+
+    /// Returns why a job runs where it does or waits, for jobs that are here or ended lately.
+    fn explain(&self, _job: JobKey) -> Option<&Explanation> {
+        None
+    }
 }
 
 /// A decision about one job.
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/link.rs
@@ -0,0 +1,142 @@
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::JobKey;
+
+/// How long past its expected end a transfer still counts as using the link.
+const STALL_GRACE: Duration = Duration::from_millis(250);
+
+/// The transfers on one server's link, planned and running, one after the other.
+///
+/// Transfers that share a link all end late, so each gets the whole rate in its own window.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Link {
+    windows: Vec<Window>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Window {
+    start: Instant,
+    end: Instant,
+    job: JobKey,
+    is_running: bool,
+}
+
+impl Link {
+    /// Returns the earliest start from `from` on at which a transfer of `length` fits.
+    pub(crate) fn earliest(&self, from: Instant, length: Duration) -> Instant {
+        let mut start = from;
+        for window in &self.windows {
+            if start + length <= window.start {
+                break;
+            }
+            start = start.max(window.end);
+        }
+        start
+    }
+
+    /// Plans a transfer.
+    pub(crate) fn plan(&mut self, job: JobKey, start: Instant, length: Duration) {
+        self.insert(Window { start, end: start + length, job, is_running: false });
+    }
+
+    /// Notes that a transfer runs from `start` on, in place of what was planned for its job.
+    pub(crate) fn run(&mut self, job: JobKey, start: Instant, length: Duration) {
+        self.free(job);
+        self.insert(Window { start, end: start + length, job, is_running: true });
+    }
+
+    /// Forgets the transfer of a job.
+    pub(crate) fn free(&mut self, job: JobKey) {
+        self.windows.retain(|window| window.job != job);
+    }
+
+    /// Returns when the transfers that run now are expected to be over, if there are any.
+    ///
+    /// A transfer that is long overdue has stalled and does not keep others waiting.
+    pub(crate) fn busy_until(&self, now: Instant) -> Option<Instant> {
+        let mut until = None;
+        for window in &self.windows {
+            if window.is_running && window.end + STALL_GRACE > now {
+                until = until.max(Some(window.end));
+            }
+        }
+        until
+    }
+
+    /// Returns how many transfers are planned or run.
+    pub(crate) fn len(&self) -> usize {
+        self.windows.len()
+    }
+
+    fn insert(&mut self, window: Window) {
+        let at = self.windows.partition_point(|other| other.start <= window.start);
+        self.windows.insert(at, window);
+    }
+}
+
+/// Returns the earliest start from `from` on at which a transfer fits on both links.
+pub(crate) fn earliest_on_both(a: &Link, b: &Link, from: Instant, length: Duration) -> Instant {
+    let mut start = from;
+    // Each round passes at least one window of either link.
+    for _ in 0..=a.len() + b.len() {
+        let next = b.earliest(a.earliest(start, length), length);
+        if next == start {
+            break;
+        }
+        start = next;
+    }
+    start
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use magnoliaspar_core::JobKey;
+    use slotmap::SlotMap;
+
+    use super::{Link, STALL_GRACE, earliest_on_both};
+
+    const STEP: Duration = Duration::from_millis(100);
+
+    fn keys() -> [JobKey; 2] {
+        let mut jobs: SlotMap<JobKey, ()> = SlotMap::with_key();
+        [jobs.insert(()), jobs.insert(())]
+    }
+
+    #[test]
+    fn transfers_use_the_first_gap() {
+        let [a, b] = keys();
+        let now = Instant::now();
+        let mut link = Link::default();
+        link.plan(a, now + STEP, STEP);
+        link.plan(b, now + 4 * STEP, STEP);
+        assert_eq!(link.earliest(now, STEP), now);
+        assert_eq!(link.earliest(now, 2 * STEP), now + 2 * STEP);
+        assert_eq!(link.earliest(now, 3 * STEP), now + 5 * STEP);
+        link.free(a);
+        assert_eq!(link.earliest(now, 3 * STEP), now);
+    }
+
+    #[test]
+    fn a_transfer_fits_on_both_links() {
+        let [a, b] = keys();
+        let now = Instant::now();
+        let (mut one, mut other) = (Link::default(), Link::default());
+        one.plan(a, now, STEP);
+        other.plan(b, now + 2 * STEP, STEP);
+        assert_eq!(earliest_on_both(&one, &other, now, STEP), now + STEP);
+        assert_eq!(earliest_on_both(&one, &other, now, 2 * STEP), now + 3 * STEP);
+    }
+
+    #[test]
+    fn a_stalled_transfer_blocks_for_a_limited_time() {
+        let [a, _] = keys();
+        let now = Instant::now();
+        let mut link = Link::default();
+        link.run(a, now, STEP);
+        assert_eq!(link.busy_until(now), Some(now + STEP));
+        assert_eq!(link.busy_until(now + STEP + STALL_GRACE), None);
+        assert_eq!(link.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/output.rs
@@ -0,0 +1,118 @@
+/// The width of a bucket as a share of the expected length.
+const BUCKET_WIDTH: f64 = 1.0 / 16.0;
+
+/// How many buckets there are; the last one also takes everything above.
+const BUCKETS: usize = 65;
+
+/// The sum of weights at which old observations are halved.
+const MAX_WEIGHT: f64 = 2_048.0;
+
+/// The weight of the assumption that answers have their expected length.
+const PRIOR_WEIGHT: f64 = 8.0;
+
+/// The share of running answers that should end before the time predicted for them.
+const QUANTILE: f64 = 0.7;
+
+/// How long answers are, compared with their expected length; learned from finished jobs.
+#[derive(Debug, Clone)]
+pub(crate) struct OutputLengths {
+    weights: [f64; BUCKETS],
+    sum: f64,
+}
+
+impl OutputLengths {
+    /// Creates lengths that assume that expectations hold.
+    pub(crate) fn new() -> Self {
+        let mut lengths = Self { weights: [0.0; BUCKETS], sum: 0.0 };
+        lengths.add(1.0, PRIOR_WEIGHT);
+        lengths
+    }
+
+    /// Learns from a finished answer.
+    pub(crate) fn observe(&mut self, expected: u32, produced: u32) {
+        self.add(f64::from(produced) / f64::from(expected.max(1)), 1.0);
+        if self.sum < MAX_WEIGHT {
+            return;
+        }
+        for weight in &mut self.weights {
+            *weight *= 0.5;
+        }
+        self.sum *= 0.5;
+    }
+
+    /// Predicts how many tokens an answer that already has `produced` will have in all.
+    ///
+    /// The prediction errs on the long side, since a reservation waits for the end.
+    pub(crate) fn predict(&self, expected: u32, produced: u32, max: u32) -> u32 {
+        let expected = f64::from(expected.max(1));
+        let first = bucket(f64::from(produced) / expected);
+        let mut left = 0.0;
+        for weight in &self.weights[first..] {
+            left += weight;
+        }
+        let mut passed = 0.0;
+        let mut at = first;
+        for (index, weight) in self.weights.iter().enumerate().skip(first) {
+            at = index;
+            passed += weight;
+            if passed >= left * QUANTILE {
+                break;
+            }
+        }
+        // The upper end of the bucket, and at least one bucket more than there is already.
+        let ratio = if left > 0.0 { at + 1 } else { first + 2 };
+        let total = (ratio as f64 * BUCKET_WIDTH * expected).ceil() as u32;
+        total.max(produced.saturating_add(1)).min(max).max(produced)
+    }
+
+    fn add(&mut self, ratio: f64, weight: f64) {
+        self.weights[bucket(ratio)] += weight;
+        self.sum += weight;
+    }
+}
+
+fn bucket(ratio: f64) -> usize {
+    ((ratio / BUCKET_WIDTH) as usize).min(BUCKETS - 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::OutputLengths;
+
+    #[test]
+    fn expectations_hold_until_something_is_learned() {
+        let lengths = OutputLengths::new();
+        let total = lengths.predict(160, 0, 1_000);
+        assert!((160..=170).contains(&total), "{total}");
+        assert_eq!(lengths.predict(160, 0, 100), 100);
+    }
+
+    #[test]
+    fn longer_answers_are_learned() {
+        let mut lengths = OutputLengths::new();
+        for _ in 0..200 {
+            lengths.observe(100, 200);
+        }
+        let total = lengths.predict(100, 0, 1_000);
+        assert!((200..=210).contains(&total), "{total}");
+    }
+
+    #[test]
+    fn an_answer_beyond_all_others_ends_soon() {
+        let lengths = OutputLengths::new();
+        let total = lengths.predict(160, 320, 1_000);
+        assert!((321..=350).contains(&total), "{total}");
+        assert_eq!(lengths.predict(160, 1_000, 1_000), 1_000);
+        assert_eq!(lengths.predict(160, 1_100, 1_000), 1_100);
+    }
+
+    #[test]
+    fn an_answer_that_has_passed_the_short_ones_is_predicted_by_the_long_ones() {
+        let mut lengths = OutputLengths::new();
+        for _ in 0..500 {
+            lengths.observe(100, 50);
+            lengths.observe(100, 300);
+        }
+        assert!(lengths.predict(100, 60, 1_000) >= 300);
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/pool.rs
@@ -0,0 +1,330 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{ServerKey, ServerName, ZoneName};
+use slotmap::SlotMap;
+
+use crate::decoding::{DecodingBook, Rank, Usage};
+use crate::link::Link;
+use crate::reading::{ReadingBook, seconds};
+use crate::{Role, ServerSpec};
+
+/// For how long a server gets no new work after its first failure in a row.
+const FIRST_COOL_DOWN: Duration = Duration::from_millis(250);
+
+/// How many times the cool-down doubles at most.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// The backend servers of a pool with their books, ordered by when they can take work.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    servers: SlotMap<ServerKey, Server>,
+    names: BTreeMap<ServerName, ServerKey>,
+    zones: BTreeMap<ZoneName, ZoneIndex>,
+    roomy: BTreeSet<ServerKey>,
+    totals: Totals,
+    best: Best,
+}
+
+/// A backend server and its books.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) spec: ServerSpec,
+    pub(crate) is_sealed: bool,
+    /// Whether the server is set apart for suspects.
+    pub(crate) is_isolated: bool,
+    pub(crate) reading: ReadingBook,
+    pub(crate) decoding: DecodingBook,
+    pub(crate) link: Link,
+    pub(crate) reported_at: Option<Instant>,
+    failures: u32,
+    cool_until: Option<Instant>,
+    place: Option<Place>,
+}
+
+/// The servers of one zone that take new work, the first to be free first.
+#[derive(Debug, Default)]
+pub(crate) struct ZoneIndex {
+    prefill: BTreeSet<(Instant, ServerKey)>,
+    decode: BTreeSet<(Rank, u32, ServerKey)>,
+}
+
+/// Where a server stands in the orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Prefill { free_at: Instant },
+    Decode { rank: Rank, pieces: u32, is_roomy: bool, running: u32, overdraft: u32 },
+}
+
+/// Sums over the decode engines that take new work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Totals {
+    /// How many slots are in use.
+    pub(crate) running: u32,
+    /// How many reservations have no free slot of their server yet.
+    pub(crate) overdraft: u32,
+}
+
+/// The best that any server that takes new work can do.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Best {
+    pub(crate) prefill_servers: u32,
+    pub(crate) decode_servers: u32,
+    pub(crate) prefill_tokens_per_second: f64,
+    pub(crate) link_tokens_per_second: f64,
+    pub(crate) seconds_per_token: f64,
+    pub(crate) prefill_memory_tokens: u64,
+    pub(crate) decode_memory_tokens: u64,
+}
+
+impl Pool {
+    /// Adds a server or replaces its specification; tells whether it is new.
+    pub(crate) fn add(&mut self, now: Instant, spec: ServerSpec) -> ServerKey {
+        let key = match self.names.get(&spec.name) {
+            Some(key) => *key,
+            None => self.insert(now, spec.clone()),
+        };
+        self.displace(key);
+        self.servers[key].spec = spec;
+        self.place(key);
+        self.measure();
+        key
+    }
+
+    /// Gives a server no new work; returns whether it was open before.
+    pub(crate) fn seal(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else { return false };
+        let was_open = !server.is_sealed;
+        server.is_sealed = true;
+        self.replace(key);
+        self.measure();
+        was_open
+    }
+
+    /// Forgets a server.
+    pub(crate) fn remove(&mut self, key: ServerKey) {
+        self.displace(key);
+        let Some(server) = self.servers.remove(key) else { return };
+        self.names.remove(&server.spec.name);
+        self.measure();
+    }
+
+    /// Sets a server apart for suspects, or gives it back.
+    pub(crate) fn isolate(&mut self, key: ServerKey, is_isolated: bool) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.is_isolated = is_isolated;
+        self.replace(key);
+    }
+
+    /// Returns a server.
+    pub(crate) fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Changes a server and its place in the orders.
+    pub(crate) fn update(&mut self, key: ServerKey, change: impl FnOnce(&mut Server)) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        change(server);
+        self.replace(key);
+    }
+
+    /// Returns all servers.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Returns the orders of the zones, by name.
+    pub(crate) fn zones(&self) -> &BTreeMap<ZoneName, ZoneIndex> {
+        &self.zones
+    }
+
+    /// Returns the decode engines with a slot that is not in use.
+    pub(crate) fn roomy(&self) -> &BTreeSet<ServerKey> {
+        &self.roomy
+    }
+
+    /// Returns sums over the decode engines.
+    pub(crate) fn totals(&self) -> Totals {
+        self.totals
+    }
+
+    /// Returns the best that any server can do.
+    pub(crate) fn best(&self) -> &Best {
+        &self.best
+    }
+
+    fn insert(&mut self, now: Instant, spec: ServerSpec) -> ServerKey {
+        let name = spec.name.clone();
+        let key = self.servers.insert(Server::new(now, spec));
+        self.names.insert(name, key);
+        key
+    }
+
+    fn replace(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get(key) else { return };
+        if server.place == server.next_place() {
+            return;
+        }
+        self.displace(key);
+        self.place(key);
+    }
+
+    fn place(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.place = server.next_place();
+        let Some(place) = server.place else { return };
+        let zone = self.zones.entry(server.spec.zone.clone()).or_default();
+        match place {
+            Place::Prefill { free_at } => {
+                zone.prefill.insert((free_at, key));
+            }
+            Place::Decode { rank, pieces, is_roomy, running, overdraft } => {
+                zone.decode.insert((rank, pieces, key));
+                if is_roomy {
+                    self.roomy.insert(key);
+                }
+                self.totals.running += running;
+                self.totals.overdraft += overdraft;
+            }
+        }
+    }
+
+    fn displace(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let Some(place) = server.place.take() else { return };
+        let Some(zone) = self.zones.get_mut(&server.spec.zone) else { return };
+        match place {
+            Place::Prefill { free_at } => {
+                zone.prefill.remove(&(free_at, key));
+            }
+            Place::Decode { rank, pieces, is_roomy: _, running, overdraft } => {
+                zone.decode.remove(&(rank, pieces, key));
+                self.roomy.remove(&key);
+                self.totals.running -= running;
+                self.totals.overdraft -= overdraft;
+            }
+        }
+        if zone.prefill.is_empty() && zone.decode.is_empty() {
+            self.zones.remove(&server.spec.zone);
+        }
+    }
+
+    /// Finds the best servers again, which is needed only when a server comes or goes.
+    fn measure(&mut self) {
+        let mut best = Best { seconds_per_token: f64::MAX, ..Best::default() };
+        for server in self.servers.values() {
+            if server.is_sealed {
+                continue;
+            }
+            let spec = &server.spec;
+            let memory = u64::from(spec.memory_pieces) * u64::from(spec.piece_tokens);
+            match spec.role {
+                Role::Prefill => {
+                    best.prefill_servers += 1;
+                    let rate = &mut best.prefill_tokens_per_second;
+                    *rate = rate.max(spec.prefill_tokens_per_second);
+                    let rate = &mut best.link_tokens_per_second;
+                    *rate = rate.max(spec.link_tokens_per_second);
+                    best.prefill_memory_tokens = best.prefill_memory_tokens.max(memory);
+                }
+                Role::Decode => {
+                    best.decode_servers += 1;
+                    best.seconds_per_token = best.seconds_per_token.min(spec.seconds_per_token);
+                    best.decode_memory_tokens = best.decode_memory_tokens.max(memory);
+                }
+            }
+        }
+        if best.decode_servers == 0 {
+            best.seconds_per_token = 0.0;
+        }
+        self.best = best;
+    }
+}
+
+impl Server {
+    fn new(now: Instant, spec: ServerSpec) -> Self {
+        Self {
+            spec,
+            is_sealed: false,
+            is_isolated: false,
+            reading: ReadingBook::new(now),
+            decoding: DecodingBook::default(),
+            link: Link::default(),
+            reported_at: None,
+            failures: 0,
+            cool_until: None,
+            place: None,
+        }
+    }
+
+    /// Returns whether the server gets no new work because it has just failed.
+    pub(crate) fn is_cooling(&self, now: Instant) -> bool {
+        self.cool_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes in that the server failed a job.
+    pub(crate) fn note_failure(&mut self, now: Instant) {
+        // Jobs that failed together count as one failure.
+        if self.is_cooling(now) {
+            return;
+        }
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.cool_until = Some(now + FIRST_COOL_DOWN * (1 << doublings));
+    }
+
+    /// Takes in that the server has done its part of a job.
+    pub(crate) fn note_success(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Returns how many pieces of the server's memory hold `tokens`.
+    pub(crate) fn pieces(&self, tokens: u32) -> u32 {
+        tokens.div_ceil(self.spec.piece_tokens.max(1))
+    }
+
+    /// Returns how long the engine reads `tokens` that are not cached.
+    pub(crate) fn read_time(&self, tokens: u32) -> Duration {
+        let reading = seconds(f64::from(tokens) / self.spec.prefill_tokens_per_second);
+        reading + self.reading.overhead()
+    }
+
+    /// Returns the slots and memory that are taken, reservations and others' jobs included.
+    pub(crate) fn taken(&self) -> Usage {
+        let (running, reserved) = (self.decoding.running(), self.decoding.reserved());
+        let foreign = self.decoding.foreign();
+        Usage {
+            slots: running.slots + reserved.slots + foreign.slots,
+            pieces: running.pieces + reserved.pieces + foreign.pieces,
+        }
+    }
+
+    fn next_place(&self) -> Option<Place> {
+        if self.is_sealed || self.is_isolated {
+            return None;
+        }
+        if self.spec.role == Role::Prefill {
+            return Some(Place::Prefill { free_at: self.reading.rank() });
+        }
+        let (running, taken) = (self.decoding.running().slots, self.taken());
+        Some(Place::Decode {
+            rank: self.decoding.rank(&self.spec),
+            pieces: taken.pieces,
+            is_roomy: running + self.decoding.foreign().slots < self.spec.slots,
+            running,
+            overdraft: taken.slots.saturating_sub(self.spec.slots),
+        })
+    }
+}
+
+impl ZoneIndex {
+    /// Returns the prefill engines, the first to be free first.
+    pub(crate) fn prefill(&self) -> impl Iterator<Item = ServerKey> {
+        self.prefill.iter().map(|(_, key)| *key)
+    }
+
+    /// Returns the decode engines, those with a free slot first, then by the next free slot.
+    pub(crate) fn decode(&self) -> impl Iterator<Item = ServerKey> {
+        self.decode.iter().map(|(_, _, key)| *key)
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/queue.rs
@@ -0,0 +1,433 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{JobKey, WorkspaceKey, WorkspaceName};
+use slotmap::SlotMap;
+
+use crate::Urgency;
+
+/// The share of engine time that deferrable jobs get while interactive jobs wait, as a divisor.
+const DEFERRABLE_SHARE: u64 = 20;
+
+/// The engine time in nanoseconds for which deferrable jobs save up before one goes first.
+const DEFERRABLE_TURN: u64 = 1_000_000_000;
+
+/// How many idle workspaces are remembered before the ones without a debt are forgotten.
+const MAX_IDLE_WORKSPACES: usize = 4_096;
+
+/// The jobs that wait, ordered by deadline within a workspace and fairly between workspaces.
+///
+/// Between workspaces the order is start-time fair queueing: every workspace has a virtual time
+/// that advances by the engine time it is charged, divided by its share, and the workspace with
+/// the lowest virtual time goes next.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    workspaces: SlotMap<WorkspaceKey, Workspace>,
+    names: BTreeMap<WorkspaceName, WorkspaceKey>,
+    interactive: BTreeSet<(u64, WorkspaceKey)>,
+    deferrable: BTreeSet<(u64, WorkspaceKey)>,
+    lengths: BTreeSet<(usize, WorkspaceKey)>,
+    len: usize,
+    virtual_time: u64,
+    deferrable_credit: u64,
+}
+
+#[derive(Debug)]
+struct Workspace {
+    name: WorkspaceName,
+    share: u64,
+    virtual_time: u64,
+    interactive: BTreeSet<(Instant, JobKey)>,
+    deferrable: BTreeSet<(Instant, JobKey)>,
+    /// How many jobs of the workspace wait or run.
+    members: usize,
+}
+
+/// The place of a job in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Ticket {
+    /// The workspace of the job.
+    pub(crate) workspace: WorkspaceKey,
+    /// Whether the job waits behind interactive ones.
+    pub(crate) urgency: Urgency,
+    /// The time by which the job is ordered within its workspace.
+    pub(crate) order_at: Instant,
+}
+
+impl Queue {
+    /// Counts a new job of a workspace.
+    pub(crate) fn enter(&mut self, name: &WorkspaceName, share: u32) -> WorkspaceKey {
+        let key = match self.names.get(name) {
+            Some(key) => *key,
+            None => self.add_workspace(name),
+        };
+        let workspace = &mut self.workspaces[key];
+        workspace.share = u64::from(share.max(1));
+        workspace.members += 1;
+        key
+    }
+
+    /// Counts a job of a workspace that has ended.
+    pub(crate) fn leave(&mut self, key: WorkspaceKey) {
+        let Some(workspace) = self.workspaces.get_mut(key) else { return };
+        workspace.members = workspace.members.saturating_sub(1);
+        if workspace.members == 0 && workspace.virtual_time <= self.virtual_time {
+            self.remove_workspace(key);
+        }
+    }
+
+    /// Lets a job wait.
+    pub(crate) fn push(&mut self, ticket: Ticket, job: JobKey) {
+        let floor = self.virtual_time;
+        self.rekey(ticket.workspace, |workspace| {
+            if workspace.len() == 0 {
+                workspace.virtual_time = workspace.virtual_time.max(floor);
+            }
+            workspace.jobs_mut(ticket.urgency).insert((ticket.order_at, job));
+        });
+    }
+
+    /// Takes a job out of the queue.
+    pub(crate) fn remove(&mut self, ticket: Ticket, job: JobKey) {
+        self.rekey(ticket.workspace, |workspace| {
+            workspace.jobs_mut(ticket.urgency).remove(&(ticket.order_at, job));
+        });
+    }
+
+    /// Returns the job that goes next, leaving out those in `skipped`.
+    pub(crate) fn next(&self, skipped: &BTreeSet<JobKey>) -> Option<JobKey> {
+        let deferrable_first = self.deferrable_credit >= DEFERRABLE_TURN;
+        let classes = if deferrable_first {
+            [Urgency::Deferrable, Urgency::Interactive]
+        } else {
+            [Urgency::Interactive, Urgency::Deferrable]
+        };
+        for urgency in classes {
+            for (_, key) in self.class(urgency) {
+                for (_, job) in self.workspaces[*key].jobs(urgency) {
+                    if !skipped.contains(job) {
+                        return Some(*job);
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Charges a workspace for the engine time of a job that starts.
+    pub(crate) fn charge(&mut self, key: WorkspaceKey, urgency: Urgency, cost: Duration) {
+        let cost = nanoseconds(cost);
+        match urgency {
+            Urgency::Interactive if self.deferrable.is_empty() => self.deferrable_credit = 0,
+            Urgency::Interactive => self.deferrable_credit += cost / DEFERRABLE_SHARE,
+            Urgency::Deferrable => {
+                self.deferrable_credit = self.deferrable_credit.saturating_sub(cost);
+            }
+        }
+        if let Some(workspace) = self.workspaces.get(key) {
+            self.virtual_time = self.virtual_time.max(workspace.virtual_time);
+        }
+        self.rekey(key, |workspace| workspace.virtual_time += cost / workspace.share);
+    }
+
+    /// Corrects a charge of `charged` once the true `cost` is known.
+    pub(crate) fn correct(&mut self, key: WorkspaceKey, charged: Duration, cost: Duration) {
+        let (charged, cost) = (nanoseconds(charged), nanoseconds(cost));
+        self.rekey(key, |workspace| {
+            let more = cost.saturating_sub(charged) / workspace.share;
+            let less = charged.saturating_sub(cost) / workspace.share;
+            workspace.virtual_time = (workspace.virtual_time + more).saturating_sub(less);
+        });
+    }
+
+    /// Returns the workspace with the most waiting jobs and their number.
+    pub(crate) fn longest(&self) -> Option<(WorkspaceKey, usize)> {
+        self.lengths.last().map(|(len, key)| (*key, *len))
+    }
+
+    /// Returns the job of a workspace that would go last.
+    pub(crate) fn last_of(&self, key: WorkspaceKey) -> Option<JobKey> {
+        let workspace = self.workspaces.get(key)?;
+        let last = workspace.deferrable.last().or(workspace.interactive.last())?;
+        Some(last.1)
+    }
+
+    /// Returns how many jobs of a workspace wait.
+    pub(crate) fn len_of(&self, key: WorkspaceKey) -> usize {
+        self.workspaces.get(key).map_or(0, Workspace::len)
+    }
+
+    /// Returns how many jobs wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns how many workspaces are known.
+    #[cfg(test)]
+    pub(crate) fn workspaces(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    fn add_workspace(&mut self, name: &WorkspaceName) -> WorkspaceKey {
+        if self.workspaces.len() >= MAX_IDLE_WORKSPACES {
+            self.forget_idle();
+        }
+        let key = self.workspaces.insert(Workspace {
+            name: name.clone(),
+            share: 1,
+            virtual_time: self.virtual_time,
+            interactive: BTreeSet::new(),
+            deferrable: BTreeSet::new(),
+            members: 0,
+        });
+        self.names.insert(name.clone(), key);
+        key
+    }
+
+    fn forget_idle(&mut self) {
+        let mut idle = Vec::new();
+        for (key, workspace) in &self.workspaces {
+            if workspace.members == 0 && workspace.virtual_time <= self.virtual_time {
+                idle.push(key);
+            }
+        }
+        for key in idle {
+            self.remove_workspace(key);
+        }
+    }
+
+    fn remove_workspace(&mut self, key: WorkspaceKey) {
+        let Some(workspace) = self.workspaces.remove(key) else { return };
+        self.names.remove(&workspace.name);
+    }
+
+    /// Changes a workspace and keeps the orders over workspaces in step.
+    fn rekey(&mut self, key: WorkspaceKey, change: impl FnOnce(&mut Workspace)) {
+        let Some(workspace) = self.workspaces.get_mut(key) else { return };
+        let old = (workspace.virtual_time, workspace.len());
+        let old_classes = (!workspace.interactive.is_empty(), !workspace.deferrable.is_empty());
+        change(workspace);
+        let new = (workspace.virtual_time, workspace.len());
+        let classes = (!workspace.interactive.is_empty(), !workspace.deferrable.is_empty());
+        if old.1 != new.1 {
+            self.lengths.remove(&(old.1, key));
+            if new.1 > 0 {
+                self.lengths.insert((new.1, key));
+            }
+            self.len = self.len + new.1 - old.1;
+        }
+        if old.0 == new.0 && old_classes == classes {
+            return;
+        }
+        rekey_class(&mut self.interactive, key, (old.0, old_classes.0), (new.0, classes.0));
+        rekey_class(&mut self.deferrable, key, (old.0, old_classes.1), (new.0, classes.1));
+    }
+
+    fn class(&self, urgency: Urgency) -> &BTreeSet<(u64, WorkspaceKey)> {
+        match urgency {
+            Urgency::Interactive => &self.interactive,
+            Urgency::Deferrable => &self.deferrable,
+        }
+    }
+}
+
+impl Workspace {
+    fn len(&self) -> usize {
+        self.interactive.len() + self.deferrable.len()
+    }
+
+    fn jobs(&self, urgency: Urgency) -> &BTreeSet<(Instant, JobKey)> {
+        match urgency {
+            Urgency::Interactive => &self.interactive,
+            Urgency::Deferrable => &self.deferrable,
+        }
+    }
+
+    fn jobs_mut(&mut self, urgency: Urgency) -> &mut BTreeSet<(Instant, JobKey)> {
+        match urgency {
+            Urgency::Interactive => &mut self.interactive,
+            Urgency::Deferrable => &mut self.deferrable,
+        }
+    }
+}
+
+fn rekey_class(
+    class: &mut BTreeSet<(u64, WorkspaceKey)>,
+    key: WorkspaceKey,
+    (old, was_in): (u64, bool),
+    (new, is_in): (u64, bool),
+) {
+    if was_in {
+        class.remove(&(old, key));
+    }
+    if is_in {
+        class.insert((new, key));
+    }
+}
+
+fn nanoseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX >> 8)
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeSet;
+    use std::time::{Duration, Instant};
+
+    use magnoliaspar_core::{JobKey, WorkspaceKey, WorkspaceName};
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+    use slotmap::SlotMap;
+
+    use super::{Queue, Ticket};
+    use crate::Urgency;
+
+    struct Bench {
+        queue: Queue,
+        jobs: SlotMap<JobKey, Ticket>,
+        start: Instant,
+    }
+
+    impl Bench {
+        fn new() -> Self {
+            Self { queue: Queue::default(), jobs: SlotMap::with_key(), start: Instant::now() }
+        }
+
+        fn workspace(&mut self, name: &str, share: u32) -> WorkspaceKey {
+            self.queue.enter(&WorkspaceName::try_from(name).unwrap(), share)
+        }
+
+        fn push(&mut self, workspace: WorkspaceKey, urgency: Urgency, due: u64) -> JobKey {
+            let order_at = self.start + Duration::from_millis(due);
+            let ticket = Ticket { workspace, urgency, order_at };
+            let job = self.jobs.insert(ticket);
+            self.queue.push(ticket, job);
+            job
+        }
+
+        fn serve(&mut self, cost: Duration) -> Option<(JobKey, WorkspaceKey)> {
+            let job = self.queue.next(&BTreeSet::new())?;
+            let ticket = self.jobs[job];
+            self.queue.remove(ticket, job);
+            self.queue.charge(ticket.workspace, ticket.urgency, cost);
+            Some((job, ticket.workspace))
+        }
+    }
+
+    #[test]
+    fn the_earliest_deadline_goes_first_within_a_workspace() {
+        let mut bench = Bench::new();
+        let a = bench.workspace("a", 1);
+        let late = bench.push(a, Urgency::Interactive, 30);
+        let soon = bench.push(a, Urgency::Interactive, 10);
+        let batch = bench.push(a, Urgency::Deferrable, 1);
+        let cost = Duration::from_millis(10);
+        let mut order = Vec::new();
+        while let Some((job, _)) = bench.serve(cost) {
+            order.push(job);
+        }
+        assert_eq!(order, [soon, late, batch]);
+        assert_eq!(bench.queue.len(), 0);
+    }
+
+    #[test]
+    fn deferrable_jobs_are_not_starved() {
+        let mut bench = Bench::new();
+        let a = bench.workspace("a", 1);
+        let batch = bench.push(a, Urgency::Deferrable, 0);
+        let mut served = 0;
+        loop {
+            bench.push(a, Urgency::Interactive, 10);
+            let (job, _) = bench.serve(Duration::from_millis(500)).unwrap();
+            if job == batch {
+                break;
+            }
+            served += 1;
+        }
+        // A turn of one second is saved up by 20 seconds of interactive work.
+        assert_eq!(served, 40);
+    }
+
+    #[test]
+    fn a_workspace_that_was_idle_gets_no_credit_for_it() {
+        let mut bench = Bench::new();
+        let (a, b) = (bench.workspace("a", 1), bench.workspace("b", 1));
+        for n in 0..100 {
+            bench.push(a, Urgency::Interactive, n);
+        }
+        for _ in 0..50 {
+            bench.serve(Duration::from_millis(100));
+        }
+        for n in 0..50 {
+            bench.push(b, Urgency::Interactive, n);
+        }
+        let mut of_b = 0;
+        for _ in 0..20 {
+            let (_, workspace) = bench.serve(Duration::from_millis(100)).unwrap();
+            of_b += usize::from(workspace == b);
+        }
+        assert!((9..=11).contains(&of_b), "{of_b}");
+    }
+
+    #[test]
+    fn corrections_settle_what_a_job_cost() {
+        let mut bench = Bench::new();
+        let (a, b) = (bench.workspace("a", 1), bench.workspace("b", 1));
+        for n in 0..10 {
+            bench.push(a, Urgency::Interactive, n);
+            bench.push(b, Urgency::Interactive, n);
+        }
+        let (_, first) = bench.serve(Duration::from_millis(10)).unwrap();
+        bench.queue.correct(first, Duration::from_millis(10), Duration::from_millis(35));
+        let other = if first == a { b } else { a };
+        for _ in 0..3 {
+            assert_eq!(bench.serve(Duration::from_millis(10)).unwrap().1, other);
+        }
+    }
+
+    #[test]
+    fn workspaces_without_jobs_are_forgotten() {
+        let mut bench = Bench::new();
+        for n in 0..100 {
+            let key = bench.workspace(&format!("w{n}"), 1);
+            bench.queue.leave(key);
+        }
+        assert_eq!(bench.queue.workspaces(), 0);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 64,
+            failure_persistence: None,
+            rng_seed: RngSeed::Fixed(17),
+            ..ProptestConfig::default()
+        })]
+
+        /// Backlogged workspaces never differ by more than two of the largest jobs in the engine
+        /// time that they get for each unit of their share.
+        #[test]
+        fn engine_time_follows_the_shares(
+            shares in prop::collection::vec(1u32..5, 2..6),
+            costs in prop::collection::vec(1u64..200, 50..200),
+        ) {
+            let mut bench = Bench::new();
+            let mut keys = Vec::new();
+            for (n, share) in shares.iter().enumerate() {
+                let key = bench.workspace(&format!("w{n}"), *share);
+                for due in 0..200 {
+                    bench.push(key, Urgency::Interactive, due);
+                }
+                keys.push(key);
+            }
+            let mut used = vec![0.0; keys.len()];
+            for cost in costs {
+                let (_, key) = bench.serve(Duration::from_millis(cost)).unwrap();
+                let at = keys.iter().position(|other| *other == key).unwrap();
+                used[at] += cost as f64 / f64::from(shares[at]);
+            }
+            let most = used.iter().copied().fold(f64::MIN, f64::max);
+            let least = used.iter().copied().fold(f64::MAX, f64::min);
+            prop_assert!(most - least <= 400.0, "{used:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/reading.rs
@@ -0,0 +1,240 @@
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::JobKey;
+
+use crate::history::History;
+use crate::{LoadReport, ServerSpec};
+
+/// How much longer a prefill that is overdue is expected to take.
+const OVERDUE_STEP: Duration = Duration::from_millis(20);
+
+/// How much one prefill changes what is believed of the overhead.
+const OVERHEAD_GAIN: f64 = 0.1;
+
+/// The most seconds that are believed to be overhead.
+const MAX_OVERHEAD: f64 = 0.1;
+
+/// What a prefill engine has been granted.
+#[derive(Debug)]
+pub(crate) struct ReadingBook {
+    grants: BTreeMap<JobKey, Grant>,
+    reading: u32,
+    pieces: u32,
+    free_at: Instant,
+    foreign_until: Instant,
+    /// When the engine was last known to turn to its next prefill.
+    turned_at: Instant,
+    overhead: f64,
+    history: History,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    granted_at: Instant,
+    work: Duration,
+    tokens: u32,
+    pieces: u32,
+    is_reading: bool,
+}
+
+impl ReadingBook {
+    /// Creates an empty book.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            grants: BTreeMap::new(),
+            reading: 0,
+            pieces: 0,
+            free_at: now,
+            foreign_until: now,
+            turned_at: now,
+            overhead: 0.0,
+            history: History::default(),
+        }
+    }
+
+    /// Adds a prefill that reads `tokens` for `work` and then holds `pieces`.
+    pub(crate) fn grant(
+        &mut self,
+        now: Instant,
+        job: JobKey,
+        work: Duration,
+        tokens: u32,
+        pieces: u32,
+    ) {
+        self.free_at = self.free_at(now) + work;
+        self.reading += 1;
+        self.pieces += pieces;
+        let grant = Grant { granted_at: now, work, tokens, pieces, is_reading: true };
+        self.grants.insert(job, grant);
+    }
+
+    /// Keeps the memory of a job whose prefill is done.
+    pub(crate) fn hold(&mut self, now: Instant, job: JobKey) {
+        let Some(grant) = self.grants.get_mut(&job) else { return };
+        if !grant.is_reading {
+            return;
+        }
+        grant.is_reading = false;
+        let grant = *grant;
+        self.reading -= 1;
+        self.history.end(now, grant.granted_at, grant.tokens);
+        self.learn(now, &grant);
+        self.predict(now);
+    }
+
+    /// Books memory for KV cache that the engine still holds for a job that comes back to it.
+    pub(crate) fn hold_again(&mut self, now: Instant, job: JobKey, pieces: u32) {
+        self.pieces += pieces;
+        let work = Duration::ZERO;
+        let grant = Grant { granted_at: now, work, tokens: 0, pieces, is_reading: false };
+        self.grants.insert(job, grant);
+    }
+
+    /// Forgets a job.
+    pub(crate) fn release(&mut self, now: Instant, job: JobKey) {
+        let Some(grant) = self.grants.remove(&job) else { return };
+        self.pieces -= grant.pieces;
+        if !grant.is_reading {
+            return;
+        }
+        self.reading -= 1;
+        self.history.end(now, grant.granted_at, grant.tokens);
+        self.predict(now);
+    }
+
+    /// Takes in a report: what it shows beyond the grants of its time was granted by others.
+    pub(crate) fn report(&mut self, now: Instant, spec: &ServerSpec, report: &LoadReport) {
+        let mut known = self.history.amount_at(report.made_at);
+        for grant in self.grants.values() {
+            if grant.is_reading && grant.granted_at <= report.made_at {
+                known += grant.tokens;
+            }
+        }
+        let foreign = report.queued_tokens.saturating_sub(known);
+        let work = seconds(f64::from(foreign) / spec.prefill_tokens_per_second);
+        self.foreign_until = report.made_at + work;
+        self.predict(now);
+    }
+
+    /// Returns when the engine is expected to have read everything that it was granted.
+    pub(crate) fn free_at(&self, now: Instant) -> Instant {
+        if self.reading > 0 {
+            return self.free_at.max(now + OVERDUE_STEP);
+        }
+        self.free_at.max(now)
+    }
+
+    /// Returns the time by which the engine is ranked among others; it does not depend on `now`.
+    pub(crate) fn rank(&self) -> Instant {
+        self.free_at
+    }
+
+    /// Returns how many prefills the engine reads or has queued.
+    pub(crate) fn reading(&self) -> u32 {
+        self.reading
+    }
+
+    /// Returns how many pieces of memory are booked.
+    pub(crate) fn pieces(&self) -> u32 {
+        self.pieces
+    }
+
+    /// Returns how many jobs use the engine in any way.
+    pub(crate) fn len(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Returns how much longer a prefill takes than its tokens alone.
+    pub(crate) fn overhead(&self) -> Duration {
+        seconds(self.overhead)
+    }
+
+    fn learn(&mut self, now: Instant, grant: &Grant) {
+        let started_at = grant.granted_at.max(self.turned_at);
+        self.turned_at = now;
+        let took = now.saturating_duration_since(started_at).as_secs_f64();
+        let error = took - grant.work.as_secs_f64();
+        let overhead = self.overhead + OVERHEAD_GAIN * error;
+        self.overhead = overhead.clamp(0.0, MAX_OVERHEAD);
+    }
+
+    fn predict(&mut self, now: Instant) {
+        let mut work = Duration::ZERO;
+        for grant in self.grants.values() {
+            if grant.is_reading {
+                work += grant.work;
+            }
+        }
+        self.free_at = now.max(self.foreign_until) + work;
+    }
+}
+
+/// Returns a duration for a number that may be infinite, negative or not a number.
+pub(crate) fn seconds(value: f64) -> Duration {
+    const MAX_SECONDS: f64 = 86_400.0;
+    if value.is_nan() {
+        return Duration::from_secs_f64(MAX_SECONDS);
+    }
+    Duration::from_secs_f64(value.clamp(0.0, MAX_SECONDS))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use magnoliaspar_core::JobKey;
+    use slotmap::SlotMap;
+
+    use super::{ReadingBook, seconds};
+    use crate::LoadReport;
+    use crate::testing::prefill_spec;
+
+    const STEP: Duration = Duration::from_millis(100);
+
+    fn report(made_at: Instant, queued_tokens: u32) -> LoadReport {
+        LoadReport { made_at, running: 0, waiting: 0, used_pieces: 0, queued_tokens }
+    }
+
+    #[test]
+    fn grants_queue_up_and_are_released() {
+        let mut jobs: SlotMap<JobKey, ()> = SlotMap::with_key();
+        let (a, b) = (jobs.insert(()), jobs.insert(()));
+        let now = Instant::now();
+        let mut book = ReadingBook::new(now);
+        book.grant(now, a, STEP, 1_000, 3);
+        book.grant(now, b, STEP, 1_000, 4);
+        assert_eq!(book.free_at(now), now + 2 * STEP);
+        book.hold(now + STEP, a);
+        assert_eq!(book.free_at(now + STEP), now + 2 * STEP);
+        assert_eq!((book.reading(), book.pieces(), book.len()), (1, 7, 2));
+        book.release(now + STEP, a);
+        book.release(now + STEP, b);
+        book.release(now + STEP, b);
+        assert_eq!((book.reading(), book.pieces(), book.len()), (0, 0, 0));
+        assert_eq!(book.free_at(now + STEP), now + STEP);
+    }
+
+    #[test]
+    fn a_report_counts_only_what_was_granted_before_it() {
+        let mut jobs: SlotMap<JobKey, ()> = SlotMap::with_key();
+        let a = jobs.insert(());
+        let now = Instant::now();
+        let mut book = ReadingBook::new(now);
+        let spec = prefill_spec("p");
+        book.grant(now + STEP, a, STEP, 1_000, 1);
+        // The report is older than the grant, so its tokens are those of others.
+        let tokens = spec.prefill_tokens_per_second as u32;
+        book.report(now + STEP, &spec, &report(now, tokens));
+        assert_eq!(book.free_at(now + STEP), now + Duration::from_secs(1) + STEP);
+        // The next report knows the grant and nothing else.
+        book.report(now + 2 * STEP, &spec, &report(now + STEP, 1_000));
+        assert_eq!(book.free_at(now + STEP), now + 3 * STEP);
+    }
+
+    #[test]
+    fn durations_have_a_limit() {
+        assert_eq!(seconds(-1.0), Duration::ZERO);
+        assert_eq!(seconds(f64::INFINITY), seconds(f64::NAN));
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/retry.rs
@@ -0,0 +1,61 @@
+/// The price of one retry in thousandths.
+const RETRY_PRICE: u32 = 1_000;
+
+/// What a success adds in thousandths, so that one retry in ten successes is sustained.
+const SUCCESS_REFILL: u32 = 100;
+
+/// The retries that a pool may still spend, refilled by successes.
+#[derive(Debug, Clone)]
+pub(crate) struct RetryBudget {
+    thousandths: u32,
+    max: u32,
+}
+
+impl RetryBudget {
+    /// Creates a full budget of `retries`.
+    pub(crate) fn new(retries: u32) -> Self {
+        let max = retries.saturating_mul(RETRY_PRICE);
+        Self { thousandths: max, max }
+    }
+
+    /// Takes one retry from the budget; returns whether there was one.
+    pub(crate) fn spend(&mut self) -> bool {
+        let Some(rest) = self.thousandths.checked_sub(RETRY_PRICE) else { return false };
+        self.thousandths = rest;
+        true
+    }
+
+    /// Adds what one success is worth.
+    pub(crate) fn refill(&mut self) {
+        self.thousandths = self.thousandths.saturating_add(SUCCESS_REFILL).min(self.max);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::RetryBudget;
+
+    #[test]
+    fn ten_successes_pay_for_one_retry() {
+        let mut budget = RetryBudget::new(2);
+        assert!(budget.spend());
+        assert!(budget.spend());
+        assert!(!budget.spend());
+        for _ in 0..9 {
+            budget.refill();
+        }
+        assert!(!budget.spend());
+        budget.refill();
+        assert!(budget.spend());
+    }
+
+    #[test]
+    fn successes_do_not_save_up_more_than_the_budget() {
+        let mut budget = RetryBudget::new(1);
+        for _ in 0..100 {
+            budget.refill();
+        }
+        assert!(budget.spend());
+        assert!(!budget.spend());
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/scheduler/apart.rs
@@ -0,0 +1,133 @@
+use std::time::Instant;
+
+use magnoliaspar_core::{JobKey, ServerKey};
+
+use super::Scheduler;
+use crate::Role;
+use crate::explain::WaitReason;
+use crate::placement::Apart;
+
+/// The servers on which suspects run, one suspect at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Isolation {
+    apart: Apart,
+    /// Whether no other job runs on the prefill engine, which takes a second one in the pool.
+    is_prefill_alone: bool,
+    /// Whether no other job runs on the decode engine.
+    is_decode_alone: bool,
+    /// The suspect that runs.
+    running: Option<JobKey>,
+}
+
+impl Scheduler {
+    /// Starts the first suspect that waits, if it can run alone.
+    pub(super) fn start_suspect(&mut self, now: Instant) {
+        let Some((_, job)) = self.suspects.first().copied() else { return };
+        let Some(isolation) = self.isolate() else { return };
+        if isolation.running.is_some() {
+            return;
+        }
+        if !self.is_vacated(&isolation) {
+            self.note_wait(now, job, WaitReason::Apart);
+            return;
+        }
+        let obstacle = self.start_prefill(now, job, Some(isolation.apart));
+        if obstacle.is_none() {
+            self.isolation = Some(Isolation { running: Some(job), ..isolation });
+        }
+    }
+
+    /// Returns the decode engine for a suspect whose KV cache is held, if it is vacated.
+    pub(super) fn isolated_decode(&mut self, now: Instant, job: JobKey) -> Option<ServerKey> {
+        let isolation = self.isolate()?;
+        if isolation.running.is_some_and(|running| running != job) {
+            return None;
+        }
+        let server = self.pool.get(isolation.apart.decode)?;
+        let others = server.decoding.len() - usize::from(self.is_reserved(job, isolation.apart));
+        if server.is_cooling(now) || isolation.is_decode_alone && others > 0 {
+            return None;
+        }
+        let pieces = server.pieces(self.memory_tokens(&self.jobs[job]));
+        if !server.decoding.has_room(now, &server.spec, pieces) {
+            return None;
+        }
+        self.isolation = Some(Isolation { running: Some(job), ..isolation });
+        Some(isolation.apart.decode)
+    }
+
+    /// Lets the next suspect run, or ends the isolation if there is none.
+    pub(super) fn end_isolation(&mut self, job: JobKey) {
+        let Some(isolation) = &mut self.isolation else { return };
+        if isolation.running == Some(job) {
+            isolation.running = None;
+        }
+        if isolation.running.is_none() && self.suspects.is_empty() {
+            self.lift_isolation();
+        }
+    }
+
+    /// Ends the isolation if it is on a server that gets no new work.
+    pub(super) fn drop_isolation(&mut self, server: ServerKey) {
+        let Some(isolation) = self.isolation else { return };
+        if isolation.apart.prefill == server || isolation.apart.decode == server {
+            self.lift_isolation();
+        }
+    }
+
+    fn lift_isolation(&mut self) {
+        let Some(isolation) = self.isolation.take() else { return };
+        self.pool.isolate(isolation.apart.prefill, false);
+        self.pool.isolate(isolation.apart.decode, false);
+        self.is_changed = true;
+    }
+
+    /// Sets servers apart, unless that is done.
+    fn isolate(&mut self) -> Option<Isolation> {
+        if self.isolation.is_some() {
+            return self.isolation;
+        }
+        let (prefill, prefill_count) = self.emptiest(Role::Prefill)?;
+        let (decode, decode_count) = self.emptiest(Role::Decode)?;
+        let isolation = Isolation {
+            apart: Apart { prefill, decode },
+            is_prefill_alone: prefill_count > 1,
+            is_decode_alone: decode_count > 1,
+            running: None,
+        };
+        self.pool.isolate(prefill, isolation.is_prefill_alone);
+        self.pool.isolate(decode, isolation.is_decode_alone);
+        self.isolation = Some(isolation);
+        self.isolation
+    }
+
+    /// Returns the server of a role with the fewest jobs, and how many servers there are.
+    fn emptiest(&self, role: Role) -> Option<(ServerKey, usize)> {
+        let mut best: Option<(usize, ServerKey)> = None;
+        let mut count = 0;
+        for (key, server) in self.pool.iter() {
+            if server.spec.role != role || server.is_sealed {
+                continue;
+            }
+            count += 1;
+            let jobs = server.reading.len() + server.decoding.len();
+            if best.is_none_or(|(fewest, _)| jobs < fewest) {
+                best = Some((jobs, key));
+            }
+        }
+        best.map(|(_, key)| (key, count))
+    }
+
+    fn is_vacated(&self, isolation: &Isolation) -> bool {
+        let prefill = self.pool.get(isolation.apart.prefill);
+        let decode = self.pool.get(isolation.apart.decode);
+        let (Some(prefill), Some(decode)) = (prefill, decode) else { return false };
+        let is_prefill_free = !isolation.is_prefill_alone || prefill.reading.len() == 0;
+        let is_decode_free = !isolation.is_decode_alone || decode.decoding.len() == 0;
+        is_prefill_free && is_decode_free
+    }
+
+    fn is_reserved(&self, job: JobKey, apart: Apart) -> bool {
+        self.jobs.get(job).is_some_and(|state| state.stage.decode() == Some(apart.decode))
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/scheduler/failure.rs
@@ -0,0 +1,176 @@
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{JobKey, ServerKey};
+
+use super::Scheduler;
+use crate::explain::WaitReason;
+use crate::state::Stage;
+use crate::{FailedStage, RefuseReason};
+
+/// How often decode engines may refuse a job before that counts as a failure.
+const MAX_REFUSALS: u32 = 8;
+
+/// The first pause of a started answer that has used up its retries.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// How many times the pause doubles at most.
+const MAX_DOUBLINGS: u32 = 6;
+
+impl Scheduler {
+    /// Finds a new way for a job that a server failed.
+    pub(super) fn recover(
+        &mut self,
+        now: Instant,
+        job: JobKey,
+        failed: FailedStage,
+        kv_held_until: Option<Instant>,
+    ) {
+        let Some(state) = self.jobs.get(job) else { return };
+        // A failure that is told twice finds the job waiting.
+        if !state.stage.is_on_engine() {
+            return;
+        }
+        self.blame(now, job, failed);
+        let holder = self.holder(now, job, failed, kv_held_until);
+        self.release(now, job);
+        if !self.may_retry(job, failed, holder.is_some()) {
+            self.give_up(now, job);
+            return;
+        }
+        match holder {
+            Some((prefill, held_until)) => self.hold_again(now, job, prefill, held_until),
+            None => self.enqueue(now, job),
+        }
+    }
+
+    /// Withdraws the reservations on a server that gets no new work and makes others.
+    pub(super) fn withdraw(&mut self, now: Instant, server: ServerKey) {
+        self.drop_isolation(server);
+        let Some(leaving) = self.pool.get(server) else { return };
+        for job in leaving.decoding.reservations() {
+            self.pool.update(server, |server| {
+                server.decoding.release(now, job);
+                server.link.free(job);
+            });
+            let other = self.reserve_elsewhere(now, job);
+            let Some(state) = self.jobs.get_mut(job) else { continue };
+            match &mut state.stage {
+                Stage::Prefilling { decode, .. } | Stage::Held { decode, .. } => *decode = other,
+                _ => {}
+            }
+        }
+    }
+
+    /// Books what a failure shows about its server.
+    fn blame(&mut self, now: Instant, job: JobKey, failed: FailedStage) {
+        let state = &mut self.jobs[job];
+        let (prefill, decode) = (state.stage.prefill(), state.stage.decode());
+        state.avoid = match failed {
+            FailedStage::Prefill => prefill,
+            FailedStage::Transfer | FailedStage::Decode => decode,
+            FailedStage::Admission => None,
+        };
+        match (failed, prefill, decode) {
+            (FailedStage::Prefill, Some(server), _) | (FailedStage::Decode, _, Some(server)) => {
+                self.pool.update(server, |server| server.note_failure(now));
+            }
+            (FailedStage::Admission, _, Some(server)) => {
+                self.pool.update(server, |server| server.decoding.refuse(now));
+            }
+            // Either end of a transfer may be at fault, so neither is blamed.
+            _ => {}
+        }
+    }
+
+    /// Returns the prefill engine that still holds the KV cache of a job, and until when.
+    fn holder(
+        &self,
+        now: Instant,
+        job: JobKey,
+        failed: FailedStage,
+        kv_held_until: Option<Instant>,
+    ) -> Option<(ServerKey, Instant)> {
+        if failed == FailedStage::Prefill {
+            return None;
+        }
+        let state = &self.jobs[job];
+        let prefill = state.stage.prefill().or(state.holder)?;
+        let held_until = kv_held_until?;
+        let server = self.pool.get(prefill)?;
+        let tokens = f64::from(state.job.prompt_tokens);
+        let transfer_time = crate::reading::seconds(tokens / server.spec.link_tokens_per_second);
+        (now + transfer_time <= held_until).then_some((prefill, held_until))
+    }
+
+    fn may_retry(&mut self, job: JobKey, failed: FailedStage, is_held: bool) -> bool {
+        let state = &mut self.jobs[job];
+        if failed == FailedStage::Admission && state.refusals < MAX_REFUSALS {
+            state.refusals += 1;
+            return true;
+        }
+        state.retries += 1;
+        if state.retries > self.settings.retries_per_job {
+            return false;
+        }
+        // A transfer from the engine that holds the KV cache costs next to nothing.
+        is_held || self.retries.spend()
+    }
+
+    /// Refuses a job that may not be tried again; a started answer pauses instead.
+    fn give_up(&mut self, now: Instant, job: JobKey) {
+        let state = &self.jobs[job];
+        if state.produced == 0 {
+            self.refuse(now, job, RefuseReason::RetriesExhausted);
+            return;
+        }
+        let pause = FIRST_PAUSE * (1 << state.retries.min(MAX_DOUBLINGS));
+        self.note_wait(now, job, WaitReason::Backoff);
+        self.set_timer(job, Some(now + pause));
+    }
+
+    fn hold_again(&mut self, now: Instant, job: JobKey, prefill: ServerKey, held_until: Instant) {
+        let tokens = self.jobs[job].job.prompt_tokens;
+        self.pool.update(prefill, |server| {
+            let pieces = server.pieces(tokens);
+            server.reading.hold_again(now, job, pieces);
+        });
+        let decode = self.reserve_elsewhere(now, job);
+        self.jobs[job].stage = Stage::Held { prefill, decode, held_until };
+        self.held.insert((held_until, job));
+        self.set_timer(job, Some(held_until));
+        self.is_changed = true;
+    }
+
+    /// Reserves a slot for a job that is past its plan, on the engine that is free the soonest.
+    fn reserve_elsewhere(&mut self, now: Instant, job: JobKey) -> Option<ServerKey> {
+        let state = self.jobs.get(job)?;
+        if state.job.is_suspect {
+            return None;
+        }
+        let memory_tokens = self.memory_tokens(state);
+        let mut best: Option<(Instant, ServerKey)> = None;
+        for index in self.pool.zones().values() {
+            for key in index.decode().take(2) {
+                let Some(server) = self.pool.get(key) else { continue };
+                if server.is_cooling(now) || state.avoid == Some(key) {
+                    continue;
+                }
+                if server.decoding.reserved().slots >= server.spec.slots {
+                    continue;
+                }
+                let pieces = server.pieces(memory_tokens);
+                let Some(at) = server.decoding.available_at(now, &server.spec, pieces) else {
+                    continue;
+                };
+                if best.is_none_or(|(soonest, _)| at < soonest) {
+                    best = Some((at, key));
+                }
+            }
+        }
+        let (_, key) = best?;
+        self.pool.update(key, |server| {
+            server.decoding.reserve(now, job, server.pieces(memory_tokens));
+        });
+        Some(key)
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -0,0 +1,386 @@
+mod apart;
+mod failure;
+mod start;
+mod transfer;
+mod waiting;
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use magnoliaspar_core::{BlockHash, JobKey, ServerKey};
+use slotmap::SlotMap;
+
+use self::apart::Isolation;
+use crate::explain::{Explanation, RecentExplanations, WaitReason};
+use crate::output::OutputLengths;
+use crate::placement::Placement;
+use crate::pool::Pool;
+use crate::prefix::{PrefixIndex, Sign};
+use crate::queue::Queue;
+use crate::release::ReleaseRate;
+use crate::retry::RetryBudget;
+use crate::state::{JobState, Stage};
+use crate::{Action, FailedStage, Job, LoadReport, Policy, RefuseReason, Role};
+use crate::{SchedulerSettings, ServerSpec, ServerUsage};
+
+/// After how many tokens the books of a decode engine are brought up to date.
+const BOOKED_TOKENS: u32 = 8;
+
+/// The policy that serves requests.
+///
+/// A prefill starts only against a reservation on a decode engine; see the design notes on the
+/// decision policy for how the parts work together.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: SchedulerSettings,
+    pool: Pool,
+    jobs: SlotMap<JobKey, JobState>,
+    queue: Queue,
+    /// The suspects that wait, the first to go first.
+    suspects: BTreeSet<(Instant, JobKey)>,
+    isolation: Option<Isolation>,
+    /// The jobs whose KV cache is held, the first to expire first.
+    held: BTreeSet<(Instant, JobKey)>,
+    timers: BTreeSet<(Instant, JobKey)>,
+    prefixes: PrefixIndex,
+    lengths: OutputLengths,
+    releases: ReleaseRate,
+    retries: RetryBudget,
+    recent: RecentExplanations,
+    actions: Vec<Action>,
+    /// Whether something has happened after which a waiting job may be able to start.
+    is_changed: bool,
+    look_again_at: Option<Instant>,
+    polled_at: Option<Instant>,
+}
+
+impl Scheduler {
+    /// Creates a scheduler without servers and with the usual settings.
+    pub fn new() -> Self {
+        Self::with_settings(SchedulerSettings::default())
+    }
+
+    /// Creates a scheduler without servers.
+    pub fn with_settings(settings: SchedulerSettings) -> Self {
+        Self {
+            pool: Pool::default(),
+            jobs: SlotMap::with_key(),
+            queue: Queue::default(),
+            suspects: BTreeSet::new(),
+            isolation: None,
+            held: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            prefixes: PrefixIndex::new(settings.max_index_blocks),
+            lengths: OutputLengths::new(),
+            releases: ReleaseRate::new(),
+            retries: RetryBudget::new(settings.retry_budget),
+            recent: RecentExplanations::default(),
+            actions: Vec::new(),
+            is_changed: false,
+            look_again_at: None,
+            polled_at: None,
+            settings,
+        }
+    }
+
+    /// Returns how many jobs wait for a prefill.
+    pub fn waiting(&self) -> usize {
+        self.queue.len() + self.suspects.len()
+    }
+
+    /// Returns how many jobs wait or run.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns what the books show of a server.
+    pub fn usage(&self, server: ServerKey) -> Option<ServerUsage> {
+        let server = self.pool.get(server)?;
+        let (running, reserved) = (server.decoding.running(), server.decoding.reserved());
+        let foreign = server.decoding.foreign();
+        Some(ServerUsage {
+            is_sealed: server.is_sealed,
+            reading: server.reading.reading(),
+            read_pieces: server.reading.pieces(),
+            running: running.slots,
+            running_pieces: running.pieces,
+            reserved: reserved.slots,
+            reserved_pieces: reserved.pieces,
+            foreign: foreign.slots,
+            transfers: server.link.len() as u32,
+        })
+    }
+
+    fn placement(&self) -> Placement<'_> {
+        Placement {
+            pool: &self.pool,
+            prefixes: &self.prefixes,
+            releases: &self.releases,
+            zone: self.settings.zone.as_ref(),
+            cross_zone_slowdown: self.settings.cross_zone_slowdown,
+        }
+    }
+
+    fn set_timer(&mut self, job: JobKey, timer: Option<Instant>) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        if let Some(old) = std::mem::replace(&mut state.timer, timer) {
+            self.timers.remove(&(old, job));
+        }
+        if let Some(new) = timer {
+            self.timers.insert((new, job));
+        }
+    }
+
+    fn note_wait(&mut self, now: Instant, job: JobKey, reason: WaitReason) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        *state.explanation = Explanation::waiting(now, reason);
+    }
+
+    /// Returns how much memory in tokens a decode engine needs for a job.
+    fn memory_tokens(&self, state: &JobState) -> u32 {
+        state.job.prompt_tokens.saturating_add(self.total_output(state))
+    }
+
+    /// Returns how many tokens the answer of a job is predicted to have.
+    fn total_output(&self, state: &JobState) -> u32 {
+        let job = &state.job;
+        self.lengths.predict(job.expected_output_tokens, state.produced, job.max_output_tokens)
+    }
+
+    /// Brings the books of the decode engine of a running job up to date.
+    fn update_books(&mut self, now: Instant, job: JobKey) {
+        let Some(state) = self.jobs.get(job) else { return };
+        let Stage::Decoding { decode } = state.stage else { return };
+        let Some(server) = self.pool.get(decode) else { return };
+        let left = self.total_output(state).saturating_sub(state.produced);
+        let ends_at = now + crate::reading::seconds(server.spec.seconds_per_token) * left;
+        let pieces = server.pieces(self.memory_tokens(state));
+        let produced = state.produced;
+        self.pool.update(decode, |server| server.decoding.update(job, pieces, ends_at));
+        self.jobs[job].booked_at = produced;
+    }
+
+    /// Takes a job off all books and out of the queue.
+    fn release(&mut self, now: Instant, job: JobKey) {
+        self.set_timer(job, None);
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        let stage = std::mem::replace(&mut state.stage, Stage::Paused);
+        match stage {
+            Stage::Queued(ticket) => self.queue.remove(ticket, job),
+            Stage::Apart { order_at } => {
+                self.suspects.remove(&(order_at, job));
+            }
+            Stage::Held { held_until, .. } => {
+                self.held.remove(&(held_until, job));
+            }
+            _ => {}
+        }
+        if let Some(prefill) = stage.prefill() {
+            self.pool.update(prefill, |server| {
+                server.reading.release(now, job);
+                server.link.free(job);
+            });
+        }
+        if let Some(decode) = stage.decode() {
+            self.releases.pass(now, self.pool.totals().running);
+            if matches!(stage, Stage::Decoding { .. }) {
+                self.releases.end();
+            }
+            self.pool.update(decode, |server| {
+                server.decoding.release(now, job);
+                server.link.free(job);
+            });
+        }
+        self.is_changed = true;
+    }
+
+    /// Forgets a job that has ended.
+    fn forget(&mut self, now: Instant, job: JobKey) {
+        self.release(now, job);
+        let Some(state) = self.jobs.remove(job) else { return };
+        if let Some(charge) = state.charged {
+            let cost = charge.per_token * state.produced;
+            self.queue.correct(state.workspace, charge.amount, cost);
+        }
+        self.queue.leave(state.workspace);
+        self.recent.push(job, state.explanation);
+        if state.job.is_suspect {
+            self.end_isolation(job);
+        }
+    }
+}
+
+impl Default for Scheduler {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Policy for Scheduler {
+    fn add_server(&mut self, now: Instant, spec: ServerSpec) -> ServerKey {
+        let is_prefill = spec.role == Role::Prefill;
+        let memory = u64::from(spec.memory_pieces) * u64::from(spec.piece_tokens);
+        let key = self.pool.add(now, spec);
+        if is_prefill {
+            self.prefixes.add_server(key, memory);
+        }
+        self.is_changed = true;
+        key
+    }
+
+    fn seal_server(&mut self, now: Instant, server: ServerKey) {
+        if self.pool.seal(server) {
+            self.withdraw(now, server);
+        }
+        self.is_changed = true;
+    }
+
+    fn remove_server(&mut self, now: Instant, server: ServerKey) {
+        self.pool.seal(server);
+        self.withdraw(now, server);
+        self.prefixes.remove_server(server);
+        self.pool.remove(server);
+        self.is_changed = true;
+    }
+
+    fn submit(&mut self, now: Instant, job: Job) -> JobKey {
+        self.accept(now, job)
+    }
+
+    fn prefilled(&mut self, now: Instant, job: JobKey, _cached_tokens: u32, held_until: Instant) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        let Stage::Prefilling { prefill, decode } = state.stage else { return };
+        state.stage = Stage::Held { prefill, decode, held_until };
+        state.holder = Some(prefill);
+        self.held.insert((held_until, job));
+        self.set_timer(job, Some(held_until));
+        self.pool.update(prefill, |server| {
+            server.reading.hold(now, job);
+            server.note_success();
+        });
+        self.prefixes.note(now, prefill, &self.jobs[job].job.blocks, Sign::Stored);
+        self.is_changed = true;
+    }
+
+    fn transferred(&mut self, now: Instant, job: JobKey) {
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        let Stage::Transferring { prefill, decode } = state.stage else { return };
+        state.stage = Stage::Decoding { decode };
+        self.pool.update(prefill, |server| {
+            server.reading.release(now, job);
+            server.link.free(job);
+        });
+        self.pool.update(decode, |server| server.link.free(job));
+        self.update_books(now, job);
+        self.is_changed = true;
+    }
+
+    fn progressed(&mut self, now: Instant, job: JobKey, tokens: u32) {
+        self.transferred(now, job);
+        let Some(state) = self.jobs.get_mut(job) else { return };
+        if tokens <= state.produced || !matches!(state.stage, Stage::Decoding { .. }) {
+            return;
+        }
+        state.produced = tokens;
+        if tokens >= state.booked_at + BOOKED_TOKENS {
+            self.update_books(now, job);
+        }
+    }
+
+    fn finished(&mut self, now: Instant, job: JobKey) {
+        let Some(state) = self.jobs.get(job) else { return };
+        if state.produced > 0 {
+            self.lengths.observe(state.job.expected_output_tokens, state.produced);
+        }
+        if let Some(decode) = state.stage.decode() {
+            self.pool.update(decode, |server| server.note_success());
+        }
+        self.retries.refill();
+        self.forget(now, job);
+    }
+
+    fn cancelled(&mut self, now: Instant, job: JobKey) {
+        self.forget(now, job);
+        // A refusal that was not handed out yet has no one left to go to.
+        self.actions
+            .retain(|action| !matches!(action, Action::Refuse { job: of, .. } if *of == job));
+    }
+
+    fn failed(
+        &mut self,
+        now: Instant,
+        job: JobKey,
+        stage: FailedStage,
+        kv_held_until: Option<Instant>,
+    ) {
+        self.recover(now, job, stage, kv_held_until);
+    }
+
+    fn report(&mut self, now: Instant, server: ServerKey, report: LoadReport) {
+        self.pool.update(server, |server| {
+            // Reports may overtake each other; only the newest one counts.
+            if server.reported_at.is_some_and(|at| report.made_at <= at) {
+                return;
+            }
+            server.reported_at = Some(report.made_at);
+            match server.spec.role {
+                Role::Prefill => server.reading.report(now, &server.spec, &report),
+                Role::Decode => server.decoding.report(&report),
+            }
+        });
+        self.is_changed = true;
+    }
+
+    fn cache_events(
+        &mut self,
+        now: Instant,
+        server: ServerKey,
+        stored: &[BlockHash],
+        evicted: &[BlockHash],
+        gap: bool,
+    ) {
+        if gap {
+            self.prefixes.note_gap(now, server);
+        }
+        self.prefixes.note(now, server, stored, Sign::Stored);
+        self.prefixes.evict(now, server, evicted);
+    }
+
+    fn poll(&mut self, now: Instant) -> Vec<Action> {
+        self.polled_at = Some(now);
+        self.releases.pass(now, self.pool.totals().running);
+        self.expire(now);
+        if self.is_changed || self.look_again_at.is_some_and(|at| at <= now) {
+            self.look_again_at = None;
+            self.start_transfers(now);
+            // A job that has lost its KV cache may be too late to start over.
+            self.expire(now);
+            self.start_prefills(now);
+            // What was granted here makes no room, and what was given up was considered again.
+            self.is_changed = false;
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn next_poll(&self) -> Option<Instant> {
+        let now = self.polled_at.filter(|_| self.is_changed || !self.actions.is_empty());
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let mut next = None;
+        for at in [now, timer, self.look_again_at].into_iter().flatten() {
+            next = Some(next.map_or(at, |other: Instant| other.min(at)));
+        }
+        next
+    }
+
+    fn explain(&self, job: JobKey) -> Option<&Explanation> {
+        match self.jobs.get(job) {
+            Some(state) => Some(&state.explanation),
+            None => self.recent.get(job),
+        }
+    }
+}
+
+/// Returns whether a refusal for a reason leaves it to the caller to try again soon.
+fn is_passing(reason: RefuseReason) -> bool {
+    !matches!(reason, RefuseReason::TooLarge | RefuseReason::DeadlineMissed)
+}
--- a/crates/magnoliaspar-policy/src/server.rs
+++ b/crates/magnoliaspar-policy/src/server.rs
@@ -50,3 +50,26 @@
     /// How many prompt tokens are queued on the server.
     pub queued_tokens: u32,
 }
+
+/// What the books of a scheduler show of a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerUsage {
+    /// Whether the server gets no new work.
+    pub is_sealed: bool,
+    /// How many prompts a prefill engine reads or has queued.
+    pub reading: u32,
+    /// How many pieces of memory a prefill engine uses for prompts that it reads or holds.
+    pub read_pieces: u32,
+    /// How many slots of a decode engine are in use.
+    pub running: u32,
+    /// How many pieces of memory the jobs in these slots are expected to need.
+    pub running_pieces: u32,
+    /// How many slots are reserved for prompts that are read or held.
+    pub reserved: u32,
+    /// How many pieces of memory the reservations are expected to need.
+    pub reserved_pieces: u32,
+    /// How many slots were in use for others, by the last report.
+    pub foreign: u32,
+    /// How many transfers are planned or run on the server's link.
+    pub transfers: u32,
+}
