Claim non-idempotent requests before dispatch

Cause: a non-idempotent request must run at most once, through whichever instances its resends come and whatever becomes of the platform's answers, and a refusal that says "not run" must be true without locking the key for good.

Change: ClaimController writes a row under the workspace and idempotency key and dispatches only when its own write is known to be the row. Outcomes are kept for resends. Attempts that were not dispatched are released by a version of the row that no late claim can be written over. Claims that come together share a transaction.

Measured by claims_of_one_moment_share_their_writes, in table writes for claim and outcome together: 1 claim 2, 100 claims 2, 1,000 claims 16, 100 claims of which 3 were used before 5. Without batching it is 2 a claim.

Ruled out: deleting old rows, which reopens their keys; a low-water mark by date, since callers' keys carry none.

--- /dev/null
+++ b/crates/magnoliaspar-claim/src/expiry.rs
@@ -0,0 +1,52 @@
+use std::time::Duration;
+
+use magnoliaspar_platform::{Condition, PlatformError, Row, RowKey, Write};
+
+use crate::ClaimController;
+use crate::row::{CLAIM_PREFIX, ClaimRow, ClaimState};
+
+impl ClaimController {
+    /// Expires old claims among the next `limit` rows after `after`.
+    ///
+    /// Returns where to go on, or none at the end. An expired claim loses its outcome but keeps its
+    /// row, so that its key is never free again. A row of an attempt that was not dispatched
+    /// protects nothing and is deleted.
+    pub async fn expire(
+        &self,
+        after: Option<&RowKey>,
+        limit: usize,
+    ) -> Result<Option<RowKey>, PlatformError> {
+        let rows = self.settings().table.scan(CLAIM_PREFIX, after, limit).await?;
+        for row in &rows {
+            let Some(claim) = ClaimRow::from_row(row) else { continue };
+            if claim.state == ClaimState::Expired || !self.is_old(&claim) {
+                continue;
+            }
+            self.expire_row(row, &claim).await?;
+        }
+        match rows.last() {
+            Some(row) if rows.len() == limit => Ok(Some(row.key.clone())),
+            _ => Ok(None),
+        }
+    }
+
+    async fn expire_row(&self, row: &Row, claim: &ClaimRow) -> Result<(), PlatformError> {
+        let value = match claim.state {
+            ClaimState::Abandoned => None,
+            _ => Some(claim.with_state(ClaimState::Expired).to_value()),
+        };
+        let key = row.key.clone();
+        let write = Write { key, condition: Condition::Version(row.version), value };
+        let transaction = magnoliaspar_platform::Transaction { writes: vec![write] };
+        // A lost answer or a conflict is seen by the next pass.
+        match self.settings().table.commit(&transaction).await {
+            Ok(_) | Err(PlatformError::Ambiguous(_)) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn is_old(&self, claim: &ClaimRow) -> bool {
+        let age = self.wall_ms().saturating_sub(claim.began_ms);
+        Duration::from_millis(age) > self.settings().retention
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-claim/tests/claims.rs
@@ -0,0 +1,151 @@
+//! Single promises of claims.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{controller, outcome, request};
+use magnoliaspar_claim::{ClaimController, ClaimSettings, ClaimVerdict, NotRunReason};
+use magnoliaspar_core::ManualClock;
+use magnoliaspar_fake::{Fault, MemoryTable};
+
+fn world() -> (Rc<ManualClock>, MemoryTable) {
+    let clock = Rc::new(ManualClock::new());
+    let table = MemoryTable::new(clock.clone());
+    (clock, table)
+}
+
+#[actix_rt::test]
+async fn a_resend_gets_the_kept_outcome_and_another_request_does_not() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let other = controller(Rc::new(table), &clock, "other", 1);
+    let ClaimVerdict::Dispatch(ticket) = one.claim(&request("a", "10 pounds")).await else {
+        panic!("a new key is dispatched");
+    };
+    let own = one.claim(&request("a", "10 pounds")).await;
+    assert!(matches!(own, ClaimVerdict::MayHaveRun { is_in_progress: true, .. }));
+    let foreign = other.claim(&request("a", "10 pounds")).await;
+    assert!(matches!(foreign, ClaimVerdict::MayHaveRun { is_in_progress: false, .. }));
+    assert!(one.complete(ticket, outcome("paid")).await);
+    let resend = other.claim(&request("a", "10 pounds")).await;
+    assert_eq!(resend, ClaimVerdict::Resend(outcome("paid")));
+    assert_eq!(other.claim(&request("a", "20 pounds")).await, ClaimVerdict::Mismatch);
+}
+
+/// Leaves a claim unsettled, releases it, and lets it arrive late.
+async fn claim_late(one: &ClaimController, table: &MemoryTable) {
+    table.faults().on_next_write(Fault::LateEffect);
+    for _ in 0..4 {
+        table.faults().on_next_read(Fault::Unavailable);
+    }
+    let verdict = one.claim(&request("a", "")).await;
+    let ClaimVerdict::NotRun { reason: NotRunReason::Unsettled, .. } = verdict else {
+        panic!("an unsettled claim is not dispatched: {verdict:?}");
+    };
+    assert_eq!(one.pending_writes(), 1);
+    assert_eq!(one.retry_pending().await, 0);
+    table.apply_late_writes();
+}
+
+#[actix_rt::test]
+async fn an_unsettled_claim_is_not_run_and_leaves_the_key_free() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let other = controller(Rc::new(table.clone()), &clock, "other", 1);
+    claim_late(&one, &table).await;
+    assert!(matches!(other.claim(&request("a", "")).await, ClaimVerdict::Dispatch(_)));
+}
+
+#[actix_rt::test]
+async fn an_unsettled_claim_on_an_abandoned_one_leaves_the_key_free() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let other = controller(Rc::new(table.clone()), &clock, "other", 1);
+    let ClaimVerdict::Dispatch(ticket) = other.claim(&request("a", "")).await else {
+        panic!("a new key is dispatched");
+    };
+    assert!(other.abandon(ticket).await);
+    // The claim finds the abandoned row first, and its second write is late.
+    table.faults().on_next_write(Fault::None);
+    claim_late(&one, &table).await;
+    assert!(matches!(other.claim(&request("a", "")).await, ClaimVerdict::Dispatch(_)));
+}
+
+#[actix_rt::test]
+async fn an_outage_refuses_new_keys_but_remembers_what_was_dispatched_here() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let ClaimVerdict::Dispatch(_ticket) = one.claim(&request("a", "")).await else {
+        panic!("a new key is dispatched");
+    };
+    table.faults().set_outage(true);
+    let new = one.claim(&request("b", "")).await;
+    assert!(matches!(new, ClaimVerdict::NotRun { reason: NotRunReason::StoreUnavailable(_), .. }));
+    assert!(matches!(one.claim(&request("a", "")).await, ClaimVerdict::MayHaveRun { .. }));
+}
+
+#[actix_rt::test]
+async fn an_expired_claim_is_never_free_again() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let mut abandoned = None;
+    for key in ["finished", "claimed", "abandoned"] {
+        let ClaimVerdict::Dispatch(ticket) = one.claim(&request(key, "")).await else {
+            panic!("a new key is dispatched");
+        };
+        match key {
+            "finished" => assert!(one.complete(ticket, outcome("paid")).await),
+            "abandoned" => abandoned = Some(ticket),
+            _ => drop(ticket),
+        }
+    }
+    assert!(one.abandon(abandoned.unwrap()).await);
+    clock.advance(ClaimSettings::RETENTION + Duration::from_secs(1));
+    let mut after = None;
+    loop {
+        after = one.expire(after.as_ref(), 2).await.unwrap();
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!(table.rows("claim/").len(), 2);
+    for key in ["finished", "claimed"] {
+        let verdict = one.claim(&request(key, "")).await;
+        assert!(matches!(verdict, ClaimVerdict::MayHaveRun { .. }), "{key}: {verdict:?}");
+    }
+    assert!(matches!(one.claim(&request("abandoned", "")).await, ClaimVerdict::Dispatch(_)));
+}
+
+/// Claims and completes `claims` keys at once, of which `used` are used already.
+async fn count_writes(claims: usize, used: usize) -> u64 {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let other = controller(Rc::new(table.clone()), &clock, "other", 1);
+    for key in 0..used {
+        let verdict = other.claim(&request(&format!("key-{key}"), "")).await;
+        assert!(matches!(verdict, ClaimVerdict::Dispatch(_)));
+    }
+    let before = table.faults().counts().writes;
+    let mut attempts = Vec::new();
+    for key in 0..claims {
+        let one = one.clone();
+        attempts.push(async move {
+            let verdict = one.claim(&request(&format!("key-{key}"), "")).await;
+            let ClaimVerdict::Dispatch(ticket) = verdict else { return 0 };
+            assert!(one.complete(ticket, outcome("done")).await);
+            1
+        });
+    }
+    let dispatched: usize = futures_util::future::join_all(attempts).await.into_iter().sum();
+    assert_eq!(dispatched, claims - used);
+    table.faults().counts().writes - before
+}
+
+#[actix_rt::test]
+async fn claims_of_one_moment_share_their_writes() {
+    for (claims, used, writes) in [(1, 0, 2), (100, 0, 2), (1000, 0, 16), (100, 3, 5)] {
+        assert_eq!(count_writes(claims, used).await, writes, "{claims} claims, {used} used");
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-claim/tests/common/mod.rs
@@ -0,0 +1,56 @@
+//! What the tests of claims share.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use magnoliaspar_claim::{
+    ClaimController, ClaimRequest, ClaimSettings, StoredBody, StoredOutcome, fingerprint,
+};
+use magnoliaspar_core::{Incarnation, ManualClock};
+use magnoliaspar_platform::{Backoff, Sleep, TableService};
+
+/// Waits by moving a clock.
+pub struct ClockSleep(pub Rc<ManualClock>);
+
+#[async_trait(?Send)]
+impl Sleep for ClockSleep {
+    async fn sleep(&self, duration: Duration) {
+        self.0.advance(duration);
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Creates a controller for one life of an instance.
+pub fn controller(
+    table: Rc<dyn TableService>,
+    clock: &Rc<ManualClock>,
+    instance: &str,
+    life: u64,
+) -> ClaimController {
+    ClaimController::new(ClaimSettings {
+        table,
+        clock: clock.clone(),
+        backoff: Backoff::new(Rc::new(ClockSleep(clock.clone()))),
+        instance: instance.try_into().unwrap(),
+        incarnation: Incarnation(life),
+        nonce: 0,
+        linger: ClaimSettings::LINGER,
+        retention: ClaimSettings::RETENTION,
+    })
+}
+
+/// Creates a request under a key.
+pub fn request(key: &str, body: &str) -> ClaimRequest {
+    ClaimRequest {
+        workspace: "midlands".try_into().unwrap(),
+        key: key.try_into().unwrap(),
+        fingerprint: fingerprint("POST", "/grants/payouts", body.as_bytes()),
+        route: "payouts".try_into().unwrap(),
+    }
+}
+
+/// Creates an outcome that is recognized by its body.
+pub fn outcome(body: &str) -> StoredOutcome {
+    StoredOutcome { status: 201, headers: Vec::new(), body: StoredBody::from(body.as_bytes()) }
+}
