--- /dev/null
+++ b/crates/magnoliaspar-event/src/filter.rs
@@ -0,0 +1,152 @@
+use std::fmt;
+
+use displaydoc::Display;
+use magnoliaspar_core::{NameError, RequestId, ServerName};
+
+use crate::{Event, EventKind, Stamp};
+
+/// How many events an instance gives if no other limit is asked for.
+const DEFAULT_LIMIT: usize = 2_000;
+
+/// Which events are asked for.
+///
+/// It is written as the query part of a URL, such as `request=pack-7&since=96636764160000&limit=50`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EventFilter {
+    /// Only events of this request.
+    pub request: Option<RequestId>,
+    /// Only events in which this backend server took part.
+    pub server: Option<ServerName>,
+    /// Only events from this stamp on.
+    pub since: Option<Stamp>,
+    /// Only events before this stamp.
+    pub until: Option<Stamp>,
+    /// The most events to give; the latest are given.
+    pub limit: usize,
+}
+
+impl EventFilter {
+    /// Whether the filter accepts an event.
+    pub fn accepts(&self, event: &Event) -> bool {
+        if !self.overlaps(event.stamp, event.stamp) {
+            return false;
+        }
+        if self.request.is_some() && self.request != event.request {
+            return false;
+        }
+        match &self.server {
+            Some(server) => involves(event, server),
+            None => true,
+        }
+    }
+
+    /// Whether a span of time has any part of the time that is asked for.
+    pub fn overlaps(&self, from: Stamp, to: Stamp) -> bool {
+        self.since.is_none_or(|since| to >= since) && self.until.is_none_or(|until| from < until)
+    }
+}
+
+impl Default for EventFilter {
+    fn default() -> Self {
+        Self { request: None, server: None, since: None, until: None, limit: DEFAULT_LIMIT }
+    }
+}
+
+impl TryFrom<&str> for EventFilter {
+    type Error = FilterError;
+
+    fn try_from(text: &str) -> Result<Self, FilterError> {
+        let mut filter = Self::default();
+        for pair in text.split('&') {
+            if pair.is_empty() {
+                continue;
+            }
+            let Some((name, value)) = pair.split_once('=') else {
+                return Err(FilterError::Malformed(pair.into()));
+            };
+            let number = || value.parse().map_err(|_| FilterError::Number(value.into()));
+            match name {
+                "request" => filter.request = Some(value.try_into()?),
+                "server" => filter.server = Some(value.try_into()?),
+                "since" => filter.since = Some(Stamp(number()?)),
+                "until" => filter.until = Some(Stamp(number()?)),
+                "limit" => filter.limit = usize::try_from(number()?).unwrap_or(usize::MAX),
+                _ => return Err(FilterError::Unknown(name.into())),
+            }
+        }
+        Ok(filter)
+    }
+}
+
+impl fmt::Display for EventFilter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "limit={}", self.limit)?;
+        if let Some(request) = &self.request {
+            write!(f, "&request={request}")?;
+        }
+        if let Some(server) = &self.server {
+            write!(f, "&server={server}")?;
+        }
+        if let Some(since) = self.since {
+            write!(f, "&since={}", since.0)?;
+        }
+        if let Some(until) = self.until {
+            write!(f, "&until={}", until.0)?;
+        }
+        Ok(())
+    }
+}
+
+/// Why a text is not a filter.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum FilterError {
+    /// {0:?} is not of the form name=value
+    Malformed(Box<str>),
+    /// {0:?} is not one of request, server, since, until, limit
+    Unknown(Box<str>),
+    /// {0:?} is not a whole number
+    Number(Box<str>),
+    /// {0}
+    Name(NameError),
+}
+
+impl std::error::Error for FilterError {}
+
+impl From<NameError> for FilterError {
+    fn from(err: NameError) -> Self {
+        Self::Name(err)
+    }
+}
+
+/// Whether a server took part in an event.
+fn involves(event: &Event, server: &ServerName) -> bool {
+    if event.server.as_ref() == Some(server) {
+        return true;
+    }
+    match &event.kind {
+        EventKind::Planned(plan) => plan.prefill_server == *server || plan.decode_server == *server,
+        EventKind::TransferStarted { to, .. } => to == server,
+        _ => false,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{EventFilter, FilterError};
+    use crate::Stamp;
+
+    #[test]
+    fn a_filter_is_read_as_it_is_written() {
+        let filter = EventFilter {
+            request: Some("pack-7".try_into().unwrap()),
+            server: Some("d-1".try_into().unwrap()),
+            since: Some(Stamp(7)),
+            until: Some(Stamp(9)),
+            limit: 3,
+        };
+        assert_eq!(EventFilter::try_from(filter.to_string().as_str()), Ok(filter));
+        assert_eq!(EventFilter::try_from(""), Ok(EventFilter::default()));
+        assert_eq!(EventFilter::try_from("x=1"), Err(FilterError::Unknown("x".into())));
+        assert_eq!(EventFilter::try_from("since=now"), Err(FilterError::Number("now".into())));
+    }
+}
