--- /dev/null
+++ b/crates/magnoliaspar-query/src/statement.rs
@@ -0,0 +1,39 @@
+use std::fmt;
+
+use magnoliaspar_settings::OperatorRights;
+
+use crate::grammar::parse_statement;
+use crate::{Command, Query, SyntaxError};
+
+/// What an operator asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Statement {
+    /// A question, which changes nothing.
+    Query(Query),
+    /// A change.
+    Command(Command),
+}
+
+impl Statement {
+    /// Parses a statement, or returns where and why its text is wrong.
+    pub fn parse(text: &str) -> Result<Self, SyntaxError> {
+        parse_statement(text)
+    }
+
+    /// Returns the rights that an operator needs for the statement.
+    pub fn required_rights(&self) -> OperatorRights {
+        match self {
+            Self::Query(_) => OperatorRights::Read,
+            Self::Command(_) => OperatorRights::Command,
+        }
+    }
+}
+
+impl fmt::Display for Statement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Query(query) => write!(f, "{query}"),
+            Self::Command(command) => write!(f, "{command}"),
+        }
+    }
+}
