Add the command line: check, diff, apply, query, timeline and status

Cause: operators keep declarations in version control, put them in force from a terminal or a pipeline, and ask what is running and why.

Change: the binary `magnoliaspar`; exit codes 0, 2 for wrong files, statements and arguments, and 1 otherwise. `apply` is conditional on the version that it read, settles a lost answer by reading back, waits until all instances that answer have the version and names the others. Keys come from a file or a variable, never from an argument. docs/operators/commands.md has the HTTP interface. Routes with other findings now have their pools checked as well, so that all findings of a file come together.

`serve` is not there yet.

--- /dev/null
+++ b/crates/magnoliaspar-cli/src/args.rs
@@ -0,0 +1,175 @@
+use std::time::Duration;
+
+use gumdrop::Options;
+use magnoliaspar_json::parse_duration;
+
+/// Routes requests to separate pools of prefill and decode engines.
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "print the version of the program", no_short)]
+    pub(crate) version: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "check declarations and settings, and report all findings")]
+    Check(CheckArgs),
+    #[options(help = "show what declarations would change")]
+    Diff(DiffArgs),
+    #[options(help = "put declarations in force and wait until they are")]
+    Apply(ApplyArgs),
+    #[options(help = "ask a query or give a command")]
+    Query(QueryArgs),
+    #[options(help = "show the events of all instances in one order")]
+    Timeline(TimelineArgs),
+    #[options(help = "show the state of an instance")]
+    Status(StatusArgs),
+}
+
+/// Checks declarations as a whole and settings one by one, and reports all findings together.
+#[derive(Debug, Options)]
+pub(crate) struct CheckArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "a settings file to check too", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) settings: Vec<Box<str>>,
+    #[options(help = "print findings as JSON", no_short)]
+    pub(crate) json: bool,
+    #[options(free, help = "the declaration files", parse(from_str))]
+    pub(crate) files: Vec<Box<str>>,
+}
+
+/// Shows what declarations would add (+), remove (-) and change (~).
+#[derive(Debug, Options)]
+pub(crate) struct DiffArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        help = "compare with this file instead of an instance",
+        meta = "FILE",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) against: Vec<Box<str>>,
+    #[options(
+        help = "the operators' address of an instance",
+        meta = "ADDRESS",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) operators: Option<Box<str>>,
+    #[options(help = "the file with the operator's key", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) key_file: Option<Box<str>>,
+    #[options(help = "print the change as JSON", no_short)]
+    pub(crate) json: bool,
+    #[options(free, help = "the declaration files", parse(from_str))]
+    pub(crate) files: Vec<Box<str>>,
+}
+
+/// Puts declarations in force and waits until they are.
+#[derive(Debug, Options)]
+pub(crate) struct ApplyArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        help = "the operators' address of an instance",
+        meta = "ADDRESS",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) operators: Option<Box<str>>,
+    #[options(help = "the file with the operator's key", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) key_file: Option<Box<str>>,
+    #[options(help = "apply only if this version is in force", meta = "VERSION", no_short)]
+    pub(crate) if_version: Option<u64>,
+    #[options(
+        help = "how long to wait until the declarations are in force everywhere (default 60s)",
+        meta = "DURATION",
+        no_short,
+        parse(try_from_str = "parse_duration")
+    )]
+    pub(crate) wait: Option<Duration>,
+    #[options(help = "print the result as JSON", no_short)]
+    pub(crate) json: bool,
+    #[options(free, help = "the declaration files", parse(from_str))]
+    pub(crate) files: Vec<Box<str>>,
+}
+
+/// Asks a query or gives a command.
+#[derive(Debug, Options)]
+pub(crate) struct QueryArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        help = "the operators' address of an instance",
+        meta = "ADDRESS",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) operators: Option<Box<str>>,
+    #[options(help = "the file with the operator's key", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) key_file: Option<Box<str>>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
+    #[options(free, help = "the statement", parse(from_str))]
+    pub(crate) text: Vec<Box<str>>,
+}
+
+/// Shows the events of all instances in one order.
+#[derive(Debug, Options)]
+pub(crate) struct TimelineArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        help = "the operators' address of an instance",
+        meta = "ADDRESS",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) operators: Option<Box<str>>,
+    #[options(help = "the file with the operator's key", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) key_file: Option<Box<str>>,
+    #[options(help = "only events of this request", meta = "REQUEST", no_short, parse(from_str))]
+    pub(crate) request: Option<Box<str>>,
+    #[options(
+        help = "only events with this backend server",
+        meta = "SERVER",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) server: Option<Box<str>>,
+    #[options(
+        help = "only events of the last such time, such as 5m",
+        meta = "DURATION",
+        no_short,
+        parse(try_from_str = "parse_duration")
+    )]
+    pub(crate) since: Option<Duration>,
+    #[options(help = "the most events of each instance", meta = "COUNT", no_short)]
+    pub(crate) limit: Option<usize>,
+    #[options(help = "print the time line as JSON", no_short)]
+    pub(crate) json: bool,
+}
+
+/// Shows the state of an instance.
+#[derive(Debug, Options)]
+pub(crate) struct StatusArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        help = "the operators' address of an instance",
+        meta = "ADDRESS",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) operators: Option<Box<str>>,
+    #[options(help = "the file with the operator's key", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) key_file: Option<Box<str>>,
+    #[options(help = "print the state as JSON", no_short)]
+    pub(crate) json: bool,
+}
--- /dev/null
+++ b/crates/magnoliaspar-cli/src/check.rs
@@ -0,0 +1,63 @@
+use std::io::Write;
+
+use magnoliaspar_core::Findings;
+use magnoliaspar_declaration::{Checked, DeclarationFiles};
+use magnoliaspar_settings::Settings;
+use serde_json::json;
+
+use crate::args::CheckArgs;
+use crate::failure::Failure;
+
+/// Checks files and reports all findings together.
+pub(crate) fn check(args: &CheckArgs, out: &mut dyn Write) -> Result<(), Failure> {
+    if args.files.is_empty() && args.settings.is_empty() {
+        return Err(Failure::Usage("a file to check is missing".into()));
+    }
+    let findings = all_findings(args)?;
+    if args.json {
+        writeln!(out, "{}", json!({ "findings": findings }))?;
+    }
+    if !findings.is_empty() {
+        return Err(findings.into());
+    }
+    if !args.json {
+        writeln!(out, "no findings")?;
+    }
+    Ok(())
+}
+
+/// Reads declaration files and checks them as a whole.
+pub(crate) fn read_declarations(files: &[Box<str>]) -> Result<Checked, Failure> {
+    if files.is_empty() {
+        return Err(Failure::Usage("a declaration file is missing".into()));
+    }
+    Ok(open_declarations(files)?.check()?)
+}
+
+fn all_findings(args: &CheckArgs) -> Result<Findings, Failure> {
+    let mut findings = Findings::new();
+    for file in &args.settings {
+        if let Err(found) = Settings::read(&read(file)?, file) {
+            findings.append(found);
+        }
+    }
+    if let Err(found) = open_declarations(&args.files)?.check() {
+        findings.append(found);
+    }
+    Ok(findings)
+}
+
+fn open_declarations(files: &[Box<str>]) -> Result<DeclarationFiles, Failure> {
+    let mut opened = DeclarationFiles::new();
+    for file in files {
+        opened.add(&read(file)?, file);
+    }
+    Ok(opened)
+}
+
+fn read(file: &str) -> Result<String, Failure> {
+    match std::fs::read_to_string(file) {
+        Ok(text) => Ok(text),
+        Err(cause) => Err(Failure::File { file: file.into(), cause }),
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-cli/tests/command_line/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the command line as a whole.
+
+mod common;
+mod files;
+mod operators;
--- a/crates/magnoliaspar-declaration/src/check.rs
+++ b/crates/magnoliaspar-declaration/src/check.rs
@@ -1,11 +1,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use magnoliaspar_core::{Finding, Findings, PoolName};
-use magnoliaspar_json::{closest, element_path};
+use magnoliaspar_core::{Finding, Findings};
+use magnoliaspar_json::element_path;
 
 use crate::read::{field_path, read_entities};
-use crate::{Declarations, Document, EntityId, EntityKind, PoolKind, RouteTarget};
+use crate::{Declarations, Document, EntityId, EntityKind, RouteTarget};
 
 impl TryFrom<&Document> for Declarations {
     type Error = Findings;
@@ -15,63 +15,12 @@
         let findings = RefCell::new(Findings::new());
         let declarations = read_entities(document, &findings);
         let mut findings = findings.into_inner();
-        check_pools(document, &declarations, &mut findings);
         check_prefixes(&declarations, &mut findings);
         check_keys(&declarations, &mut findings);
         findings.into_result(declarations)
     }
 }
 
-/// Checks that routes name pools that exist and are of the right kind.
-fn check_pools(document: &Document, declarations: &Declarations, findings: &mut Findings) {
-    for (name, route) in &declarations.routes {
-        let id = EntityId::new(EntityKind::Route, name.as_str());
-        match &route.target {
-            RouteTarget::Completion(target) => {
-                let uses = [
-                    ("prefill_pool", &target.prefill_pool, PoolKind::Prefill),
-                    ("decode_pool", &target.decode_pool, PoolKind::Decode),
-                ];
-                for (field, pool, kind) in uses {
-                    let path = field_path(&id, &["completion", field]);
-                    findings.extend(check_pool(document, declarations, path, pool, kind));
-                }
-            }
-            RouteTarget::Service(target) => {
-                let path = field_path(&id, &["service", "pool"]);
-                let kind = PoolKind::Service;
-                findings.extend(check_pool(document, declarations, path, &target.pool, kind));
-            }
-        }
-    }
-}
-
-fn check_pool(
-    document: &Document,
-    declarations: &Declarations,
-    path: Box<str>,
-    name: &PoolName,
-    kind: PoolKind,
-) -> Option<Finding> {
-    if let Some(pool) = declarations.pools.get(name) {
-        if pool.kind == kind {
-            return None;
-        }
-        let message = format!("the pool \"{name}\" is of kind {}, not {kind}", pool.kind);
-        return Some(Finding::at(path, message));
-    }
-    if document.entities.contains_key(&EntityId::new(EntityKind::Pool, name.as_str())) {
-        // The pool is declared and has findings of its own.
-        return None;
-    }
-    let finding = Finding::at(path, format!("the pool \"{name}\" is not declared"));
-    let names = declarations.pools.keys().map(PoolName::as_str);
-    match closest(name.as_str(), names) {
-        Some(meant) => Some(finding.with_hint(format!("did you mean {meant:?}?"))),
-        None => Some(finding),
-    }
-}
-
 /// Checks that no two services have the same path prefix.
 fn check_prefixes(declarations: &Declarations, findings: &mut Findings) {
     let mut owners = BTreeMap::new();
@@ -190,8 +139,9 @@
             ("pools/p", json!({"kind": "prefill"})),
             ("pools/d", json!({"kind": "decode"})),
             ("routes/r", route),
-            ("routes/s", json!({"service": {"prefix": "/v1/x", "pool": "p", "repeat": "lookup"}})),
-            ("routes/t", json!({"service": {"prefix": "/x/", "pool": "p", "repeat": "lookup"}})),
+            ("pools/s", json!({"kind": "service"})),
+            ("routes/s", json!({"service": {"prefix": "/v1/x", "pool": "s", "repeat": "lookup"}})),
+            ("routes/t", json!({"service": {"prefix": "/x/", "pool": "s", "repeat": "lookup"}})),
         ]);
         let expected = "\
 $.routes.r.limits: \"progress\" is longer than \"duration\"
--- a/crates/magnoliaspar-declaration/src/read.rs
+++ b/crates/magnoliaspar-declaration/src/read.rs
@@ -1,9 +1,10 @@
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use magnoliaspar_core::{Finding, Findings};
-use magnoliaspar_json::{Cursor, ROOT, child_path};
+use magnoliaspar_core::{Finding, Findings, PoolName};
+use magnoliaspar_json::{Cursor, ROOT, child_path, closest};
 
 use crate::{
     CompletionRoute, Declarations, Document, EntityId, EntityKind, KeyDigest, Pool, PoolKind,
@@ -73,6 +74,7 @@
 /// Reads each declared thing by itself; things with findings are left out.
 pub(crate) fn read_entities(document: &Document, findings: &RefCell<Findings>) -> Declarations {
     let mut declarations = Declarations::default();
+    // Pools stand before routes in the order of identifiers.
     for (id, value) in &document.entities {
         let Some(kind) = id.kind() else {
             let message = format!("{:?} is not a pool, route or workspace", id.0);
@@ -82,7 +84,10 @@
         let cursor = Cursor::new(value, id.path(), findings);
         match kind {
             EntityKind::Pool => insert(&mut declarations.pools, id, &cursor, read_pool),
-            EntityKind::Route => insert(&mut declarations.routes, id, &cursor, read_route),
+            EntityKind::Route => {
+                let pools = Pools { document, checked: &declarations.pools };
+                insert(&mut declarations.routes, id, &cursor, |cursor| read_route(cursor, &pools));
+            }
             EntityKind::Workspace => {
                 insert(&mut declarations.workspaces, id, &cursor, read_workspace);
             }
@@ -91,8 +96,40 @@
     declarations
 }
 
+/// The pools that routes may name.
+struct Pools<'a> {
+    /// All declared things.
+    document: &'a Document,
+    /// The pools that have no findings.
+    checked: &'a BTreeMap<PoolName, Pool>,
+}
+
+impl Pools<'_> {
+    /// Reads the name of a declared pool of kind `kind`.
+    fn read(&self, cursor: &Cursor, kind: PoolKind) -> Option<PoolName> {
+        let name: PoolName = cursor.parsed()?;
+        if let Some(pool) = self.checked.get(&name) {
+            if pool.kind == kind {
+                return Some(name);
+            }
+            cursor.report(format!("the pool \"{name}\" is of kind {}, not {kind}", pool.kind));
+            return None;
+        }
+        if self.document.entities.contains_key(&EntityId::new(EntityKind::Pool, name.as_str())) {
+            // The pool is declared and has findings of its own.
+            return None;
+        }
+        let message = format!("the pool \"{name}\" is not declared");
+        match closest(name.as_str(), self.checked.keys().map(PoolName::as_str)) {
+            Some(meant) => cursor.report_with_hint(message, format!("did you mean {meant:?}?")),
+            None => cursor.report(message),
+        }
+        None
+    }
+}
+
 fn insert<'a, N, T>(
-    map: &mut std::collections::BTreeMap<N, T>,
+    map: &mut BTreeMap<N, T>,
     id: &'a EntityId,
     cursor: &Cursor,
     read: impl Fn(&Cursor) -> Option<T>,
@@ -118,15 +155,17 @@
     Some(Pool { kind: kind?, is_fencing: is_fencing? })
 }
 
-fn read_route(cursor: &Cursor) -> Option<Route> {
+fn read_route(cursor: &Cursor, pools: &Pools) -> Option<Route> {
     let object = cursor.object()?;
     let completion = object.optional("completion");
     let service = object.optional("service");
     let limits = object.with_default("limits", DEFAULT_LIMITS, read_limits);
     object.finish();
     let target = match (completion, service) {
-        (Some(completion), None) => read_completion(&completion).map(RouteTarget::Completion),
-        (None, Some(service)) => read_service(&service).map(RouteTarget::Service),
+        (Some(completion), None) => {
+            read_completion(&completion, pools).map(RouteTarget::Completion)
+        }
+        (None, Some(service)) => read_service(&service, pools).map(RouteTarget::Service),
         (Some(_), Some(_)) => {
             cursor.report("a route leads to a completion or a service, not to both");
             None
@@ -139,15 +178,17 @@
     Some(Route { target: target?, limits: limits? })
 }
 
-fn read_completion(cursor: &Cursor) -> Option<CompletionRoute> {
+fn read_completion(cursor: &Cursor, pools: &Pools) -> Option<CompletionRoute> {
     let object = cursor.object()?;
     let model = object.required("model").and_then(|field| field.parsed());
     let version = object.required("version").and_then(|field| field.filled_text());
     let adapters = object.with_default("adapters", [].into(), |field| {
         field.list(|adapter| Some(adapter.filled_text()?.into()))
     });
-    let prefill_pool = object.required("prefill_pool").and_then(|field| field.parsed());
-    let decode_pool = object.required("decode_pool").and_then(|field| field.parsed());
+    let prefill_pool =
+        object.required("prefill_pool").and_then(|field| pools.read(&field, PoolKind::Prefill));
+    let decode_pool =
+        object.required("decode_pool").and_then(|field| pools.read(&field, PoolKind::Decode));
     let weights = object.with_default("weights", DEFAULT_WEIGHTS, read_weights);
     let wait = object.with_default("wait", WaitRule::RefuseLate, |field| field.one_of(&WAIT_RULES));
     let ttft_target = object.with_default("ttft_target", DEFAULT_TTFT_TARGET, read_duration);
@@ -192,10 +233,10 @@
     Some(RouteWeights { wasted_prefill, goodput })
 }
 
-fn read_service(cursor: &Cursor) -> Option<ServiceRoute> {
+fn read_service(cursor: &Cursor, pools: &Pools) -> Option<ServiceRoute> {
     let object = cursor.object()?;
     let prefix = object.required("prefix").and_then(|field| read_prefix(&field));
-    let pool = object.required("pool").and_then(|field| field.parsed());
+    let pool = object.required("pool").and_then(|field| pools.read(&field, PoolKind::Service));
     let repeat = object.required("repeat").and_then(|field| field.one_of(&REPEAT_RULES));
     object.finish();
     Some(ServiceRoute { prefix: prefix?, pool: pool?, repeat: repeat? })
