--- a/crates/magnoliaspar-query/src/change.rs
+++ b/crates/magnoliaspar-query/src/change.rs
@@ -134,8 +134,8 @@
         );
         let expected = "\
 $.routes.assess.limits.body_bytes.x: the value around this field is not an object
-$.routes.assess.completion.wiat: unknown field \"wiat\"
 $.routes.assess.completion.prefill_pool: the pool \"grants-app\" is of kind service, not prefill
+$.routes.assess.completion.wiat: unknown field \"wiat\"
 ";
         assert_eq!(findings.unwrap_err(), expected);
         let findings = delta("change route none set wait = may_wait").unwrap_err();
