Serve jobs that can meet their target before those that cannot

Cause: at twice capacity deferrable jobs that had missed their target came back by age before fresh ones, and deferrable jobs were started although their first token would be late. The first token also waits for the decode step that runs when a job joins its batch.

Change: three classes in the queue (interactive, deferrable, behind); the lower ones save up a small share of engine time so that none starves. A deferrable job is held to its target until it misses it and is put behind. The first token is expected after two decode steps.

Ruled out: ageing of late jobs by 30 s, which lets them crowd out fresh ones when the overload lasts longer than that.

--- a/crates/magnoliaspar-policy/src/placement.rs
+++ b/crates/magnoliaspar-policy/src/placement.rs
@@ -46,6 +46,11 @@
 /// What a full decode engine costs compared with an empty one, as a delay that would be as bad.
 const LOAD_PRICE: Duration = Duration::from_millis(100);
 
+/// How many steps a decode engine takes at most until the first token of a job that joins its batch.
+///
+/// A job joins between two steps, so it waits for the one that runs.
+pub(crate) const FIRST_TOKEN_STEPS: u32 = 2;
+
 /// How long to wait before looking again when it is not known what would help.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -370,7 +375,7 @@
             return Err(RejectReason::LinkBusy);
         }
         let step = seconds(server.spec.seconds_per_token);
-        let first_token_at = transfer_at + transfer_time + step;
+        let first_token_at = transfer_at + transfer_time + step * FIRST_TOKEN_STEPS;
         if let Some(target_at) = demand.target_at {
             let margin = demand.caution.target_margin(demand.slack);
             if first_token_at + margin > target_at {
--- a/crates/magnoliaspar-policy/src/scheduler/start.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/start.rs
@@ -4,13 +4,13 @@
 use magnoliaspar_core::JobKey;
 
 use super::Scheduler;
+use crate::Action;
 use crate::caution::Caution;
 use crate::explain::{Decision, Explanation, WaitReason};
 use crate::placement::{Apart, Demand, Obstacle, Plan};
 use crate::prefix::Sign;
 use crate::reading::seconds;
 use crate::state::{Charge, JobState, Stage};
-use crate::{Action, Urgency};
 
 /// How much trying in vain one poll may do; most obstacles hold for other jobs, too.
 const MAX_TRYING: u32 = 4;
@@ -128,7 +128,7 @@
             state.charged = Some(Charge { amount, per_token });
             cost += amount;
         }
-        let (workspace, urgency): (_, Urgency) = (state.workspace, state.job.urgency);
-        self.queue.charge(workspace, urgency, cost);
+        let (workspace, class) = (state.workspace, state.class());
+        self.queue.charge(workspace, class, cost);
     }
 }
--- a/crates/magnoliaspar-policy/src/scheduler/waiting.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/waiting.rs
@@ -5,14 +5,12 @@
 use super::{Scheduler, is_passing};
 use crate::caution::Caution;
 use crate::explain::{Decision, Explanation, WaitReason};
+use crate::placement::FIRST_TOKEN_STEPS;
 use crate::queue::Ticket;
 use crate::reading::seconds;
 use crate::state::{JobState, Stage};
 use crate::{Action, Job, RefuseReason, Urgency};
 
-/// How far back a deferrable job is put when it has missed its target.
-const BEHIND: Duration = Duration::from_secs(30);
-
 /// How long a suspect may wait to run alone before it is given up.
 const SUSPECT_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -59,7 +57,7 @@
     pub(super) fn enqueue(&mut self, now: Instant, job: JobKey) {
         let Some(state) = self.jobs.get(job) else { return };
         let (is_suspect, order_at) = (state.job.is_suspect, order_at(state));
-        let ticket = Ticket { workspace: state.workspace, urgency: state.job.urgency, order_at };
+        let ticket = Ticket { workspace: state.workspace, class: state.class(), order_at };
         let timer = self.lapse(now, state).map(|(at, _)| at);
         if is_suspect {
             self.suspects.insert((order_at, job));
@@ -141,10 +139,13 @@
         if !has_servers {
             return Some((state.target_at(), Lapse::Refuse(RefuseReason::NoServer)));
         }
-        if job.urgency == Urgency::Deferrable {
-            return (!state.is_behind).then_some((state.target_at(), Lapse::PutBehind));
+        if state.is_behind {
+            return None;
         }
-        let lapse = Lapse::Refuse(RefuseReason::TargetMissed);
+        let lapse = match job.urgency {
+            Urgency::Interactive => Lapse::Refuse(RefuseReason::TargetMissed),
+            Urgency::Deferrable => Lapse::PutBehind,
+        };
         let service = self.shortest_service(now, job);
         let Some(slack) = job.ttft_target.checked_sub(service) else {
             return Some((job.accepted_at, lapse));
@@ -177,7 +178,7 @@
         let uncached_tokens = job.prompt_tokens.saturating_sub(cached_tokens);
         seconds(f64::from(uncached_tokens) / best.prefill_tokens_per_second)
             + seconds(f64::from(job.prompt_tokens) / best.link_tokens_per_second)
-            + seconds(best.seconds_per_token)
+            + seconds(best.seconds_per_token) * FIRST_TOKEN_STEPS
     }
 
     fn has_servers(&self) -> bool {
@@ -219,6 +220,5 @@
         return state.job.accepted_at;
     }
     let due = state.target_at();
-    let due = state.job.deadline.map_or(due, |deadline| due.min(deadline));
-    if state.is_behind { due + BEHIND } else { due }
+    state.job.deadline.map_or(due, |deadline| due.min(deadline))
 }
--- a/crates/magnoliaspar-policy/src/state.rs
+++ b/crates/magnoliaspar-policy/src/state.rs
@@ -2,7 +2,7 @@
 
 use magnoliaspar_core::{ServerKey, WorkspaceKey};
 
-use crate::queue::Ticket;
+use crate::queue::{Class, Ticket};
 use crate::{Explanation, Job, Urgency};
 
 /// A job that waits or runs.
@@ -69,14 +69,22 @@
         self.job.accepted_at + self.job.ttft_target
     }
 
+    /// Returns the class in which the job waits; a started answer goes first.
+    pub(crate) fn class(&self) -> Class {
+        if self.produced > 0 || self.job.urgency == Urgency::Interactive {
+            return Class::Interactive;
+        }
+        if self.is_behind { Class::Behind } else { Class::Deferrable }
+    }
+
     /// Returns the tokens that a prefill engine has to read.
     pub(crate) fn read_tokens(&self) -> u32 {
         self.job.prompt_tokens.saturating_add(self.produced)
     }
 
-    /// Returns whether the job is given up when its first token comes after the target.
+    /// Returns whether the job starts only while its first token can come before the target.
     pub(crate) fn is_bound_by_target(&self) -> bool {
-        self.produced == 0 && self.job.urgency == Urgency::Interactive && !self.job.is_suspect
+        self.produced == 0 && !self.is_behind && !self.job.is_suspect
     }
 }
 
