--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -10,6 +10,8 @@
 mod service;
 mod shape;
 
+pub use self::service::ServiceLoad;
+
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/caller/service/claimed.rs
@@ -0,0 +1,206 @@
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use magnoliaspar_claim::{
+    ClaimRequest, ClaimTicket, ClaimVerdict, StoredBody, StoredHeader, StoredOutcome, fingerprint,
+};
+use magnoliaspar_core::{AttemptId, IdempotencyKey, Outcome, Refusal, RefusalCode};
+use magnoliaspar_declaration::{Route, ServiceRoute};
+use magnoliaspar_event::EventKind;
+
+use super::forward::{ForwardHead, copy_head, refuse, whole};
+use super::{attempt_timeout, pick};
+use crate::caller::body::read_body;
+use crate::caller::context::CallContext;
+use crate::instance::Instance;
+use crate::service::ServiceError;
+
+/// Marks resends of one request.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Tells that an answer was kept from an earlier attempt.
+const REPLAYED_HEADER: &str = "idempotency-replayed";
+
+/// The largest answer of a claimed call in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Calls a service whose calls must be dispatched at most once.
+///
+/// The claim is written before the call is dispatched. The call runs in a task of its own, so that
+/// a caller who goes away does not keep its outcome from being kept.
+pub async fn call(
+    cx: &mut CallContext,
+    route: &Route,
+    service: &ServiceRoute,
+) -> Result<Response<BoxBody>, Refusal> {
+    let key = read_key(cx)?;
+    cx.body = read_body(&mut cx.payload, route.limits.body_bytes).await?;
+    let request = describe(cx, &key)?;
+    let verdict = cx.instance.claims.claim(&request).await;
+    match verdict {
+        ClaimVerdict::Dispatch(ticket) => {
+            let claimed = EventKind::ClaimWritten { key: key.clone() };
+            cx.instance.journal.record(&cx.request_id, claimed);
+            dispatch(cx, route, service, key, ticket).await
+        }
+        ClaimVerdict::Resend(outcome) => Ok(replay(cx, key, &outcome)),
+        ClaimVerdict::MayHaveRun { is_in_progress, .. } => {
+            let outcome = Outcome::MayHaveRun;
+            cx.instance.journal.record(&cx.request_id, EventKind::ClaimFound { key, outcome });
+            Err(may_have_run(is_in_progress))
+        }
+        ClaimVerdict::Mismatch => {
+            let message = "the idempotency key was used for a different request";
+            Err(Refusal::not_run(RefusalCode::BadRequest, message))
+        }
+        ClaimVerdict::NotRun { reason, retry_after } => {
+            let cause = reason.to_string().into();
+            cx.instance.journal.record(&cx.request_id, EventKind::ClaimFailed { key, cause });
+            let mut refusal = Refusal::not_run(RefusalCode::StoreUnavailable, reason.to_string());
+            refusal.retry_after = retry_after;
+            Err(refusal)
+        }
+    }
+}
+
+async fn dispatch(
+    cx: &mut CallContext,
+    route: &Route,
+    service: &ServiceRoute,
+    key: IdempotencyKey,
+    ticket: ClaimTicket,
+) -> Result<Response<BoxBody>, Refusal> {
+    let planned =
+        attempt_timeout(cx, route).and_then(|timeout| Ok((timeout, pick(cx, service, &[])?)));
+    let (timeout, pick) = match planned {
+        Ok(planned) => planned,
+        Err(refusal) => {
+            cx.instance.claims.abandon(ticket).await;
+            return Err(refusal);
+        }
+    };
+    let attempt = AttemptId(1);
+    let name = pick.server.name.clone();
+    cx.instance.journal.record_on(&cx.request_id, &name, EventKind::Dispatched { attempt });
+    let call =
+        Dispatch { instance: cx.instance.clone(), request_id: cx.request_id.clone(), key, ticket };
+    let body = whole(&cx.body);
+    let head = ForwardHead::of(cx);
+    let task = actix_rt::spawn(async move {
+        let answer = head.send(&call.instance.services, &pick, body, timeout).await;
+        call.settle(answer).await
+    });
+    match task.await {
+        Ok(result) => result,
+        Err(error) => Err(Refusal::may_have_run(RefusalCode::Internal, error.to_string())),
+    }
+}
+
+/// A dispatched call whose outcome is to be kept.
+struct Dispatch {
+    instance: Rc<Instance>,
+    request_id: magnoliaspar_core::RequestId,
+    key: IdempotencyKey,
+    ticket: ClaimTicket,
+}
+
+impl Dispatch {
+    async fn settle(
+        self,
+        answer: Result<awc::ClientResponse, ServiceError>,
+    ) -> Result<Response<BoxBody>, Refusal> {
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error @ ServiceError::NotReached(_)) => {
+                self.instance.claims.abandon(self.ticket).await;
+                return Err(refuse(&error));
+            }
+            Err(error) => return Err(refuse(&error)),
+        };
+        let res = copy_head(&answer);
+        let body = read_answer(answer).await?;
+        let outcome = to_stored(&res, &body);
+        let is_kept = self.instance.claims.complete(self.ticket, outcome).await;
+        let outcome = if is_kept { Outcome::Answered } else { Outcome::MayHaveRun };
+        let settled = EventKind::ClaimSettled { key: self.key, outcome };
+        self.instance.journal.record(&self.request_id, settled);
+        Ok(res.map_body(|_, _| BoxBody::new(body)))
+    }
+}
+
+async fn read_answer(mut answer: awc::ClientResponse) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.next().await {
+        let Ok(chunk) = chunk else {
+            let message = "the server's answer broke off";
+            return Err(Refusal::may_have_run(RefusalCode::ServerFailed, message));
+        };
+        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+            let message = "the server's answer is too large";
+            return Err(Refusal::may_have_run(RefusalCode::TooLarge, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn read_key(cx: &CallContext) -> Result<IdempotencyKey, Refusal> {
+    let Some(text) = cx.head.header(KEY_HEADER) else {
+        let message = "calls of this route need an idempotency-key header";
+        return Err(Refusal::not_run(RefusalCode::MissingIdempotencyKey, message));
+    };
+    IdempotencyKey::try_from(text).map_err(|error| {
+        let message = format!("the idempotency key is not valid: {error}");
+        Refusal::not_run(RefusalCode::BadRequest, message)
+    })
+}
+
+fn describe(cx: &CallContext, key: &IdempotencyKey) -> Result<ClaimRequest, Refusal> {
+    let path = cx.head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(ClaimRequest {
+        workspace: cx.caller_workspace()?.name.clone(),
+        key: key.clone(),
+        fingerprint: fingerprint(cx.head.method.as_str(), path, &cx.body),
+        route: cx.chosen_route()?.name.clone(),
+    })
+}
+
+fn to_stored(res: &Response<BoxBody>, body: &Bytes) -> StoredOutcome {
+    let mut headers = Vec::new();
+    for (name, value) in res.headers() {
+        let Ok(value) = value.to_str() else { continue };
+        headers.push(StoredHeader { name: name.as_str().into(), value: value.into() });
+    }
+    StoredOutcome { status: res.status().as_u16(), headers, body: StoredBody::from(&**body) }
+}
+
+fn replay(cx: &CallContext, key: IdempotencyKey, kept: &StoredOutcome) -> Response<BoxBody> {
+    let outcome = Outcome::Answered;
+    cx.instance.journal.record(&cx.request_id, EventKind::ClaimFound { key, outcome });
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    let body = Bytes::copy_from_slice(kept.body.as_bytes().unwrap_or_default());
+    let mut res = Response::with_body(status, BoxBody::new(body));
+    for header in &kept.headers {
+        let Ok(name) = HeaderName::try_from(&*header.name) else { continue };
+        let Ok(value) = HeaderValue::from_str(&header.value) else { continue };
+        res.headers_mut().append(name, value);
+    }
+    let replayed = HeaderName::from_static(REPLAYED_HEADER);
+    let value = if kept.body.as_bytes().is_some() { "whole" } else { "body-omitted" };
+    res.headers_mut().insert(replayed, HeaderValue::from_static(value));
+    res
+}
+
+fn may_have_run(is_in_progress: bool) -> Refusal {
+    if is_in_progress {
+        let message = "an earlier attempt with this idempotency key is in progress";
+        return Refusal::may_have_run(RefusalCode::InProgress, message)
+            .with_retry_after(std::time::Duration::from_secs(1));
+    }
+    let message = "an earlier attempt with this idempotency key may have run";
+    Refusal::may_have_run(RefusalCode::ServerFailed, message)
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/caller/service/pick.rs
@@ -0,0 +1,86 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use magnoliaspar_core::ServerName;
+
+use crate::directory::KnownServer;
+
+/// Counts calls in progress by server.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceLoad(Rc<RefCell<BTreeMap<ServerName, ServerCalls>>>);
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ServerCalls {
+    running: u32,
+    total: u64,
+}
+
+/// A chosen server, on which a call counts as running until this is dropped.
+#[derive(Debug)]
+pub struct ServicePick {
+    /// The server.
+    pub server: KnownServer,
+    load: ServiceLoad,
+}
+
+impl ServiceLoad {
+    /// Chooses the server with the fewest calls in progress, and of those the one used least.
+    ///
+    /// Servers in `failed` are chosen only if there are no others.
+    pub fn pick(&self, servers: &[KnownServer], failed: &[ServerName]) -> Option<ServicePick> {
+        let mut best: Option<((bool, u32, u64), &KnownServer)> = None;
+        for server in servers {
+            let calls = self.0.borrow().get(&server.name).copied().unwrap_or_default();
+            let rank = (failed.contains(&server.name), calls.running, calls.total);
+            if best.is_none_or(|(best, _)| rank < best) {
+                best = Some((rank, server));
+            }
+        }
+        let (_, server) = best?;
+        let mut counts = self.0.borrow_mut();
+        let calls = counts.entry(server.name.clone()).or_default();
+        calls.running += 1;
+        calls.total += 1;
+        Some(ServicePick { server: server.clone(), load: self.clone() })
+    }
+}
+
+impl Drop for ServicePick {
+    fn drop(&mut self) {
+        let mut counts = self.load.0.borrow_mut();
+        let Some(calls) = counts.get_mut(&self.server.name) else { return };
+        calls.running -= 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use magnoliaspar_core::{PoolName, ServerName};
+    use magnoliaspar_platform::ServerRole;
+
+    use super::ServiceLoad;
+    use crate::directory::KnownServer;
+
+    fn server(name: &str) -> KnownServer {
+        KnownServer {
+            name: ServerName::try_from(name).unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            pool: PoolName::try_from("p").unwrap(),
+            role: ServerRole::Service,
+            is_live: true,
+        }
+    }
+
+    #[test]
+    fn calls_go_to_the_server_with_the_fewest() {
+        let load = ServiceLoad::default();
+        let servers = [server("a"), server("b")];
+        let first = load.pick(&servers, &[]).unwrap();
+        let second = load.pick(&servers, &[]).unwrap();
+        assert_ne!(first.server.name, second.server.name);
+        let failed = [first.server.name.clone()];
+        drop(first);
+        assert_eq!(load.pick(&servers, &failed).unwrap().server.name, second.server.name);
+    }
+}
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -4,11 +4,15 @@
 use std::rc::Rc;
 
 use displaydoc::Display;
+use magnoliaspar_claim::ClaimController;
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::Declarations;
+use magnoliaspar_platform::BudgetedTable;
 use magnoliaspar_settings::Settings;
 
+use crate::caller::ServiceLoad;
 use crate::directory::Directory;
+use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
 use crate::peer::ZoneHomes;
@@ -31,6 +35,14 @@
     pub zone_homes: Rc<ZoneHomes>,
     /// Calls plain services.
     pub services: ServiceCaller,
+    /// Spreads calls over the servers of plain services.
+    pub service_load: ServiceLoad,
+    /// Claims calls that must be dispatched at most once.
+    pub claims: ClaimController,
+    /// The table service, within this instance's share of its rates.
+    pub table: Rc<BudgetedTable>,
+    /// Records events.
+    pub journal: Rc<Journal>,
     /// The backend servers.
     pub directory: Rc<Directory>,
     /// Limits how many requests are in progress.
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod directory;
 mod instance;
+mod journal;
 mod limit;
 mod metrics;
 mod peer;
--- a/crates/magnoliaspar-serve/src/refresh.rs
+++ b/crates/magnoliaspar-serve/src/refresh.rs
@@ -9,8 +9,8 @@
 use magnoliaspar_declaration::{CompletionRoute, Declarations, Document, RouteTarget};
 use magnoliaspar_engine::{EngineConnector, EngineStatus};
 use magnoliaspar_platform::{
-    HttpInstanceList, HttpTableService, HttpTimeouts, InstanceList, ListEntry, ListState,
-    ListedKind, RowKey, ServerRole, TableService,
+    HttpInstanceList, HttpTimeouts, InstanceList, ListEntry, ListState, ListedKind, RowKey,
+    ServerRole, TableService,
 };
 use magnoliaspar_policy::{LoadReport, Role, ServerSpec};
 use serde::Deserialize;
@@ -36,7 +36,6 @@
 pub struct Refresh {
     instance: Rc<Instance>,
     connector: Rc<dyn EngineConnector>,
-    table: Rc<dyn TableService>,
     list: Rc<dyn InstanceList>,
 }
 
@@ -52,9 +51,8 @@
     pub fn new(instance: Rc<Instance>, connector: Rc<dyn EngineConnector>) -> Rc<Self> {
         let platform = &instance.settings.platform;
         let timeouts = HttpTimeouts::default();
-        let table = Rc::new(HttpTableService::new(platform.table, timeouts));
         let list = Rc::new(HttpInstanceList::new(platform.instances, timeouts));
-        Rc::new(Self { instance, connector, table, list })
+        Rc::new(Self { instance, connector, list })
     }
 
     /// Starts the readers.
@@ -74,7 +72,7 @@
     }
 
     async fn read_head(&self) -> Result<(), Box<str>> {
-        let row = self.table.read(&RowKey(HEAD_ROW.into())).await;
+        let row = self.instance.table.read(&RowKey(HEAD_ROW.into())).await;
         let Some(row) = row.map_err(|error| error.to_string())? else { return Ok(()) };
         let head: Head = serde_json::from_value(row.value).map_err(|error| error.to_string())?;
         let declarations =
@@ -127,6 +125,7 @@
             let known = KnownInstance { zone: entry.zone.clone(), peers: entry.address };
             instances.insert(name, known);
         }
+        self.instance.table.set_live_instances(instances.len().max(1) as u32);
         self.instance.zone_homes.set_instances(instances);
     }
 
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -3,22 +3,27 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
 use displaydoc::Display;
 use log::info;
-use magnoliaspar_core::{Clock, SystemClock};
+use magnoliaspar_claim::{ClaimController, ClaimSettings};
+use magnoliaspar_core::{Clock, Incarnation, SystemClock};
 use magnoliaspar_engine::HttpConnector;
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
+use magnoliaspar_platform::{
+    Backoff, BudgetedTable, HttpTableService, HttpTimeouts, InstanceBudget, TimerSleep,
+};
 use magnoliaspar_settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::caller;
+use crate::caller::{self, ServiceLoad};
 use crate::directory::Directory;
 use crate::instance::{ConfigurationInForce, Instance, Readiness};
+use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, PeerError, PeerServer, ZoneHomes};
@@ -91,6 +96,9 @@
         attempts: Rc::new(AttemptIds::default()),
         owner: settings.instance.as_str().into(),
     };
+    let journal = Journal::new(clock.clone(), settings.instance.clone());
+    let table = open_table(&settings, clock.clone());
+    let claims = open_claims(&settings, clock.clone(), table.clone());
     let shards = ShardMap::new(directory.clone());
     let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
     let clients = PeerClients::new(clock.clone(), settings.peer_keys.current.clone());
@@ -108,6 +116,10 @@
         home,
         zone_homes,
         services: ServiceCaller::new(),
+        service_load: ServiceLoad::default(),
+        claims,
+        table,
+        journal,
         directory,
         concurrency: ConcurrencyLimits::default(),
         metrics: Rc::new(Metrics::new()),
@@ -116,6 +128,34 @@
     })
 }
 
+fn open_table(settings: &Settings, clock: Rc<dyn Clock>) -> Rc<BudgetedTable> {
+    let table = HttpTableService::new(settings.platform.table, HttpTimeouts::default());
+    Rc::new(BudgetedTable::new(Rc::new(table), clock, InstanceBudget::default()))
+}
+
+fn open_claims(
+    settings: &Settings,
+    clock: Rc<dyn Clock>,
+    table: Rc<BudgetedTable>,
+) -> ClaimController {
+    ClaimController::new(ClaimSettings {
+        table,
+        incarnation: incarnation_at(&*clock),
+        clock,
+        backoff: Backoff::new(Rc::new(TimerSleep)),
+        instance: settings.instance.clone(),
+        nonce: rand::random(),
+        linger: ClaimSettings::LINGER,
+        retention: ClaimSettings::RETENTION,
+    })
+}
+
+/// Returns the life of an instance that starts now: the wall-clock time in milliseconds.
+fn incarnation_at(clock: &dyn Clock) -> Incarnation {
+    let since_epoch = clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Incarnation(since_epoch.as_millis() as u64)
+}
+
 /// A running instance.
 pub struct InstanceHandle {
     instance: Rc<Instance>,
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -9,6 +9,7 @@
 use awc::{Client, ClientResponse, Connector};
 use displaydoc::Display;
 use futures_util::TryStreamExt;
+use magnoliaspar_core::RequestId;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -19,6 +20,9 @@
 /// How long a pooled connection may be idle.
 const CONNECTION_MAX_IDLE: Duration = Duration::from_secs(5);
 
+/// Names a request towards the service.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// Headers that concern one connection only and are not passed on.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -45,6 +49,8 @@
     pub path: &'a str,
     /// The headers of the caller.
     pub headers: &'a HeaderMap,
+    /// The identifier of the request.
+    pub request_id: &'a RequestId,
     /// The body.
     pub body: Payload,
 }
@@ -75,6 +81,7 @@
                 req = req.insert_header((name.clone(), value.clone()));
             }
         }
+        req = req.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(res)) => Ok(res),
