--- /dev/null
+++ b/crates/magnoliaspar-serve/src/run/mod.rs
@@ -0,0 +1,22 @@
+//! Running completions: from an accepted request to a complete answer or a refusal.
+
+mod attempt;
+mod completion;
+mod dispatcher;
+mod driver;
+mod home;
+mod link;
+mod reader;
+mod registry;
+mod running;
+mod shard;
+
+pub use self::attempt::AttemptIds;
+pub use self::completion::{Completed, CompletionRequest, Placement, ScopedId};
+pub use self::dispatcher::{Dispatcher, EngineHandle};
+pub use self::driver::Driver;
+pub use self::home::{LocalHome, LocalHomeHandle};
+pub use self::link::{Home, LinkBroken, LocalLink, OpenError, RunLink};
+pub use self::reader::{HomeChooser, Homes, Reader};
+pub use self::running::{RunResult, RunUpdate};
+pub use self::shard::{Shard, ShardMap};
