Learn from refused admissions and from the memory that engines set aside

Cause: a decode engine that refused a job was asked again at once, since taking the refused job off the books cleared the mark; jobs used up their retries that way. Engines that set memory aside for the longest answer are fuller than the expected length shows. Servers that have gone silent got new work until they were reported as lost.

Change: the refusal is booked after the job is released; the pieces that an engine sets aside for each job beyond the expected ones are learned from its reports; a prefill engine that is overdue or a decode engine with a stalled transfer gets no new work for up to 5 s.

--- a/crates/magnoliaspar-policy/src/decoding.rs
+++ b/crates/magnoliaspar-policy/src/decoding.rs
@@ -12,6 +12,12 @@
 /// How long an engine that refused a job counts as full without a newer sign of its load.
 const REFUSAL_LASTS: Duration = Duration::from_millis(500);
 
+/// How much one report changes what is believed of the memory that an engine sets aside.
+const EXTRA_GAIN: f64 = 0.3;
+
+/// How many jobs a report must cover to say something about the memory that each takes.
+const MIN_REPORTED: u32 = 4;
+
 /// What a decode engine has been granted: slots that are in use and slots that are reserved.
 #[derive(Debug, Default)]
 pub(crate) struct DecodingBook {
@@ -22,6 +28,8 @@
     reserved: Usage,
     foreign: Usage,
     refused_at: Option<Instant>,
+    /// The pieces that the engine sets aside for each job beyond what the job is expected to need.
+    extra: f64,
     slots_in_time: History,
     pieces_in_time: History,
 }
@@ -108,6 +116,11 @@
         }
         self.foreign.slots = (report.running + report.waiting).saturating_sub(slots);
         self.foreign.pieces = report.used_pieces.saturating_sub(pieces);
+        if self.foreign.slots == 0 && slots >= MIN_REPORTED {
+            let error = f64::from(report.used_pieces) - f64::from(pieces);
+            let extra = self.extra + EXTRA_GAIN * error / f64::from(slots);
+            self.extra = extra.clamp(0.0, f64::from(pieces) / f64::from(slots));
+        }
         if self.refused_at.is_some_and(|refused_at| refused_at < at) {
             self.refused_at = None;
         }
@@ -174,6 +187,12 @@
         self.refused_at.is_some_and(|refused_at| now < refused_at + REFUSAL_LASTS)
     }
 
+    /// Returns how many pieces the engine sets aside for each job beyond what it is expected to
+    /// need; engines differ in how they provide for the rest of an answer.
+    pub(crate) fn extra_pieces(&self) -> u32 {
+        self.extra.round() as u32
+    }
+
     /// Returns what the running jobs use.
     pub(crate) fn running(&self) -> Usage {
         self.running
@@ -296,6 +315,24 @@
         assert_eq!(book.available_at(now, &spec, 1), Some(now));
     }
 
+    #[test]
+    fn memory_that_an_engine_sets_aside_is_learned() {
+        let keys = jobs(5);
+        let now = Instant::now();
+        let mut book = DecodingBook::default();
+        let mut at = now;
+        for _ in 0..20 {
+            let pieces = 10 + book.extra_pieces();
+            for key in &keys {
+                book.run(at, *key, pieces, at + 9 * SECOND);
+            }
+            // The engine sets 14 pieces aside for each job.
+            book.report(&report(at, 5, 70));
+            at += SECOND;
+        }
+        assert_eq!(book.extra_pieces(), 4);
+    }
+
     #[test]
     fn a_refusal_counts_until_something_newer_is_known() {
         let spec = decode_spec("d");
--- a/crates/magnoliaspar-policy/src/explain.rs
+++ b/crates/magnoliaspar-policy/src/explain.rs
@@ -101,6 +101,8 @@
     Sealed,
     /// the server has just failed
     JustFailed,
+    /// the server is long overdue with other work
+    Silent,
     /// the server failed this job
     FailedThisJob,
     /// the server is set apart for suspects
--- a/crates/magnoliaspar-policy/src/link.rs
+++ b/crates/magnoliaspar-policy/src/link.rs
@@ -5,6 +5,12 @@
 /// How long past its expected end a transfer still counts as using the link.
 const STALL_GRACE: Duration = Duration::from_millis(250);
 
+/// How long past its expected end a transfer shows that one of its servers may be gone.
+const SILENT_AFTER: Duration = Duration::from_millis(100);
+
+/// How long a stalled transfer counts against its servers.
+const SILENT_LASTS: Duration = Duration::from_secs(5);
+
 /// The transfers on one server's link, planned and running, one after the other.
 ///
 /// Transfers that share a link all end late, so each gets the whole rate in its own window.
@@ -63,6 +69,17 @@
         until
     }
 
+    /// Returns whether a transfer is so late that a server at one of its ends may be gone.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        for window in &self.windows {
+            let late = now.saturating_duration_since(window.end);
+            if window.is_running && late > SILENT_AFTER && late < SILENT_LASTS {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns how many transfers are planned or run.
     pub(crate) fn len(&self) -> usize {
         self.windows.len()
@@ -136,6 +153,8 @@
         let mut link = Link::default();
         link.run(a, now, STEP);
         assert_eq!(link.busy_until(now), Some(now + STEP));
+        assert!(!link.is_silent(now + STEP));
+        assert!(link.is_silent(now + STEP + STALL_GRACE));
         assert_eq!(link.busy_until(now + STEP + STALL_GRACE), None);
         assert_eq!(link.len(), 1);
     }
--- a/crates/magnoliaspar-policy/src/placement.rs
+++ b/crates/magnoliaspar-policy/src/placement.rs
@@ -173,10 +173,11 @@
         let mut best: Option<(Duration, ServerKey)> = None;
         for key in self.pool.roomy().iter().take(4 * NEAR_CANDIDATES) {
             let Some(server) = self.pool.get(*key) else { continue };
-            if server.is_cooling(now) || demand.avoid == Some(*key) {
+            let is_avoided = demand.avoid == Some(*key);
+            if is_avoided || server.is_cooling(now) || server.link.is_silent(now) {
                 continue;
             }
-            let pieces = server.pieces(demand.memory_tokens);
+            let pieces = server.answer_pieces(demand.memory_tokens);
             if !server.decoding.has_room(now, &server.spec, pieces) {
                 continue;
             }
@@ -264,6 +265,9 @@
         if server.is_cooling(now) {
             return Some(RejectReason::JustFailed);
         }
+        if server.reading.is_silent(now) {
+            return Some(RejectReason::Silent);
+        }
         if demand.avoid == Some(key) && self.pool.best().prefill_servers > 1 {
             return Some(RejectReason::FailedThisJob);
         }
@@ -359,6 +363,9 @@
         if server.is_cooling(now) {
             return Err(RejectReason::JustFailed);
         }
+        if server.link.is_silent(now) {
+            return Err(RejectReason::Silent);
+        }
         if demand.avoid == Some(key) && self.pool.best().decode_servers > 1 {
             return Err(RejectReason::FailedThisJob);
         }
@@ -399,7 +406,7 @@
         ready_at: Instant,
         last_start: Instant,
     ) -> Option<Instant> {
-        let pieces = server.pieces(demand.memory_tokens);
+        let pieces = server.answer_pieces(demand.memory_tokens);
         let known = server.decoding.available_at(now, &server.spec, pieces);
         if let Some(at) = known.filter(|at| *at <= last_start) {
             return Some(at);
--- a/crates/magnoliaspar-policy/src/pool.rs
+++ b/crates/magnoliaspar-policy/src/pool.rs
@@ -283,6 +283,12 @@
         tokens.div_ceil(self.spec.piece_tokens.max(1))
     }
 
+    /// Returns how many pieces a decode engine is expected to set aside for an answer whose context
+    /// grows to `tokens`.
+    pub(crate) fn answer_pieces(&self, tokens: u32) -> u32 {
+        self.pieces(tokens) + self.decoding.extra_pieces()
+    }
+
     /// Returns how long the engine reads `tokens` that are not cached.
     pub(crate) fn read_time(&self, tokens: u32) -> Duration {
         let reading = seconds(f64::from(tokens) / self.spec.prefill_tokens_per_second);
--- a/crates/magnoliaspar-policy/src/reading.rs
+++ b/crates/magnoliaspar-policy/src/reading.rs
@@ -9,6 +9,12 @@
 /// How much longer a prefill that is overdue is expected to take.
 const OVERDUE_STEP: Duration = Duration::from_millis(20);
 
+/// How long an engine may be overdue before it counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(150);
+
+/// How long a silent engine gets no new work; then it is tried again.
+const SILENT_LASTS: Duration = Duration::from_secs(5);
+
 /// How much one prefill changes what is believed of the overhead.
 const OVERHEAD_GAIN: f64 = 0.1;
 
@@ -125,6 +131,12 @@
         self.free_at.max(now)
     }
 
+    /// Returns whether the engine is so late with what it was granted that it may be gone.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let late = now.saturating_duration_since(self.free_at);
+        self.reading > 0 && late > SILENT_AFTER && late < SILENT_LASTS
+    }
+
     /// Returns the time by which the engine is ranked among others; it does not depend on `now`.
     pub(crate) fn rank(&self) -> Instant {
         self.free_at
--- a/crates/magnoliaspar-policy/src/scheduler/apart.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/apart.rs
@@ -48,7 +48,7 @@
         if server.is_cooling(now) || isolation.is_decode_alone && others > 0 {
             return None;
         }
-        let pieces = server.pieces(self.memory_tokens(&self.jobs[job]));
+        let pieces = server.answer_pieces(self.memory_tokens(&self.jobs[job]));
         if !server.decoding.has_room(now, &server.spec, pieces) {
             return None;
         }
--- a/crates/magnoliaspar-policy/src/scheduler/failure.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/failure.rs
@@ -27,12 +27,13 @@
     ) {
         let Some(state) = self.jobs.get(job) else { return };
         // A failure that is told twice finds the job waiting.
-        if !state.stage.is_on_engine() {
+        let stage = state.stage;
+        if !stage.is_on_engine() {
             return;
         }
-        self.blame(now, job, failed);
         let holder = self.holder(now, job, failed, kv_held_until);
         self.release(now, job);
+        self.blame(now, job, failed, stage);
         if !self.may_retry(job, failed, holder.is_some()) {
             self.give_up(now, job);
             return;
@@ -62,9 +63,9 @@
     }
 
     /// Books what a failure shows about its server.
-    fn blame(&mut self, now: Instant, job: JobKey, failed: FailedStage) {
+    fn blame(&mut self, now: Instant, job: JobKey, failed: FailedStage, stage: Stage) {
         let state = &mut self.jobs[job];
-        let (prefill, decode) = (state.stage.prefill(), state.stage.decode());
+        let (prefill, decode) = (stage.prefill(), stage.decode());
         state.avoid = match failed {
             FailedStage::Prefill => prefill,
             FailedStage::Transfer | FailedStage::Decode => decode,
@@ -158,7 +159,7 @@
                 if server.decoding.reserved().slots >= server.spec.slots {
                     continue;
                 }
-                let pieces = server.pieces(memory_tokens);
+                let pieces = server.answer_pieces(memory_tokens);
                 let Some(at) = server.decoding.available_at(now, &server.spec, pieces) else {
                     continue;
                 };
@@ -169,7 +170,7 @@
         }
         let (_, key) = best?;
         self.pool.update(key, |server| {
-            server.decoding.reserve(now, job, server.pieces(memory_tokens));
+            server.decoding.reserve(now, job, server.answer_pieces(memory_tokens));
         });
         Some(key)
     }
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -154,7 +154,7 @@
         let Some(server) = self.pool.get(decode) else { return };
         let left = self.total_output(state).saturating_sub(state.produced);
         let ends_at = now + crate::reading::seconds(server.spec.seconds_per_token) * left;
-        let pieces = server.pieces(self.memory_tokens(state));
+        let pieces = server.answer_pieces(self.memory_tokens(state));
         let produced = state.produced;
         self.pool.update(decode, |server| server.decoding.update(job, pieces, ends_at));
         self.jobs[job].booked_at = produced;
--- a/crates/magnoliaspar-policy/src/scheduler/start.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/start.rs
@@ -99,7 +99,7 @@
             server.link.plan(job, transfer_at, inputs.transfer_time);
         });
         self.pool.update(decode, |server| {
-            server.decoding.reserve(now, job, server.pieces(memory_tokens));
+            server.decoding.reserve(now, job, server.answer_pieces(memory_tokens));
             server.link.plan(job, transfer_at, inputs.transfer_time);
         });
         self.prefixes.note(now, prefill, &self.jobs[job].job.blocks, Sign::Grant);
--- a/crates/magnoliaspar-policy/src/scheduler/transfer.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/transfer.rs
@@ -74,9 +74,10 @@
     ) -> bool {
         let Some(server) = self.pool.get(decode) else { return false };
         let transfer_time = self.placement().transfer_time(from, server, demand.tokens);
-        let pieces = server.pieces(demand.memory_tokens);
+        let pieces = server.answer_pieces(demand.memory_tokens);
         !server.is_sealed
             && !server.is_cooling(now)
+            && !server.link.is_silent(now)
             && server.link.busy_until(now).is_none()
             && server.decoding.has_room(now, &server.spec, pieces)
             && now + transfer_time <= held_until
@@ -91,7 +92,7 @@
         let length = self.placement().transfer_time(from, to, state.read_tokens());
         let left = self.total_output(state).saturating_sub(state.produced);
         let ends_at = now + length + seconds(to.spec.seconds_per_token) * left;
-        let pieces = to.pieces(self.memory_tokens(state));
+        let pieces = to.answer_pieces(self.memory_tokens(state));
         self.held.remove(&(held_until, job));
         self.set_timer(job, None);
         self.releases.pass(now, self.pool.totals().running);
@@ -137,7 +138,7 @@
                 server.link.free(job);
             });
             self.pool.update(to, |server| {
-                server.decoding.reserve(now, job, server.pieces(memory_tokens));
+                server.decoding.reserve(now, job, server.answer_pieces(memory_tokens));
             });
             self.jobs[job].stage = Stage::Prefilling { prefill, decode: Some(to) };
             return;
