--- a/crates/magnoliaspar-bench/src/baseline/mod.rs
+++ b/crates/magnoliaspar-bench/src/baseline/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{BlockHash, JobKey, ServerKey};
+use magnoliaspar_core::{BLOCK_TOKENS, BlockHash, JobKey, ServerKey};
 use magnoliaspar_policy::{
     Action, FailedStage, Job, LoadReport, Policy, RefuseReason, Role, ServerSpec, Urgency,
 };
@@ -40,17 +40,34 @@
     blocks: BTreeSet<BlockHash>,
     /// The jobs that were given to the server and have not left it.
     jobs: u32,
-    /// The prompt tokens of these jobs.
-    tokens: u64,
+    /// The tokens of these jobs that are still to be read, as far as the cache events tell.
+    unread_tokens: u64,
+    /// When jobs were given to the server that its last report does not count.
+    granted_at: VecDeque<Instant>,
     /// When the server was last chosen, in turns.
     turn: u64,
 }
 
+impl Known {
+    /// Returns the tokens of a prompt that the server does not have, as far as its events tell.
+    fn uncached_tokens(&self, job: &Job) -> u64 {
+        let mut cached = 0;
+        for block in &job.blocks {
+            if !self.blocks.contains(block) {
+                break;
+            }
+            cached += BLOCK_TOKENS;
+        }
+        u64::from(job.prompt_tokens.saturating_sub(cached))
+    }
+}
+
 #[derive(Debug)]
 struct JobState {
     job: Job,
     prefill: Option<ServerKey>,
     decode: Option<ServerKey>,
+    unread_tokens: u64,
     has_tokens: bool,
     failures: u32,
     held_until: Option<Instant>,
@@ -60,6 +77,9 @@
 /// How many jobs may wait.
 const MAX_QUEUE: usize = 256;
 
+/// The share of the target for the first token that a job may spend in the queue.
+const QUEUE_SHARE: f64 = 0.2;
+
 /// How often a job is tried again before it is refused.
 const MAX_FAILURES: u32 = 5;
 
@@ -82,13 +102,15 @@
     }
 
     /// Returns the server with the least cost among those that may take a job.
-    fn pick(&mut self, role: Role, job: &Job) -> Option<ServerKey> {
+    fn pick(&mut self, now: Instant, role: Role, job: JobKey) -> Option<ServerKey> {
+        let job = &self.jobs[job].job;
+        let max_prompts = self.placement.max_prompts();
         let mut best = None;
         for (key, known) in &self.servers {
             if known.spec.role != role || known.is_sealed {
                 continue;
             }
-            if role == Role::Prefill && known.jobs >= known.spec.slots {
+            if role == Role::Prefill && known.jobs >= max_prompts {
                 continue;
             }
             let cost = (self.placement.cost(known, job), known.turn);
@@ -98,28 +120,31 @@
         }
         let (_, key) = best?;
         self.turn += 1;
-        self.servers[key].turn = self.turn;
+        let known = &mut self.servers[key];
+        known.turn = self.turn;
+        known.granted_at.push_back(now);
         Some(key)
     }
 
-    fn take(&mut self, server: ServerKey, tokens: u32) {
-        let Some(known) = self.servers.get_mut(server) else { return };
-        known.jobs += 1;
-        known.tokens += u64::from(tokens);
-    }
-
-    fn release(&mut self, server: Option<ServerKey>, tokens: u32) {
+    fn release(&mut self, server: Option<ServerKey>) {
         let Some(known) = server.and_then(|key| self.servers.get_mut(key)) else { return };
         known.jobs = known.jobs.saturating_sub(1);
-        known.tokens = known.tokens.saturating_sub(u64::from(tokens));
+    }
+
+    /// Counts the prompt of a job as read, whether it was or is not going to be.
+    fn settle_prompt(&mut self, key: JobKey) {
+        let Some(state) = self.jobs.get_mut(key) else { return };
+        let tokens = std::mem::take(&mut state.unread_tokens);
+        let Some(known) = state.prefill.and_then(|key| self.servers.get_mut(key)) else { return };
+        known.unread_tokens = known.unread_tokens.saturating_sub(tokens);
     }
 
     fn release_all(&mut self, key: JobKey) {
+        self.settle_prompt(key);
         let Some(state) = self.jobs.get_mut(key) else { return };
         let (prefill, decode) = (state.prefill.take(), state.decode.take());
-        let tokens = state.job.prompt_tokens;
-        self.release(prefill, tokens);
-        self.release(decode, tokens);
+        self.release(prefill);
+        self.release(decode);
     }
 
     fn forget(&mut self, key: JobKey) {
@@ -135,11 +160,11 @@
         self.actions.push(Action::Refuse { job, reason, retry_after: None });
     }
 
-    /// Moves jobs that have missed their target behind the others, or refuses them.
+    /// Moves jobs that have waited too long for their target behind the others, or refuses them.
     fn sort_out_late(&mut self, now: Instant) {
         for key in std::mem::take(&mut self.fresh) {
             let state = &self.jobs[key];
-            let is_late = now > state.job.accepted_at + state.job.ttft_target;
+            let is_late = now > state.job.accepted_at + state.job.ttft_target.mul_f64(QUEUE_SHARE);
             if !is_late || state.has_tokens {
                 self.fresh.push_back(key);
             } else if state.job.urgency == Urgency::Interactive {
@@ -150,15 +175,18 @@
         }
     }
 
-    fn start_prefills(&mut self) {
+    fn start_prefills(&mut self, now: Instant) {
         while let Some(key) = self.fresh.front().or(self.late.front()).copied() {
-            let job = self.jobs[key].job.clone();
-            let Some(server) = self.pick(Role::Prefill, &job) else { return };
+            let Some(server) = self.pick(now, Role::Prefill, key) else { return };
             if self.fresh.pop_front().is_none() {
                 self.late.pop_front();
             }
-            self.take(server, job.prompt_tokens);
-            self.jobs[key].prefill = Some(server);
+            let known = &mut self.servers[server];
+            let state = &mut self.jobs[key];
+            state.prefill = Some(server);
+            state.unread_tokens = known.uncached_tokens(&state.job);
+            known.jobs += 1;
+            known.unread_tokens += state.unread_tokens;
             self.actions.push(Action::Prefill { job: key, server, decode: None });
         }
     }
@@ -174,18 +202,17 @@
                 self.held.push(key);
                 continue;
             }
-            self.start_transfer(key);
+            self.start_transfer(now, key);
         }
     }
 
-    fn start_transfer(&mut self, key: JobKey) {
-        let job = self.jobs[key].job.clone();
+    fn start_transfer(&mut self, now: Instant, key: JobKey) {
         let Some(prefill) = self.jobs[key].prefill else { return };
-        let Some(decode) = self.pick(Role::Decode, &job) else {
+        let Some(decode) = self.pick(now, Role::Decode, key) else {
             self.held.push(key);
             return;
         };
-        self.take(decode, job.prompt_tokens);
+        self.servers[decode].jobs += 1;
         self.jobs[key].decode = Some(decode);
         self.actions.push(Action::Transfer { job: key, prefill, decode });
     }
@@ -211,7 +238,8 @@
             report: None,
             blocks: BTreeSet::new(),
             jobs: 0,
-            tokens: 0,
+            unread_tokens: 0,
+            granted_at: VecDeque::new(),
             turn: 0,
         })
     }
@@ -231,6 +259,7 @@
             job,
             prefill: None,
             decode: None,
+            unread_tokens: 0,
             has_tokens: false,
             failures: 0,
             held_until: None,
@@ -245,6 +274,7 @@
     }
 
     fn prefilled(&mut self, now: Instant, job: JobKey, _cached_tokens: u32, held_until: Instant) {
+        self.settle_prompt(job);
         let Some(state) = self.jobs.get_mut(job) else { return };
         state.held_until = Some(held_until);
         state.retry_at = now;
@@ -254,8 +284,7 @@
     fn transferred(&mut self, _now: Instant, job: JobKey) {
         let Some(state) = self.jobs.get_mut(job) else { return };
         let prefill = state.prefill.take();
-        let tokens = state.job.prompt_tokens;
-        self.release(prefill, tokens);
+        self.release(prefill);
     }
 
     fn progressed(&mut self, _now: Instant, job: JobKey, _tokens: u32) {
@@ -280,11 +309,10 @@
     ) {
         let Some(state) = self.jobs.get_mut(job) else { return };
         let decode = state.decode.take();
-        let tokens = state.job.prompt_tokens;
         let can_export = kv_held_until.is_some() && state.prefill.is_some();
         state.held_until = kv_held_until;
         state.retry_at = now + RETRY_INTERVAL;
-        self.release(decode, tokens);
+        self.release(decode);
         if can_export {
             self.held.push(job);
         } else {
@@ -295,6 +323,9 @@
     fn report(&mut self, _now: Instant, server: ServerKey, report: LoadReport) {
         let Some(known) = self.servers.get_mut(server) else { return };
         known.report = Some(report);
+        while known.granted_at.front().is_some_and(|at| *at < report.made_at) {
+            known.granted_at.pop_front();
+        }
     }
 
     fn cache_events(
@@ -315,7 +346,7 @@
     fn poll(&mut self, now: Instant) -> Vec<Action> {
         self.sort_out_late(now);
         self.start_transfers(now);
-        self.start_prefills();
+        self.start_prefills(now);
         std::mem::take(&mut self.actions)
     }
 
