Add the membership of instances and backend servers

Cause: each instance needs to know which peers and servers live or leave, without a coordination service and within a bounded number of bytes.

--- /dev/null
+++ b/crates/magnoliaspar-membership/src/member.rs
@@ -0,0 +1,165 @@
+use std::fmt::{self, Display};
+use std::time::Instant;
+
+use magnoliaspar_core::{Incarnation, InstanceName, ServerName};
+use serde::{Deserialize, Serialize};
+
+use crate::MemberEntry;
+
+/// What an instance knows of one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Where the member runs and what it is.
+    pub entry: MemberEntry,
+    /// Its state as far as it is known here.
+    pub standing: Standing,
+    /// When the standing last changed here.
+    pub changed_at: Instant,
+}
+
+impl Member {
+    /// Returns the state.
+    pub fn state(&self) -> MemberState {
+        self.standing.state()
+    }
+}
+
+/// Identifies an instance or a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberId {
+    /// An entry instance.
+    Instance(InstanceName),
+    /// A backend server.
+    Server(ServerName),
+}
+
+impl MemberId {
+    /// Returns the name as text.
+    pub fn as_str(&self) -> &str {
+        match self {
+            Self::Instance(name) => name.as_str(),
+            Self::Server(name) => name.as_str(),
+        }
+    }
+
+    /// Returns the name, if this is an instance.
+    pub fn as_instance(&self) -> Option<&InstanceName> {
+        match self {
+            Self::Instance(name) => Some(name),
+            Self::Server(_) => None,
+        }
+    }
+}
+
+impl Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// The mergeable state of a member.
+///
+/// Standings form a join semilattice: [`merge`](Self::merge) is commutative, associative and
+/// idempotent, so that instances agree whatever the order in which they hear of changes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Standing {
+    /// Which life of the member this is about; a higher one replaces everything else.
+    pub incarnation: Incarnation,
+    /// Whether the platform or the member itself announced its end; never taken back in one life.
+    pub is_leaving: bool,
+    /// Counts operators' drains and undrains in this life; odd numbers mean drained.
+    pub drain_epoch: u64,
+    /// Counts the refutations in this life, by the member or, for a server, by who probes it.
+    pub sequence: u64,
+    /// Whether the member is believed to run, as of `sequence`.
+    pub health: Health,
+}
+
+impl Standing {
+    /// Returns the standing of a member at the start of a life.
+    pub fn new(incarnation: Incarnation, is_leaving: bool) -> Self {
+        Self { incarnation, is_leaving, ..Self::default() }
+    }
+
+    /// Takes in another standing of the same member and returns whether this one changed.
+    pub fn merge(&mut self, other: &Standing) -> bool {
+        let before = *self;
+        if other.incarnation > self.incarnation {
+            *self = *other;
+        } else if other.incarnation == self.incarnation {
+            self.is_leaving |= other.is_leaving;
+            self.drain_epoch = self.drain_epoch.max(other.drain_epoch);
+            (self.sequence, self.health) =
+                (self.sequence, self.health).max((other.sequence, other.health));
+        }
+        *self != before
+    }
+
+    /// Whether an operator has drained the member.
+    pub fn is_drained(&self) -> bool {
+        self.drain_epoch % 2 == 1
+    }
+
+    /// Returns the state that follows from the parts.
+    pub fn state(&self) -> MemberState {
+        if self.health == Health::Dead {
+            return MemberState::Dead;
+        }
+        if self.is_leaving || self.is_drained() {
+            return MemberState::Leaving;
+        }
+        if self.health == Health::Suspect { MemberState::Suspect } else { MemberState::Live }
+    }
+}
+
+/// Whether a member is believed to run.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    /// It answers.
+    #[default]
+    Live,
+    /// It has not answered for some time.
+    Suspect,
+    /// It has not refuted the suspicion in time.
+    Dead,
+}
+
+/// The state of a member.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, displaydoc::Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// live
+    Live,
+    /// suspect
+    Suspect,
+    /// leaving
+    Leaving,
+    /// dead
+    Dead,
+}
+
+#[cfg(test)]
+mod tests {
+    use magnoliaspar_core::Incarnation;
+
+    use super::{Health, MemberState, Standing};
+
+    #[test]
+    fn leaving_outlives_a_refuted_death() {
+        let mut standing = Standing::new(Incarnation(3), true);
+        standing.merge(&Standing { health: Health::Dead, ..standing });
+        assert_eq!(standing.state(), MemberState::Dead);
+        standing.merge(&Standing { sequence: 1, ..Standing::new(Incarnation(3), false) });
+        assert_eq!(standing.state(), MemberState::Leaving);
+        standing.merge(&Standing::new(Incarnation(2), false));
+        assert_eq!(standing.state(), MemberState::Leaving);
+        standing.merge(&Standing::new(Incarnation(4), false));
+        assert_eq!(standing.state(), MemberState::Live);
+    }
+}
