Check documents with any value in any place

Cause: instances receive documents from others and check them before they come into force.

Change: a property puts random values into random places of a whole document; a query whose condition names a column that an answer lacks gives no rows instead of all.

Conclusion: 512 cases are checked or refused with a path inside the thing that was changed.

--- a/crates/magnoliaspar-declaration/src/check.rs
+++ b/crates/magnoliaspar-declaration/src/check.rs
@@ -50,7 +50,9 @@
 
 #[cfg(test)]
 mod tests {
-    use serde_json::json;
+    use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
+    use proptest::test_runner::RngSeed;
+    use serde_json::{Value, json};
 
     use crate::{Declarations, Document, EntityId, KeyDigest, PoolKind, RouteTarget};
 
@@ -151,4 +153,63 @@
 ";
         assert_eq!(text, expected);
     }
+
+    /// Returns the places of all values inside `value`, itself included.
+    fn pointers(value: &Value, at: &str, found: &mut Vec<String>) {
+        found.push(at.to_owned());
+        if let Value::Object(members) = value {
+            for (name, member) in members {
+                pointers(member, &format!("{at}/{name}"), found);
+            }
+        }
+        if let Value::Array(elements) = value {
+            for (index, element) in elements.iter().enumerate() {
+                pointers(element, &format!("{at}/{index}"), found);
+            }
+        }
+    }
+
+    fn any_value() -> impl Strategy<Value = Value> {
+        prop_oneof![
+            Just(Value::Null),
+            any::<bool>().prop_map(Value::from),
+            any::<i64>().prop_map(Value::from),
+            any::<f64>().prop_map(Value::from),
+            "[ -~]{0,9}".prop_map(Value::from),
+            "[0-9]{1,25}(ms|s|d)".prop_map(Value::from),
+            Just(json!([])),
+            Just(json!({})),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 512,
+            failure_persistence: None,
+            rng_seed: RngSeed::Fixed(44),
+            ..ProptestConfig::default()
+        })]
+
+        #[test]
+        fn a_document_with_any_value_is_checked(place in any::<usize>(), value in any_value()) {
+            let text = include_str!("../../../examples/midlands/declarations.json");
+            let mut document = Document::read(text, "declarations.json").unwrap();
+            let mut places = Vec::new();
+            for (id, entity) in &document.entities {
+                let mut found = Vec::new();
+                pointers(entity, "", &mut found);
+                places.extend(found.into_iter().map(|pointer| (id.clone(), pointer)));
+            }
+            let (id, pointer) = &places[place % places.len()];
+            let entity = document.entities.get_mut(id).unwrap();
+            *entity.pointer_mut(pointer).unwrap() = value;
+            match Declarations::try_from(&document) {
+                Ok(declarations) => assert_eq!(declarations.routes.len(), 4),
+                Err(findings) => {
+                    let mut paths = findings.iter().map(|finding| &finding.place.path);
+                    assert!(paths.any(|path| path.starts_with(&*id.path())));
+                }
+            }
+        }
+    }
 }
--- a/crates/magnoliaspar-query/src/query.rs
+++ b/crates/magnoliaspar-query/src/query.rs
@@ -29,7 +29,9 @@
         for condition in &self.conditions {
             let Some(index) = columns.iter().position(|column| column.name == condition.field)
             else {
-                continue;
+                // A part without the column has nothing that fulfils the condition.
+                rows.clear();
+                break;
             };
             let kind = columns[index].kind;
             rows.retain(|row| row.get(index).is_some_and(|cell| condition.accepts(kind, cell)));
