Run an instance from the command line, with JSON-lines logs

Cause: the instance can be started now; its logs must be readable by programs and must not contain keys.

Logs by flexi_logger, one JSON object a line, in UTC. A log filter with a word that is no level is a finding, since the library would take it for a module and log nothing else. HTTP libraries stay at info, whatever the filter says, because their details contain headers.

--- a/crates/magnoliaspar-cli/src/args.rs
+++ b/crates/magnoliaspar-cli/src/args.rs
@@ -17,6 +17,8 @@
 /// The commands.
 #[derive(Debug, Options)]
 pub(crate) enum Command {
+    #[options(help = "run an instance")]
+    Serve(ServeArgs),
     #[options(help = "check declarations and settings, and report all findings")]
     Check(CheckArgs),
     #[options(help = "show what declarations would change")]
@@ -31,6 +33,15 @@
     Status(StatusArgs),
 }
 
+/// Runs an instance until SIGTERM or SIGINT, then drains it.
+#[derive(Debug, Options)]
+pub(crate) struct ServeArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "the settings of the instance", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) settings: Option<Box<str>>,
+}
+
 /// Checks declarations as a whole and settings one by one, and reports all findings together.
 #[derive(Debug, Options)]
 pub(crate) struct CheckArgs {
--- a/crates/magnoliaspar-cli/src/check.rs
+++ b/crates/magnoliaspar-cli/src/check.rs
@@ -1,12 +1,14 @@
 use std::io::Write;
 
-use magnoliaspar_core::Findings;
+use magnoliaspar_core::{Finding, Findings};
 use magnoliaspar_declaration::{Checked, DeclarationFiles};
+use magnoliaspar_json::Source;
 use magnoliaspar_settings::Settings;
 use serde_json::json;
 
 use crate::args::CheckArgs;
 use crate::failure::Failure;
+use crate::logs::read_filter;
 
 /// Checks files and reports all findings together.
 pub(crate) fn check(args: &CheckArgs, out: &mut dyn Write) -> Result<(), Failure> {
@@ -34,11 +36,24 @@
     Ok(open_declarations(files)?.check()?)
 }
 
+/// Reads the settings of an instance and checks them, the log filter included.
+pub(crate) fn read_settings(file: &str) -> Result<Settings, Failure> {
+    let text = read(file)?;
+    let settings = Settings::read(&text, file)?;
+    if let Err(err) = read_filter(&settings.log.filter) {
+        let finding = Finding::at("$.log.filter", err.to_string());
+        return Err(Source::parse(&text, file)?.locate(finding.into()).into());
+    }
+    Ok(settings)
+}
+
 fn all_findings(args: &CheckArgs) -> Result<Findings, Failure> {
     let mut findings = Findings::new();
     for file in &args.settings {
-        if let Err(found) = Settings::read(&read(file)?, file) {
-            findings.append(found);
+        match read_settings(file) {
+            Ok(_) => {}
+            Err(Failure::Findings(report)) => findings.append(report.0),
+            Err(failure) => return Err(failure),
         }
     }
     if let Err(found) = open_declarations(&args.files)?.check() {
--- a/crates/magnoliaspar-cli/src/help.rs
+++ b/crates/magnoliaspar-cli/src/help.rs
@@ -13,6 +13,14 @@
 Exit codes: 0 if all went well, 2 if a file, a statement or the arguments are wrong, 1 otherwise.
 ";
 
+/// What more there is to say of `serve`.
+const SERVE: &str = "\
+Logs are written to the standard output, one JSON object a line. The exit code is 0 once the drain
+has finished, and 1 if it took longer than the settings allow.
+
+Example: magnoliaspar serve --settings settings.json
+";
+
 /// What more there is to say of `check`.
 const CHECK: &str = "\
 Each finding has a file, line, column, JSON path and, where it helps, a hint.
@@ -71,6 +79,7 @@
 pub(crate) fn of_command(command: &Command) -> String {
     let name = command.command_name().unwrap_or_default();
     let (arguments, details, connection) = match command {
+        Command::Serve(_) => ("--settings FILE", SERVE, ""),
         Command::Check(_) => ("[OPTIONS] FILES...", CHECK, ""),
         Command::Diff(_) => ("[OPTIONS] FILES...", DIFF, CONNECTION),
         Command::Apply(_) => ("[OPTIONS] FILES...", APPLY, CONNECTION),
--- a/crates/magnoliaspar-cli/src/lib.rs
+++ b/crates/magnoliaspar-cli/src/lib.rs
@@ -11,6 +11,8 @@
 mod diff;
 mod failure;
 mod help;
+mod logs;
+mod serve;
 
 use std::io::Write;
 use std::process::ExitCode;
@@ -59,6 +61,7 @@
         return Ok(());
     }
     match command {
+        Command::Serve(args) => serve::serve(&args),
         Command::Check(args) => check::check(&args, out),
         Command::Diff(args) => diff::diff(&args, out),
         Command::Apply(args) => apply::apply(&args, out),
--- a/crates/magnoliaspar-cli/tests/command_line/files.rs
+++ b/crates/magnoliaspar-cli/tests/command_line/files.rs
@@ -58,6 +58,17 @@
     }
 }
 
+#[test]
+fn a_wrong_log_filter_is_a_finding() {
+    let text = std::fs::read_to_string(example("midlands/settings.json")).unwrap();
+    let path = write_file("log-filter.json", &text.replace("\"info\"", "\"loud\""));
+    for args in [["check", "--settings"], ["serve", "--settings"]] {
+        let ran = run(&[&args[..], &[path.to_str().unwrap()]].concat());
+        assert_eq!(ran.code, 2);
+        assert!(ran.err.contains("log-filter.json:22:12: $.log.filter: "), "{}", ran.err);
+    }
+}
+
 #[test]
 fn diff_shows_what_changes_between_files() {
     let text = std::fs::read_to_string(example("midlands/declarations.json")).unwrap();
@@ -106,7 +117,7 @@
 #[test]
 fn the_program_has_help_for_each_command() {
     let program = env!("CARGO_BIN_EXE_magnoliaspar");
-    for command in ["check", "diff", "apply", "query", "timeline", "status"] {
+    for command in ["serve", "check", "diff", "apply", "query", "timeline", "status"] {
         let output = Command::new(program).args([command, "--help"]).output().unwrap();
         let text = String::from_utf8(output.stdout).unwrap();
         assert_eq!(output.status.code(), Some(0));
--- a/crates/magnoliaspar-cli/tests/command_line/main.rs
+++ b/crates/magnoliaspar-cli/tests/command_line/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod files;
 mod operators;
+mod serve;
