Go on asking where a version is in force when an answer is cut

Cause: apply gave up on the first lost answer after its change was accepted, and did not say that it was.

Change: apply asks until its wait is over and then says that the place of the version is not known; failures are prefixed once; answers are printed without a copy.

--- a/crates/magnoliaspar-cli/src/apply.rs
+++ b/crates/magnoliaspar-cli/src/apply.rs
@@ -90,9 +90,15 @@
 ) -> Result<SpreadResponse, Failure> {
     let deadline: Instant = clock.now() + wait;
     loop {
-        let spread: SpreadResponse = client.get(SPREAD_PATH).await?;
-        if spread.behind(version).is_empty() || clock.now() >= deadline {
-            return Ok(spread);
+        let is_over = clock.now() >= deadline;
+        match client.get::<SpreadResponse>(SPREAD_PATH).await {
+            Ok(spread) if is_over || spread.behind(version).is_empty() => return Ok(spread),
+            Err(failure) if is_over || !matches!(failure, Failure::Connection { .. }) => {
+                let message =
+                    format!("{failure}; where version {version} is in force is not known");
+                return Err(Failure::Incomplete(message.into()));
+            }
+            _ => {}
         }
         actix_rt::time::sleep(SPREAD_INTERVAL).await;
     }
--- a/crates/magnoliaspar-cli/src/ask.rs
+++ b/crates/magnoliaspar-cli/src/ask.rs
@@ -17,20 +17,22 @@
 pub(crate) fn query(args: &QueryArgs, out: &mut dyn Write) -> Result<(), Failure> {
     let text: Box<str> = args.text.join(" ").into();
     Statement::parse(&text)?;
-    let answer: Answer = block_on(async {
+    let mut answer: Answer = block_on(async {
         let client = Client::new(args.operators.as_deref(), args.key_file.as_deref())?;
         client.post(STATEMENT_PATH, &StatementRequest { text }).await
     })?;
     if args.json {
         writeln!(out, "{}", json!(answer))?;
-    } else {
-        let shown = Answer { command: None, findings: Default::default(), ..answer.clone() };
-        write!(out, "{shown}")?;
     }
-    if !answer.findings.is_empty() {
-        return Err(answer.findings.into());
+    let findings = std::mem::take(&mut answer.findings);
+    let command = answer.command.take();
+    if !args.json {
+        write!(out, "{answer}")?;
+    }
+    if !findings.is_empty() {
+        return Err(findings.into());
     }
-    match answer.command {
+    match command {
         Some(CommandResult::Conflict { winner }) => Err(Failure::Conflict(winner)),
         Some(CommandResult::Accepted { version }) if !args.json => {
             writeln!(out, "accepted as version {version}")?;
--- a/crates/magnoliaspar-cli/src/failure.rs
+++ b/crates/magnoliaspar-cli/src/failure.rs
@@ -1,4 +1,4 @@
-use std::io;
+use std::io::{self, Write};
 
 use displaydoc::Display;
 use magnoliaspar_core::Findings;
@@ -11,25 +11,25 @@
     Findings(FindingsReport),
     /// {0}
     Syntax(SyntaxError),
-    /// error: {0}; see --help
+    /// {0}; see --help
     Usage(Box<str>),
-    /// error: cannot read {file}: {cause}
+    /// cannot read {file}: {cause}
     File {
         /// The file.
         file: Box<str>,
         /// The cause.
         cause: io::Error,
     },
-    /// error: cannot write the output: {0}
+    /// cannot write the output: {0}
     Output(io::Error),
-    /// error: {address} did not answer: {cause}
+    /// {address} did not answer: {cause}
     Connection {
         /// The operators' address.
         address: Box<str>,
         /// The cause.
         cause: Box<str>,
     },
-    /// error: {address} answered with status {status}: {message}
+    /// {address} answered with status {status}: {message}
     Refused {
         /// The operators' address.
         address: Box<str>,
@@ -38,9 +38,9 @@
         /// What the instance says.
         message: Box<str>,
     },
-    /// error: not accepted, another change was first: {0}
+    /// not accepted, another change was first: {0}
     Conflict(Winner),
-    /// error: {0}
+    /// {0}
     Incomplete(Box<str>),
 }
 
@@ -57,6 +57,14 @@
             | Self::Incomplete(_) => 1,
         }
     }
+
+    /// Writes the failure for people; findings and mistakes in statements say themselves what they are.
+    pub(crate) fn write(&self, err: &mut dyn Write) -> io::Result<()> {
+        match self {
+            Self::Findings(_) | Self::Syntax(_) => writeln!(err, "{self}"),
+            _ => writeln!(err, "error: {self}"),
+        }
+    }
 }
 
 impl std::error::Error for Failure {}
--- a/crates/magnoliaspar-cli/src/lib.rs
+++ b/crates/magnoliaspar-cli/src/lib.rs
@@ -34,7 +34,7 @@
         Ok(()) => 0,
         Err(failure) => {
             // Nothing is left to do if the failure cannot be written either.
-            let _ = writeln!(err, "{failure}");
+            let _ = failure.write(err);
             failure.as_exit_code()
         }
     }
--- a/crates/magnoliaspar-cli/tests/command_line/operators.rs
+++ b/crates/magnoliaspar-cli/tests/command_line/operators.rs
@@ -43,6 +43,50 @@
     assert_eq!(fake.lines(), ["GET /v1/config", "GET /v1/config/spread"]);
 }
 
+#[test]
+fn apply_goes_on_asking_when_an_answer_is_cut() {
+    let fake = FakeInstance::start(|number, line| match line {
+        "GET /v1/config" => (200, json!({"version": 4, "document": midlands()}).to_string()),
+        _ if number < 3 => (0, String::new()),
+        _ => (200, spread([4, 4], &[])),
+    });
+    let file = example("midlands/declarations.json");
+    let ran = run_against(fake.address, &["apply", &file]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(fake.lines().len(), 3);
+    let silent = FakeInstance::start(|_, line| match line {
+        "GET /v1/config" => (200, json!({"version": 4, "document": midlands()}).to_string()),
+        _ => (0, String::new()),
+    });
+    let ran = run_against(silent.address, &["apply", &file, "--wait", "0s"]);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.contains("where version 4 is in force is not known"), "{}", ran.err);
+}
+
+#[test]
+fn a_command_is_answered_by_its_version_or_what_is_wrong() {
+    let answers =
+        |body: serde_json::Value| FakeInstance::start(move |_, _| (200, body.to_string()));
+    let command = ["query", "drain server d-1 if version 4"];
+    let accepted = json!({"result": "accepted", "version": 5});
+    let fake = answers(json!({"columns": [], "rows": [], "command": accepted}));
+    let ran = run_against(fake.address, &command);
+    assert_eq!((ran.code, ran.out.as_str()), (0, "accepted as version 5\n"), "{}", ran.err);
+    let winner =
+        json!({"version": 5, "operator": null, "command": "undrain server d-1", "stamp": null});
+    let conflict = json!({"result": "conflict", "winner": winner});
+    let fake = answers(json!({"columns": [], "rows": [], "command": conflict}));
+    let ran = run_against(fake.address, &command);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.contains("version 5: undrain server d-1"), "{}", ran.err);
+    let place = json!({"file": null, "line": 0, "column": 0, "path": "$.routes.r"});
+    let finding = json!({"place": place, "message": "this is not declared", "hint": null});
+    let fake = answers(json!({"columns": [], "rows": [], "findings": [finding]}));
+    let ran = run_against(fake.address, &["query", "change route r set wait = may_wait"]);
+    assert_eq!(ran.code, 2);
+    assert!(ran.err.contains("$.routes.r: this is not declared"), "{}", ran.err);
+}
+
 #[test]
 fn the_loser_of_a_conflict_is_told_who_won() {
     let fake = FakeInstance::start(|_, line| match line {
