Prove that answers survive the death and the pause of any instance

Cause: nothing showed with real processes that a caller gets one whole answer when an instance dies or freezes.

Change: tests start three instances as processes and kill or pause each in turn in the middle of 24 streams. The death of a home first ended 1 answer of 24 in 'broken' after 40 attempts: the next home had no engines for a shard it did not own by the lagging list. It now learns them as soon as a request reaches it.

Left: engine memory of a dead home is free only once its streams end.

--- a/crates/magnoliaspar-serve/src/caller/relay.rs
+++ b/crates/magnoliaspar-serve/src/caller/relay.rs
@@ -7,6 +7,7 @@
 use futures_core::Stream;
 use futures_util::stream;
 use magnoliaspar_core::{Refusal, RefusalCode};
+use magnoliaspar_event::EventKind;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
@@ -34,6 +35,8 @@
     let writer = AnswerWriter { shape, id: cx.request_id.clone(), model: call.model.clone() };
     let is_streamed = call.is_streamed;
     cx.instance.metrics.requests.inc();
+    let (route, workspace) = (req.route.clone(), req.id.workspace.clone());
+    cx.instance.journal.record(&cx.request_id, EventKind::Accepted { route, workspace });
     let mut reader = cx.instance.homes.read(req).await?;
     if !is_streamed {
         return answer_whole(cx, reader, writer).await;
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -2,11 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
 use displaydoc::Display;
 use magnoliaspar_claim::ClaimController;
 use magnoliaspar_core::Clock;
-use magnoliaspar_declaration::Declarations;
+use magnoliaspar_declaration::{Declarations, Document};
 use magnoliaspar_platform::BudgetedTable;
 use magnoliaspar_settings::Settings;
 
@@ -49,6 +50,8 @@
     pub concurrency: ConcurrencyLimits,
     /// Counts what happens.
     pub metrics: Rc<Metrics>,
+    /// When the instance started.
+    pub started_at: Instant,
     /// Whether the instance drains.
     pub is_draining: Cell<bool>,
 }
@@ -109,4 +112,6 @@
     pub version: u64,
     /// The declarations.
     pub declarations: Declarations,
+    /// The declarations as they are stored and sent.
+    pub document: Document,
 }
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -6,6 +6,7 @@
 mod journal;
 mod limit;
 mod metrics;
+mod operator;
 mod peer;
 mod refresh;
 mod run;
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/access.rs
@@ -0,0 +1,38 @@
+use actix_http::{HttpMessage, Request};
+use magnoliaspar_event::{EventKind, Listener};
+use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
+use magnoliaspar_settings::{OperatorKey, OperatorRights};
+
+use crate::instance::Instance;
+
+/// Finds the operator by the key in a request and checks what the operator may do.
+pub fn check_rights<'a>(
+    instance: &'a Instance,
+    req: &Request,
+    needed: OperatorRights,
+) -> Result<&'a OperatorKey, ErrorResponse> {
+    let header = req.headers().get("authorization").and_then(|value| value.to_str().ok());
+    let key = header.and_then(|header| header.strip_prefix("Bearer "));
+    let operator = key.and_then(|key| find_operator(instance, key));
+    let Some(operator) = operator else {
+        count_failure(instance, ErrorCode::Unauthenticated);
+        let message = "the authorization header must hold the bearer key of an operator";
+        return Err(ErrorResponse::new(ErrorCode::Unauthenticated, message));
+    };
+    if operator.rights < needed {
+        count_failure(instance, ErrorCode::Forbidden);
+        let message = "the key gives the right to read only";
+        return Err(ErrorResponse::new(ErrorCode::Forbidden, message));
+    }
+    Ok(operator)
+}
+
+fn find_operator<'a>(instance: &'a Instance, key: &str) -> Option<&'a OperatorKey> {
+    instance.settings.operator_keys.iter().find(|operator| operator.key.matches(key))
+}
+
+fn count_failure(instance: &Instance, code: ErrorCode) {
+    instance.metrics.count_auth_failure("operator");
+    let (listener, status) = (Listener::Operators, code.as_status());
+    instance.journal.record_own(EventKind::AuthFailed { listener, status });
+}
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use magnoliaspar_core::{Clock, InstanceName};
+use magnoliaspar_event::Stamp;
 use magnoliaspar_settings::Secret;
 use magnoliaspar_wire::peer::peer_client::PeerClient as GeneratedClient;
 use magnoliaspar_wire::peer::run_event::Event;
@@ -19,6 +20,7 @@
 
 use super::convert::{from_event, from_refused, to_open};
 use super::server::{KEY_HEADER, MAX_MESSAGE_BYTES};
+use crate::journal::Journal;
 use crate::run::{CompletionRequest, Home, LinkBroken, OpenError, RunLink, RunUpdate};
 
 /// How long a connection may take to open.
@@ -36,21 +38,28 @@
 /// The links to other instances, one for each address.
 pub struct PeerClients {
     clock: Rc<dyn Clock>,
+    journal: Rc<Journal>,
     key: Secret,
     channels: RefCell<BTreeMap<SocketAddr, Channel>>,
 }
 
 impl PeerClients {
     /// Creates an empty set of links that show `key`.
-    pub fn new(clock: Rc<dyn Clock>, key: Secret) -> Self {
-        Self { clock, key, channels: RefCell::default() }
+    pub fn new(clock: Rc<dyn Clock>, journal: Rc<Journal>, key: Secret) -> Self {
+        Self { clock, journal, key, channels: RefCell::default() }
     }
 
     /// Returns the link to an instance; it connects when it is first used.
     pub fn client(&self, name: &InstanceName, address: SocketAddr) -> PeerClient {
         let mut channels = self.channels.borrow_mut();
         let channel = channels.entry(address).or_insert_with(|| connect(address)).clone();
-        PeerClient { name: name.clone(), clock: self.clock.clone(), key: self.key.clone(), channel }
+        PeerClient {
+            name: name.clone(),
+            clock: self.clock.clone(),
+            journal: self.journal.clone(),
+            key: self.key.clone(),
+            channel,
+        }
     }
 }
 
@@ -59,6 +68,7 @@
 pub struct PeerClient {
     name: InstanceName,
     clock: Rc<dyn Clock>,
+    journal: Rc<Journal>,
     key: Secret,
     channel: Channel,
 }
@@ -79,13 +89,16 @@
 
     async fn start(&self, req: &CompletionRequest) -> Result<RemoteLink, OpenError> {
         let (tx, rx) = mpsc::unbounded_channel();
-        let open = RunFrame { frame: Some(Frame::Open(to_open(req, self.clock.now()))) };
+        let open = RunFrame {
+            frame: Some(Frame::Open(to_open(req, self.clock.now(), self.journal.stamp()))),
+        };
         let _ = tx.send(open);
         let call = self.sign(UnboundedReceiverStream::new(rx));
         let events = self.generated().run(call).await.map_err(map_status)?.into_inner();
         let mut link = RemoteLink { home: self.name.clone(), is_new: false, tx, events };
         match link.events.message().await.map_err(map_status)? {
             Some(RunEvent { event: Some(Event::Accepted(accepted)) }) => {
+                self.journal.observe(Stamp(accepted.hlc));
                 link.is_new = accepted.is_new;
                 Ok(link)
             }
--- a/crates/magnoliaspar-serve/src/peer/convert.rs
+++ b/crates/magnoliaspar-serve/src/peer/convert.rs
@@ -6,6 +6,7 @@
     AttemptId, NameError, Outcome, Refusal, RefusalCode, RequestId, RouteName, WorkspaceName,
 };
 use magnoliaspar_engine::EndReason;
+use magnoliaspar_event::Stamp;
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::{
     RunEnd, RunEvent, RunOpen, RunPlaced, RunRefused, RunSuperseded, RunToken,
@@ -28,7 +29,7 @@
 }
 
 /// Writes a request as a message; times are written as distances from `now`.
-pub fn to_open(req: &CompletionRequest, now: Instant) -> RunOpen {
+pub fn to_open(req: &CompletionRequest, now: Instant, stamp: Stamp) -> RunOpen {
     RunOpen {
         request: req.id.request.to_string(),
         route: req.route.to_string(),
@@ -40,7 +41,7 @@
         emitted: req.emitted.iter().map(|token| token.to_string()).collect(),
         age_ms: to_millis(now.saturating_duration_since(req.accepted_at)),
         config_version: 0,
-        hlc: 0,
+        hlc: stamp.0,
         placement: req.placement.as_ref().map(to_placed),
     }
 }
@@ -165,6 +166,8 @@
 
     use magnoliaspar_core::{Refusal, RefusalCode, RequestId, RouteName, WorkspaceName};
 
+    use magnoliaspar_event::Stamp;
+
     use super::{from_event, from_open, to_event, to_open};
     use crate::run::{CompletionRequest, RunResult, RunUpdate, ScopedId};
 
@@ -185,7 +188,7 @@
             emitted: vec!["a".into(), "b".into()],
             placement: None,
         };
-        let read = from_open(to_open(&req, now), now).unwrap();
+        let read = from_open(to_open(&req, now, Stamp(0)), now).unwrap();
         assert_eq!(read.id, req.id);
         assert_eq!(read.deadline, req.deadline);
         assert_eq!(read.emitted, req.emitted);
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -54,6 +54,13 @@
         *self.instances.borrow_mut() = instances;
     }
 
+    /// Returns how many instances are known, the own one included.
+    pub fn instance_count(&self) -> usize {
+        let instances = self.instances.borrow();
+        let has_own = instances.contains_key(&self.own);
+        instances.len() + usize::from(!has_own)
+    }
+
     fn rank(&self, key: &str, is_own_zone: bool) -> Vec<InstanceName> {
         let instances = self.instances.borrow();
         let mut names = Vec::new();
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -5,6 +5,7 @@
 
 use displaydoc::Display;
 use futures_core::Stream;
+use magnoliaspar_event::Stamp;
 use magnoliaspar_settings::PeerKeys;
 use magnoliaspar_wire::peer::peer_server::{Peer, PeerServer as GeneratedServer};
 use magnoliaspar_wire::peer::run_event::Event;
@@ -172,7 +173,7 @@
             return;
         }
     };
-    let accepted = RunAccepted { hlc: 0, is_new: link.is_new };
+    let accepted = RunAccepted { hlc: instance.journal.stamp().0, is_new: link.is_new };
     if tx.send(Ok(RunEvent { event: Some(Event::Accepted(accepted)) })).await.is_err() {
         return;
     }
@@ -180,6 +181,7 @@
 }
 
 fn open_link(instance: &Instance, open: RunOpen) -> Result<LocalLink, Result<RunEvent, Status>> {
+    instance.journal.observe(Stamp(open.hlc));
     let req = from_open(open, instance.clock.now())
         .map_err(|error| Err(Status::invalid_argument(error.to_string())))?;
     instance
--- a/crates/magnoliaspar-serve/src/refresh.rs
+++ b/crates/magnoliaspar-serve/src/refresh.rs
@@ -29,6 +29,9 @@
 /// How often engines report their load.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
+/// How often the outcomes of claims that could not be written are written again.
+const CLAIM_PERIOD: Duration = Duration::from_secs(1);
+
 /// The row that holds the configuration.
 const HEAD_ROW: &str = "config/head";
 
@@ -60,6 +63,8 @@
         actix_rt::spawn(self.clone().read_configuration());
         actix_rt::spawn(self.clone().read_list());
         actix_rt::spawn(self.clone().read_reports());
+        actix_rt::spawn(self.clone().bind_added_shards());
+        actix_rt::spawn(self.clone().settle_claims());
     }
 
     async fn read_configuration(self: Rc<Self>) {
@@ -77,7 +82,8 @@
         let head: Head = serde_json::from_value(row.value).map_err(|error| error.to_string())?;
         let declarations =
             Declarations::try_from(&head.document).map_err(|findings| findings.to_string())?;
-        self.instance.configuration.set(InForce { version: head.version, declarations });
+        let Head { version, document } = head;
+        self.instance.configuration.set(InForce { version, declarations, document });
         Ok(())
     }
 
@@ -146,7 +152,8 @@
         for route in in_force.declarations.routes.values() {
             let RouteTarget::Completion(completion) = &route.target else { continue };
             for shard in shards.all(completion) {
-                if self.instance.zone_homes.is_own(&shard) {
+                // Requests reach this instance while their usual home is out of reach, too.
+                if self.instance.zone_homes.is_own(&shard) || self.instance.home.serves(&shard) {
                     self.bind_shard(completion, &shard).await;
                 }
             }
@@ -179,6 +186,20 @@
         dispatcher.add_engine(spec, server.address, engine);
     }
 
+    async fn bind_added_shards(self: Rc<Self>) {
+        loop {
+            self.instance.home.shard_added().await;
+            self.bind_engines().await;
+        }
+    }
+
+    async fn settle_claims(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(CLAIM_PERIOD).await;
+            self.instance.claims.retry_pending().await;
+        }
+    }
+
     async fn read_reports(self: Rc<Self>) {
         loop {
             tokio::time::sleep(REPORT_PERIOD).await;
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -6,10 +6,15 @@
 
 use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
-use magnoliaspar_policy::{Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec};
+use magnoliaspar_event::Plan;
+use magnoliaspar_policy::{
+    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
+};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use super::plan::PlanContext;
+
 /// How long the dispatcher sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -210,6 +215,17 @@
         step
     }
 
+    /// Returns why the policy decided as it did, if it has decided where the job runs.
+    pub fn explain(&self, cx: &PlanContext) -> Option<Plan> {
+        let policy = self.dispatcher.policy.borrow();
+        let explanation = policy.explain(self.key)?;
+        let Decision::Prefill { prefill, decode } = explanation.decision else { return None };
+        let engines = self.dispatcher.engines.borrow();
+        let prefill = engines.get(&prefill)?.name.clone();
+        let decode = engines.get(&decode)?.name.clone();
+        Some(cx.describe(explanation, prefill, decode))
+    }
+
     /// Reports that the prefill is done.
     pub fn prefilled(&self, cached_tokens: u32, held_until: Instant) {
         self.dispatcher
--- a/crates/magnoliaspar-serve/src/run/driver.rs
+++ b/crates/magnoliaspar-serve/src/run/driver.rs
@@ -3,18 +3,21 @@
 
 use futures_util::StreamExt;
 use log::warn;
-use magnoliaspar_core::{AttemptId, BlockHash, Clock, Refusal, RefusalCode, hash_blocks};
+use magnoliaspar_core::{AttemptId, BlockHash, Clock, Outcome, Refusal, RefusalCode, hash_blocks};
 use magnoliaspar_declaration::{CompletionRoute, WaitRule};
 use magnoliaspar_engine::{
     DecodeCall, EndReason, EngineConnector, EngineError, KvSource, PrefillCall, Prefilled,
     StreamFrame, StreamId, TokenStream,
 };
+use magnoliaspar_event::EventKind;
 use magnoliaspar_policy::{FailedStage, Job, RefuseReason, Urgency, Weights};
 
 use super::attempt::AttemptIds;
 use super::completion::{Completed, CompletionRequest, Placement};
 use super::dispatcher::{Dispatcher, EngineHandle, EnginePair, PlacedJob, Step};
+use super::plan::PlanContext;
 use super::running::{Run, RunResult};
+use crate::journal::Journal;
 
 /// How many bytes of prompt text count as one token in estimates.
 const TOKEN_BYTES: usize = 4;
@@ -38,6 +41,8 @@
     pub attempts: Rc<AttemptIds>,
     /// The name under which engines list the streams of this instance.
     pub owner: Box<str>,
+    /// Records events.
+    pub journal: Rc<Journal>,
 }
 
 impl Driver {
@@ -69,6 +74,7 @@
             }
         }
         task.free_all();
+        task.record_end();
     }
 }
 
@@ -157,10 +163,7 @@
                 WaitRule::RefuseLate => Urgency::Interactive,
                 WaitRule::MayWait => Urgency::Deferrable,
             },
-            weights: Weights {
-                wasted_prefill: self.plan.route.weights.wasted_prefill,
-                goodput: self.plan.route.weights.goodput,
-            },
+            weights: self.weights(),
             is_suspect: self.plan.is_suspect,
         }
     }
@@ -185,6 +188,8 @@
     async fn prefill(&mut self, job: &PlacedJob, engine: EngineHandle) {
         let stream = self.stream_id(self.driver.attempts.next(&*self.driver.clock));
         self.hold(&engine, &stream);
+        self.record_plan(job, &engine, stream.attempt);
+        self.record_on(&engine, EventKind::PrefillStarted { attempt: stream.attempt });
         let emitted = self.run.tokens();
         let first_index = emitted.len() as u32;
         let call = PrefillCall {
@@ -208,10 +213,12 @@
             Ok(result) => {
                 let held_until = now + Duration::from_millis(result.hold_ms.into());
                 job.prefilled(result.cached_tokens, held_until);
+                let (attempt, cached_tokens) = (stream.attempt, result.cached_tokens);
+                self.record_on(&engine, EventKind::Prefilled { attempt, cached_tokens });
                 self.prefilled = Some(HeldPrefill { result, first_index, held_until });
             }
             Err(error) => {
-                warn!(request = self.run.id.request.as_str(), server = engine.name.as_str(); "prefill failed: {error}");
+                self.record_failure(&engine, &stream, &error);
                 self.free(&engine, &stream);
                 job.failed(FailedStage::Prefill, None);
             }
@@ -240,6 +247,9 @@
         };
         let stream = prefilled.result.stream.clone();
         self.hold(&pair.decode, &stream);
+        let started =
+            EventKind::TransferStarted { attempt: stream.attempt, to: pair.decode.name.clone() };
+        self.record_on(&pair.prefill, started);
         let call = DecodeCall {
             stream: stream.clone(),
             owner: self.driver.owner.clone(),
@@ -252,6 +262,7 @@
         let frames = match pair.decode.engine.decode(&call).await {
             Ok(frames) => frames,
             Err(error) if error.is_not_run() => {
+                self.record_failure(&pair.decode, &stream, &error);
                 self.forget(&pair.decode, &stream);
                 return Progress::Failed(FailedStage::Admission);
             }
@@ -287,7 +298,11 @@
             let engine = self.driver.connector.connect_afresh(pair.decode.address);
             let from = self.run.token_count();
             match engine.attach(stream, from).await {
-                Ok(fresh) if attaches <= MAX_ATTACHES => frames = fresh,
+                Ok(fresh) if attaches <= MAX_ATTACHES => {
+                    let attempt = stream.attempt;
+                    self.record_on(&pair.decode, EventKind::Resumed { attempt, offset: from });
+                    frames = fresh;
+                }
                 _ => return self.fail_transfer(pair, stream, &error),
             }
         }
@@ -311,6 +326,9 @@
                     }
                 }
                 StreamFrame::Token { index, text } => {
+                    if self.run.token_count() == 0 {
+                        self.record(EventKind::FirstToken { attempt: stream.attempt });
+                    }
                     let pushed = self.run.push_token(index, text);
                     pushed.map_err(|gap| {
                         EngineError::Crossed(format!("token {} is missing", gap.expected).into())
@@ -338,7 +356,7 @@
         stream: &StreamId,
         error: &EngineError,
     ) -> Progress {
-        warn!(request = self.run.id.request.as_str(), server = pair.decode.name.as_str(); "decode failed: {error}");
+        self.record_failure(&pair.decode, stream, error);
         self.free(&pair.decode, stream);
         let has_tokens = self.run.token_count() > self.prefilled_index();
         let stage = if has_tokens { FailedStage::Decode } else { FailedStage::Transfer };
@@ -369,10 +387,53 @@
         self.prefilled.as_ref().map_or(0, |prefilled| prefilled.first_index)
     }
 
+    fn record(&self, kind: EventKind) {
+        self.driver.journal.record(&self.run.id.request, kind);
+    }
+
+    fn record_on(&self, engine: &EngineHandle, kind: EventKind) {
+        self.driver.journal.record_on(&self.run.id.request, &engine.name, kind);
+    }
+
+    /// Records why the prefill goes to this engine.
+    fn record_plan(&self, job: &PlacedJob, engine: &EngineHandle, attempt: AttemptId) {
+        let accepted_at = self.req.accepted_at;
+        let cx = PlanContext { attempt, accepted_at, weights: self.weights() };
+        let Some(plan) = job.explain(&cx) else { return };
+        self.record_on(engine, EventKind::Planned(Box::new(plan)));
+    }
+
+    fn record_failure(&self, engine: &EngineHandle, stream: &StreamId, error: &EngineError) {
+        let request = self.run.id.request.as_str();
+        warn!(request, server = engine.name.as_str(); "an attempt failed: {error}");
+        let cause = error.to_string().into();
+        self.record_on(engine, EventKind::AttemptFailed { attempt: stream.attempt, cause });
+    }
+
+    fn record_end(&self) {
+        match self.run.result() {
+            Some(RunResult::Completed(completed)) => {
+                let tokens = completed.tokens;
+                self.record(EventKind::Finished { outcome: Outcome::Answered, tokens });
+            }
+            Some(RunResult::Refused(refusal)) => self.record(EventKind::Refused {
+                code: refusal.code,
+                outcome: refusal.outcome,
+                message: refusal.message,
+            }),
+            None => {}
+        }
+    }
+
     fn stream_id(&self, attempt: AttemptId) -> StreamId {
         StreamId { request: self.req.id.to_engine_id(), attempt }
     }
 
+    fn weights(&self) -> Weights {
+        let weights = self.plan.route.weights;
+        Weights { wasted_prefill: weights.wasted_prefill, goodput: weights.goodput }
+    }
+
     fn priority(&self) -> i32 {
         match self.plan.route.wait {
             WaitRule::RefuseLate => 1,
--- a/crates/magnoliaspar-serve/src/run/home.rs
+++ b/crates/magnoliaspar-serve/src/run/home.rs
@@ -8,6 +8,8 @@
 use magnoliaspar_declaration::RouteTarget;
 use magnoliaspar_policy::Scheduler;
 
+use tokio::sync::Notify;
+
 use super::completion::CompletionRequest;
 use super::dispatcher::Dispatcher;
 use super::driver::{Driver, RunPlan};
@@ -31,6 +33,7 @@
     shards: ShardMap,
     registry: RunRegistry,
     dispatchers: RefCell<BTreeMap<Shard, Rc<Dispatcher>>>,
+    shard_added: Notify,
 }
 
 impl LocalHome {
@@ -48,6 +51,7 @@
             shards,
             registry: RunRegistry::default(),
             dispatchers: RefCell::default(),
+            shard_added: Notify::new(),
         })
     }
 
@@ -70,9 +74,20 @@
         let dispatcher = Dispatcher::new(self.clock.clone(), Box::new(Scheduler::new()));
         dispatchers.insert(shard.clone(), dispatcher.clone());
         actix_rt::spawn(dispatcher.clone().run());
+        self.shard_added.notify_one();
         dispatcher
     }
 
+    /// Whether this instance has runs of a shard or had some.
+    pub fn serves(&self, shard: &Shard) -> bool {
+        self.dispatchers.borrow().contains_key(shard)
+    }
+
+    /// Waits until there is a dispatcher whose engines are not known yet.
+    pub async fn shard_added(&self) {
+        self.shard_added.notified().await;
+    }
+
     /// Returns all dispatchers with their shards.
     pub fn dispatchers(&self) -> Vec<(Shard, Rc<Dispatcher>)> {
         let dispatchers = self.dispatchers.borrow();
--- a/crates/magnoliaspar-serve/src/run/mod.rs
+++ b/crates/magnoliaspar-serve/src/run/mod.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod home;
 mod link;
+mod plan;
 mod reader;
 mod registry;
 mod running;
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -5,9 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
-use bytes::Bytes;
 use displaydoc::Display;
 use log::info;
 use magnoliaspar_claim::{ClaimController, ClaimSettings};
@@ -22,10 +19,11 @@
 
 use crate::caller::{self, ServiceLoad};
 use crate::directory::Directory;
-use crate::instance::{ConfigurationInForce, Instance, Readiness};
+use crate::instance::{ConfigurationInForce, Instance};
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
+use crate::operator;
 use crate::peer::{PeerClients, PeerError, PeerServer, ZoneHomes};
 use crate::refresh::Refresh;
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
@@ -82,26 +80,39 @@
     let peers = PeerServer::start(instance.clone()).await.map_err(ServeError::Peers)?;
     let callers = listen(instance.settings.callers, caller_handler(instance.clone())).await?;
     let operators = listen(instance.settings.operators, operator_handler(instance.clone())).await?;
-    info!(instance = instance.settings.instance.as_str(); "the instance listens on {}", callers.address);
+    announce(&instance, callers.address, peers.address(), operators.address);
     Ok(InstanceHandle { instance, callers, operators, peers })
 }
 
+/// Logs where the instance listens, since the settings may leave the choice of ports open.
+fn announce(instance: &Instance, callers: SocketAddr, peers: SocketAddr, operators: SocketAddr) {
+    info!(
+        instance = instance.settings.instance.as_str(),
+        callers:%,
+        peers:%,
+        operators:%;
+        "the instance listens on {callers}"
+    );
+}
+
 fn assemble(settings: Settings, connector: Rc<HttpConnector>) -> Rc<Instance> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let configuration = Rc::new(ConfigurationInForce::default());
     let directory = Rc::new(Directory::default());
+    let journal = Journal::new(clock.clone(), settings.instance.clone());
     let driver = Driver {
         clock: clock.clone(),
         connector,
         attempts: Rc::new(AttemptIds::default()),
         owner: settings.instance.as_str().into(),
+        journal: journal.clone(),
     };
-    let journal = Journal::new(clock.clone(), settings.instance.clone());
     let table = open_table(&settings, clock.clone());
     let claims = open_claims(&settings, clock.clone(), table.clone());
     let shards = ShardMap::new(directory.clone());
     let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
-    let clients = PeerClients::new(clock.clone(), settings.peer_keys.current.clone());
+    let clients =
+        PeerClients::new(clock.clone(), journal.clone(), settings.peer_keys.current.clone());
     let zone_homes = Rc::new(ZoneHomes::new(
         settings.instance.clone(),
         settings.zone.clone(),
@@ -110,7 +121,6 @@
         Rc::new(clients),
     ));
     Rc::new(Instance {
-        clock,
         configuration,
         homes: Homes::new(zone_homes.clone()),
         home,
@@ -123,6 +133,8 @@
         directory,
         concurrency: ConcurrencyLimits::default(),
         metrics: Rc::new(Metrics::new()),
+        started_at: clock.now(),
+        clock,
         is_draining: Cell::new(false),
         settings,
     })
@@ -222,26 +234,5 @@
 }
 
 fn operator_handler(instance: Rc<Instance>) -> Handler {
-    Rc::new(move |req| {
-        let instance = instance.clone();
-        Box::pin(async move { answer_operator(&instance, &req) })
-    })
-}
-
-fn answer_operator(instance: &Instance, req: &Request) -> Response<BoxBody> {
-    match req.path() {
-        "/healthz" => text(StatusCode::OK, "ok\n".into()),
-        "/readyz" => {
-            let readiness = instance.readiness();
-            let is_ready = readiness == Readiness::Ready;
-            let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            text(status, format!("{readiness}\n").into())
-        }
-        "/metrics" => text(StatusCode::OK, instance.metrics.encode().into()),
-        _ => text(StatusCode::NOT_FOUND, "no such page\n".into()),
-    }
-}
-
-fn text(status: StatusCode, body: Bytes) -> Response<BoxBody> {
-    Response::with_body(status, BoxBody::new(body))
+    Rc::new(move |req| Box::pin(operator::handle(instance.clone(), req)))
 }
--- /dev/null
+++ b/tests/src/bin/instance.rs
@@ -0,0 +1,8 @@
+//! The command line, built beside the tests that run it as a process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<Box<str>> = std::env::args().skip(1).map(Box::from).collect();
+    magnoliaspar_cli::run(&args)
+}
--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,116 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_standin::{Deployment, DeploymentSpec, OPERATOR_KEY, PEER_KEY, READER_KEY};
+use serde_json::json;
+
+use crate::InstanceProcess;
+
+/// How long instances may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How often a condition is checked.
+const CHECK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Stand-ins on the current thread, and instances as processes.
+pub struct Cluster {
+    /// The stand-ins.
+    pub deployment: Deployment,
+    /// The instances, in the order in which they were started.
+    pub instances: Vec<InstanceProcess>,
+    program: Box<str>,
+    folder: PathBuf,
+}
+
+impl Cluster {
+    /// Starts the stand-ins.
+    pub async fn start(program: &str, spec: &DeploymentSpec) -> Self {
+        let deployment = Deployment::start(spec).await.expect("the stand-ins start");
+        let name = format!("magnoliaspar-tests-{}-{:x}", std::process::id(), rand::random::<u64>());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("the folder can be made");
+        Self { deployment, instances: Vec::new(), program: program.into(), folder }
+    }
+
+    /// Starts an instance in the zone with this index and puts it on the platform's list.
+    pub fn start_instance(&mut self, zone: usize, name: &str) -> usize {
+        let settings = self.deployment.settings(zone, name).expect("the name is valid");
+        let file = self.folder.join(format!("{name}.json"));
+        std::fs::write(&file, self.settings_text(zone, name)).expect("the file can be written");
+        let instance = InstanceProcess::start(&self.program, &file);
+        self.deployment.enlist_instance(&settings, instance.addresses);
+        self.instances.push(instance);
+        self.instances.len() - 1
+    }
+
+    /// Starts several instances in one zone and waits until they are ready.
+    pub async fn start_instances(&mut self, zone: usize, names: &[&str]) {
+        for name in names {
+            self.start_instance(zone, name);
+        }
+        self.wait_until_ready().await;
+    }
+
+    /// Returns the addresses for callers of all instances.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|instance| instance.addresses.callers).collect()
+    }
+
+    /// Waits until all instances take requests and know each other and the engines.
+    pub async fn wait_until_ready(&self) {
+        let client = awc::Client::default();
+        for instance in &self.instances {
+            let url = format!("http://{}/readyz", instance.addresses.operators);
+            wait_until(READY_TIMEOUT, async || {
+                client.get(&url).send().await.is_ok_and(|res| res.status().is_success())
+            })
+            .await;
+        }
+    }
+
+    /// Waits until no engine memory is held.
+    pub async fn wait_until_free(&self, timeout: Duration) {
+        wait_until(timeout, async || self.deployment.used_pieces() == 0).await;
+    }
+
+    fn settings_text(&self, zone: usize, name: &str) -> String {
+        let zone = &self.deployment.zones[zone];
+        let platform = zone.access.address();
+        json!({
+            "instance": name,
+            "zone": zone.name,
+            "callers": "127.0.0.1:0",
+            "peers": "127.0.0.1:0",
+            "operators": "127.0.0.1:0",
+            "platform": {
+                "table": platform, "objects": platform,
+                "weights": platform, "instances": platform,
+            },
+            "peer_keys": { "current": PEER_KEY },
+            "operator_keys": [
+                { "name": "on-call", "key": OPERATOR_KEY, "rights": "command" },
+                { "name": "dashboard", "key": READER_KEY, "rights": "read" },
+            ],
+            "log": { "filter": "info" },
+            "drain_limit": "20s",
+        })
+        .to_string()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a condition holds, and fails if it does not in time.
+pub async fn wait_until(timeout: Duration, condition: impl AsyncFn() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < timeout, "the condition does not hold after {timeout:?}");
+        actix_rt::time::sleep(CHECK_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,100 @@
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use magnoliaspar_standin::InstanceAddresses;
+use serde_json::Value;
+
+/// An instance that runs as a process of its own and is killed when this is dropped.
+pub struct InstanceProcess {
+    child: Child,
+    /// Where the instance listens.
+    pub addresses: InstanceAddresses,
+}
+
+impl InstanceProcess {
+    /// Starts `program` with a settings file and waits until it tells where it listens.
+    pub fn start(program: &str, settings: &Path) -> Self {
+        let mut child = Command::new(program)
+            .arg("serve")
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program can be started");
+        let stdout = child.stdout.take().expect("the output is piped");
+        let mut lines = BufReader::new(stdout).lines();
+        let addresses = loop {
+            let line = lines.next().expect("the instance announces itself").expect("a log line");
+            if let Some(addresses) = parse_announcement(&line) {
+                break addresses;
+            }
+        };
+        std::thread::spawn(move || {
+            for line in lines {
+                let Ok(line) = line else { return };
+                eprintln!("{line}");
+            }
+        });
+        Self { child, addresses }
+    }
+
+    /// Ends the process at once, as a crash would.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Stops the process from running until it is resumed.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process run again.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Asks the process to drain.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process ends")
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn try_wait(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the process can be asked")
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status();
+        assert!(status.expect("kill can be run").success());
+    }
+}
+
+impl Drop for InstanceProcess {
+    fn drop(&mut self) {
+        // A process that has ended already cannot be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn parse_announcement(line: &str) -> Option<InstanceAddresses> {
+    let entry: Value = serde_json::from_str(line).ok()?;
+    let address = |name: &str| -> Option<SocketAddr> {
+        let value = entry.get(name).or_else(|| entry.get("kv")?.get(name))?;
+        value.as_str()?.parse().ok()
+    };
+    Some(InstanceAddresses {
+        callers: address("callers")?,
+        peers: address("peers")?,
+        operators: address("operators")?,
+    })
+}
