--- a/crates/magnoliaspar-bench/src/limit.rs
+++ b/crates/magnoliaspar-bench/src/limit.rs
@@ -1,9 +1,12 @@
+use std::time::Duration;
+
+use magnoliaspar_policy::Role;
 use serde::Serialize;
 
 use crate::arrival::Arrival;
 use crate::catalogue::Catalogue;
 use crate::deployment::{Deployment, TTFT_TARGET};
-use crate::scenario::{Fault, Scenario, WINDOW};
+use crate::scenario::{Fault, Scenario, Shape, WARM_UP, WINDOW};
 
 /// The load that a deployment is built for, relative to what its engines can do at best.
 ///
@@ -14,7 +17,7 @@
 ///
 /// The arithmetic takes the mean request. A policy that could tell short answers from long ones
 /// in advance would do better.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Limit {
     /// The requests that are offered and not cancelled.
     pub offered: f64,
@@ -24,6 +27,8 @@
     pub decode: f64,
     /// The requests whose KV cache the links can carry.
     pub link: f64,
+    /// The smallest of these, added up over the times before, during and after a fault.
+    pub feasible: f64,
 }
 
 impl Limit {
@@ -34,36 +39,100 @@
         catalogue: &Catalogue,
         arrivals: &[&Arrival],
     ) -> Self {
+        let shape = scenario.shape();
+        let mut limit = Self::default();
+        for phase in phases(deployment, &shape) {
+            let rates = Rates::new(deployment, catalogue, &shape, phase.prefill_engines);
+            limit.add(&phase, &rates, deployment, shape.load, arrivals);
+        }
+        limit
+    }
+
+    /// Returns the smallest of the limits that come from the engines.
+    pub fn service(&self) -> f64 {
+        self.prefill.min(self.decode).min(self.link)
+    }
+
+    fn add(
+        &mut self,
+        phase: &Phase,
+        rates: &Rates,
+        deployment: &Deployment,
+        load: f64,
+        arrivals: &[&Arrival],
+    ) {
         let mut offered = 0.0;
         for arrival in arrivals {
-            if arrival.is_counted && arrival.cancel_after.is_none() {
+            let at = arrival.at.saturating_sub(WARM_UP);
+            let is_in_phase = arrival.is_counted && phase.from <= at && at < phase.to;
+            if is_in_phase && arrival.cancel_after.is_none() {
                 offered += 1.0;
             }
         }
-        let (prefill_seconds, decode_seconds) = engine_seconds(deployment, scenario);
-        let rates = Rates::new(deployment, catalogue, scenario.shape().hot_share);
-        Self {
-            offered,
-            prefill: prefill_seconds * rates.prefill,
-            decode: decode_seconds * rates.decode,
-            link: prefill_seconds * rates.export,
-        }
+        // A request that comes at the end of a phase may start as late as its target allows.
+        let seconds = (phase.to - phase.from + TTFT_TARGET).as_secs_f64();
+        let slots = phase.decode_engines * f64::from(deployment.engine.decode_slots);
+        let idle_slots = slots * (1.0 - CAPACITY_SHARE * load).max(0.0);
+        let prefill = rates.prefill * phase.prefill_engines * seconds;
+        let decode = rates.decode * phase.decode_engines * seconds + idle_slots;
+        let link = rates.export * phase.prefill_engines * seconds;
+        self.offered += offered;
+        self.prefill += prefill;
+        self.decode += decode;
+        self.link += link;
+        self.feasible += offered.min(prefill).min(decode).min(link);
     }
+}
+
+/// A part of the window in which the same engines work.
+struct Phase {
+    from: Duration,
+    to: Duration,
+    prefill_engines: f64,
+    decode_engines: f64,
+}
 
-    /// Returns the smallest of the limits.
-    pub fn feasible(&self) -> f64 {
-        self.offered.min(self.prefill).min(self.decode).min(self.link)
+/// Returns the parts of the window before, during and after the fault of a scenario.
+fn phases(deployment: &Deployment, shape: &Shape) -> Vec<Phase> {
+    let all = |from, to| Phase {
+        from,
+        to,
+        prefill_engines: f64::from(deployment.prefill_engines),
+        decode_engines: f64::from(deployment.decode_engines),
+    };
+    let (at, back_at) = match shape.fault {
+        None => return vec![all(Duration::ZERO, WINDOW)],
+        Some(Fault::DecodeLost { at, back_at } | Fault::ZoneCut { at, back_at }) => (at, back_at),
+    };
+    let mut during = all(at, back_at);
+    match shape.fault {
+        Some(Fault::ZoneCut { .. }) => remove_last_zone(deployment, &mut during),
+        _ => during.decode_engines -= 1.0,
     }
+    vec![all(Duration::ZERO, at), during, all(back_at, WINDOW)]
+}
 
-    /// Returns the smallest of the limits that come from the engines.
-    pub fn service(&self) -> f64 {
-        self.prefill.min(self.decode).min(self.link)
+fn remove_last_zone(deployment: &Deployment, phase: &mut Phase) {
+    let last = &deployment.zones[deployment.zones.len() - 1];
+    for spec in deployment.servers() {
+        if spec.zone != *last {
+            continue;
+        }
+        match spec.role {
+            Role::Prefill => phase.prefill_engines -= 1.0,
+            Role::Decode => phase.decode_engines -= 1.0,
+        }
     }
 }
 
 /// Returns the requests a second that a deployment is built for.
 pub fn capacity(deployment: &Deployment, catalogue: &Catalogue) -> f64 {
-    let rates = Rates::new(deployment, catalogue, 0.0);
+    let rates = Rates::new(
+        deployment,
+        catalogue,
+        &Scenario::Peak.shape(),
+        f64::from(deployment.prefill_engines),
+    );
     let prefill = rates.prefill * f64::from(deployment.prefill_engines);
     let decode = rates.decode * f64::from(deployment.decode_engines);
     let export = rates.export * f64::from(deployment.prefill_engines);
@@ -78,14 +147,20 @@
 }
 
 impl Rates {
-    fn new(deployment: &Deployment, catalogue: &Catalogue, hot_share: f64) -> Self {
+    fn new(
+        deployment: &Deployment,
+        catalogue: &Catalogue,
+        shape: &Shape,
+        prefill_engines: f64,
+    ) -> Self {
+        let hot_share = shape.hot_share;
         let engine = &deployment.engine;
         let workload = &deployment.workload;
         let question = f64::from(workload.min_question_tokens + workload.max_question_tokens) / 2.0;
         let usual = 1.0 - hot_share;
         let hot = hot_share * catalogue.documents[0].tokens();
         let prompt = usual * catalogue.mean_tokens() + hot + question;
-        let cache_blocks = engine.cache_blocks() * deployment.prefill_engines;
+        let cache_blocks = (f64::from(engine.cache_blocks()) * prefill_engines) as u32;
         let uncached = usual * catalogue.mean_uncached_tokens(cache_blocks) + question;
         let prefill_seconds =
             engine.prefill_overhead.as_secs_f64() + uncached / engine.prefill_tokens_per_second;
@@ -101,28 +176,3 @@
         }
     }
 }
-
-/// Returns the seconds in which the prefill and the decode engines can start requests that meet
-/// their target.
-fn engine_seconds(deployment: &Deployment, scenario: Scenario) -> (f64, f64) {
-    let window = (WINDOW + TTFT_TARGET).as_secs_f64();
-    let mut prefill = f64::from(deployment.prefill_engines) * window;
-    let mut decode = f64::from(deployment.decode_engines) * window;
-    match scenario.shape().fault {
-        None => {}
-        Some(Fault::DecodeLost { at, back_at }) => decode -= (back_at - at).as_secs_f64(),
-        Some(Fault::ZoneCut { at, back_at }) => {
-            let last = &deployment.zones[deployment.zones.len() - 1];
-            for spec in deployment.servers() {
-                if spec.zone != *last {
-                    continue;
-                }
-                match spec.role {
-                    magnoliaspar_policy::Role::Prefill => prefill -= (back_at - at).as_secs_f64(),
-                    magnoliaspar_policy::Role::Decode => decode -= (back_at - at).as_secs_f64(),
-                }
-            }
-        }
-    }
-    (prefill, decode)
-}
--- a/crates/magnoliaspar-bench/src/report.rs
+++ b/crates/magnoliaspar-bench/src/report.rs
@@ -125,7 +125,7 @@
             }
         }
         report.share_of_offered = share(report.goodput, report.offered);
-        report.share_of_limit = report.goodput as f64 / limit.feasible();
+        report.share_of_limit = report.goodput as f64 / limit.feasible;
         for violation in &ledger.violations {
             let text = violation.to_string().into();
             if violation.is_untrue_refusal() {
--- a/crates/magnoliaspar-bench/src/slope.rs
+++ b/crates/magnoliaspar-bench/src/slope.rs
@@ -2,8 +2,13 @@
 use std::fmt::Write;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{BlockHash, Clock, JobKey, ManualClock, ServerName, WorkspaceName};
-use magnoliaspar_policy::{Action, Job, Policy, Scheduler, ServerSpec, Urgency, Weights};
+use magnoliaspar_core::{
+    BLOCK_TOKENS, BlockHash, Clock, JobKey, ManualClock, ServerKey, ServerName, WorkspaceName,
+};
+use magnoliaspar_policy::{
+    Action, Job, LoadReport, Policy, Scheduler, ServerSpec, Urgency, Weights,
+};
+use slotmap::SecondaryMap;
 
 use crate::deployment::Deployment;
 
@@ -26,13 +31,22 @@
 const PROMPT_BLOCKS: u64 = 32;
 
 /// The number of documents with which prompts begin.
-const DOCUMENTS: u64 = 64;
+const DOCUMENTS: u64 = 4_096;
+
+/// How many prompts each server of the pool keeps in its cache.
+const CACHED_PROMPTS_PER_SERVER: usize = 20;
+
+/// How often the policy is told of the progress of each answer.
+const PROGRESS_MESSAGES: u32 = 12;
+
+/// How many tokens an answer gains between two messages.
+const PROGRESS_TOKENS: u32 = 16;
 
 /// The number of workspaces that send jobs.
 const WORKSPACES: u64 = 64;
 
 /// The time between two jobs for each server of the pool.
-const INTERVAL_PER_SERVER: Duration = Duration::from_millis(200);
+const INTERVAL_PER_SERVER: Duration = Duration::from_millis(500);
 
 /// A pool that is full and has jobs waiting, for timing what one request costs.
 pub struct Workbench {
@@ -40,6 +54,11 @@
     now: Instant,
     interval: Duration,
     decoding: VecDeque<JobKey>,
+    servers: Vec<ServerKey>,
+    /// The prompts of the jobs that have not been read.
+    prompts: SecondaryMap<JobKey, Box<[BlockHash]>>,
+    /// The prompts in the caches, the oldest first.
+    cached: VecDeque<(ServerKey, Box<[BlockHash]>)>,
     submitted: u64,
     workspaces: Box<[WorkspaceName]>,
 }
@@ -52,6 +71,9 @@
             now: ManualClock::new().now(),
             interval: INTERVAL_PER_SERVER / servers as u32,
             decoding: VecDeque::new(),
+            servers: Vec::new(),
+            prompts: SecondaryMap::new(),
+            cached: VecDeque::new(),
             submitted: 0,
             workspaces: workspaces(),
         };
@@ -72,8 +94,12 @@
     /// Lets one request finish and another one take its place; returns how many began to decode.
     pub fn cycle(&mut self) -> usize {
         if let Some(job) = self.decoding.pop_front() {
+            for message in 1..=PROGRESS_MESSAGES {
+                self.policy.progressed(self.now, job, message * PROGRESS_TOKENS);
+            }
             self.policy.finished(self.now, job);
         }
+        self.report();
         self.submit();
         self.now += self.interval;
         self.settle()
@@ -85,7 +111,7 @@
             if spec.role == magnoliaspar_policy::Role::Decode {
                 slots += spec.slots;
             }
-            self.policy.add_server(self.now, spec);
+            self.servers.push(self.policy.add_server(self.now, spec));
         }
         slots
     }
@@ -93,7 +119,9 @@
     fn submit(&mut self) {
         self.submitted += 1;
         let job = self.job(self.submitted);
-        self.policy.submit(self.now, job);
+        let prompt = job.blocks.clone();
+        let key = self.policy.submit(self.now, job);
+        self.prompts.insert(key, prompt);
     }
 
     /// Carries out all orders at once.
@@ -106,32 +134,62 @@
             }
             for action in actions {
                 match action {
-                    Action::Prefill { job, .. } => {
+                    Action::Prefill { job, server, .. } => {
                         let held_until = self.now + Duration::from_millis(800);
                         self.policy.prefilled(self.now, job, 0, held_until);
+                        self.publish(job, server);
                     }
                     Action::Transfer { job, .. } => {
                         self.policy.transferred(self.now, job);
                         self.decoding.push_back(job);
                         started += 1;
                     }
-                    Action::Refuse { .. } => {}
+                    Action::Refuse { job, .. } => {
+                        self.prompts.remove(job);
+                    }
                 }
             }
         }
     }
 
+    /// Sends the cache events of a prompt that was read, and of the one that left for it.
+    fn publish(&mut self, job: JobKey, server: ServerKey) {
+        let Some(prompt) = self.prompts.remove(job) else { return };
+        self.policy.cache_events(self.now, server, &prompt, &[], false);
+        self.cached.push_back((server, prompt));
+        if self.cached.len() <= CACHED_PROMPTS_PER_SERVER * self.servers.len() {
+            return;
+        }
+        let Some((server, prompt)) = self.cached.pop_front() else { return };
+        self.policy.cache_events(self.now, server, &[], &prompt, false);
+    }
+
+    /// Sends the load report of one server, which comes about as often as a request.
+    fn report(&mut self) {
+        let server = self.servers[self.submitted as usize % self.servers.len()];
+        let report = LoadReport {
+            made_at: self.now,
+            running: 0,
+            waiting: 0,
+            used_pieces: 0,
+            queued_tokens: 0,
+        };
+        self.policy.report(self.now, server, report);
+    }
+
     fn job(&self, number: u64) -> Job {
         let first = (number % DOCUMENTS) * PROMPT_BLOCKS;
         let mut blocks = Vec::new();
         for block in first..first + PROMPT_BLOCKS {
             blocks.push(BlockHash(block));
         }
+        // The question is in no other prompt.
+        blocks.push(BlockHash(u64::MAX - number));
         Job {
             workspace: self.workspaces[(number % WORKSPACES) as usize].clone(),
             share: 1,
             blocks: blocks.into(),
-            prompt_tokens: PROMPT_BLOCKS as u32 * magnoliaspar_core::BLOCK_TOKENS,
+            prompt_tokens: (PROMPT_BLOCKS as u32 + 1) * BLOCK_TOKENS,
             max_output_tokens: 256,
             expected_output_tokens: 128,
             accepted_at: self.now,
@@ -145,17 +203,21 @@
 }
 
 /// Times what one request costs as pool and queue grow, as a table in markdown.
+///
+/// The starts for each request show that the time is that of requests which are served.
 pub fn slopes() -> String {
-    let mut text = String::from("| servers | waiting | µs a request | of the budget |\n");
-    text.push_str("|---|---|---|---|\n");
+    let mut text =
+        String::from("| servers | waiting | µs a request | of the budget | starts a request |\n");
+    text.push_str("|---|---|---|---|---|\n");
     let mut first_row = Vec::new();
     let mut first_column = Vec::new();
     for servers in SERVERS {
         for waiting in WAITING {
-            let cost = cost(servers, waiting);
+            let (cost, starts) = cost(servers, waiting);
             let share = cost.div_duration_f64(DECISION_BUDGET);
             let micros = cost.as_secs_f64() * 1e6;
-            let _ = writeln!(text, "| {servers} | {waiting} | {micros:.1} | {share:.2} |");
+            let _ = write!(text, "| {servers} | {waiting} | {micros:.1} | {share:.2} |");
+            let _ = writeln!(text, " {starts:.2} |");
             if servers == SERVERS[0] {
                 first_row.push((waiting, cost));
             }
@@ -171,15 +233,17 @@
     text
 }
 
-fn cost(servers: usize, waiting: usize) -> Duration {
+/// Returns what one request costs and how many requests begin to decode for each that comes.
+fn cost(servers: usize, waiting: usize) -> (Duration, f64) {
     let mut bench = Workbench::new(servers, waiting);
     let mut cycles = 0;
+    let mut starts = 0;
     let start = Instant::now();
     while cycles < MAX_CYCLES && start.elapsed() < MAX_CELL_TIME {
-        bench.cycle();
+        starts += bench.cycle();
         cycles += 1;
     }
-    start.elapsed() / cycles
+    (start.elapsed() / cycles, starts as f64 / f64::from(cycles))
 }
 
 /// Returns the slope of the least-squares line in microseconds.
