--- /dev/null
+++ b/crates/magnoliaspar-order/src/desired.rs
@@ -0,0 +1,196 @@
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use displaydoc::Display;
+use magnoliaspar_core::{ModelName, ServerName, ZoneName};
+use magnoliaspar_engine::EngineStatus;
+use magnoliaspar_platform::{
+    Backoff, Condition, PlatformError, Row, RowKey, RowVersion, Settled, TableService, Transaction,
+    Write, WriteToken, commit_settled,
+};
+use serde::{Deserialize, Serialize};
+
+/// The desired states of the engines of one availability zone.
+pub struct DesiredTable {
+    table: Rc<dyn TableService>,
+    backoff: Backoff,
+    prefix: Box<str>,
+    writer: Box<str>,
+    writes: Cell<u64>,
+}
+
+/// What an engine should run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DesiredState {
+    /// The model.
+    pub model: ModelName,
+    /// The version of the model.
+    pub version: Box<str>,
+    /// The adapters.
+    pub adapters: BTreeSet<Box<str>>,
+    /// The role.
+    pub role: DesiredRole,
+    /// The size of the weights, which a load takes from the weight store, in bytes.
+    pub weight_bytes: u64,
+}
+
+/// The role of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DesiredRole {
+    /// It reads prompts.
+    Prefill,
+    /// It produces tokens.
+    Decode,
+}
+
+impl DesiredRole {
+    /// Returns the name that engines use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+}
+
+impl DesiredState {
+    /// Whether an engine has the role.
+    pub fn has_role(&self, status: &EngineStatus) -> bool {
+        &*status.role == self.role.as_str()
+    }
+
+    /// Whether an engine has loaded the model in its version.
+    pub fn has_model(&self, status: &EngineStatus) -> bool {
+        status.model == self.model && status.version == self.version
+    }
+
+    /// Whether an engine has loaded exactly the adapters.
+    pub fn has_adapters(&self, status: &EngineStatus) -> bool {
+        let loaded: BTreeSet<Box<str>> = status.adapters.iter().cloned().collect();
+        loaded == self.adapters
+    }
+}
+
+/// The name of an operator.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OperatorName(pub Box<str>);
+
+/// A desired state as an operator sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DesiredRow {
+    /// The state.
+    pub state: DesiredState,
+    /// Who set it.
+    pub set_by: OperatorName,
+    /// The version on which the next change depends.
+    pub version: RowVersion,
+}
+
+/// Why a desired state was not set.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum DesiredError {
+    /// the state was changed since it was read, at version {at_version:?} by {winner:?}
+    Conflict {
+        /// Who made the change that stands; none if the state was removed.
+        winner: Option<OperatorName>,
+        /// The version that stands.
+        at_version: Option<RowVersion>,
+    },
+    /// it is not known whether the state was set; read it again
+    Unsettled,
+    /// the table cannot be used: {0}
+    Platform(PlatformError),
+}
+
+impl std::error::Error for DesiredError {}
+
+impl DesiredTable {
+    /// Creates a table for one availability zone; no two processes may use the same `writer`.
+    pub fn new(
+        table: Rc<dyn TableService>,
+        backoff: Backoff,
+        zone: &ZoneName,
+        writer: Box<str>,
+    ) -> Self {
+        // Names may contain slashes, but no percent sign.
+        let zone = zone.as_str().replace('/', "%2F");
+        let prefix = format!("desired/{zone}/").into();
+        Self { table, backoff, prefix, writer, writes: Cell::new(0) }
+    }
+
+    /// Reads the desired state of one engine.
+    pub async fn read(&self, server: &ServerName) -> Result<Option<DesiredRow>, PlatformError> {
+        let row = self.table.read(&self.key(server)).await?;
+        Ok(row.as_ref().and_then(parse))
+    }
+
+    /// Reads the desired states of all engines.
+    pub async fn list(&self) -> Result<BTreeMap<ServerName, DesiredRow>, PlatformError> {
+        let mut states = BTreeMap::new();
+        let mut after = None;
+        loop {
+            let rows = self.table.scan(&self.prefix, after.as_ref(), PAGE_ROWS).await?;
+            for row in &rows {
+                let Ok(server) = ServerName::try_from(&row.key.0[self.prefix.len()..]) else {
+                    continue;
+                };
+                let Some(desired) = parse(row) else { continue };
+                states.insert(server, desired);
+            }
+            after = match rows.last() {
+                Some(row) if rows.len() == PAGE_ROWS => Some(row.key.clone()),
+                _ => return Ok(states),
+            };
+        }
+    }
+
+    /// Sets the desired state of an engine on top of the version that the operator saw.
+    pub async fn set(
+        &self,
+        server: &ServerName,
+        state: &DesiredState,
+        seen: Option<RowVersion>,
+        operator: &OperatorName,
+    ) -> Result<RowVersion, DesiredError> {
+        let value = StoredState { state: state.clone(), set_by: operator.clone() };
+        let value = serde_json::to_value(value).expect("a desired state has only text keys");
+        let condition = seen.map_or(Condition::Absent, Condition::Version);
+        let write = Write { key: self.key(server), condition, value: Some(value) };
+        let number = self.writes.get();
+        self.writes.set(number + 1);
+        let token = WriteToken(format!("{}/{number}", self.writer).into());
+        let transaction = Transaction { writes: vec![write] };
+        match commit_settled(&*self.table, &self.backoff, &transaction, &token).await {
+            Settled::Applied(versions) => Ok(versions[0]),
+            Settled::Conflict { current, .. } => Err(conflict(current.as_ref())),
+            Settled::NotApplied(error) => Err(DesiredError::Platform(error)),
+            Settled::Unknown => Err(DesiredError::Unsettled),
+        }
+    }
+
+    fn key(&self, server: &ServerName) -> RowKey {
+        RowKey(format!("{}{server}", self.prefix).into())
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct StoredState {
+    state: DesiredState,
+    set_by: OperatorName,
+}
+
+fn parse(row: &Row) -> Option<DesiredRow> {
+    let stored: StoredState = serde_json::from_value(row.value.clone()).ok()?;
+    Some(DesiredRow { state: stored.state, set_by: stored.set_by, version: row.version })
+}
+
+fn conflict(current: Option<&Row>) -> DesiredError {
+    let at_version = current.map(|row| row.version);
+    let winner = current.and_then(parse).map(|desired| desired.set_by);
+    DesiredError::Conflict { winner, at_version }
+}
+
+/// How many rows one read of the list returns.
+const PAGE_ROWS: usize = 500;
--- a/crates/magnoliaspar-platform/src/settle.rs
+++ b/crates/magnoliaspar-platform/src/settle.rs
@@ -54,8 +54,8 @@
 /// What became of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Settled {
-    /// All writes took effect; the versions are in the order of the writes, and 0 for a row that
-    /// has been overwritten since.
+    /// All writes took effect; the versions are in the order of the writes, with
+    /// [`RowVersion::OVERWRITTEN`] for a row that was deleted or overwritten since.
     Applied(Vec<RowVersion>),
     /// A condition does not hold.
     Conflict {
@@ -111,7 +111,7 @@
                     return Ok(Settled::Conflict { key, current, may_have_applied: false });
                 }
                 let versions = self.own_versions().await?;
-                if versions.iter().any(|version| *version != OVERWRITTEN) {
+                if versions.iter().any(|version| *version != RowVersion::OVERWRITTEN) {
                     return Ok(Settled::Applied(versions.into()));
                 }
                 Ok(Settled::Conflict { key, current, may_have_applied: true })
@@ -130,7 +130,7 @@
         Ok(false)
     }
 
-    /// Returns the versions of all rows that carry the token, and [`OVERWRITTEN`] for others.
+    /// Returns the versions of all rows that carry the token, and [`RowVersion::OVERWRITTEN`] for others.
     async fn own_versions(&self) -> Result<Box<[RowVersion]>, PlatformError> {
         let mut versions = Vec::with_capacity(self.transaction.writes.len());
         for write in &self.transaction.writes {
@@ -139,15 +139,12 @@
                 None => None,
             };
             let own = row.filter(|row| self.token.is_on(row));
-            versions.push(own.map_or(OVERWRITTEN, |row| row.version));
+            versions.push(own.map_or(RowVersion::OVERWRITTEN, |row| row.version));
         }
         Ok(versions.into())
     }
 }
 
-/// The version of a row that was deleted or overwritten since, which no row ever has.
-const OVERWRITTEN: RowVersion = RowVersion(0);
-
 async fn wait(backoff: &Backoff, attempt: u32, token: &WriteToken, error: &PlatformError) {
     if let PlatformError::RateLimited { retry_after } = error {
         let wait: Duration = (*retry_after).min(backoff.longest);
--- a/crates/magnoliaspar-platform/src/table.rs
+++ b/crates/magnoliaspar-platform/src/table.rs
@@ -29,6 +29,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RowVersion(pub u64);
 
+impl RowVersion {
+    /// Stands for a version that is gone; no row ever has it, so a condition on it never holds.
+    pub const OVERWRITTEN: Self = Self(0);
+}
+
 /// A row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
