--- a/crates/magnoliaspar-declaration/src/check.rs
+++ b/crates/magnoliaspar-declaration/src/check.rs
@@ -1,11 +1,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use magnoliaspar_core::{Finding, Findings, PoolName};
-use magnoliaspar_json::{closest, element_path};
+use magnoliaspar_core::{Finding, Findings};
+use magnoliaspar_json::element_path;
 
 use crate::read::{field_path, read_entities};
-use crate::{Declarations, Document, EntityId, EntityKind, PoolKind, RouteTarget};
+use crate::{Declarations, Document, EntityId, EntityKind, RouteTarget};
 
 impl TryFrom<&Document> for Declarations {
     type Error = Findings;
@@ -15,63 +15,12 @@
         let findings = RefCell::new(Findings::new());
         let declarations = read_entities(document, &findings);
         let mut findings = findings.into_inner();
-        check_pools(document, &declarations, &mut findings);
         check_prefixes(&declarations, &mut findings);
         check_keys(&declarations, &mut findings);
         findings.into_result(declarations)
     }
 }
 
-/// Checks that routes name pools that exist and are of the right kind.
-fn check_pools(document: &Document, declarations: &Declarations, findings: &mut Findings) {
-    for (name, route) in &declarations.routes {
-        let id = EntityId::new(EntityKind::Route, name.as_str());
-        match &route.target {
-            RouteTarget::Completion(target) => {
-                let uses = [
-                    ("prefill_pool", &target.prefill_pool, PoolKind::Prefill),
-                    ("decode_pool", &target.decode_pool, PoolKind::Decode),
-                ];
-                for (field, pool, kind) in uses {
-                    let path = field_path(&id, &["completion", field]);
-                    findings.extend(check_pool(document, declarations, path, pool, kind));
-                }
-            }
-            RouteTarget::Service(target) => {
-                let path = field_path(&id, &["service", "pool"]);
-                let kind = PoolKind::Service;
-                findings.extend(check_pool(document, declarations, path, &target.pool, kind));
-            }
-        }
-    }
-}
-
-fn check_pool(
-    document: &Document,
-    declarations: &Declarations,
-    path: Box<str>,
-    name: &PoolName,
-    kind: PoolKind,
-) -> Option<Finding> {
-    if let Some(pool) = declarations.pools.get(name) {
-        if pool.kind == kind {
-            return None;
-        }
-        let message = format!("the pool \"{name}\" is of kind {}, not {kind}", pool.kind);
-        return Some(Finding::at(path, message));
-    }
-    if document.entities.contains_key(&EntityId::new(EntityKind::Pool, name.as_str())) {
-        // The pool is declared and has findings of its own.
-        return None;
-    }
-    let finding = Finding::at(path, format!("the pool \"{name}\" is not declared"));
-    let names = declarations.pools.keys().map(PoolName::as_str);
-    match closest(name.as_str(), names) {
-        Some(meant) => Some(finding.with_hint(format!("did you mean {meant:?}?"))),
-        None => Some(finding),
-    }
-}
-
 /// Checks that no two services have the same path prefix.
 fn check_prefixes(declarations: &Declarations, findings: &mut Findings) {
     let mut owners = BTreeMap::new();
@@ -101,7 +50,9 @@
 
 #[cfg(test)]
 mod tests {
-    use serde_json::json;
+    use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
+    use proptest::test_runner::RngSeed;
+    use serde_json::{Value, json};
 
     use crate::{Declarations, Document, EntityId, KeyDigest, PoolKind, RouteTarget};
 
@@ -190,8 +141,9 @@
             ("pools/p", json!({"kind": "prefill"})),
             ("pools/d", json!({"kind": "decode"})),
             ("routes/r", route),
-            ("routes/s", json!({"service": {"prefix": "/v1/x", "pool": "p", "repeat": "lookup"}})),
-            ("routes/t", json!({"service": {"prefix": "/x/", "pool": "p", "repeat": "lookup"}})),
+            ("pools/s", json!({"kind": "service"})),
+            ("routes/s", json!({"service": {"prefix": "/v1/x", "pool": "s", "repeat": "lookup"}})),
+            ("routes/t", json!({"service": {"prefix": "/x/", "pool": "s", "repeat": "lookup"}})),
         ]);
         let expected = "\
 $.routes.r.limits: \"progress\" is longer than \"duration\"
@@ -201,4 +153,63 @@
 ";
         assert_eq!(text, expected);
     }
+
+    /// Returns the places of all values inside `value`, itself included.
+    fn pointers(value: &Value, at: &str, found: &mut Vec<String>) {
+        found.push(at.to_owned());
+        if let Value::Object(members) = value {
+            for (name, member) in members {
+                pointers(member, &format!("{at}/{name}"), found);
+            }
+        }
+        if let Value::Array(elements) = value {
+            for (index, element) in elements.iter().enumerate() {
+                pointers(element, &format!("{at}/{index}"), found);
+            }
+        }
+    }
+
+    fn any_value() -> impl Strategy<Value = Value> {
+        prop_oneof![
+            Just(Value::Null),
+            any::<bool>().prop_map(Value::from),
+            any::<i64>().prop_map(Value::from),
+            any::<f64>().prop_map(Value::from),
+            "[ -~]{0,9}".prop_map(Value::from),
+            "[0-9]{1,25}(ms|s|d)".prop_map(Value::from),
+            Just(json!([])),
+            Just(json!({})),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 512,
+            failure_persistence: None,
+            rng_seed: RngSeed::Fixed(44),
+            ..ProptestConfig::default()
+        })]
+
+        #[test]
+        fn a_document_with_any_value_is_checked(place in any::<usize>(), value in any_value()) {
+            let text = include_str!("../../../examples/midlands/declarations.json");
+            let mut document = Document::read(text, "declarations.json").unwrap();
+            let mut places = Vec::new();
+            for (id, entity) in &document.entities {
+                let mut found = Vec::new();
+                pointers(entity, "", &mut found);
+                places.extend(found.into_iter().map(|pointer| (id.clone(), pointer)));
+            }
+            let (id, pointer) = &places[place % places.len()];
+            let entity = document.entities.get_mut(id).unwrap();
+            *entity.pointer_mut(pointer).unwrap() = value;
+            match Declarations::try_from(&document) {
+                Ok(declarations) => assert_eq!(declarations.routes.len(), 4),
+                Err(findings) => {
+                    let mut paths = findings.iter().map(|finding| &finding.place.path);
+                    assert!(paths.any(|path| path.starts_with(&*id.path())));
+                }
+            }
+        }
+    }
 }
