Measure claims per write, and test the remaining adapters

Cause: batching was counted for one moment only, and the adapters of the object store, the weight store and the instance list had no test.

Change: a test counts writes for claims that arrive over one second while the table takes 20 ms; the adapters' test covers all four services; a claim beyond the rate is shown to be refused as not run.

--- a/crates/magnoliaspar-claim/tests/claims.rs
+++ b/crates/magnoliaspar-claim/tests/claims.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{controller, outcome, request};
+use async_trait::async_trait;
+use common::{controller, outcome, request, settings};
 use magnoliaspar_claim::{ClaimController, ClaimSettings, ClaimVerdict, NotRunReason};
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::{Fault, MemoryTable};
+use magnoliaspar_platform::{Backoff, Sleep};
+use tokio::task::yield_now;
 
 fn world() -> (Rc<ManualClock>, MemoryTable) {
     let clock = Rc::new(ManualClock::new());
@@ -149,3 +153,86 @@
         assert_eq!(count_writes(claims, used).await, writes, "{claims} claims, {used} used");
     }
 }
+
+/// Waits until a clock that others move has moved far enough.
+struct TickSleep(Rc<ManualClock>);
+
+#[async_trait(?Send)]
+impl Sleep for TickSleep {
+    async fn sleep(&self, duration: Duration) {
+        let end = self.0.elapsed() + duration;
+        while self.0.elapsed() < end {
+            yield_now().await;
+        }
+    }
+}
+
+/// Moves the clock in steps of at most 1 ms and lets all tasks run at each.
+async fn run(clock: &ManualClock, time: Duration) {
+    let mut left = time;
+    while !left.is_zero() {
+        let step = left.min(Duration::from_millis(1));
+        clock.advance(step);
+        left -= step;
+        for _ in 0..4 {
+            yield_now().await;
+        }
+    }
+}
+
+/// Claims and completes keys at a rate for one second while each call of the table takes 20 ms.
+async fn count_writes_at(claims_per_second: u32) -> u64 {
+    let (clock, table) = world();
+    let timer = Rc::new(TickSleep(clock.clone()));
+    let sleep = timer.clone();
+    let sleeper = move |delay| {
+        let sleep = sleep.clone();
+        let future: Pin<Box<dyn Future<Output = ()>>> =
+            Box::pin(async move { sleep.sleep(delay).await });
+        future
+    };
+    table.faults().set_delay(Duration::from_millis(20), Rc::new(sleeper));
+    let settings = settings(Rc::new(table.clone()), &clock, "one", 1);
+    let one = ClaimController::new(ClaimSettings { backoff: Backoff::new(timer), ..settings });
+    let interval = Duration::from_secs(1) / claims_per_second;
+    for number in 0..claims_per_second {
+        let one = one.clone();
+        actix_rt::spawn(async move {
+            let verdict = one.claim(&request(&format!("key-{number}"), "")).await;
+            let ClaimVerdict::Dispatch(ticket) = verdict else { return };
+            one.complete(ticket, outcome("done")).await;
+        });
+        run(&clock, interval).await;
+    }
+    run(&clock, Duration::from_millis(500)).await;
+    let mut finished = 0;
+    for row in table.rows("claim/") {
+        finished += u32::from(row.value["state"].get("finished").is_some());
+    }
+    assert_eq!(finished, claims_per_second);
+    table.faults().counts().writes
+}
+
+#[actix_rt::test]
+async fn writes_grow_with_time_and_not_with_claims() {
+    let mut writes = Vec::new();
+    for rate in [10, 100, 1000, 4000] {
+        writes.push(count_writes_at(rate).await);
+    }
+    assert_eq!(writes, [20, 53, 53, 65]);
+}
+
+#[actix_rt::test]
+async fn a_claim_beyond_the_rate_is_not_run() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    table.faults().set_rates(10.0, 0.01);
+    assert!(matches!(one.claim(&request("a", "")).await, ClaimVerdict::Dispatch(_)));
+    let verdict = one.claim(&request("b", "")).await;
+    let ClaimVerdict::NotRun { reason, retry_after } = verdict else {
+        panic!("a claim beyond the rate is not dispatched: {verdict:?}");
+    };
+    assert_eq!(reason, NotRunReason::RateLimited);
+    clock.advance(retry_after.unwrap());
+    assert!(matches!(one.claim(&request("b", "")).await, ClaimVerdict::Dispatch(_)));
+}
--- a/crates/magnoliaspar-claim/tests/common/mod.rs
+++ b/crates/magnoliaspar-claim/tests/common/mod.rs
@@ -28,7 +28,17 @@
     instance: &str,
     life: u64,
 ) -> ClaimController {
-    ClaimController::new(ClaimSettings {
+    ClaimController::new(settings(table, clock, instance, life))
+}
+
+/// Returns the settings of a controller.
+pub fn settings(
+    table: Rc<dyn TableService>,
+    clock: &Rc<ManualClock>,
+    instance: &str,
+    life: u64,
+) -> ClaimSettings {
+    ClaimSettings {
         table,
         clock: clock.clone(),
         backoff: Backoff::new(Rc::new(ClockSleep(clock.clone()))),
@@ -37,7 +47,7 @@
         nonce: 0,
         linger: ClaimSettings::LINGER,
         retention: ClaimSettings::RETENTION,
-    })
+    }
 }
 
 /// Creates a request under a key.
--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -118,7 +118,8 @@
 
     /// Acquires the lease, or renews it once a third of it has passed.
     ///
-    /// It is meant to be called several times within the lease's duration.
+    /// It is meant to be called several times within the lease's duration, by a few instances of
+    /// those that may hold it: each call of one that waits is a read.
     pub async fn tend(&self) -> Result<Lease, LeaseError> {
         let Some(lease) = self.current() else { return self.acquire().await };
         if self.remaining() > self.settings.duration.mul_f64(RENEW_BELOW) {
--- a/crates/magnoliaspar-platform/tests/http.rs
+++ b/crates/magnoliaspar-platform/tests/http.rs
@@ -7,15 +7,18 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Method, Request, Response, StatusCode};
 use futures_util::StreamExt;
-use magnoliaspar_core::ManualClock;
+use magnoliaspar_core::{Incarnation, ManualClock, ZoneName};
 use magnoliaspar_fake::MemoryTable;
 use magnoliaspar_http::{Handler, Server};
-use magnoliaspar_platform::protocol::{RETRY_AFTER_HEADER, ReadRequest, ScanRequest};
+use magnoliaspar_platform::protocol::{
+    AcquireRequest, RETRY_AFTER_HEADER, ReadRequest, ScanRequest,
+};
 use magnoliaspar_platform::{
-    Condition, HttpObjectStore, HttpTableService, HttpTimeouts, ObjectStore, PlatformError, RowKey,
-    TableService, Transaction, Write, WriteOutcome,
+    Condition, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts, HttpWeightStore,
+    InstanceList, ListEntry, ListState, ListedKind, ObjectStore, PlatformError, RowKey, ServerRole,
+    TableService, Transaction, WeightStore, Write, WriteOutcome,
 };
 use serde::Serialize;
 use serde_json::json;
@@ -65,6 +68,20 @@
             let transaction: Transaction = serde_json::from_slice(&body).unwrap();
             json_response(&table.commit(&transaction).await.unwrap())
         }
+        "/weights/acquire" => {
+            let req: AcquireRequest = serde_json::from_slice(&body).unwrap();
+            assert_eq!(req, AcquireRequest { model: "assessor".into(), bytes: 7 });
+            Response::ok().map_into_boxed_body()
+        }
+        "/instances" => {
+            assert_eq!(req.uri().query(), Some("zone=mid-a"));
+            json_response(&[entry()])
+        }
+        "/objects/config/12.json" if req.method() == Method::PUT => {
+            assert_eq!(body, b"content");
+            Response::ok().map_into_boxed_body()
+        }
+        "/objects/config/12.json" => Response::ok().set_body(BoxBody::new("content")),
         _ => Response::build(StatusCode::NOT_FOUND).finish().map_into_boxed_body(),
     };
     match mood {
@@ -81,6 +98,22 @@
     Response::ok().set_body(BoxBody::new(serde_json::to_vec(value).unwrap()))
 }
 
+fn entry() -> ListEntry {
+    ListEntry {
+        name: "decode-1".into(),
+        kind: ListedKind::Server {
+            pool: "decode".try_into().unwrap(),
+            role: ServerRole::Decode,
+            model: Some("assessor".try_into().unwrap()),
+            is_fencing: true,
+        },
+        zone: "mid-a".try_into().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Incarnation(3),
+        state: ListState::Leaving,
+    }
+}
+
 fn create(key: &str) -> Transaction {
     let key = RowKey(key.into());
     let value = Some(json!({ "n": 1 }));
@@ -106,6 +139,25 @@
     assert!(matches!(objects.get("a b").await, Err(PlatformError::Rejected(_))));
 }
 
+#[actix_rt::test]
+async fn objects_weights_and_instances_go_there_and_back() {
+    let memory = MemoryTable::new(Rc::new(ManualClock::new()));
+    let mood = Rc::new(Cell::new(Mood::Answer));
+    let address = start(memory, mood.clone()).await;
+    let objects = HttpObjectStore::new(address, TIMEOUTS);
+    assert_eq!(objects.put("config/12.json", "content".into()).await, Ok(()));
+    assert_eq!(objects.get("config/12.json").await, Ok(Some("content".into())));
+    let weights = HttpWeightStore::new(address, TIMEOUTS);
+    assert_eq!(weights.acquire("assessor", 7).await, Ok(()));
+    let zone = ZoneName::try_from("mid-a").unwrap();
+    let list = HttpInstanceList::new(address, TIMEOUTS);
+    assert_eq!(list.list(Some(&zone)).await, Ok(vec![entry()]));
+    mood.set(Mood::Status(429));
+    let retry_after = Duration::from_millis(70);
+    let limited = weights.acquire("assessor", 7).await;
+    assert_eq!(limited, Err(PlatformError::RateLimited { retry_after }));
+}
+
 #[actix_rt::test]
 async fn statuses_become_errors() {
     let mood = Rc::new(Cell::new(Mood::Status(429)));
