Join instances by gossip and learn the configuration from the platform and peers

Cause: members and configuration came from a poll of the platform by every instance, which the platform's rates do not allow and a cut zone loses.

Change: one stream of frames to each neighbour carries heartbeats, changes of members and of the configuration; the list is read by turns, the configuration by two readers a zone; servers are probed by the instances that they fall to. Suspected and leaving servers are sealed at once, and opened again when they answer. Operators' changes are accepted by compare-and-swap.

--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -36,7 +36,12 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
-        Ok(Self { listener, handler, stop: StopHandle::default() })
+        Ok(Self::from_listener(listener, handler))
+    }
+
+    /// Serves the connections of a listener that is bound already.
+    pub fn from_listener(listener: TcpListener, handler: Handler) -> Self {
+        Self { listener, handler, stop: StopHandle::default() }
     }
 
     /// Returns the address on which the server listens.
--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -45,6 +45,8 @@
 /// at any point and ends the job. After `failed` the policy answers with a new action for the job.
 pub trait Policy {
     /// Adds a backend server, or replaces what is known of it, and returns its key.
+    ///
+    /// A server that was sealed is open to new work again.
     fn add_server(&mut self, now: Instant, spec: ServerSpec) -> ServerKey;
 
     /// Gives no new work to a server that is leaving; running work goes on.
--- a/crates/magnoliaspar-policy/src/pool.rs
+++ b/crates/magnoliaspar-policy/src/pool.rs
@@ -86,6 +86,7 @@
         };
         self.displace(key);
         self.servers[key].spec = spec;
+        self.servers[key].is_sealed = false;
         self.place(key);
         self.measure();
         key
--- a/crates/magnoliaspar-serve/src/caller/filters.rs
+++ b/crates/magnoliaspar-serve/src/caller/filters.rs
@@ -67,7 +67,7 @@
                 cx.in_force = cx.instance.in_force();
                 return Ok(());
             }
-            Readiness::NoConfiguration => RefusalCode::NotReady,
+            Readiness::NoConfiguration | Readiness::Learning => RefusalCode::NotReady,
             Readiness::Draining => RefusalCode::Draining,
         };
         let message = cx.instance.readiness().to_string();
--- a/crates/magnoliaspar-serve/src/caller/service/pick.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/pick.rs
@@ -56,7 +56,7 @@
 
 #[cfg(test)]
 mod tests {
-    use magnoliaspar_core::{PoolName, ServerName};
+    use magnoliaspar_core::{Incarnation, PoolName, ServerName};
     use magnoliaspar_platform::ServerRole;
 
     use super::ServiceLoad;
@@ -68,6 +68,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             pool: PoolName::try_from("p").unwrap(),
             role: ServerRole::Service,
+            incarnation: Incarnation(1),
             is_live: true,
         }
     }
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/cluster/gossip.rs
@@ -0,0 +1,138 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_configuration::ConfigMessage;
+use magnoliaspar_core::InstanceName;
+use magnoliaspar_membership::Outgoing;
+use magnoliaspar_wire::peer::GossipFrame;
+
+use super::convert::{from_delta, from_gossip, to_delta, to_membership};
+use super::state::ClusterState;
+use crate::peer::{BadMessage, PeerClients};
+
+/// The shortest time between two rounds of messages.
+const MIN_ROUND: Duration = Duration::from_millis(20);
+
+/// The longest time between two rounds of messages.
+const MAX_ROUND: Duration = Duration::from_secs(1);
+
+/// How often seeds are greeted while nobody else is known.
+const GREETING_PERIOD: Duration = Duration::from_secs(1);
+
+/// A frame and where it goes.
+struct Addressed {
+    address: SocketAddr,
+    frame: GossipFrame,
+}
+
+/// Tells other instances what is new, for as long as the instance runs.
+pub async fn spread_changes(
+    cluster: Rc<ClusterState>,
+    clients: Rc<PeerClients>,
+    seeds: Box<[SocketAddr]>,
+) {
+    actix_rt::spawn(greet_seeds(cluster.clone(), clients.clone(), seeds));
+    loop {
+        for (name, addressed) in cluster.round() {
+            clients.send_gossip(&name, addressed.address, addressed.frame);
+        }
+        tokio::time::sleep(MIN_ROUND).await;
+        let next = cluster.membership.borrow().next_tick();
+        let pause = next.saturating_duration_since(cluster.clock.now()).min(MAX_ROUND);
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = cluster.woken() => {}
+        }
+    }
+}
+
+/// Joins by the addresses in the settings while nobody is known otherwise.
+async fn greet_seeds(
+    cluster: Rc<ClusterState>,
+    clients: Rc<PeerClients>,
+    seeds: Box<[SocketAddr]>,
+) {
+    loop {
+        let now = cluster.clock.now();
+        if cluster.membership.borrow().neighbours(now).is_empty() {
+            for seed in &seeds {
+                let greeting = cluster.membership.borrow_mut().greeting();
+                let mut frame = cluster.frame();
+                frame.membership = Some(to_membership(&greeting));
+                clients.send_gossip(&cluster.name(), *seed, frame);
+            }
+        }
+        tokio::time::sleep(GREETING_PERIOD).await;
+    }
+}
+
+impl ClusterState {
+    /// Takes in a frame of another instance.
+    pub fn receive(&self, frame: GossipFrame) -> Result<(), BadMessage> {
+        let sender = InstanceName::try_from(frame.sender.as_str())?;
+        self.journal.observe(magnoliaspar_event::Stamp(frame.hlc));
+        if let Some(membership) = &frame.membership {
+            self.receive_membership(&from_gossip(&sender, membership)?);
+        }
+        let mut deltas = Vec::new();
+        for delta in &frame.config {
+            deltas.push(from_delta(delta)?);
+        }
+        self.receive_configuration(&sender, frame.config_version, deltas);
+        Ok(())
+    }
+
+    /// Returns the frames that are due.
+    fn round(&self) -> BTreeMap<InstanceName, Addressed> {
+        let now = self.clock.now();
+        let (outgoing, changes) = self.membership.borrow_mut().tick(now);
+        self.take_changes(&changes);
+        let neighbours = self.membership.borrow().neighbours(now);
+        let configuration = self.configuration.borrow();
+        let messages = self.spread.borrow_mut().tick(now, &configuration, &neighbours);
+        drop(configuration);
+        let mut frames = BTreeMap::new();
+        for message in outgoing {
+            self.add_membership(&mut frames, message);
+        }
+        for message in messages {
+            self.add_configuration(&mut frames, message);
+        }
+        frames
+    }
+
+    fn add_membership(&self, frames: &mut BTreeMap<InstanceName, Addressed>, out: Outgoing) {
+        let mut frame = self.frame();
+        frame.membership = Some(to_membership(&out.gossip));
+        frames.insert(out.to, Addressed { address: out.address, frame });
+    }
+
+    fn add_configuration(
+        &self,
+        frames: &mut BTreeMap<InstanceName, Addressed>,
+        message: ConfigMessage,
+    ) {
+        if !frames.contains_key(&message.to) {
+            let Some(address) = self.address_of(&message.to) else { return };
+            let frame = self.frame();
+            frames.insert(message.to.clone(), Addressed { address, frame });
+        }
+        let Some(addressed) = frames.get_mut(&message.to) else { return };
+        for delta in &message.deltas {
+            addressed.frame.config.push(to_delta(delta));
+        }
+    }
+
+    fn frame(&self) -> GossipFrame {
+        GossipFrame {
+            sender: self.membership.borrow().name().to_string(),
+            hlc: self.journal.stamp().0,
+            config_version: self.configuration.borrow().version(),
+            config: Vec::new(),
+            membership: None,
+            quarantine: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/cluster/list.rs
@@ -0,0 +1,71 @@
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use log::warn;
+use magnoliaspar_core::InstanceName;
+use magnoliaspar_membership::ListScope;
+use magnoliaspar_platform::{ListEntry, ListedKind};
+
+use super::state::ClusterState;
+
+/// How long one turn of reading the platform's list lasts.
+const TURN: Duration = Duration::from_secs(2);
+
+/// How often an instance that knows nobody reads the list.
+const LONELY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Reads the platform's list whenever it is this instance's turn.
+pub async fn read_list(cluster: Rc<ClusterState>) {
+    let mut last_turn = None;
+    loop {
+        let turn = current_turn(&cluster);
+        let is_turn = last_turn != Some(turn) && cluster.membership.borrow().is_list_reader(turn);
+        if is_turn || last_turn.is_none() {
+            last_turn = Some(turn);
+            cluster.read_list_once().await;
+        }
+        let is_lonely = cluster.membership.borrow().members().count() <= 1;
+        if is_lonely {
+            last_turn = None;
+        }
+        tokio::time::sleep(LONELY_PERIOD).await;
+    }
+}
+
+impl ClusterState {
+    async fn read_list_once(&self) {
+        let entries = match self.list.list(None).await {
+            Ok(entries) => entries,
+            Err(error) => return warn!("the instance list cannot be read: {error}"),
+        };
+        self.expect_answers(&entries);
+        let now = self.clock.now();
+        let changes =
+            self.membership.borrow_mut().merge_platform_list(now, &entries, &ListScope::All);
+        self.take_changes(&changes);
+    }
+
+    /// Notes which instances can tell the version of the configuration.
+    fn expect_answers(&self, entries: &[ListEntry]) {
+        let own = self.name();
+        let mut names = BTreeSet::new();
+        for entry in entries {
+            if !matches!(entry.kind, ListedKind::Instance { .. }) {
+                continue;
+            }
+            let Ok(name) = InstanceName::try_from(&*entry.name) else { continue };
+            if name != own {
+                names.insert(name);
+            }
+        }
+        for name in names {
+            self.startup.borrow_mut().peer_asked(name);
+        }
+    }
+}
+
+fn current_turn(cluster: &ClusterState) -> u64 {
+    let wall = cluster.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    wall.as_secs() / TURN.as_secs()
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/cluster/mod.rs
@@ -0,0 +1,14 @@
+//! What the instances of a deployment agree on: who is there, and by which configuration they serve.
+
+mod configuration;
+mod convert;
+mod gossip;
+mod list;
+mod probe;
+mod state;
+
+pub use self::configuration::read_configuration;
+pub use self::gossip::spread_changes;
+pub use self::list::read_list;
+pub use self::probe::probe_servers;
+pub use self::state::{ClusterState, Services};
--- a/crates/magnoliaspar-serve/src/directory.rs
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use magnoliaspar_core::{PoolName, ServerName};
+use magnoliaspar_core::{Incarnation, PoolName, ServerName};
 use magnoliaspar_platform::ServerRole;
 
 /// Backend servers by pool.
@@ -24,19 +24,21 @@
     pub pool: PoolName,
     /// What the server does.
     pub role: ServerRole,
+    /// The life of the server.
+    pub incarnation: Incarnation,
     /// Whether the server may get new work.
     pub is_live: bool,
 }
 
 impl Directory {
-    /// Replaces what is known of a server.
-    pub fn put(&self, server: KnownServer) {
-        self.servers.borrow_mut().insert(server.name.clone(), server);
+    /// Replaces all that is known of servers.
+    pub fn replace(&self, servers: BTreeMap<ServerName, KnownServer>) {
+        *self.servers.borrow_mut() = servers;
     }
 
-    /// Forgets servers that are not in `names`.
-    pub fn retain(&self, keep: impl Fn(&ServerName) -> bool) {
-        self.servers.borrow_mut().retain(|name, _| keep(name));
+    /// Returns a server.
+    pub fn find(&self, name: &ServerName) -> Option<KnownServer> {
+        self.servers.borrow().get(name).cloned()
     }
 
     /// Returns the live servers of a pool.
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/engines.rs
@@ -0,0 +1,158 @@
+//! Keeping what the dispatchers know of model engines fresh.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_core::Clock;
+use magnoliaspar_declaration::{CompletionRoute, RouteTarget};
+use magnoliaspar_engine::{EngineConnector, EngineStatus};
+use magnoliaspar_platform::ServerRole;
+use magnoliaspar_policy::{LoadReport, Role, ServerSpec};
+
+use crate::directory::KnownServer;
+use crate::instance::Instance;
+use crate::run::{Dispatcher, EngineHandle, Shard};
+
+/// How often engines are bound again, in case that one did not answer before.
+const BIND_PERIOD: Duration = Duration::from_secs(1);
+
+/// How often engines report their load.
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+
+/// Makes engines known to dispatchers, and reads their reports.
+pub struct EngineWatch {
+    instance: Rc<Instance>,
+    connector: Rc<dyn EngineConnector>,
+}
+
+impl EngineWatch {
+    /// Creates the watch of an instance.
+    pub fn new(instance: Rc<Instance>, connector: Rc<dyn EngineConnector>) -> Rc<Self> {
+        Rc::new(Self { instance, connector })
+    }
+
+    /// Starts to watch.
+    pub fn spawn(self: &Rc<Self>) {
+        actix_rt::spawn(self.clone().keep_bound());
+        actix_rt::spawn(self.clone().read_reports());
+    }
+
+    async fn keep_bound(self: Rc<Self>) {
+        loop {
+            self.bind_engines().await;
+            tokio::select! {
+                () = self.instance.cluster.servers_changed() => self.seal_engines(),
+                () = self.instance.home.shard_added() => {}
+                () = tokio::time::sleep(BIND_PERIOD) => {}
+            }
+        }
+    }
+
+    /// Gives no new work to engines that are leaving, and forgets those that are gone.
+    fn seal_engines(&self) {
+        for (_, dispatcher) in self.instance.home.dispatchers() {
+            for engine in dispatcher.engines() {
+                match self.instance.directory.find(&engine.name) {
+                    Some(server) if server.is_live => {}
+                    Some(_) => dispatcher.seal_engine(&engine.name),
+                    None => dispatcher.remove_engine(&engine.name),
+                }
+            }
+        }
+    }
+
+    /// Makes the servers of each shard known to the dispatchers of which this instance is the home.
+    async fn bind_engines(&self) {
+        let Some(in_force) = self.instance.in_force() else { return };
+        let shards = self.instance.home.shards();
+        for route in in_force.declarations.routes.values() {
+            let RouteTarget::Completion(completion) = &route.target else { continue };
+            for shard in shards.all(completion) {
+                // Requests reach this instance while their usual home is out of reach, too.
+                if self.instance.zone_homes.is_own(&shard) || self.instance.home.serves(&shard) {
+                    self.bind_shard(completion, &shard).await;
+                }
+            }
+        }
+    }
+
+    async fn bind_shard(&self, route: &CompletionRoute, shard: &Shard) {
+        let shards = self.instance.home.shards();
+        let dispatcher = self.instance.home.dispatcher(shard);
+        for server in self.instance.directory.all() {
+            let is_of_pool = server.pool == shard.prefill || server.pool == shard.decode;
+            if !is_of_pool || !shards.contains(route, shard, &server.name) {
+                continue;
+            }
+            self.bind_engine(&dispatcher, &server).await;
+        }
+    }
+
+    async fn bind_engine(&self, dispatcher: &Dispatcher, server: &KnownServer) {
+        if !server.is_live {
+            dispatcher.seal_engine(&server.name);
+            return;
+        }
+        if dispatcher.has_open_engine(&server.name) {
+            return;
+        }
+        let engine = self.connector.connect(server.address);
+        let Ok(status) = engine.status().await else { return };
+        let Some(spec) = describe(&self.instance, server, &status) else { return };
+        dispatcher.add_engine(spec, server.address, engine);
+    }
+
+    async fn read_reports(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(REPORT_PERIOD).await;
+            for (_, dispatcher) in self.instance.home.dispatchers() {
+                for engine in dispatcher.engines() {
+                    let clock = self.instance.clock.clone();
+                    actix_rt::spawn(read_report(clock, dispatcher.clone(), engine));
+                }
+            }
+        }
+    }
+}
+
+async fn read_report(clock: Rc<dyn Clock>, dispatcher: Rc<Dispatcher>, engine: EngineHandle) {
+    let Ok(load) = engine.engine.load().await else { return };
+    let now = clock.now();
+    let made_at = now.checked_sub(Duration::from_millis(load.age_ms)).unwrap_or(now);
+    let report = LoadReport {
+        made_at,
+        running: load.running,
+        waiting: load.waiting,
+        used_pieces: load.used_pieces,
+        queued_tokens: load.queued_tokens,
+    };
+    dispatcher.report(&engine.name, report);
+    let after = engine.last_cache_event.get();
+    let Ok(events) = engine.engine.cache_events(after).await else { return };
+    engine.last_cache_event.set(events.last.max(after));
+    dispatcher.cache_events(&engine.name, &events.stored, &events.evicted, events.gap);
+}
+
+fn describe(
+    instance: &Instance,
+    server: &KnownServer,
+    status: &EngineStatus,
+) -> Option<ServerSpec> {
+    let role = match server.role {
+        ServerRole::Prefill => Role::Prefill,
+        ServerRole::Decode => Role::Decode,
+        ServerRole::Service => return None,
+    };
+    Some(ServerSpec {
+        name: server.name.clone(),
+        zone: instance.settings.zone.clone(),
+        role,
+        slots: status.slots,
+        memory_pieces: status.memory_pieces,
+        piece_tokens: status.piece_tokens,
+        prefill_tokens_per_second: status.prefill_tokens_per_second,
+        link_tokens_per_second: status.link_tokens_per_second,
+        seconds_per_token: Duration::from_micros(status.token_us).as_secs_f64(),
+        hold_seconds: Duration::from_millis(status.hold_ms.into()).as_secs_f64(),
+    })
+}
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -6,17 +6,18 @@
 
 use displaydoc::Display;
 use magnoliaspar_claim::ClaimController;
+use magnoliaspar_configuration::Readiness as ConfigurationReadiness;
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{Declarations, Document};
-use magnoliaspar_platform::BudgetedTable;
 use magnoliaspar_settings::Settings;
 
 use crate::caller::ServiceLoad;
+use crate::cluster::ClusterState;
 use crate::directory::Directory;
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::peer::ZoneHomes;
+use crate::peer::{PeerClients, ZoneHomes};
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
 
@@ -28,20 +29,22 @@
     pub clock: Rc<dyn Clock>,
     /// The configuration in force.
     pub configuration: Rc<ConfigurationInForce>,
+    /// What the instances of the deployment agree on.
+    pub cluster: Rc<ClusterState>,
     /// Reads answers from their home instances.
     pub homes: Homes,
     /// This instance as a home.
     pub home: Rc<LocalHome>,
     /// Chooses home instances.
     pub zone_homes: Rc<ZoneHomes>,
+    /// The links to other instances.
+    pub clients: Rc<PeerClients>,
     /// Calls plain services.
     pub services: ServiceCaller,
     /// Spreads calls over the servers of plain services.
     pub service_load: ServiceLoad,
     /// Claims calls that must be dispatched at most once.
     pub claims: ClaimController,
-    /// The table service, within this instance's share of its rates.
-    pub table: Rc<BudgetedTable>,
     /// Records events.
     pub journal: Rc<Journal>,
     /// The backend servers.
@@ -70,7 +73,13 @@
         if self.configuration.current().is_none() {
             return Readiness::NoConfiguration;
         }
-        Readiness::Ready
+        match self.cluster.readiness() {
+            ConfigurationReadiness::Ready => Readiness::Ready,
+            ConfigurationReadiness::NoConfiguration => Readiness::NoConfiguration,
+            ConfigurationReadiness::Behind { .. } | ConfigurationReadiness::Learning => {
+                Readiness::Learning
+            }
+        }
     }
 }
 
@@ -81,6 +90,8 @@
     Ready,
     /// the instance could not learn any configuration yet
     NoConfiguration,
+    /// the instance does not know yet whether its configuration is the newest
+    Learning,
     /// the instance drains and takes no more requests
     Draining,
 }
--- a/crates/magnoliaspar-serve/src/journal.rs
+++ b/crates/magnoliaspar-serve/src/journal.rs
@@ -40,6 +40,11 @@
         self.push(Some(request), Some(server), kind);
     }
 
+    /// Records what happened to a backend server.
+    pub fn record_server(&self, server: &ServerName, kind: EventKind) {
+        self.push(None, Some(server), kind);
+    }
+
     /// Records what happened to the instance itself.
     pub fn record_own(&self, kind: EventKind) {
         self.push(None, None, kind);
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -1,16 +1,17 @@
 //! One entry instance: takes requests, runs them on backend servers and relays the answers.
 
 mod caller;
+mod cluster;
 mod directory;
+mod engines;
 mod instance;
 mod journal;
 mod limit;
 mod metrics;
 mod operator;
 mod peer;
-mod refresh;
 mod run;
 mod serve;
 mod service;
 
-pub use self::serve::{Exit, InstanceHandle, ServeError, serve, start};
+pub use self::serve::{Addresses, Exit, InstanceHandle, ServeError, serve, start};
--- a/crates/magnoliaspar-serve/src/operator/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/mod.rs
@@ -1,6 +1,8 @@
 //! What operators see: health, readiness, metrics, events and the state of the instance.
 
 mod access;
+mod apply;
+mod body;
 mod respond;
 mod status;
 
@@ -10,8 +12,8 @@
 use actix_http::{Request, Response, StatusCode};
 use magnoliaspar_event::EventFilter;
 use magnoliaspar_query::api::{
-    CONFIG_PATH, EVENTS_PATH, ErrorCode, ErrorResponse, EventsResponse, HEALTH_PATH, METRICS_PATH,
-    READY_PATH, STATUS_PATH,
+    APPLY_PATH, CONFIG_PATH, EVENTS_PATH, ErrorCode, ErrorResponse, EventsResponse, HEALTH_PATH,
+    METRICS_PATH, READY_PATH, STATUS_PATH,
 };
 use magnoliaspar_settings::OperatorRights;
 
@@ -36,8 +38,13 @@
     req: Request,
 ) -> Result<Response<BoxBody>, ErrorResponse> {
     let path = req.path().to_owned();
-    check_rights(instance, &req, OperatorRights::Read)?;
+    let needed = match path.as_str() {
+        APPLY_PATH => OperatorRights::Command,
+        _ => OperatorRights::Read,
+    };
+    let operator = check_rights(instance, &req, needed)?;
     match path.as_str() {
+        APPLY_PATH => Ok(answer(&apply::apply(instance, &operator.name, req).await?)),
         STATUS_PATH => Ok(answer(&status::describe(instance))),
         CONFIG_PATH => Ok(answer(&status::configuration(instance)?)),
         EVENTS_PATH => Ok(answer(&events(instance, &req)?)),
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -11,9 +11,10 @@
 use magnoliaspar_wire::peer::peer_client::PeerClient as GeneratedClient;
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
-use magnoliaspar_wire::peer::{RunCancel, RunDelivered, RunEvent, RunFrame};
+use magnoliaspar_wire::peer::{GossipFrame, RunCancel, RunDelivered, RunEvent, RunFrame};
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::UnboundedReceiverStream;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio_stream::wrappers::{ReceiverStream, UnboundedReceiverStream};
 use tonic::metadata::MetadataValue;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Request, Status, Streaming};
@@ -29,6 +30,9 @@
 /// How long an instance may take to accept a run.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How many frames of gossip wait for a slow instance.
+const FRAMES_AHEAD: usize = 16;
+
 /// How often a link is probed.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -41,18 +45,45 @@
     journal: Rc<Journal>,
     key: Secret,
     channels: RefCell<BTreeMap<SocketAddr, Channel>>,
+    gossip: RefCell<BTreeMap<SocketAddr, mpsc::Sender<GossipFrame>>>,
 }
 
 impl PeerClients {
     /// Creates an empty set of links that show `key`.
     pub fn new(clock: Rc<dyn Clock>, journal: Rc<Journal>, key: Secret) -> Self {
-        Self { clock, journal, key, channels: RefCell::default() }
+        Self { clock, journal, key, channels: RefCell::default(), gossip: RefCell::default() }
+    }
+
+    /// Sends a frame to an instance; one that cannot be sent now is dropped.
+    pub fn send_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
+        let mut streams = self.gossip.borrow_mut();
+        if let Some(tx) = streams.get(&address) {
+            match tx.try_send(frame) {
+                Ok(()) | Err(TrySendError::Full(_)) => return,
+                Err(TrySendError::Closed(frame)) => {
+                    streams.remove(&address);
+                    drop(streams);
+                    return self.open_gossip(name, address, frame);
+                }
+            }
+        }
+        drop(streams);
+        self.open_gossip(name, address, frame);
+    }
+
+    fn open_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
+        let (tx, rx) = mpsc::channel(FRAMES_AHEAD);
+        let _ = tx.try_send(frame);
+        self.gossip.borrow_mut().insert(address, tx);
+        let client = self.client(name, address);
+        actix_rt::spawn(async move { client.stream_gossip(rx).await });
     }
 
     /// Returns the link to an instance; it connects when it is first used.
     pub fn client(&self, name: &InstanceName, address: SocketAddr) -> PeerClient {
         let mut channels = self.channels.borrow_mut();
         let channel = channels.entry(address).or_insert_with(|| connect(address)).clone();
+        drop(channels);
         PeerClient {
             name: name.clone(),
             clock: self.clock.clone(),
@@ -87,6 +118,14 @@
         req
     }
 
+    /// Sends frames until the other instance ends the stream.
+    async fn stream_gossip(&self, rx: mpsc::Receiver<GossipFrame>) {
+        let call = self.sign(ReceiverStream::new(rx));
+        let Ok(answer) = self.generated().gossip(call).await else { return };
+        let mut answers = answer.into_inner();
+        while let Ok(Some(_)) = answers.message().await {}
+    }
+
     async fn start(&self, req: &CompletionRequest) -> Result<RemoteLink, OpenError> {
         let (tx, rx) = mpsc::unbounded_channel();
         let open = RunFrame {
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -49,6 +49,11 @@
         Self { own, zone, configuration, home, clients, instances }
     }
 
+    /// Returns the availability zone of this instance.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// Replaces the instances that may be homes; the own one need not be among them.
     pub fn set_instances(&self, instances: BTreeMap<InstanceName, KnownInstance>) {
         *self.instances.borrow_mut() = instances;
--- a/crates/magnoliaspar-serve/src/peer/mod.rs
+++ b/crates/magnoliaspar-serve/src/peer/mod.rs
@@ -6,5 +6,6 @@
 mod server;
 
 pub use self::client::PeerClients;
+pub use self::convert::BadMessage;
 pub use self::homes::{KnownInstance, ZoneHomes};
-pub use self::server::{PeerError, PeerServer};
+pub use self::server::PeerServer;
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -1,9 +1,7 @@
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use displaydoc::Display;
 use futures_core::Stream;
 use magnoliaspar_event::Stamp;
 use magnoliaspar_settings::PeerKeys;
@@ -46,18 +44,12 @@
 
 /// Serves the calls of other instances.
 pub struct PeerServer {
-    address: SocketAddr,
     stop: oneshot::Sender<()>,
 }
 
 impl PeerServer {
-    /// Listens on the address in the settings and serves calls until stopped.
-    pub async fn start(instance: Rc<Instance>) -> Result<Self, PeerError> {
-        let address = instance.settings.peers;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|error| PeerError { address, message: error.to_string().into() })?;
-        let address = listener.local_addr().unwrap_or(address);
+    /// Serves the calls that arrive on a listener until stopped.
+    pub fn start(instance: Rc<Instance>, listener: TcpListener) -> Self {
         let (tx, rx) = mpsc::channel(CALLS_AHEAD);
         let (stop, stopped) = oneshot::channel();
         let service =
@@ -80,12 +72,7 @@
                 log::error!("the listener for other instances failed: {error}");
             }
         });
-        Ok(Self { address, stop })
-    }
-
-    /// Returns the address on which the server listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+        Self { stop }
     }
 
     /// Takes no more calls; those in progress go on.
@@ -94,21 +81,10 @@
     }
 }
 
-/// Why the server cannot run.
-#[derive(Debug, Display)]
-#[displaydoc("cannot listen on {address}: {message}")]
-pub struct PeerError {
-    /// The address.
-    pub address: SocketAddr,
-    /// What the operating system said.
-    pub message: Box<str>,
-}
-
-impl std::error::Error for PeerError {}
-
 /// A call of another instance, on its way to the thread that owns the state.
 enum PeerCall {
     Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+    Gossip { frames: Streaming<GossipFrame>, tx: mpsc::Sender<Result<GossipFrame, Status>> },
 }
 
 /// Hands calls over to the thread that owns the state.
@@ -137,9 +113,14 @@
 
     async fn gossip(
         &self,
-        _req: Request<Streaming<GossipFrame>>,
+        req: Request<Streaming<GossipFrame>>,
     ) -> Result<Response<Self::GossipStream>, Status> {
-        Err(Status::unimplemented("state is not exchanged yet"))
+        let (tx, rx) = mpsc::channel(1);
+        let call = PeerCall::Gossip { frames: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
     }
 
     async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
@@ -153,10 +134,27 @@
             PeerCall::Run { frames, tx } => {
                 actix_rt::spawn(serve_run(instance.clone(), frames, tx));
             }
+            PeerCall::Gossip { frames, tx } => {
+                actix_rt::spawn(serve_gossip(instance.clone(), frames, tx));
+            }
         }
     }
 }
 
+/// Takes in frames for as long as the other instance sends them; answers go over a stream of this
+/// instance's own.
+async fn serve_gossip(
+    instance: Rc<Instance>,
+    mut frames: Streaming<GossipFrame>,
+    tx: mpsc::Sender<Result<GossipFrame, Status>>,
+) {
+    while let Ok(Some(frame)) = frames.message().await {
+        let Err(error) = instance.cluster.receive(frame) else { continue };
+        let _ = tx.send(Err(Status::invalid_argument(error.to_string()))).await;
+        return;
+    }
+}
+
 async fn serve_run(
     instance: Rc<Instance>,
     mut frames: Streaming<RunFrame>,
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,6 +24,7 @@
     policy: RefCell<Box<dyn Policy>>,
     waiters: RefCell<BTreeMap<JobKey, UnboundedSender<Step>>>,
     engines: RefCell<BTreeMap<ServerKey, EngineHandle>>,
+    sealed: RefCell<BTreeSet<ServerName>>,
     wake: Notify,
 }
 
@@ -73,6 +74,7 @@
             policy: RefCell::new(policy),
             waiters: RefCell::default(),
             engines: RefCell::default(),
+            sealed: RefCell::default(),
             wake: Notify::new(),
         })
     }
@@ -102,6 +104,7 @@
     pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
         let name = spec.name.clone();
         let key = self.tell(|policy, now| policy.add_server(now, spec));
+        self.sealed.borrow_mut().remove(&name);
         let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
         self.engines.borrow_mut().insert(key, handle);
     }
@@ -109,6 +112,9 @@
     /// Gives no new work to an engine.
     pub fn seal_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
+        if !self.sealed.borrow_mut().insert(name.clone()) {
+            return;
+        }
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
@@ -116,6 +122,7 @@
     pub fn remove_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
         self.tell(|policy, now| policy.remove_server(now, key));
+        self.sealed.borrow_mut().remove(name);
         self.engines.borrow_mut().remove(&key);
     }
 
@@ -137,9 +144,9 @@
         self.tell(|policy, now| policy.cache_events(now, key, stored, evicted, gap));
     }
 
-    /// Whether an engine is known.
-    pub fn has_engine(&self, name: &ServerName) -> bool {
-        self.key_of(name).is_some()
+    /// Whether an engine is known and gets new work.
+    pub fn has_open_engine(&self, name: &ServerName) -> bool {
+        self.key_of(name).is_some() && !self.sealed.borrow().contains(name)
     }
 
     /// Returns the engines.
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -8,30 +8,40 @@
 use displaydoc::Display;
 use log::info;
 use magnoliaspar_claim::{ClaimController, ClaimSettings};
+use magnoliaspar_configuration::ConfigurationStore;
 use magnoliaspar_core::{Clock, Incarnation, SystemClock};
 use magnoliaspar_engine::HttpConnector;
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
 use magnoliaspar_platform::{
-    Backoff, BudgetedTable, HttpTableService, HttpTimeouts, InstanceBudget, TimerSleep,
+    Backoff, BudgetedTable, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts,
+    InstanceBudget, ListEntry, ListState, ListedKind, TimerSleep,
 };
 use magnoliaspar_settings::Settings;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::caller::{self, ServiceLoad};
+use crate::cluster::{self, ClusterState, Services};
 use crate::directory::Directory;
+use crate::engines::EngineWatch;
 use crate::instance::{ConfigurationInForce, Instance};
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
 use crate::operator;
-use crate::peer::{PeerClients, PeerError, PeerServer, ZoneHomes};
-use crate::refresh::Refresh;
+use crate::peer::{PeerClients, PeerServer, ZoneHomes};
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
 use crate::service::ServiceCaller;
 
 /// How long an engine may go without progress.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How often the outcomes of claims that could not be written are written again.
+const CLAIM_PERIOD: Duration = Duration::from_secs(1);
+
+/// The life of an instance that the platform has not listed yet; the list tells the real one.
+const UNLISTED: Incarnation = Incarnation(0);
+
 /// How often a drain checks whether all requests have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
@@ -52,8 +62,6 @@
 pub enum ServeError {
     /// {0}
     Listen(ServerError),
-    /// {0}
-    Peers(PeerError),
     /// signals cannot be received: {0}
     Signal(std::io::Error),
 }
@@ -74,18 +82,62 @@
 
 /// Starts an instance on the current thread.
 pub async fn start(settings: Settings) -> Result<InstanceHandle, ServeError> {
+    let callers = Listening::bind(settings.callers).await?;
+    let peers = Listening::bind(settings.peers).await?;
+    let operators = Listening::bind(settings.operators).await?;
+    let addresses =
+        Addresses { callers: callers.address, peers: peers.address, operators: operators.address };
     let connector = Rc::new(HttpConnector::new(PROGRESS_TIMEOUT));
-    let instance = assemble(settings, connector.clone());
-    Refresh::new(instance.clone(), connector).spawn();
-    let peers = PeerServer::start(instance.clone()).await.map_err(ServeError::Peers)?;
-    let callers = listen(instance.settings.callers, caller_handler(instance.clone())).await?;
-    let operators = listen(instance.settings.operators, operator_handler(instance.clone())).await?;
-    announce(&instance, callers.address, peers.address(), operators.address);
-    Ok(InstanceHandle { instance, callers, operators, peers })
+    let instance = assemble(settings, addresses, connector.clone());
+    spawn_controllers(&instance, connector);
+    let caller_stop = callers.serve(caller_handler(instance.clone()));
+    let operator_stop = operators.serve(operator_handler(instance.clone()));
+    let peer_server = PeerServer::start(instance.clone(), peers.listener);
+    announce(&instance, &addresses);
+    Ok(InstanceHandle { instance, addresses, caller_stop, operator_stop, peer_server })
+}
+
+/// Where an instance listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for other instances.
+    pub peers: SocketAddr,
+    /// The address for operators.
+    pub operators: SocketAddr,
+}
+
+/// A listener that is bound and not served yet.
+struct Listening {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Listening {
+    async fn bind(address: SocketAddr) -> Result<Self, ServeError> {
+        let bound = TcpListener::bind(address).await;
+        let bound = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
+        match bound {
+            Ok((address, listener)) => Ok(Self { listener, address }),
+            Err(error) => {
+                let message = error.to_string().into();
+                Err(ServeError::Listen(ServerError::Bind { address, message }))
+            }
+        }
+    }
+
+    fn serve(self, handler: Handler) -> StopHandle {
+        let server = Server::from_listener(self.listener, handler);
+        let stop = server.stop_handle();
+        actix_rt::spawn(server.run());
+        stop
+    }
 }
 
 /// Logs where the instance listens, since the settings may leave the choice of ports open.
-fn announce(instance: &Instance, callers: SocketAddr, peers: SocketAddr, operators: SocketAddr) {
+fn announce(instance: &Instance, addresses: &Addresses) {
+    let Addresses { callers, peers, operators } = addresses;
     info!(
         instance = instance.settings.instance.as_str(),
         callers:%,
@@ -95,7 +147,11 @@
     );
 }
 
-fn assemble(settings: Settings, connector: Rc<HttpConnector>) -> Rc<Instance> {
+fn assemble(
+    settings: Settings,
+    addresses: Addresses,
+    connector: Rc<HttpConnector>,
+) -> Rc<Instance> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let configuration = Rc::new(ConfigurationInForce::default());
     let directory = Rc::new(Directory::default());
@@ -107,28 +163,35 @@
         owner: settings.instance.as_str().into(),
         journal: journal.clone(),
     };
-    let table = open_table(&settings, clock.clone());
-    let claims = open_claims(&settings, clock.clone(), table.clone());
     let shards = ShardMap::new(directory.clone());
     let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
-    let clients =
-        PeerClients::new(clock.clone(), journal.clone(), settings.peer_keys.current.clone());
+    let key = settings.peer_keys.current.clone();
+    let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key));
     let zone_homes = Rc::new(ZoneHomes::new(
         settings.instance.clone(),
         settings.zone.clone(),
         configuration.clone(),
         home.clone(),
-        Rc::new(clients),
+        clients.clone(),
     ));
+    let table = open_table(&settings, clock.clone());
+    let services = Services {
+        in_force: configuration.clone(),
+        directory: directory.clone(),
+        zone_homes: zone_homes.clone(),
+        table: table.clone(),
+    };
+    let cluster = open_cluster(&settings, addresses, clock.clone(), journal.clone(), services);
     Rc::new(Instance {
         configuration,
+        cluster,
         homes: Homes::new(zone_homes.clone()),
         home,
         zone_homes,
+        clients,
         services: ServiceCaller::new(),
         service_load: ServiceLoad::default(),
-        claims,
-        table,
+        claims: open_claims(&settings, clock.clone(), table),
         journal,
         directory,
         concurrency: ConcurrencyLimits::default(),
@@ -140,6 +203,50 @@
     })
 }
 
+/// Starts everything that keeps the instance's state fresh.
+fn spawn_controllers(instance: &Rc<Instance>, connector: Rc<HttpConnector>) {
+    let cluster = &instance.cluster;
+    let seeds = instance.settings.seeds.clone();
+    let gossip = cluster::spread_changes(cluster.clone(), instance.clients.clone(), seeds);
+    actix_rt::spawn(gossip);
+    actix_rt::spawn(cluster::read_list(cluster.clone()));
+    actix_rt::spawn(cluster::read_configuration(cluster.clone()));
+    actix_rt::spawn(cluster::probe_servers(cluster.clone(), connector.clone()));
+    actix_rt::spawn(settle_claims(instance.clone()));
+    EngineWatch::new(instance.clone(), connector).spawn();
+}
+
+/// Writes the outcomes of claims again that could not be written before.
+async fn settle_claims(instance: Rc<Instance>) {
+    loop {
+        tokio::time::sleep(CLAIM_PERIOD).await;
+        instance.claims.retry_pending().await;
+    }
+}
+
+fn open_cluster(
+    settings: &Settings,
+    addresses: Addresses,
+    clock: Rc<dyn Clock>,
+    journal: Rc<Journal>,
+    services: Services,
+) -> Rc<ClusterState> {
+    let timeouts = HttpTimeouts::default();
+    let objects = Rc::new(HttpObjectStore::new(settings.platform.objects, timeouts));
+    let list = Rc::new(HttpInstanceList::new(settings.platform.instances, timeouts));
+    let backoff = Backoff::new(Rc::new(TimerSleep));
+    let store = ConfigurationStore::new(services.table.clone(), objects, backoff);
+    let own = ListEntry {
+        name: settings.instance.as_str().into(),
+        kind: ListedKind::Instance { callers: addresses.callers, operators: addresses.operators },
+        zone: settings.zone.clone(),
+        address: addresses.peers,
+        incarnation: UNLISTED,
+        state: ListState::Live,
+    };
+    ClusterState::new(clock, journal, own, store, list, services)
+}
+
 fn open_table(settings: &Settings, clock: Rc<dyn Clock>) -> Rc<BudgetedTable> {
     let table = HttpTableService::new(settings.platform.table, HttpTimeouts::default());
     Rc::new(BudgetedTable::new(Rc::new(table), clock, InstanceBudget::default()))
@@ -171,35 +278,22 @@
 /// A running instance.
 pub struct InstanceHandle {
     instance: Rc<Instance>,
-    callers: Listening,
-    operators: Listening,
-    peers: PeerServer,
-}
-
-struct Listening {
-    address: SocketAddr,
-    stop: StopHandle,
+    addresses: Addresses,
+    caller_stop: StopHandle,
+    operator_stop: StopHandle,
+    peer_server: PeerServer,
 }
 
 impl InstanceHandle {
-    /// Returns the address for callers.
-    pub fn callers(&self) -> SocketAddr {
-        self.callers.address
-    }
-
-    /// Returns the address for operators.
-    pub fn operators(&self) -> SocketAddr {
-        self.operators.address
-    }
-
-    /// Returns the address for other instances.
-    pub fn peers(&self) -> SocketAddr {
-        self.peers.address()
+    /// Returns where the instance listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
     }
 
     /// Takes no more requests and waits for those in progress, up to the limit in the settings.
     pub async fn drain(self) -> Exit {
         self.instance.is_draining.set(true);
+        self.instance.cluster.leave();
         let deadline = self.instance.clock.now() + self.instance.settings.drain_limit;
         loop {
             let live = self.instance.home.registry().live().len();
@@ -216,19 +310,12 @@
     }
 
     fn stop(self) {
-        self.callers.stop.stop();
-        self.operators.stop.stop();
-        self.peers.stop();
+        self.caller_stop.stop();
+        self.operator_stop.stop();
+        self.peer_server.stop();
     }
 }
 
-async fn listen(address: SocketAddr, handler: Handler) -> Result<Listening, ServeError> {
-    let server = Server::bind(address, handler).await.map_err(ServeError::Listen)?;
-    let listening = Listening { address: server.address(), stop: server.stop_handle() };
-    actix_rt::spawn(server.run());
-    Ok(listening)
-}
-
 fn caller_handler(instance: Rc<Instance>) -> Handler {
     Rc::new(move |req| Box::pin(caller::handle(instance.clone(), req)))
 }
--- a/crates/magnoliaspar-standin/src/bin/playground.rs
+++ b/crates/magnoliaspar-standin/src/bin/playground.rs
@@ -8,9 +8,8 @@
 
 use awc::Client;
 use gumdrop::Options;
-use magnoliaspar_standin::{
-    CALLER_KEY, Deployment, DeploymentSpec, InstanceAddresses, MODEL, answer_text,
-};
+use magnoliaspar_serve::Addresses;
+use magnoliaspar_standin::{CALLER_KEY, Deployment, DeploymentSpec, MODEL, answer_text};
 use serde_json::{Value, json};
 
 /// How long the playground waits for its instances to become ready.
@@ -32,7 +31,7 @@
 #[derive(Debug, Clone)]
 struct Entry {
     name: Box<str>,
-    addresses: InstanceAddresses,
+    addresses: Addresses,
 }
 
 fn main() -> ExitCode {
@@ -74,12 +73,7 @@
         actix_rt::System::new().block_on(async move {
             match magnoliaspar_serve::start(settings).await {
                 Ok(handle) => {
-                    let addresses = InstanceAddresses {
-                        callers: handle.callers(),
-                        peers: handle.peers(),
-                        operators: handle.operators(),
-                    };
-                    let _ = tx.send(Ok(addresses));
+                    let _ = tx.send(Ok(handle.addresses()));
                     std::future::pending::<()>().await;
                 }
                 Err(error) => {
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -1,13 +1,18 @@
 //! A deployment of stand-ins on loopback addresses.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
 
 use displaydoc::Display;
+use magnoliaspar_configuration::{Acceptance, Configuration, ConfigurationStore, Proposal};
 use magnoliaspar_core::{Incarnation, InstanceName, ModelName, PoolName, ZoneName};
 use magnoliaspar_declaration::{DeclarationFiles, Document};
 use magnoliaspar_http::ServerError;
-use magnoliaspar_platform::{ListEntry, ListState, ListedKind, ServerRole};
+use magnoliaspar_platform::{
+    Backoff, ListEntry, ListState, ListedKind, ServerRole, TimerSleep, WriteToken,
+};
+use magnoliaspar_serve::Addresses;
 use magnoliaspar_settings::{
     LogSettings, OperatorKey, OperatorRights, PeerKeys, PlatformSettings, Secret, Settings,
 };
@@ -89,17 +94,6 @@
     pub services: Vec<PlainService>,
 }
 
-/// The addresses on which an instance listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct InstanceAddresses {
-    /// The address for callers.
-    pub callers: SocketAddr,
-    /// The address for other instances.
-    pub peers: SocketAddr,
-    /// The address for operators.
-    pub operators: SocketAddr,
-}
-
 /// Why a deployment cannot start.
 #[derive(Debug, Display)]
 pub enum DeploymentError {
@@ -134,12 +128,12 @@
             zones.push(start_zone(&platform, spec, name).await?);
         }
         let deployment = Self { platform, zones };
-        deployment.put_configuration(&declarations()?).await;
+        deployment.accept_configuration(&declarations()?).await;
         Ok(deployment)
     }
 
     /// Adds an instance to the platform's list, as the platform does once an instance runs.
-    pub fn enlist_instance(&self, settings: &Settings, addresses: InstanceAddresses) {
+    pub fn enlist_instance(&self, settings: &Settings, addresses: Addresses) {
         self.platform.instances.put(ListEntry {
             name: settings.instance.as_str().into(),
             kind: ListedKind::Instance {
@@ -199,15 +193,24 @@
         })
     }
 
-    async fn put_configuration(&self, document: &Document) {
-        use magnoliaspar_platform::{Condition, RowKey, TableService, Transaction, Write};
-        let write = Write {
-            key: RowKey("config/head".into()),
-            condition: Condition::Always,
-            value: Some(json!({ "version": 1, "document": document })),
+    /// Accepts declarations at the platform, as an operator does.
+    pub async fn accept_configuration(&self, document: &Document) {
+        let table = Rc::new(self.platform.table.clone());
+        let objects = Rc::new(self.platform.objects.clone());
+        let store = ConfigurationStore::new(table, objects, Backoff::new(Rc::new(TimerSleep)));
+        let mut configuration = Configuration::new();
+        for delta in store.news_since(0).await.expect("no fault is on").deltas {
+            configuration.receive(delta);
+        }
+        let proposal = Proposal {
+            expected_version: configuration.version(),
+            delta: configuration.document().diff(document),
+            operator: "deployment".into(),
+            at: SystemTime::now(),
+            token: WriteToken(format!("{:x}", rand::random::<u64>()).into()),
         };
-        let transaction = Transaction { writes: vec![write] };
-        self.platform.table.commit(&transaction).await.expect("no fault is on yet");
+        let acceptance = store.accept(&mut configuration, &proposal).await;
+        assert!(matches!(acceptance, Acceptance::Accepted { .. }), "{acceptance:?}");
     }
 }
 
--- a/crates/magnoliaspar-standin/src/lib.rs
+++ b/crates/magnoliaspar-standin/src/lib.rs
@@ -10,8 +10,8 @@
 mod web;
 
 pub use self::deployment::{
-    CALLER_KEY, Deployment, DeploymentError, DeploymentSpec, InstanceAddresses, MODEL,
-    OPERATOR_KEY, PEER_KEY, READER_KEY, ZoneStandIns, declarations,
+    CALLER_KEY, Deployment, DeploymentError, DeploymentSpec, MODEL, OPERATOR_KEY, PEER_KEY,
+    READER_KEY, ZoneStandIns, declarations,
 };
 pub use self::engine::{
     Faults, ModelEngine, ModelEngineRole, ModelEngineSpec, answer_text, answer_tokens,
--- a/crates/magnoliaspar-wire/examples/generate.rs
+++ b/crates/magnoliaspar-wire/examples/generate.rs
@@ -26,7 +26,7 @@
     let out: PathBuf = env::temp_dir().join(format!("magnoliaspar-wire-{}", std::process::id()));
     fs::create_dir_all(&out)?;
     let descriptors = protox::compile([root.join("proto/peer.proto")], [root.join("proto")])?;
-    tonic_prost_build::configure().out_dir(&out).compile_fds(descriptors)?;
+    tonic_prost_build::configure().btree_map(".").out_dir(&out).compile_fds(descriptors)?;
     let code = fs::read_to_string(out.join("magnoliaspar.peer.v1.rs"))?;
     fs::remove_dir_all(&out)?;
     Ok(code)
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -3,14 +3,14 @@
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use magnoliaspar_standin::InstanceAddresses;
+use magnoliaspar_serve::Addresses;
 use serde_json::Value;
 
 /// An instance that runs as a process of its own and is killed when this is dropped.
 pub struct InstanceProcess {
     child: Child,
     /// Where the instance listens.
-    pub addresses: InstanceAddresses,
+    pub addresses: Addresses,
 }
 
 impl InstanceProcess {
@@ -86,13 +86,13 @@
     }
 }
 
-fn parse_announcement(line: &str) -> Option<InstanceAddresses> {
+fn parse_announcement(line: &str) -> Option<Addresses> {
     let entry: Value = serde_json::from_str(line).ok()?;
     let address = |name: &str| -> Option<SocketAddr> {
         let value = entry.get(name).or_else(|| entry.get("kv")?.get(name))?;
         value.as_str()?.parse().ok()
     };
-    Some(InstanceAddresses {
+    Some(Addresses {
         callers: address("callers")?,
         peers: address("peers")?,
         operators: address("operators")?,
