Open a sealed server again by a call of its own

Cause: a suspected server that answers again stayed sealed; letting add_server open it made books_hold_under_any_order_of_events fail, since a spec that is renewed must not end a drain.

Change: Policy::open_server, which the dispatcher calls for servers that it had sealed. Measured: cargo test -p magnoliaspar-policy passes.

--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -45,13 +45,14 @@
 /// at any point and ends the job. After `failed` the policy answers with a new action for the job.
 pub trait Policy {
     /// Adds a backend server, or replaces what is known of it, and returns its key.
-    ///
-    /// A server that was sealed is open to new work again.
     fn add_server(&mut self, now: Instant, spec: ServerSpec) -> ServerKey;
 
     /// Gives no new work to a server that is leaving; running work goes on.
     fn seal_server(&mut self, now: Instant, server: ServerKey);
 
+    /// Gives a sealed server new work again, since its suspicion or drain was taken back.
+    fn open_server(&mut self, _now: Instant, _server: ServerKey) {}
+
     /// Forgets a server that is gone. Jobs on it must be reported as failed by the driver.
     fn remove_server(&mut self, now: Instant, server: ServerKey);
 
--- a/crates/magnoliaspar-policy/src/pool.rs
+++ b/crates/magnoliaspar-policy/src/pool.rs
@@ -86,7 +86,6 @@
         };
         self.displace(key);
         self.servers[key].spec = spec;
-        self.servers[key].is_sealed = false;
         self.place(key);
         self.measure();
         key
@@ -102,6 +101,14 @@
         was_open
     }
 
+    /// Gives a sealed server new work again.
+    pub(crate) fn open(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.is_sealed = false;
+        self.replace(key);
+        self.measure();
+    }
+
     /// Forgets a server.
     pub(crate) fn remove(&mut self, key: ServerKey) {
         self.displace(key);
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -235,6 +235,11 @@
         self.is_changed = true;
     }
 
+    fn open_server(&mut self, _now: Instant, server: ServerKey) {
+        self.pool.open(server);
+        self.is_changed = true;
+    }
+
     fn remove_server(&mut self, now: Instant, server: ServerKey) {
         self.pool.seal(server);
         self.withdraw(now, server);
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -104,7 +104,9 @@
     pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
         let name = spec.name.clone();
         let key = self.tell(|policy, now| policy.add_server(now, spec));
-        self.sealed.borrow_mut().remove(&name);
+        if self.sealed.borrow_mut().remove(&name) {
+            self.tell(|policy, now| policy.open_server(now, key));
+        }
         let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
         self.engines.borrow_mut().insert(key, handle);
     }
