Count a stall in the mean between tokens

Cause: a request with one long stall counted as good, since 95 in 100 of its gaps were in time.

Change: the mean of the gaps has to meet the target, too. Reports tell late first tokens from late gaps, and in which second requests were missed.

--- a/crates/magnoliaspar-bench/src/driver/stage.rs
+++ b/crates/magnoliaspar-bench/src/driver/stage.rs
@@ -227,6 +227,7 @@
             None => request.ttft = Some(gap),
             Some(_) => {
                 request.late_gaps += u32::from(gap > ITL_TARGET);
+                request.gap_time += gap;
                 if request.arrival.is_counted {
                     record(&mut self.ledger.itl, gap);
                 }
--- a/crates/magnoliaspar-bench/src/report.rs
+++ b/crates/magnoliaspar-bench/src/report.rs
@@ -4,10 +4,10 @@
 use serde::Serialize;
 
 use crate::catalogue::Catalogue;
-use crate::deployment::{Deployment, ITL_SHARE, TTFT_TARGET};
+use crate::deployment::{Deployment, ITL_SHARE, ITL_TARGET, TTFT_TARGET};
 use crate::ledger::{End, Ledger, WasteCause, histogram, record};
 use crate::limit::Limit;
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, WARM_UP, WINDOW};
 use crate::state::Request;
 
 /// What became of the requests of one run.
@@ -31,6 +31,12 @@
     pub answered: u64,
     /// The requests that were answered within both latency targets.
     pub goodput: u64,
+    /// The requests that were answered with a late first token.
+    pub late_first_token: u64,
+    /// The requests that were answered with a first token in time, but too many late gaps.
+    pub late_between_tokens: u64,
+    /// The requests that were not good, by the second of the window in which they came.
+    pub missed_by_second: Vec<u32>,
     /// The requests whose deadline passed.
     pub deadline_passed: u64,
     /// The requests that were refused, by reason.
@@ -105,6 +111,9 @@
             cancelling: 0,
             answered: 0,
             goodput: 0,
+            late_first_token: 0,
+            late_between_tokens: 0,
+            missed_by_second: vec![0; WINDOW.as_secs() as usize],
             deadline_passed: 0,
             refused: BTreeMap::new(),
             share_of_offered: 0.0,
@@ -153,7 +162,20 @@
                 *self.refused.entry(reason.to_string().into()).or_default() += 1;
             }
         }
-        self.goodput += u64::from(is_good(request));
+        if is_good(request) {
+            self.goodput += 1;
+            return;
+        }
+        let second = request.arrival.at.saturating_sub(WARM_UP).as_secs() as usize;
+        self.missed_by_second[second] += 1;
+        if request.end != Some(End::Answered) {
+            return;
+        }
+        if has_timely_start(request) {
+            self.late_between_tokens += 1;
+        } else {
+            self.late_first_token += 1;
+        }
     }
 
     /// Returns the number of requests that were refused.
@@ -205,11 +227,23 @@
 
 /// Whether a request was answered within both latency targets.
 fn is_good(request: &Request) -> bool {
-    if request.end != Some(End::Answered) || request.ttft.is_none_or(|ttft| ttft > TTFT_TARGET) {
+    if request.end != Some(End::Answered) || !has_timely_start(request) {
         return false;
     }
+    has_timely_gaps(request)
+}
+
+/// Whether the gaps between a request's tokens meet the target, both in the mean and one by one.
+fn has_timely_gaps(request: &Request) -> bool {
     let gaps = request.tokens.saturating_sub(1);
-    f64::from(request.late_gaps) <= f64::from(gaps) * (1.0 - ITL_SHARE)
+    if f64::from(request.late_gaps) > f64::from(gaps) * (1.0 - ITL_SHARE) {
+        return false;
+    }
+    request.gap_time <= ITL_TARGET * gaps
+}
+
+fn has_timely_start(request: &Request) -> bool {
+    request.ttft.is_some_and(|ttft| ttft <= TTFT_TARGET)
 }
 
 fn limit(deployment: &Deployment, scenario: Scenario, seed: u64, requests: &[Request]) -> Limit {
--- a/crates/magnoliaspar-bench/src/state.rs
+++ b/crates/magnoliaspar-bench/src/state.rs
@@ -75,6 +75,8 @@
     pub(crate) ttft: Option<Duration>,
     pub(crate) last_token_at: Instant,
     pub(crate) late_gaps: u32,
+    /// The time between the first and the last token.
+    pub(crate) gap_time: Duration,
     pub(crate) end: Option<End>,
     pub(crate) ends: u32,
 }
@@ -115,6 +117,7 @@
             ttft: None,
             last_token_at: accepted_at,
             late_gaps: 0,
+            gap_time: Duration::ZERO,
             end: None,
             ends: 0,
         }
