--- a/crates/magnoliaspar-bench/src/lib.rs
+++ b/crates/magnoliaspar-bench/src/lib.rs
@@ -20,6 +20,7 @@
 mod state;
 mod suite;
 mod table;
+mod workbench;
 
 pub use self::arrival::{Arrival, arrivals};
 pub use self::baseline::{Baseline, Placement};
@@ -34,6 +35,7 @@
 pub use self::limit::{Limit, capacity};
 pub use self::report::{Latency, Report, Waste};
 pub use self::scenario::{Fault, Scenario, Shape};
-pub use self::slope::{DECISION_BUDGET, SERVERS, WAITING, Workbench, slopes};
+pub use self::slope::{DECISION_BUDGET, SERVERS, WAITING, slopes};
 pub use self::suite::{Run, SCHEDULER, run_all, side_by_side};
 pub use self::table::table;
+pub use self::workbench::Workbench;
