Make the hot document new and show where the first token's time goes

Cause: the most popular document is cached at the start of the window and its transfers took only part of a link, so that holding it was no difficulty.

Change: the hot document is one that nobody has read before, with 0.6 of the requests; reports give the mean time of waiting, reading, transfer and first step.

--- a/crates/magnoliaspar-bench/src/arrival.rs
+++ b/crates/magnoliaspar-bench/src/arrival.rs
@@ -112,9 +112,9 @@
     at: Duration,
     streams: &mut Streams,
 ) -> Arrival {
-    let is_hot = streams.prompt.random_bool(shape.hot_share);
+    let is_hot = streams.prompt.random_bool(shape.hot_share) && at >= WARM_UP;
     let drawn = catalogue.draw(&mut streams.prompt);
-    let document = if is_hot { &catalogue.documents[0] } else { drawn };
+    let document = if is_hot { &catalogue.hot } else { drawn };
     let (blocks, prompt_tokens) = prompt(workload, document, &mut streams.prompt);
     let urgency = if streams.caller.random_bool(workload.deferrable_share) {
         Urgency::Deferrable
--- a/crates/magnoliaspar-bench/src/catalogue.rs
+++ b/crates/magnoliaspar-bench/src/catalogue.rs
@@ -9,6 +9,8 @@
 pub struct Catalogue {
     /// The documents, the most popular one first.
     pub documents: Box<[Document]>,
+    /// A document of mean length that nobody has read before.
+    pub hot: Document,
 }
 
 /// The bits of a block's hash that number the block within its document.
@@ -35,16 +37,12 @@
         for rank in 1..=workload.documents {
             let blocks =
                 rng.random_range(workload.min_document_blocks..=workload.max_document_blocks);
-            // Neighbouring hashes keep the fakes' ordered maps fast; policies see opaque numbers.
-            let first = rng.random::<u64>() & !MAX_BLOCK;
-            let mut hashes = Vec::new();
-            for block in 0..u64::from(blocks) {
-                hashes.push(BlockHash(first + block));
-            }
             let share = weight(rank, workload.popularity_exponent) / total;
-            documents.push(Document { blocks: hashes.into(), share });
+            documents.push(Document::new(&mut rng, blocks, share));
         }
-        Self { documents: documents.into() }
+        let mean_blocks = (workload.min_document_blocks + workload.max_document_blocks) / 2;
+        let hot = Document::new(&mut rng, mean_blocks, 0.0);
+        Self { documents: documents.into(), hot }
     }
 
     /// Draws a document by popularity.
@@ -85,6 +83,16 @@
 }
 
 impl Document {
+    fn new(rng: &mut StdRng, blocks: u32, share: f64) -> Self {
+        // Neighbouring hashes keep the fakes' ordered maps fast; policies see opaque numbers.
+        let first = rng.random::<u64>() & !MAX_BLOCK;
+        let mut hashes = Vec::new();
+        for block in 0..u64::from(blocks) {
+            hashes.push(BlockHash(first + block));
+        }
+        Self { blocks: hashes.into(), share }
+    }
+
     /// Returns the length of the document in tokens.
     pub fn tokens(&self) -> f64 {
         self.blocks.len() as f64 * f64::from(BLOCK_TOKENS)
--- a/crates/magnoliaspar-bench/src/driver/action.rs
+++ b/crates/magnoliaspar-bench/src/driver/action.rs
@@ -34,6 +34,7 @@
         request.tag.prefill += 1;
         request.tag.transfer = 0;
         request.stage = Stage::Prefilling;
+        request.ordered_at = now;
         request.prefill = Some(server);
         request.decode = None;
         request.held_until = None;
--- a/crates/magnoliaspar-bench/src/driver/stage.rs
+++ b/crates/magnoliaspar-bench/src/driver/stage.rs
@@ -58,6 +58,7 @@
             return;
         }
         request.unsettled_tokens = result.computed_tokens;
+        request.read_at = now;
         if !self.servers[server].is_reachable() {
             request.waste_cause = WasteCause::EngineLost;
             return;
@@ -175,6 +176,7 @@
             return;
         }
         request.stage = Stage::Decoding;
+        request.imported_at = now;
         if !self.servers[server].is_reachable() {
             return;
         }
--- a/crates/magnoliaspar-bench/src/lib.rs
+++ b/crates/magnoliaspar-bench/src/lib.rs
@@ -33,7 +33,7 @@
 pub use self::known_red::{KnownRed, Verdict};
 pub use self::ledger::{End, Violation, WasteCause};
 pub use self::limit::{Limit, capacity};
-pub use self::report::{Latency, Report, Waste};
+pub use self::report::{Latency, Report, StageTimes, Waste};
 pub use self::scenario::{Fault, Scenario, Shape};
 pub use self::slope::{DECISION_BUDGET, SERVERS, WAITING, slopes};
 pub use self::suite::{Run, SCHEDULER, run_all, side_by_side};
--- a/crates/magnoliaspar-bench/src/limit.rs
+++ b/crates/magnoliaspar-bench/src/limit.rs
@@ -158,7 +158,7 @@
         let workload = &deployment.workload;
         let question = f64::from(workload.min_question_tokens + workload.max_question_tokens) / 2.0;
         let usual = 1.0 - hot_share;
-        let hot = hot_share * catalogue.documents[0].tokens();
+        let hot = hot_share * catalogue.hot.tokens();
         let prompt = usual * catalogue.mean_tokens() + hot + question;
         let cache_blocks = (f64::from(engine.cache_blocks()) * prefill_engines) as u32;
         let uncached = usual * catalogue.mean_uncached_tokens(cache_blocks) + question;
--- a/crates/magnoliaspar-bench/src/report.rs
+++ b/crates/magnoliaspar-bench/src/report.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -55,6 +56,8 @@
     pub waste: Waste,
     /// The time to the first token.
     pub ttft: Latency,
+    /// Where the time to the first token went.
+    pub stages: StageTimes,
     /// The time between tokens.
     pub itl: Latency,
     /// Jain's index over the share of its fair part that each workspace got.
@@ -91,6 +94,20 @@
     pub p99: f64,
 }
 
+/// The mean time in each stage before the first token of answers that were not interrupted, in
+/// milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct StageTimes {
+    /// From acceptance to the order to read the prompt.
+    pub waiting: f64,
+    /// From this order to the end of the prefill.
+    pub reading: f64,
+    /// From the end of the prefill to the end of the import.
+    pub transfer: f64,
+    /// From the end of the import to the first token.
+    pub first_step: f64,
+}
+
 impl Report {
     pub(crate) fn new(
         policy: &str,
@@ -123,6 +140,7 @@
             cached_tokens: ledger.cached_tokens,
             waste: Waste::new(ledger),
             ttft: Latency::new(&ttft),
+            stages: StageTimes::new(requests),
             itl: Latency::new(&ledger.itl),
             fairness: fairness(requests, limit.service()),
             untrue_refusals: Vec::new(),
@@ -207,10 +225,37 @@
     }
 }
 
+impl StageTimes {
+    fn new(requests: &[Request]) -> Self {
+        let mut sums = Self::default();
+        let mut count = 0.0;
+        for request in requests {
+            let Some(ttft) = request.ttft else { continue };
+            if !request.arrival.is_counted || request.failures > 0 {
+                continue;
+            }
+            count += 1.0;
+            sums.waiting += millis(request.ordered_at - request.accepted_at);
+            sums.reading += millis(request.read_at - request.ordered_at);
+            sums.transfer += millis(request.imported_at - request.read_at);
+            sums.first_step += millis(request.accepted_at + ttft - request.imported_at);
+        }
+        if count == 0.0 {
+            return sums;
+        }
+        Self {
+            waiting: sums.waiting / count,
+            reading: sums.reading / count,
+            transfer: sums.transfer / count,
+            first_step: sums.first_step / count,
+        }
+    }
+}
+
 impl Latency {
     fn new(histogram: &Histogram<u64>) -> Self {
-        let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
-        Self { p50: millis(0.5), p95: millis(0.95), p99: millis(0.99) }
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Self { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
     }
 }
 
@@ -300,6 +345,10 @@
     parts
 }
 
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
 fn share(part: u64, whole: u64) -> f64 {
     if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
 }
--- a/crates/magnoliaspar-bench/src/scenario.rs
+++ b/crates/magnoliaspar-bench/src/scenario.rs
@@ -37,7 +37,7 @@
 pub struct Shape {
     /// The load in the window, relative to capacity.
     pub load: f64,
-    /// The share of requests for one document beside its usual popularity.
+    /// The share of requests for one document that nobody has read before the window.
     pub hot_share: f64,
     /// The share of requests whose callers cancel.
     pub cancel_share: f64,
@@ -91,7 +91,7 @@
             Self::TwiceCapacity => Shape { load: 2.0, ..usual },
             Self::DecodeLost => Shape { fault: Some(Fault::DecodeLost { at, back_at }), ..usual },
             Self::ZoneCut => Shape { fault: Some(Fault::ZoneCut { at, back_at }), ..usual },
-            Self::HotDocument => Shape { hot_share: 0.4, ..usual },
+            Self::HotDocument => Shape { hot_share: 0.6, ..usual },
             Self::Cancels => Shape { cancel_share: 0.2, ..usual },
             Self::GreedyWorkspace => Shape { load: 1.5, greedy_share: 0.6, ..usual },
         }
--- a/crates/magnoliaspar-bench/src/state.rs
+++ b/crates/magnoliaspar-bench/src/state.rs
@@ -74,6 +74,10 @@
     pub(crate) tokens: u32,
     pub(crate) ttft: Option<Duration>,
     pub(crate) last_token_at: Instant,
+    /// When the last prefill was ordered, done and imported.
+    pub(crate) ordered_at: Instant,
+    pub(crate) read_at: Instant,
+    pub(crate) imported_at: Instant,
     pub(crate) late_gaps: u32,
     /// The time between the first and the last token.
     pub(crate) gap_time: Duration,
@@ -116,6 +120,9 @@
             tokens: 0,
             ttft: None,
             last_token_at: accepted_at,
+            ordered_at: accepted_at,
+            read_at: accepted_at,
+            imported_at: accepted_at,
             late_gaps: 0,
             gap_time: Duration::ZERO,
             end: None,
