Bound the memory of pending outcomes, and keep who cleared a desired state

Cause: 4,096 pending outcomes with bodies of 32 KiB would take 128 MiB in an outage, twice what an instance may use; and an operator who loses to the removal of a desired state could not be told who won.

Change: bodies beyond 8 MiB are omitted from pending outcomes; a desired state is cleared by a row without a state, which names its writer; a lease that is held already is not taken a second time.

--- a/crates/magnoliaspar-claim/src/pending.rs
+++ b/crates/magnoliaspar-claim/src/pending.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PendingWrites {
     entries: BTreeMap<Box<str>, PendingWrite>,
+    body_bytes: usize,
     undispatched: BTreeSet<Box<str>>,
 }
 
@@ -31,11 +32,18 @@
 
 impl PendingWrites {
     /// Adds a write; a full list refuses it, and the request stays one that may have run.
-    pub(crate) fn insert(&mut self, write: PendingWrite) -> bool {
+    ///
+    /// A body for which there is no memory is omitted from the outcome.
+    pub(crate) fn insert(&mut self, mut write: PendingWrite) -> bool {
         if self.entries.len() >= MAX_PENDING {
             return false;
         }
-        self.entries.insert(write.row.attempt.clone(), write);
+        if self.body_bytes + write.row.body_bytes() > MAX_BODY_BYTES {
+            write.row.omit_body();
+        }
+        self.body_bytes += write.row.body_bytes();
+        let replaced = self.entries.insert(write.row.attempt.clone(), write);
+        self.forget_body(replaced);
         true
     }
 
@@ -53,10 +61,16 @@
 
     /// Forgets an attempt whose write is settled.
     pub(crate) fn remove(&mut self, attempt: &str) {
-        self.entries.remove(attempt);
+        let removed = self.entries.remove(attempt);
+        self.forget_body(removed);
         self.undispatched.remove(attempt);
     }
 
+    fn forget_body(&mut self, write: Option<PendingWrite>) {
+        let Some(write) = write else { return };
+        self.body_bytes -= write.row.body_bytes();
+    }
+
     /// Returns all writes.
     pub(crate) fn to_vec(&self) -> Vec<PendingWrite> {
         self.entries.values().cloned().collect()
@@ -70,3 +84,6 @@
 
 /// The most writes that wait for the platform.
 const MAX_PENDING: usize = 4096;
+
+/// The most bytes of bodies that wait for the platform.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
--- a/crates/magnoliaspar-claim/src/row.rs
+++ b/crates/magnoliaspar-claim/src/row.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::{ClaimOwner, StoredOutcome};
+use crate::{ClaimOwner, StoredBody, StoredOutcome};
 
 /// What stands before the workspace in the key of a claim's row.
 pub(crate) const CLAIM_PREFIX: &str = "claim/";
@@ -49,6 +49,19 @@
         serde_json::to_value(self).expect("a claim has only text keys")
     }
 
+    /// Returns the size of the kept body.
+    pub(crate) fn body_bytes(&self) -> usize {
+        let ClaimState::Finished(outcome) = &self.state else { return 0 };
+        outcome.body.as_bytes().map_or(0, <[u8]>::len)
+    }
+
+    /// Keeps the outcome without its body.
+    pub(crate) fn omit_body(&mut self) {
+        let bytes = self.body_bytes() as u64;
+        let ClaimState::Finished(outcome) = &mut self.state else { return };
+        outcome.body = StoredBody::Omitted { bytes };
+    }
+
     /// Returns the same claim in another state.
     pub(crate) fn with_state(&self, state: ClaimState) -> Self {
         Self { state, ..self.clone() }
--- a/crates/magnoliaspar-claim/tests/claims.rs
+++ b/crates/magnoliaspar-claim/tests/claims.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use common::{controller, outcome, request, settings};
-use magnoliaspar_claim::{ClaimController, ClaimSettings, ClaimVerdict, NotRunReason};
+use magnoliaspar_claim::{ClaimController, ClaimSettings, ClaimVerdict, NotRunReason, StoredBody};
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::{Fault, MemoryTable};
 use magnoliaspar_platform::{Backoff, Sleep};
@@ -90,6 +90,36 @@
     assert!(matches!(one.claim(&request("a", "")).await, ClaimVerdict::MayHaveRun { .. }));
 }
 
+#[actix_rt::test]
+async fn outcomes_of_an_outage_keep_their_bodies_within_bounds() {
+    let (clock, table) = world();
+    let one = controller(Rc::new(table.clone()), &clock, "one", 1);
+    let body = "x".repeat(StoredBody::MAX_BYTES);
+    let mut completions = Vec::new();
+    for number in 0..300 {
+        let key = format!("key-{number}");
+        let ClaimVerdict::Dispatch(ticket) = one.claim(&request(&key, "")).await else {
+            panic!("a new key is dispatched");
+        };
+        completions.push(one.complete(ticket, outcome(&body)));
+    }
+    table.faults().set_outage(true);
+    for is_kept in futures_util::future::join_all(completions).await {
+        assert!(!is_kept);
+    }
+    table.faults().set_outage(false);
+    assert_eq!(one.retry_pending().await, 0);
+    let mut whole = 0;
+    for number in 0..300 {
+        match one.claim(&request(&format!("key-{number}"), "")).await {
+            ClaimVerdict::Resend(outcome) => whole += u32::from(outcome.body.as_bytes().is_some()),
+            verdict => panic!("an outcome is lost: {verdict:?}"),
+        }
+    }
+    // 8 MiB of 32 KiB each.
+    assert_eq!(whole, 256);
+}
+
 #[actix_rt::test]
 async fn an_expired_claim_is_never_free_again() {
     let (clock, table) = world();
--- a/crates/magnoliaspar-fake/src/fault.rs
+++ b/crates/magnoliaspar-fake/src/fault.rs
@@ -45,6 +45,8 @@
     /// The answer is lost: the caller learns nothing although the call took effect.
     LostAnswer,
     /// The caller learns nothing, and the call takes effect only before the third later call.
+    ///
+    /// Only the table tells this from [`LostAnswer`](Self::LostAnswer).
     LateEffect,
 }
 
--- a/crates/magnoliaspar-order/src/controller.rs
+++ b/crates/magnoliaspar-order/src/controller.rs
@@ -110,8 +110,8 @@
         for target in targets {
             let row = states.get(&target.server);
             steps.push(async move {
-                let step = match row {
-                    Some(row) => self.reconcile(target, &row.state).await,
+                let step = match row.and_then(|row| row.state.as_ref()) {
+                    Some(state) => self.reconcile(target, state).await,
                     None => OrderStep::Undeclared,
                 };
                 let desired = row.map(|row| row.version);
--- a/crates/magnoliaspar-order/src/desired.rs
+++ b/crates/magnoliaspar-order/src/desired.rs
@@ -80,8 +80,8 @@
 /// A desired state as an operator sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DesiredRow {
-    /// The state.
-    pub state: DesiredState,
+    /// The state; none if nothing is desired any more.
+    pub state: Option<DesiredState>,
     /// Who set it.
     pub set_by: OperatorName,
     /// The version on which the next change depends.
@@ -93,7 +93,7 @@
 pub enum DesiredError {
     /// the state was changed since it was read, at version {at_version:?} by {winner:?}
     Conflict {
-        /// Who made the change that stands; none if the state was removed.
+        /// Who made the change that stands; none if the operator saw a row that never was.
         winner: Option<OperatorName>,
         /// The version that stands.
         at_version: Option<RowVersion>,
@@ -147,14 +147,16 @@
     }
 
     /// Sets the desired state of an engine on top of the version that the operator saw.
+    ///
+    /// Without a state, nothing is desired of the engine any more; who wrote that stays known.
     pub async fn set(
         &self,
         server: &ServerName,
-        state: &DesiredState,
+        state: Option<&DesiredState>,
         seen: Option<RowVersion>,
         operator: &OperatorName,
     ) -> Result<RowVersion, DesiredError> {
-        let value = StoredState { state: state.clone(), set_by: operator.clone() };
+        let value = StoredState { state: state.cloned(), set_by: operator.clone() };
         let value = serde_json::to_value(value).expect("a desired state has only text keys");
         let condition = seen.map_or(Condition::Absent, Condition::Version);
         let write = Write { key: self.key(server), condition, value: Some(value) };
@@ -177,7 +179,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct StoredState {
-    state: DesiredState,
+    state: Option<DesiredState>,
     set_by: OperatorName,
 }
 
--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -134,6 +134,9 @@
     /// duration, so a wait needs calls before and after.
     pub async fn acquire(&self) -> Result<Lease, LeaseError> {
         let _writing = self.writing.lock().await;
+        if let Some(lease) = self.current() {
+            return Ok(lease);
+        }
         let row = self.settings.table.read(&self.key).await.map_err(LeaseError::Platform)?;
         let (condition, number) = match row {
             None => (Condition::Absent, FIRST_NUMBER),
--- a/crates/magnoliaspar-order/tests/orders/old_leases.rs
+++ b/crates/magnoliaspar-order/tests/orders/old_leases.rs
@@ -312,7 +312,7 @@
             let seen = seen.map(|row| row.version);
             let operator = OperatorName("ayu".into());
             let result =
-                self.operators.set(&server(engine), &desired(variant), seen, &operator).await;
+                self.operators.set(&server(engine), Some(&desired(variant)), seen, &operator).await;
             assert!(!matches!(result, Err(DesiredError::Conflict { .. })), "there is one operator");
         };
         futures_util::future::join(set, self.run(Duration::from_secs(8))).await;
@@ -351,11 +351,11 @@
         let states = states.unwrap();
         for (index, engine) in self.engines.iter().enumerate() {
             let Some(row) = states.get(&server(index)) else { continue };
+            let state = row.state.as_ref().unwrap();
             let status = engine.current();
-            let is_in_force = row.state.has_role(&status)
-                && row.state.has_model(&status)
-                && row.state.has_adapters(&status);
-            assert!(is_in_force, "engine {index} is {status:?}, not {:?}", row.state);
+            let is_in_force =
+                state.has_role(&status) && state.has_model(&status) && state.has_adapters(&status);
+            assert!(is_in_force, "engine {index} is {status:?}, not {state:?}");
         }
     }
 }
--- a/crates/magnoliaspar-order/tests/orders/promises.rs
+++ b/crates/magnoliaspar-order/tests/orders/promises.rs
@@ -54,7 +54,7 @@
 
     async fn target(&self, name: &str, engine: &FakeEngine) -> OrderTarget {
         let server = ServerName::try_from(name).unwrap();
-        self.desired.set(&server, &desired(1), None, &self.operator).await.unwrap();
+        self.desired.set(&server, Some(&desired(1)), None, &self.operator).await.unwrap();
         let is_fencing = engine.is_fencing();
         OrderTarget { server, engine: Rc::new(engine.clone()), is_fencing, is_drained: true }
     }
@@ -72,17 +72,21 @@
 async fn the_loser_of_two_operators_is_told_who_won() {
     let world = World::new();
     let server = ServerName::try_from("engine").unwrap();
-    let first = world.desired.set(&server, &desired(0), None, &world.operator).await.unwrap();
+    let first = world.desired.set(&server, Some(&desired(0)), None, &world.operator).await.unwrap();
     let other = OperatorName("budi".into());
     world.table.faults().on_next_write(Fault::LostAnswer);
     let winning = desired(1);
-    let won = world.desired.set(&server, &winning, Some(first), &other);
+    let won = world.desired.set(&server, Some(&winning), Some(first), &other);
     let ticks = pass_time(&world.clock, Duration::from_secs(1));
     let second = futures_util::future::join(won, ticks).await.0.unwrap();
-    let lost = world.desired.set(&server, &desired(2), Some(first), &world.operator).await;
-    let expected = DesiredError::Conflict { winner: Some(other), at_version: Some(second) };
-    assert_eq!(lost, Err(expected));
-    assert_eq!(world.desired.read(&server).await.unwrap().unwrap().state, desired(1));
+    let lost = world.desired.set(&server, Some(&desired(2)), Some(first), &world.operator).await;
+    let winner = Some(other.clone());
+    assert_eq!(lost, Err(DesiredError::Conflict { winner, at_version: Some(second) }));
+    assert_eq!(world.desired.read(&server).await.unwrap().unwrap().state, Some(desired(1)));
+    let cleared = world.desired.set(&server, None, Some(second), &other).await.unwrap();
+    let lost = world.desired.set(&server, None, Some(second), &world.operator).await;
+    let winner = Some(other);
+    assert_eq!(lost, Err(DesiredError::Conflict { winner, at_version: Some(cleared) }));
 }
 
 #[actix_rt::test]
