--- /dev/null
+++ b/crates/magnoliaspar-reaper/tests/common/mod.rs
@@ -0,0 +1,390 @@
+//! Instances, reapers and one backend server in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{AttemptId, Incarnation, InstanceName, RequestId, ServerName};
+use magnoliaspar_engine::{HeldStream, Stage, StreamId};
+use magnoliaspar_reaper::{
+    Acknowledgement, Answer, HeldKey, Ownership, Question, Reaper, ReaperConfig, ReaperId, Renewal,
+    StreamList,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub const INSTANCES: usize = 3;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How often a home reads the server's list in any case.
+const LIST_PERIOD: Duration = Duration::from_secs(45);
+
+/// How long the platform lists an instance that has died.
+const LISTED_AFTER_DEATH: Duration = Duration::from_secs(25);
+
+pub struct World {
+    now: Instant,
+    processes: Vec<Option<Process>>,
+    lives: Vec<u64>,
+    died_at: Vec<Option<Instant>>,
+    kept_on_list: BTreeSet<usize>,
+    homes: Vec<usize>,
+    engine: Engine,
+    history: VecDeque<(Instant, Engine)>,
+    cut: BTreeSet<(usize, usize)>,
+    wires: BTreeMap<(Instant, u64), (usize, usize, Message)>,
+    sent: u64,
+    loss: f64,
+    rng: StdRng,
+}
+
+struct Process {
+    ownership: Ownership,
+    reaper: Reaper,
+    read_at: Instant,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Engine {
+    incarnation: u64,
+    streams: BTreeMap<StreamId, (Box<str>, Instant)>,
+}
+
+enum Message {
+    Renewal(Renewal),
+    Acknowledgement(Acknowledgement),
+    Question(Question),
+    Answer(Answer),
+}
+
+impl World {
+    pub fn new(seed: u64, loss: f64) -> Self {
+        let mut world = Self {
+            now: Instant::now() + Duration::from_secs(100_000),
+            processes: Vec::new(),
+            lives: vec![0; INSTANCES],
+            died_at: vec![None; INSTANCES],
+            kept_on_list: BTreeSet::new(),
+            homes: vec![0; INSTANCES],
+            engine: Engine::default(),
+            history: VecDeque::new(),
+            cut: BTreeSet::new(),
+            wires: BTreeMap::new(),
+            sent: 0,
+            loss,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for instance in 0..INSTANCES {
+            world.processes.push(None);
+            world.start(instance);
+        }
+        world
+    }
+
+    pub fn start(&mut self, instance: usize) {
+        if self.processes[instance].is_some() {
+            return;
+        }
+        self.lives[instance] += 1;
+        self.died_at[instance] = None;
+        let (name, life) = (name(instance), Incarnation(self.lives[instance]));
+        let cfg = ReaperConfig::default();
+        let id = ReaperId { instance: name.clone(), incarnation: life };
+        self.processes[instance] = Some(Process {
+            ownership: Ownership::new(name, life, cfg, self.now),
+            reaper: Reaper::new(id, cfg),
+            read_at: self.now,
+        });
+        self.point_to_home(instance);
+    }
+
+    pub fn kill(&mut self, instance: usize) {
+        if self.processes[instance].take().is_some() {
+            self.died_at[instance] = Some(self.now);
+        }
+    }
+
+    /// Lets the platform list an instance for as long as the test runs.
+    pub fn keep_on_list(&mut self, instance: usize) {
+        self.kept_on_list.insert(instance);
+    }
+
+    pub fn open(&mut self, instance: usize, id: u64) {
+        let key = key(id);
+        if self.engine.streams.contains_key(&key.stream) {
+            return;
+        }
+        let now = self.now;
+        let Some(process) = &mut self.processes[instance] else { return };
+        if process.ownership.open(now, key.clone()).is_ok() {
+            let owner = process.ownership.owner();
+            self.engine.streams.insert(key.stream, (owner, now));
+        }
+    }
+
+    pub fn finish(&mut self, id: u64) {
+        if self.leak(id) {
+            self.engine.streams.remove(&key(id).stream);
+        }
+    }
+
+    pub fn leak(&mut self, id: u64) -> bool {
+        let Some(owner) = self.owner_of(id) else { return false };
+        self.process(owner).ownership.close(&key(id));
+        true
+    }
+
+    pub fn hand_over(&mut self, id: u64, to: usize) {
+        let Some(owner) = self.owner_of(id) else { return };
+        if owner != to && self.adopt(id, to) {
+            self.process(owner).ownership.close(&key(id));
+        }
+    }
+
+    pub fn take_over(&mut self, id: u64, by: usize) {
+        if self.owner_of(id).is_none() {
+            self.adopt(id, by);
+        }
+    }
+
+    fn adopt(&mut self, id: u64, by: usize) -> bool {
+        let key = key(id);
+        let now = self.now;
+        let Some((_, opened)) = self.engine.streams.get(&key.stream) else { return false };
+        let age = now - *opened;
+        let Some(process) = &mut self.processes[by] else { return false };
+        process.ownership.adopt(now, key, age).is_ok()
+    }
+
+    pub fn toggle(&mut self, one: usize, other: usize) {
+        for pair in [(one, other), (other, one)] {
+            if one != other && !self.cut.remove(&pair) {
+                self.cut.insert(pair);
+            }
+        }
+    }
+
+    pub fn restart_server(&mut self) {
+        self.engine.incarnation += 1;
+        for id in std::mem::take(&mut self.engine.streams).into_keys() {
+            let key = HeldKey { server: server(), stream: id };
+            for process in self.processes.iter_mut().flatten() {
+                process.ownership.close(&key);
+            }
+        }
+    }
+
+    pub fn move_home(&mut self, seen_by: usize, home: usize) {
+        self.homes[seen_by] = home;
+        self.point_to_home(seen_by);
+        let Some(process) = &mut self.processes[seen_by] else { return };
+        if home != seen_by {
+            process.reaper.forget_server(&server());
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.loss = 0.0;
+        self.cut.clear();
+        self.kept_on_list.clear();
+        for instance in 0..INSTANCES {
+            if self.processes[0].is_none() {
+                self.start(0);
+            }
+            self.move_home(instance, 0);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += SECOND;
+            self.history.push_back((self.now, self.engine.clone()));
+            if self.history.len() > 6 {
+                self.history.pop_front();
+            }
+            self.deliver();
+            for instance in 0..INSTANCES {
+                self.act(instance);
+            }
+        }
+    }
+
+    pub fn held(&self) -> usize {
+        self.engine.streams.len()
+    }
+
+    pub fn check_no_orphans(&self) {
+        for id in self.engine.streams.keys() {
+            let key = HeldKey { server: server(), stream: id.clone() };
+            let mut processes = self.processes.iter().flatten();
+            assert!(processes.any(|process| process.ownership.owns(&key)), "{id:?} is not freed");
+        }
+    }
+
+    fn act(&mut self, instance: usize) {
+        let now = self.now;
+        let known = self.known_instances();
+        let lives = self.lives.clone();
+        let Some(process) = &mut self.processes[instance] else { return };
+        for (peer, newest) in lives.iter().enumerate() {
+            for life in 1..=*newest {
+                let id = ReaperId { instance: name(peer), incarnation: Incarnation(life) };
+                if life < *newest || !known.contains_key(&name(peer)) {
+                    process.ownership.reaper_gone(&id);
+                }
+            }
+        }
+        let lapsed = process.ownership.lapsed(now);
+        let renewals = process.ownership.renewals(now);
+        for key in lapsed {
+            // Some of the cancels are lost.
+            if self.rng.random_bool(0.5) {
+                self.engine.streams.remove(&key.stream);
+            }
+        }
+        for renewal in renewals {
+            let to = index(&renewal.to.instance);
+            self.send(instance, to, Message::Renewal(renewal));
+        }
+        self.point_to_home(instance);
+        if self.homes[instance] == instance {
+            self.reap(instance, known);
+        }
+    }
+
+    fn reap(&mut self, instance: usize, known: BTreeMap<InstanceName, Incarnation>) {
+        let now = self.now;
+        let process = self.process(instance);
+        process.reaper.set_instances(known);
+        let questions = process.reaper.questions(now);
+        let is_due = now >= process.read_at || !process.reaper.confirmations(now).is_empty();
+        for question in questions {
+            let to = index(&question.to);
+            self.send(instance, to, Message::Question(question));
+        }
+        if !is_due {
+            return;
+        }
+        let list = self.list();
+        let process = self.process(instance);
+        process.read_at = now + LIST_PERIOD;
+        for reaped in process.reaper.listed(&server(), &list) {
+            let owner = self.processes.iter().flatten().find(|p| p.ownership.owns(&reaped.key));
+            let is_held = self.engine.streams.contains_key(&reaped.key.stream);
+            assert!(!is_held || owner.is_none(), "{reaped:?} is live");
+            self.engine.streams.remove(&reaped.key.stream);
+        }
+    }
+
+    /// Returns the server's list as it was at some time within its lag.
+    fn list(&mut self) -> StreamList {
+        let back = self.rng.random_range(1..=self.history.len().min(5));
+        let (at, engine) = &self.history[self.history.len() - back];
+        let mut streams = Vec::new();
+        for (id, (owner, opened)) in &engine.streams {
+            streams.push(HeldStream {
+                stream: id.clone(),
+                owner: owner.clone(),
+                stage: Stage::Decode,
+                pieces: 1,
+                age_ms: (*at - *opened).as_millis() as u64,
+            });
+        }
+        let incarnation = Incarnation(engine.incarnation);
+        StreamList { read_from: self.now, read_to: self.now, incarnation, streams }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.wires.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            if self.cut.contains(&(from, to)) {
+                continue;
+            }
+            self.take(from, to, message);
+        }
+    }
+
+    fn take(&mut self, from: usize, to: usize, message: Message) {
+        let now = self.now;
+        let Some(process) = &mut self.processes[to] else { return };
+        let reply = match message {
+            Message::Renewal(renewal) => {
+                process.reaper.renew(now, &renewal).map(Message::Acknowledgement)
+            }
+            Message::Question(question) => {
+                Some(Message::Answer(process.ownership.answer(&question)))
+            }
+            Message::Acknowledgement(ack) => {
+                process.ownership.acknowledged(&ack);
+                None
+            }
+            Message::Answer(answer) => {
+                process.reaper.answered(now, &answer);
+                None
+            }
+        };
+        if let Some(reply) = reply {
+            self.send(to, from, reply);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if from != to && self.rng.random_bool(self.loss) {
+            return;
+        }
+        self.sent += 1;
+        let at = self.now + Duration::from_millis(self.rng.random_range(0..4000));
+        self.wires.insert((at, self.sent), (from, to, message));
+    }
+
+    /// Returns the instances that the platform lists, dead ones for some time too.
+    fn known_instances(&self) -> BTreeMap<InstanceName, Incarnation> {
+        let mut known = BTreeMap::new();
+        for instance in 0..INSTANCES {
+            let is_gone =
+                self.died_at[instance].is_some_and(|at| self.now > at + LISTED_AFTER_DEATH);
+            if !is_gone || self.kept_on_list.contains(&instance) {
+                known.insert(name(instance), Incarnation(self.lives[instance]));
+            }
+        }
+        known
+    }
+
+    fn point_to_home(&mut self, instance: usize) {
+        let home = self.homes[instance];
+        let incarnation = Incarnation(self.lives[home]);
+        let id = ReaperId { instance: name(home), incarnation };
+        let Some(process) = &mut self.processes[instance] else { return };
+        process.ownership.set_reaper(&server(), id);
+    }
+
+    fn owner_of(&self, id: u64) -> Option<usize> {
+        let owns = |process: &Process| process.ownership.owns(&key(id));
+        self.processes.iter().position(|process| process.as_ref().is_some_and(owns))
+    }
+
+    fn process(&mut self, instance: usize) -> &mut Process {
+        self.processes[instance].as_mut().expect("the caller checked that it runs")
+    }
+}
+
+fn server() -> ServerName {
+    ServerName::try_from("s").unwrap()
+}
+
+fn key(id: u64) -> HeldKey {
+    let request = RequestId::try_from(format!("r-{id}").as_str()).unwrap();
+    HeldKey { server: server(), stream: StreamId { request, attempt: AttemptId(1) } }
+}
+
+fn name(instance: usize) -> InstanceName {
+    InstanceName::try_from(format!("i-{instance}").as_str()).unwrap()
+}
+
+fn index(name: &InstanceName) -> usize {
+    (0..INSTANCES).find(|i| super::common::name(*i) == *name).unwrap()
+}
