Free engine memory of requests whose instance is gone

Cause: the memory of a dead home's streams stayed held until the engine had produced their last token.

Change: the home of each engine compares its streams with what all possible instances say of them, over the links between instances; instances register streams before they open them and renew leases on them. A run whose lease runs out stops using its stream. The driver is split into its task, the memory that it holds and its refusals.

--- a/crates/magnoliaspar-serve/src/cluster/gossip.rs
+++ b/crates/magnoliaspar-serve/src/cluster/gossip.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use magnoliaspar_configuration::ConfigMessage;
-use magnoliaspar_core::InstanceName;
+use magnoliaspar_core::{Incarnation, InstanceName};
 use magnoliaspar_membership::Outgoing;
 use magnoliaspar_wire::peer::GossipFrame;
 
@@ -61,7 +61,7 @@
                 let greeting = cluster.membership.borrow_mut().greeting();
                 let mut frame = cluster.frame();
                 frame.membership = Some(to_membership(&greeting));
-                clients.send_gossip(&cluster.name(), *seed, frame);
+                clients.send_gossip(cluster.name(), *seed, frame);
             }
         }
         tokio::time::sleep(GREETING_PERIOD).await;
@@ -73,6 +73,7 @@
     pub fn receive(&self, frame: GossipFrame) -> Result<(), BadMessage> {
         let sender = InstanceName::try_from(frame.sender.as_str())?;
         self.journal.observe(magnoliaspar_event::Stamp(frame.hlc));
+        self.hear_life(&sender, Incarnation(frame.life));
         if let Some(membership) = &frame.membership {
             self.receive_membership(&from_gossip(&sender, membership)?);
         }
@@ -127,12 +128,13 @@
 
     fn frame(&self) -> GossipFrame {
         GossipFrame {
-            sender: self.membership.borrow().name().to_string(),
+            sender: self.name().to_string(),
             hlc: self.journal.stamp().0,
             config_version: self.configuration.borrow().version(),
             config: Vec::new(),
             membership: None,
             quarantine: Vec::new(),
+            life: self.life().0,
         }
     }
 }
--- a/crates/magnoliaspar-serve/src/cluster/list.rs
+++ b/crates/magnoliaspar-serve/src/cluster/list.rs
@@ -39,29 +39,29 @@
             Ok(entries) => entries,
             Err(error) => return warn!("the instance list cannot be read: {error}"),
         };
-        self.expect_answers(&entries);
+        self.take_instances(&entries);
         let now = self.clock.now();
         let changes =
             self.membership.borrow_mut().merge_platform_list(now, &entries, &ListScope::All);
         self.take_changes(&changes);
     }
 
-    /// Notes which instances can tell the version of the configuration.
-    fn expect_answers(&self, entries: &[ListEntry]) {
-        let own = self.name();
-        let mut names = BTreeSet::new();
+    /// Notes which instances of the zone run, and which can tell the version of the configuration.
+    fn take_instances(&self, entries: &[ListEntry]) {
+        let mut listed = BTreeSet::new();
         for entry in entries {
             if !matches!(entry.kind, ListedKind::Instance { .. }) {
                 continue;
             }
             let Ok(name) = InstanceName::try_from(&*entry.name) else { continue };
-            if name != own {
-                names.insert(name);
+            if name != *self.name() {
+                self.startup.borrow_mut().peer_asked(name.clone());
+            }
+            if entry.zone == *self.zone() {
+                listed.insert(name);
             }
         }
-        for name in names {
-            self.startup.borrow_mut().peer_asked(name);
-        }
+        self.set_listed(listed);
     }
 }
 
--- a/crates/magnoliaspar-serve/src/cluster/state.rs
+++ b/crates/magnoliaspar-serve/src/cluster/state.rs
@@ -1,5 +1,5 @@
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,7 +8,7 @@
     ConfigDelta, Configuration, ConfigurationStore, ReaderConfig, ReaderSchedule, Readiness,
     Received, Spread, Startup,
 };
-use magnoliaspar_core::{Clock, InstanceName, ServerName, ZoneName};
+use magnoliaspar_core::{Clock, Incarnation, InstanceName, ServerName, ZoneName};
 use magnoliaspar_declaration::Declarations;
 use magnoliaspar_event::{EventKind, ServerState};
 use magnoliaspar_membership::{
@@ -42,6 +42,10 @@
     pub store: ConfigurationStore,
     /// The platform's list of instances and servers.
     pub list: Rc<dyn InstanceList>,
+    name: InstanceName,
+    life: Incarnation,
+    lives: RefCell<BTreeMap<InstanceName, Incarnation>>,
+    listed: RefCell<BTreeSet<InstanceName>>,
     services: Services,
     wake: Notify,
     servers_changed: Notify,
@@ -65,6 +69,7 @@
         clock: Rc<dyn Clock>,
         journal: Rc<Journal>,
         own: ListEntry,
+        life: Incarnation,
         store: ConfigurationStore,
         list: Rc<dyn InstanceList>,
         services: Services,
@@ -74,7 +79,7 @@
         let cfg = MembershipConfig { seed: rand::random(), ..MembershipConfig::default() };
         let membership = Membership::new(own, cfg, now);
         let name = membership.name().clone();
-        let readers = ReaderSchedule::new(name, zone, ReaderConfig::default(), now);
+        let readers = ReaderSchedule::new(name.clone(), zone, ReaderConfig::default(), now);
         Rc::new(Self {
             membership: RefCell::new(membership),
             configuration: RefCell::new(Configuration::new()),
@@ -85,6 +90,10 @@
             journal,
             store,
             list,
+            name,
+            life,
+            lives: RefCell::default(),
+            listed: RefCell::default(),
             services,
             wake: Notify::new(),
             servers_changed: Notify::new(),
@@ -92,8 +101,61 @@
     }
 
     /// Returns the name of this instance.
-    pub fn name(&self) -> InstanceName {
-        self.membership.borrow().name().clone()
+    pub fn name(&self) -> &InstanceName {
+        &self.name
+    }
+
+    /// Returns the availability zone of this instance.
+    pub fn zone(&self) -> &ZoneName {
+        self.services.zone_homes.zone()
+    }
+
+    /// Returns the life of this instance's process.
+    pub fn life(&self) -> Incarnation {
+        self.life
+    }
+
+    /// Returns the life of an instance's process, if it was heard.
+    pub fn life_of(&self, name: &InstanceName) -> Option<Incarnation> {
+        if *name == self.name {
+            return Some(self.life);
+        }
+        self.lives.borrow().get(name).copied()
+    }
+
+    /// Takes in the life of another instance's process.
+    pub fn hear_life(&self, name: &InstanceName, life: Incarnation) {
+        self.lives.borrow_mut().insert(name.clone(), life);
+    }
+
+    /// Takes in which instances of the zone the platform lists.
+    pub fn set_listed(&self, listed: BTreeSet<InstanceName>) {
+        *self.listed.borrow_mut() = listed;
+    }
+
+    /// Returns the instances of the zone whose processes may run: all that are not certainly gone.
+    ///
+    /// An instance that only does not answer is still listed by the platform.
+    pub fn possible_instances(&self) -> BTreeMap<InstanceName, Incarnation> {
+        let mut names = self.listed.borrow().clone();
+        names.insert(self.name.clone());
+        for (id, member) in self.membership.borrow().members() {
+            let Some(name) = id.as_instance() else { continue };
+            if member.state() != MemberState::Dead {
+                names.insert(name.clone());
+            }
+        }
+        let mut possible = BTreeMap::new();
+        for name in names {
+            let life = self.life_of(&name).unwrap_or_default();
+            possible.insert(name, life);
+        }
+        possible
+    }
+
+    /// Returns the instance that keeps the books of a server.
+    pub fn home_of(&self, server: &ServerName) -> Option<InstanceName> {
+        self.membership.borrow().home_of(server)
     }
 
     /// Whether enough of the configuration is known to serve.
--- a/crates/magnoliaspar-serve/src/directory.rs
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -41,6 +41,11 @@
         self.servers.borrow().get(name).cloned()
     }
 
+    /// Returns the server that listens on an address.
+    pub fn find_address(&self, address: SocketAddr) -> Option<KnownServer> {
+        self.servers.borrow().values().find(|server| server.address == address).cloned()
+    }
+
     /// Returns the live servers of a pool.
     pub fn live_of(&self, pool: &PoolName) -> Vec<KnownServer> {
         let mut live = Vec::new();
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -9,6 +9,7 @@
 use magnoliaspar_configuration::Readiness as ConfigurationReadiness;
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{Declarations, Document};
+use magnoliaspar_reaper::Reaper;
 use magnoliaspar_settings::Settings;
 
 use crate::caller::ServiceLoad;
@@ -18,6 +19,7 @@
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, ZoneHomes};
+use crate::reaping::StreamOwnership;
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
 
@@ -37,6 +39,10 @@
     pub home: Rc<LocalHome>,
     /// Chooses home instances.
     pub zone_homes: Rc<ZoneHomes>,
+    /// The streams on engines that this instance drives.
+    pub ownership: Rc<StreamOwnership>,
+    /// Finds streams that nobody drives.
+    pub reaper: RefCell<Reaper>,
     /// The links to other instances.
     pub clients: Rc<PeerClients>,
     /// Calls plain services.
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod operator;
 mod peer;
+mod reaping;
 mod run;
 mod serve;
 mod service;
--- a/crates/magnoliaspar-serve/src/metrics.rs
+++ b/crates/magnoliaspar-serve/src/metrics.rs
@@ -13,6 +13,8 @@
     pub answers: IntCounter,
     /// Tokens that were relayed.
     pub tokens: IntCounter,
+    /// Pieces of engine memory that were freed for requests that are gone.
+    pub reaped_pieces: IntCounter,
     refusals: IntCounterVec,
     auth_failures: IntCounterVec,
 }
@@ -25,6 +27,11 @@
             requests: counter(&registry, "requests_total", "Completions that were accepted."),
             answers: counter(&registry, "answers_total", "Complete answers delivered."),
             tokens: counter(&registry, "tokens_total", "Tokens relayed to callers."),
+            reaped_pieces: counter(
+                &registry,
+                "reaped_pieces_total",
+                "Pieces of engine memory freed for requests that are gone.",
+            ),
             refusals: counters(
                 &registry,
                 "refusals_total",
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -11,7 +11,9 @@
 use magnoliaspar_wire::peer::peer_client::PeerClient as GeneratedClient;
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
-use magnoliaspar_wire::peer::{GossipFrame, RunCancel, RunDelivered, RunEvent, RunFrame};
+use magnoliaspar_wire::peer::{
+    GossipFrame, ReapAnswer, ReapRequest, RunCancel, RunDelivered, RunEvent, RunFrame,
+};
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio_stream::wrappers::{ReceiverStream, UnboundedReceiverStream};
@@ -126,6 +128,14 @@
         while let Ok(Some(_)) = answers.message().await {}
     }
 
+    /// Asks or answers about streams on engines; gives nothing if the instance does not answer.
+    pub async fn reap(&self, req: ReapRequest) -> Option<ReapAnswer> {
+        let call = self.sign(req);
+        let mut client = self.generated();
+        let answer = tokio::time::timeout(OPEN_TIMEOUT, client.reap(call)).await;
+        Some(answer.ok()?.ok()?.into_inner())
+    }
+
     async fn start(&self, req: &CompletionRequest) -> Result<RemoteLink, OpenError> {
         let (tx, rx) = mpsc::unbounded_channel();
         let open = RunFrame {
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -9,7 +9,8 @@
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
 use magnoliaspar_wire::peer::{
-    GossipFrame, QueryAnswer, QueryRequest, RunAccepted, RunEvent, RunFrame, RunOpen,
+    GossipFrame, QueryAnswer, QueryRequest, ReapAnswer, ReapRequest, RunAccepted, RunEvent,
+    RunFrame, RunOpen,
 };
 use prometheus::IntCounter;
 use tokio::net::TcpListener;
@@ -20,7 +21,7 @@
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::convert::{from_open, to_event, to_refused};
+use super::convert::{BadMessage, from_open, to_event, to_refused};
 use crate::instance::Instance;
 use crate::run::{LocalLink, RunLink, RunResult, RunUpdate};
 
@@ -84,6 +85,7 @@
 /// A call of another instance, on its way to the thread that owns the state.
 enum PeerCall {
     Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+    Reap { req: ReapRequest, tx: oneshot::Sender<Result<ReapAnswer, BadMessage>> },
     Gossip { frames: Streaming<GossipFrame>, tx: mpsc::Sender<Result<GossipFrame, Status>> },
 }
 
@@ -123,6 +125,16 @@
         Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
     }
 
+    async fn reap(&self, req: Request<ReapRequest>) -> Result<Response<ReapAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Reap { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        answer.map(Response::new).map_err(|error| Status::invalid_argument(error.to_string()))
+    }
+
     async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
         Err(Status::unimplemented("queries are not passed on yet"))
     }
@@ -134,6 +146,10 @@
             PeerCall::Run { frames, tx } => {
                 actix_rt::spawn(serve_run(instance.clone(), frames, tx));
             }
+            PeerCall::Reap { req, tx } => {
+                // A caller that is gone needs no answer.
+                let _ = tx.send(instance.answer_reap(&req));
+            }
             PeerCall::Gossip { frames, tx } => {
                 actix_rt::spawn(serve_gossip(instance.clone(), frames, tx));
             }
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/reaping/ownership.rs
@@ -0,0 +1,118 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_core::{Clock, Incarnation, InstanceName, ServerName};
+use magnoliaspar_engine::StreamId;
+use magnoliaspar_reaper::{
+    Acknowledgement, Answer, HeldKey, OpenError, Ownership, Question, ReaperConfig, ReaperId,
+    Renewal,
+};
+use tokio::sync::Notify;
+
+/// The streams on engines that this instance drives.
+pub struct StreamOwnership {
+    clock: Rc<dyn Clock>,
+    inner: RefCell<Ownership>,
+    lapsed: Notify,
+}
+
+impl StreamOwnership {
+    /// Creates the state of an instance that drives nothing.
+    pub fn new(clock: Rc<dyn Clock>, name: InstanceName, life: Incarnation) -> Rc<Self> {
+        let now = clock.now();
+        let inner = Ownership::new(name, life, ReaperConfig::default(), now);
+        Rc::new(Self { clock, inner: RefCell::new(inner), lapsed: Notify::new() })
+    }
+
+    /// Returns the text by which engines list this instance as an owner.
+    pub fn owner(&self) -> Box<str> {
+        self.inner.borrow().owner()
+    }
+
+    /// Registers a stream that is about to be opened.
+    pub fn open(
+        self: &Rc<Self>,
+        server: &ServerName,
+        stream: &StreamId,
+    ) -> Result<OwnedStream, OpenError> {
+        let key = HeldKey { server: server.clone(), stream: stream.clone() };
+        self.inner.borrow_mut().open(self.clock.now(), key.clone())?;
+        Ok(OwnedStream { ownership: self.clone(), key })
+    }
+
+    /// Registers a stream that is about to be taken over and is at most `age` old.
+    pub fn adopt(
+        self: &Rc<Self>,
+        server: &ServerName,
+        stream: &StreamId,
+        age: Duration,
+    ) -> Result<OwnedStream, OpenError> {
+        let key = HeldKey { server: server.clone(), stream: stream.clone() };
+        self.inner.borrow_mut().adopt(self.clock.now(), key.clone(), age)?;
+        Ok(OwnedStream { ownership: self.clone(), key })
+    }
+
+    /// Takes in which reaper a server has.
+    pub fn set_reaper(&self, server: &ServerName, reaper: ReaperId) {
+        self.inner.borrow_mut().set_reaper(server, reaper);
+    }
+
+    /// Returns the renewals that are due.
+    pub fn renewals(&self) -> Vec<Renewal> {
+        self.inner.borrow_mut().renewals(self.clock.now())
+    }
+
+    /// Takes in an acknowledgement.
+    pub fn acknowledged(&self, ack: &Acknowledgement) {
+        self.inner.borrow_mut().acknowledged(ack);
+    }
+
+    /// Gives up the streams whose leases ran out.
+    pub fn give_up_lapsed(&self) {
+        let lapsed = self.inner.borrow_mut().lapsed(self.clock.now());
+        if !lapsed.is_empty() {
+            self.lapsed.notify_waiters();
+        }
+    }
+
+    /// Answers a reaper.
+    pub fn answer(&self, question: &Question) -> Answer {
+        self.inner.borrow_mut().answer(question)
+    }
+}
+
+/// A stream that this instance drives until this is dropped.
+pub struct OwnedStream {
+    ownership: Rc<StreamOwnership>,
+    key: HeldKey,
+}
+
+impl OwnedStream {
+    /// Returns the stream.
+    pub fn stream(&self) -> &StreamId {
+        &self.key.stream
+    }
+
+    /// Whether the stream must not be used any more.
+    pub fn is_lost(&self) -> bool {
+        !self.ownership.inner.borrow().owns(&self.key)
+    }
+
+    /// Waits until the stream must not be used any more, since the lease on it ran out.
+    pub async fn lost(&self) {
+        loop {
+            let lapsed = self.ownership.lapsed.notified();
+            if self.is_lost() {
+                return;
+            }
+            lapsed.await;
+        }
+    }
+}
+
+impl Drop for OwnedStream {
+    fn drop(&mut self) {
+        self.ownership.inner.borrow_mut().close(&self.key);
+    }
+}
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -41,6 +41,13 @@
     pub last_cache_event: Rc<Cell<u64>>,
 }
 
+impl EngineHandle {
+    /// Creates a handle of an engine whose cache events were not read yet.
+    pub fn new(name: ServerName, address: SocketAddr, engine: Rc<dyn Engine>) -> Self {
+        Self { name, address, engine, last_cache_event: Rc::default() }
+    }
+}
+
 /// What to do next for a job.
 #[derive(Clone)]
 pub enum Step {
@@ -107,7 +114,7 @@
         if self.sealed.borrow_mut().remove(&name) {
             self.tell(|policy, now| policy.open_server(now, key));
         }
-        let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
+        let handle = EngineHandle::new(name, address, engine);
         self.engines.borrow_mut().insert(key, handle);
     }
 
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/run/held.rs
@@ -0,0 +1,72 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_engine::StreamId;
+
+use super::dispatcher::EngineHandle;
+use crate::reaping::OwnedStream;
+
+/// How often memory is freed on an engine that does not answer, before the reaper takes over.
+const MAX_CANCELS: u32 = 3;
+
+/// How long to wait between two tries to free memory.
+const CANCEL_PAUSE: Duration = Duration::from_millis(200);
+
+/// The memory that a run may hold on engines; what is left when this is dropped is freed.
+#[derive(Default)]
+pub struct HeldMemory(Vec<HeldStream>);
+
+/// A stream that may hold memory on an engine.
+struct HeldStream {
+    engine: EngineHandle,
+    stream: StreamId,
+    owned: Rc<OwnedStream>,
+}
+
+impl HeldMemory {
+    /// Notes that a stream may hold memory from now on.
+    pub fn add(&mut self, engine: &EngineHandle, stream: &StreamId, owned: Rc<OwnedStream>) {
+        self.0.push(HeldStream { engine: engine.clone(), stream: stream.clone(), owned });
+    }
+
+    /// Forgets memory that the engine has freed by itself.
+    pub fn forget(&mut self, engine: &EngineHandle, stream: &StreamId) {
+        self.0.retain(|held| !held.is(engine, stream));
+    }
+
+    /// Frees the memory of a stream.
+    pub fn free(&mut self, engine: &EngineHandle, stream: &StreamId) {
+        for held in self.0.extract_if(.., |held| held.is(engine, stream)) {
+            actix_rt::spawn(held.free());
+        }
+    }
+
+    /// Frees all memory.
+    pub fn free_all(&mut self) {
+        for held in self.0.drain(..) {
+            actix_rt::spawn(held.free());
+        }
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.free_all();
+    }
+}
+
+impl HeldStream {
+    fn is(&self, engine: &EngineHandle, stream: &StreamId) -> bool {
+        self.engine.address == engine.address && self.stream == *stream
+    }
+
+    async fn free(self) {
+        drop(self.owned);
+        for _ in 0..MAX_CANCELS {
+            if self.engine.engine.cancel(&self.stream).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(CANCEL_PAUSE).await;
+        }
+    }
+}
--- a/crates/magnoliaspar-serve/src/run/mod.rs
+++ b/crates/magnoliaspar-serve/src/run/mod.rs
@@ -4,13 +4,16 @@
 mod completion;
 mod dispatcher;
 mod driver;
+mod held;
 mod home;
 mod link;
 mod plan;
 mod reader;
+mod refusal;
 mod registry;
 mod running;
 mod shard;
+mod task;
 
 pub use self::attempt::AttemptIds;
 pub use self::completion::{Completed, CompletionRequest, Placement, ScopedId};
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -16,6 +16,7 @@
     Backoff, BudgetedTable, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts,
     InstanceBudget, ListEntry, ListState, ListedKind, TimerSleep,
 };
+use magnoliaspar_reaper::ReaperId;
 use magnoliaspar_settings::Settings;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -30,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::operator;
 use crate::peer::{PeerClients, PeerServer, ZoneHomes};
+use crate::reaping::{ReapingController, StreamOwnership};
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
 use crate::service::ServiceCaller;
 
@@ -156,11 +158,14 @@
     let configuration = Rc::new(ConfigurationInForce::default());
     let directory = Rc::new(Directory::default());
     let journal = Journal::new(clock.clone(), settings.instance.clone());
+    let life = incarnation_at(&*clock);
+    let ownership = StreamOwnership::new(clock.clone(), settings.instance.clone(), life);
     let driver = Driver {
         clock: clock.clone(),
         connector,
         attempts: Rc::new(AttemptIds::default()),
-        owner: settings.instance.as_str().into(),
+        ownership: ownership.clone(),
+        directory: directory.clone(),
         journal: journal.clone(),
     };
     let shards = ShardMap::new(directory.clone());
@@ -181,17 +186,21 @@
         zone_homes: zone_homes.clone(),
         table: table.clone(),
     };
-    let cluster = open_cluster(&settings, addresses, clock.clone(), journal.clone(), services);
+    let cluster =
+        open_cluster(&settings, addresses, life, clock.clone(), journal.clone(), services);
+    let reaper_id = ReaperId { instance: settings.instance.clone(), incarnation: life };
     Rc::new(Instance {
         configuration,
         cluster,
         homes: Homes::new(zone_homes.clone()),
         home,
         zone_homes,
+        ownership,
+        reaper: ReapingController::reaper(reaper_id),
         clients,
         services: ServiceCaller::new(),
         service_load: ServiceLoad::default(),
-        claims: open_claims(&settings, clock.clone(), table),
+        claims: open_claims(&settings, life, clock.clone(), table),
         journal,
         directory,
         concurrency: ConcurrencyLimits::default(),
@@ -213,6 +222,7 @@
     actix_rt::spawn(cluster::read_configuration(cluster.clone()));
     actix_rt::spawn(cluster::probe_servers(cluster.clone(), connector.clone()));
     actix_rt::spawn(settle_claims(instance.clone()));
+    ReapingController::new(instance.clone(), connector.clone()).spawn();
     EngineWatch::new(instance.clone(), connector).spawn();
 }
 
@@ -227,6 +237,7 @@
 fn open_cluster(
     settings: &Settings,
     addresses: Addresses,
+    life: Incarnation,
     clock: Rc<dyn Clock>,
     journal: Rc<Journal>,
     services: Services,
@@ -244,7 +255,7 @@
         incarnation: UNLISTED,
         state: ListState::Live,
     };
-    ClusterState::new(clock, journal, own, store, list, services)
+    ClusterState::new(clock, journal, own, life, store, list, services)
 }
 
 fn open_table(settings: &Settings, clock: Rc<dyn Clock>) -> Rc<BudgetedTable> {
@@ -254,12 +265,13 @@
 
 fn open_claims(
     settings: &Settings,
+    life: Incarnation,
     clock: Rc<dyn Clock>,
     table: Rc<BudgetedTable>,
 ) -> ClaimController {
     ClaimController::new(ClaimSettings {
         table,
-        incarnation: incarnation_at(&*clock),
+        incarnation: life,
         clock,
         backoff: Backoff::new(Rc::new(TimerSleep)),
         instance: settings.instance.clone(),
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -158,6 +158,15 @@
         used
     }
 
+    /// Returns how many pieces of memory are in use on decode engines.
+    pub fn decoding_pieces(&self) -> u32 {
+        let mut used = 0;
+        for zone in &self.zones {
+            used += zone.decodes.iter().map(ModelEngine::used_pieces).sum::<u32>();
+        }
+        used
+    }
+
     /// Returns settings for an instance, with free ports.
     pub fn settings(&self, zone: usize, name: &str) -> Result<Settings, DeploymentError> {
         let zone = &self.zones[zone];
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -22,7 +22,7 @@
 }
 
 /// The tokens of one answer over all its attempts.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StreamedAnswer {
     /// The tokens.
     pub tokens: Vec<Box<str>>,
@@ -33,8 +33,11 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum AnswerEnd {
+    /// The answer broke off.
+    #[default]
+    Broken,
     /// The answer is complete.
     Complete,
     /// The request was refused with this code and outcome.
@@ -44,8 +47,6 @@
         /// The outcome.
         outcome: Box<str>,
     },
-    /// The answer broke off.
-    Broken,
 }
 
 impl Caller {
--- a/tests/tests/instances.rs
+++ b/tests/tests/instances.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use futures_util::future::{join, join_all};
+use magnoliaspar_policy::rank_by_rendezvous;
 use magnoliaspar_standin::{DeploymentSpec, answer_tokens};
-use magnoliaspar_tests::{AnswerEnd, Caller, Cluster, StreamedAnswer};
+use magnoliaspar_tests::{AnswerEnd, Caller, Cluster, StreamedAnswer, wait_until};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
 
@@ -18,6 +19,15 @@
 /// A time at which all streams are running.
 const MID_STREAM: Duration = Duration::from_millis(300);
 
+/// The time of one token of an answer that outlasts its test.
+const SLOW_TOKEN: Duration = Duration::from_millis(20);
+
+/// The tokens of an answer that outlasts its test.
+const MANY_TOKENS: u32 = 30_000;
+
+/// How long the memory of a request that is gone may stay held.
+const REAP_TIMEOUT: Duration = Duration::from_secs(90);
+
 /// How long an instance is paused.
 const PAUSE: Duration = Duration::from_secs(6);
 
@@ -96,3 +106,30 @@
         cluster.wait_until_free(FREE_TIMEOUT).await;
     }
 }
+
+#[actix_rt::test]
+async fn engine_memory_of_a_dead_instance_is_freed() {
+    let mut spec = DeploymentSpec::small(&["zone-a"]);
+    spec.decode.token_time = SLOW_TOKEN;
+    let names = ["a-1", "a-2"];
+    let home = names.iter().position(|name| *name == home_of(&names)).unwrap();
+    let mut cluster = Cluster::start(PROGRAM, &spec).await;
+    cluster.start_instances(0, &names).await;
+    let entry = cluster.instances[home].addresses.callers;
+    let asked = actix_rt::spawn(async move {
+        let answer = &mut StreamedAnswer::default();
+        Caller::new().attempt(entry, "orphan", &prompt(0), MANY_TOKENS, answer).await;
+    });
+    wait_until(FREE_TIMEOUT, async || cluster.deployment.decoding_pieces() > 0).await;
+    cluster.instances[home].kill();
+    asked.await.unwrap();
+    // The engine would go on for minutes; the platform notices that the process has ended.
+    cluster.deployment.platform.instances.remove(names[home]);
+    cluster.wait_until_free(REAP_TIMEOUT).await;
+}
+
+/// Returns the instance that is the home of all requests of these tests.
+fn home_of<'a>(names: &[&'a str]) -> &'a str {
+    let shard = "assessor-prefill/assessor-decode/0";
+    rank_by_rendezvous(shard, names.iter().copied())[0]
+}
