Add retry budgets, hedging, ejection and quarantine

Cause: retries must not multiply an overload, and a request that crashes servers must be found without refusing the others in flight.

Change: budgets by successes, backoff with full jitter, hedging of lookups within a share, ejection by failures in a row or by the median success rate, and a quarantine with marks that merge in any order.

Shown failing first: convicting at any second crash refuses an innocent request; without running apart, or without convictions, 'some requests never end'; without clearing, innocents stay suspect; without merging convictions the homes disagree; without the limit one of one server is ejected; without taking tokens the shares of retries and hedges are exceeded; without jitter the waits do not spread.

--- a/crates/magnoliaspar-retry/src/lib.rs
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -1,1 +1,17 @@
 //! Retry budgets, backoff, hedging, outlier ejection and quarantine.
+//!
+//! All are pure: time, and randomness where there is any, are passed in.
+
+mod backoff;
+mod budget;
+mod hedge;
+mod outlier;
+mod quarantine;
+
+pub use self::backoff::Backoff;
+pub use self::budget::{RetryBudget, RetryBudgetConfig};
+pub use self::hedge::{HedgeConfig, HedgePolicy};
+pub use self::outlier::{Ejection, EjectionCause, OutlierConfig, OutlierDetector};
+pub use self::quarantine::{
+    Admission, Fingerprint, Quarantine, QuarantineConfig, QuarantineDelta, QuarantineEntry,
+};
