--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -1,15 +1,20 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
-use magnoliaspar_policy::{Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec};
+use magnoliaspar_event::Plan;
+use magnoliaspar_policy::{
+    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
+};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use super::plan::PlanContext;
+
 /// How long the dispatcher sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -19,6 +24,7 @@
     policy: RefCell<Box<dyn Policy>>,
     waiters: RefCell<BTreeMap<JobKey, UnboundedSender<Step>>>,
     engines: RefCell<BTreeMap<ServerKey, EngineHandle>>,
+    sealed: RefCell<BTreeSet<ServerName>>,
     wake: Notify,
 }
 
@@ -68,6 +74,7 @@
             policy: RefCell::new(policy),
             waiters: RefCell::default(),
             engines: RefCell::default(),
+            sealed: RefCell::default(),
             wake: Notify::new(),
         })
     }
@@ -97,6 +104,9 @@
     pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
         let name = spec.name.clone();
         let key = self.tell(|policy, now| policy.add_server(now, spec));
+        if self.sealed.borrow_mut().remove(&name) {
+            self.tell(|policy, now| policy.open_server(now, key));
+        }
         let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
         self.engines.borrow_mut().insert(key, handle);
     }
@@ -104,6 +114,9 @@
     /// Gives no new work to an engine.
     pub fn seal_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
+        if !self.sealed.borrow_mut().insert(name.clone()) {
+            return;
+        }
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
@@ -111,6 +124,7 @@
     pub fn remove_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
         self.tell(|policy, now| policy.remove_server(now, key));
+        self.sealed.borrow_mut().remove(name);
         self.engines.borrow_mut().remove(&key);
     }
 
@@ -132,9 +146,9 @@
         self.tell(|policy, now| policy.cache_events(now, key, stored, evicted, gap));
     }
 
-    /// Whether an engine is known.
-    pub fn has_engine(&self, name: &ServerName) -> bool {
-        self.key_of(name).is_some()
+    /// Whether an engine is known and gets new work.
+    pub fn has_open_engine(&self, name: &ServerName) -> bool {
+        self.key_of(name).is_some() && !self.sealed.borrow().contains(name)
     }
 
     /// Returns the engines.
@@ -210,6 +224,17 @@
         step
     }
 
+    /// Returns why the policy decided as it did, if it has decided where the job runs.
+    pub fn explain(&self, cx: &PlanContext) -> Option<Plan> {
+        let policy = self.dispatcher.policy.borrow();
+        let explanation = policy.explain(self.key)?;
+        let Decision::Prefill { prefill, decode } = explanation.decision else { return None };
+        let engines = self.dispatcher.engines.borrow();
+        let prefill = engines.get(&prefill)?.name.clone();
+        let decode = engines.get(&decode)?.name.clone();
+        Some(cx.describe(explanation, prefill, decode))
+    }
+
     /// Reports that the prefill is done.
     pub fn prefilled(&self, cached_tokens: u32, held_until: Instant) {
         self.dispatcher
