--- a/crates/magnoliaspar-policy/src/caution.rs
+++ b/crates/magnoliaspar-policy/src/caution.rs
@@ -9,10 +9,10 @@
 const HOLD_MARGIN_RANGE: f64 = 0.4;
 
 /// The share of a job's slack that every job keeps free before its target.
-const MIN_TARGET_MARGIN: f64 = 0.03;
+const MIN_TARGET_MARGIN: f64 = 0.0;
 
 /// The share of the slack that a job keeps free besides, at full caution.
-const TARGET_MARGIN_RANGE: f64 = 0.17;
+const TARGET_MARGIN_RANGE: f64 = 0.05;
 
 /// The price of a second of reading that the prefix cache could save, in seconds of delay.
 const MIN_READ_PRICE: f64 = 0.1;
@@ -21,7 +21,7 @@
 const READ_PRICE_RANGE: f64 = 0.6;
 
 /// The deviations below the mean that a count of ends is relied upon.
-const MIN_DEVIATIONS: f64 = 1.5;
+const MIN_DEVIATIONS: f64 = 2.5;
 
 /// The deviations besides, at full caution.
 const DEVIATIONS_RANGE: f64 = 1.5;
--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod history;
 mod job;
+mod lateness;
 mod link;
 mod output;
 mod placement;
--- a/crates/magnoliaspar-policy/src/placement.rs
+++ b/crates/magnoliaspar-policy/src/placement.rs
@@ -76,6 +76,8 @@
     pub(crate) caution: Caution,
     /// When the first token is due, if the job is given up when it comes later.
     pub(crate) target_at: Option<Instant>,
+    /// How much later than predicted the first token may come.
+    pub(crate) lateness: Duration,
     /// The slack that the job had before its target when it was accepted.
     pub(crate) slack: Duration,
     /// The server that last failed the job.
@@ -384,7 +386,7 @@
         let step = seconds(server.spec.seconds_per_token);
         let first_token_at = transfer_at + transfer_time + step * FIRST_TOKEN_STEPS;
         if let Some(target_at) = demand.target_at {
-            let margin = demand.caution.target_margin(demand.slack);
+            let margin = demand.caution.target_margin(demand.slack) + demand.lateness;
             if first_token_at + margin > target_at {
                 return Err(RejectReason::TooLate);
             }
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 
 use self::apart::Isolation;
 use crate::explain::{Explanation, RecentExplanations, WaitReason};
+use crate::lateness::Lateness;
 use crate::output::OutputLengths;
 use crate::placement::Placement;
 use crate::pool::Pool;
@@ -44,6 +45,7 @@
     timers: BTreeSet<(Instant, JobKey)>,
     prefixes: PrefixIndex,
     lengths: OutputLengths,
+    lateness: Lateness,
     releases: ReleaseRate,
     retries: RetryBudget,
     recent: RecentExplanations,
@@ -72,6 +74,7 @@
             timers: BTreeSet::new(),
             prefixes: PrefixIndex::new(settings.max_index_blocks),
             lengths: OutputLengths::new(),
+            lateness: Lateness::new(),
             releases: ReleaseRate::new(),
             retries: RetryBudget::new(settings.retry_budget),
             recent: RecentExplanations::default(),
@@ -281,6 +284,9 @@
         if tokens <= state.produced || !matches!(state.stage, Stage::Decoding { .. }) {
             return;
         }
+        if let Some(predicted_at) = state.first_token_at.take().filter(|_| tokens == 1) {
+            self.lateness.observe(predicted_at, now);
+        }
         state.produced = tokens;
         if tokens >= state.booked_at + BOOKED_TOKENS {
             self.update_books(now, job);
--- a/crates/magnoliaspar-policy/src/scheduler/start.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/start.rs
@@ -27,7 +27,7 @@
             skipped.insert(job);
             trying += match obstacle {
                 WaitReason::Target => 1,
-                _ => MAX_TRYING / 2,
+                _ => 2,
             };
         }
     }
@@ -66,6 +66,7 @@
             memory_tokens: self.memory_tokens(state),
             caution: Caution::from(job.weights),
             target_at,
+            lateness: self.lateness.margin(),
             slack: job.ttft_target.saturating_sub(transfer),
             avoid: state.avoid,
             apart,
@@ -105,6 +106,8 @@
         self.prefixes.note(now, prefill, &self.jobs[job].job.blocks, Sign::Grant);
         self.charge(job, &inputs, decode);
         let state = &mut self.jobs[job];
+        let is_first_try = state.retries == 0 && state.refusals == 0;
+        state.first_token_at = inputs.first_token_at.filter(|_| is_first_try);
         state.stage = Stage::Prefilling { prefill, decode: Some(decode) };
         let decision = Decision::Prefill { prefill, decode };
         *state.explanation = Explanation { decision, decided_at: now, inputs, rejected };
--- a/crates/magnoliaspar-policy/src/scheduler/waiting.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/waiting.rs
@@ -39,6 +39,7 @@
             avoid: None,
             holder: None,
             charged: None,
+            first_token_at: None,
             timer: None,
             explanation: Box::new(Explanation::waiting(now, WaitReason::Queued)),
         });
@@ -150,8 +151,8 @@
         let Some(slack) = job.ttft_target.checked_sub(service) else {
             return Some((job.accepted_at, lapse));
         };
-        let margin = Caution::from(job.weights).target_margin(slack);
-        Some((job.accepted_at + slack - margin, lapse))
+        let margin = Caution::from(job.weights).target_margin(slack) + self.lateness.margin();
+        Some((job.accepted_at + slack.saturating_sub(margin), lapse))
     }
 
     fn lapse_by_deadline(&self, now: Instant, state: &JobState) -> Option<(Instant, Lapse)> {
--- a/crates/magnoliaspar-policy/src/state.rs
+++ b/crates/magnoliaspar-policy/src/state.rs
@@ -27,6 +27,8 @@
     pub(crate) holder: Option<ServerKey>,
     /// The engine time of the answer that the workspace was charged.
     pub(crate) charged: Option<Charge>,
+    /// When the first token is expected, as long as nothing went wrong.
+    pub(crate) first_token_at: Option<Instant>,
     /// When the scheduler has to look at the job again.
     pub(crate) timer: Option<Instant>,
     pub(crate) explanation: Box<Explanation>,
