Keep what a class waits for from the classes after it

Cause: when the first jobs of a class lacked a slot or memory, smaller jobs of later classes were started in the same poll and took what was about to fall free.

Change: a poll goes on to a later class only past jobs that miss their target.

--- a/crates/magnoliaspar-policy/src/scheduler/start.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/start.rs
@@ -21,14 +21,22 @@
         self.start_suspect(now);
         let mut skipped = BTreeSet::new();
         let mut trying = 0;
+        let mut blocked = None;
         while trying < MAX_TRYING {
             let Some(job) = self.queue.next(&skipped) else { return };
+            let class = self.jobs[job].class();
+            // What a class waits for is not given to the ones after it.
+            if blocked.is_some_and(|blocked| blocked < class) {
+                return;
+            }
             let Some(obstacle) = self.start_prefill(now, job, None) else { continue };
             skipped.insert(job);
-            trying += match obstacle {
-                WaitReason::Target => 1,
-                _ => 2,
-            };
+            if obstacle == WaitReason::Target {
+                trying += 1;
+                continue;
+            }
+            trying += MAX_TRYING / 2;
+            blocked = Some(class);
         }
     }
 
