--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -2,16 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
 use displaydoc::Display;
+use magnoliaspar_claim::ClaimController;
+use magnoliaspar_configuration::Readiness as ConfigurationReadiness;
 use magnoliaspar_core::Clock;
-use magnoliaspar_declaration::Declarations;
+use magnoliaspar_declaration::{Declarations, Document};
 use magnoliaspar_settings::Settings;
 
+use crate::caller::ServiceLoad;
+use crate::cluster::ClusterState;
 use crate::directory::Directory;
+use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::peer::ZoneHomes;
+use crate::peer::{PeerClients, ZoneHomes};
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
 
@@ -23,20 +29,32 @@
     pub clock: Rc<dyn Clock>,
     /// The configuration in force.
     pub configuration: Rc<ConfigurationInForce>,
+    /// What the instances of the deployment agree on.
+    pub cluster: Rc<ClusterState>,
     /// Reads answers from their home instances.
     pub homes: Homes,
     /// This instance as a home.
     pub home: Rc<LocalHome>,
     /// Chooses home instances.
     pub zone_homes: Rc<ZoneHomes>,
+    /// The links to other instances.
+    pub clients: Rc<PeerClients>,
     /// Calls plain services.
     pub services: ServiceCaller,
+    /// Spreads calls over the servers of plain services.
+    pub service_load: ServiceLoad,
+    /// Claims calls that must be dispatched at most once.
+    pub claims: ClaimController,
+    /// Records events.
+    pub journal: Rc<Journal>,
     /// The backend servers.
     pub directory: Rc<Directory>,
     /// Limits how many requests are in progress.
     pub concurrency: ConcurrencyLimits,
     /// Counts what happens.
     pub metrics: Rc<Metrics>,
+    /// When the instance started.
+    pub started_at: Instant,
     /// Whether the instance drains.
     pub is_draining: Cell<bool>,
 }
@@ -55,7 +73,13 @@
         if self.configuration.current().is_none() {
             return Readiness::NoConfiguration;
         }
-        Readiness::Ready
+        match self.cluster.readiness() {
+            ConfigurationReadiness::Ready => Readiness::Ready,
+            ConfigurationReadiness::NoConfiguration => Readiness::NoConfiguration,
+            ConfigurationReadiness::Behind { .. } | ConfigurationReadiness::Learning => {
+                Readiness::Learning
+            }
+        }
     }
 }
 
@@ -66,6 +90,8 @@
     Ready,
     /// the instance could not learn any configuration yet
     NoConfiguration,
+    /// the instance does not know yet whether its configuration is the newest
+    Learning,
     /// the instance drains and takes no more requests
     Draining,
 }
@@ -97,4 +123,6 @@
     pub version: u64,
     /// The declarations.
     pub declarations: Declarations,
+    /// The declarations as they are stored and sent.
+    pub document: Document,
 }
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -49,11 +49,23 @@
         Self { own, zone, configuration, home, clients, instances }
     }
 
+    /// Returns the availability zone of this instance.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// Replaces the instances that may be homes; the own one need not be among them.
     pub fn set_instances(&self, instances: BTreeMap<InstanceName, KnownInstance>) {
         *self.instances.borrow_mut() = instances;
     }
 
+    /// Returns how many instances are known, the own one included.
+    pub fn instance_count(&self) -> usize {
+        let instances = self.instances.borrow();
+        let has_own = instances.contains_key(&self.own);
+        instances.len() + usize::from(!has_own)
+    }
+
     fn rank(&self, key: &str, is_own_zone: bool) -> Vec<InstanceName> {
         let instances = self.instances.borrow();
         let mut names = Vec::new();
