Quarantine requests that crash engines, and tell truthfully what may have run

Cause: a request that crashes engines was tried again until the retry budget ended, and its refusal said 'not run' although it had crashed two engines: the library reports a connection that ends before the answer as a connect error, and the error of a second call hid what the first one may have done.

Change: the home counts a crash once for each life of an engine; all requests in flight become suspects and run apart, are cleared by finishing or refused after a second crash; instances tell each other.

--- a/crates/magnoliaspar-engine/src/error.rs
+++ b/crates/magnoliaspar-engine/src/error.rs
@@ -35,7 +35,9 @@
     pub fn is_not_run(&self) -> bool {
         match self {
             Self::Unreachable(_) | Self::Refused(_) | Self::Full | Self::Fenced { .. } => true,
-            Self::UnknownStream | Self::KvGone => true,
+            Self::KvGone => true,
+            // A stream that was cancelled or lost may have been worked on before.
+            Self::UnknownStream => false,
             Self::Lost(_) | Self::Stalled(_) | Self::Crossed(_) => false,
         }
     }
--- a/crates/magnoliaspar-engine/src/http.rs
+++ b/crates/magnoliaspar-engine/src/http.rs
@@ -1,12 +1,14 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::{JsonPayloadError, SendRequestError};
+use awc::error::{ConnectError, JsonPayloadError, SendRequestError};
+use awc::http::StatusCode;
 use awc::{Client, ClientResponse, Connector};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -197,20 +199,43 @@
 async fn read_refusal(mut res: ClientResponse) -> EngineError {
     let status = res.status();
     let Ok(refused) = res.json::<Refused>().await else {
-        return EngineError::Refused(format!("status {status}").into());
+        return unexplained(status);
     };
     match refused {
         Refused::Full => EngineError::Full,
         Refused::UnknownStream => EngineError::UnknownStream,
         Refused::KvGone => EngineError::KvGone,
         Refused::Fenced { given, seen } => EngineError::Fenced { given, seen },
-        Refused::Other { message } => EngineError::Refused(message),
+        Refused::Other { message } if status.is_client_error() => EngineError::Refused(message),
+        Refused::Other { message } => EngineError::Lost(message),
+    }
+}
+
+/// Returns the error for a status without an explanation; only a client error has no effect.
+fn unexplained(status: StatusCode) -> EngineError {
+    let message = format!("status {status}").into();
+    if status.is_client_error() {
+        return EngineError::Refused(message);
+    }
+    EngineError::Lost(message)
+}
+
+/// Whether a connection could not be opened, so that the call was never sent.
+///
+/// A connection that ends before the answer is reported as a connect error too.
+fn is_before_call(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout | ConnectError::NoRecords | ConnectError::Unresolved => true,
+        ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
     }
 }
 
 fn map_send_error(error: SendRequestError) -> EngineError {
     match error {
-        SendRequestError::Connect(error) => EngineError::Unreachable(error.to_string().into()),
+        SendRequestError::Connect(error) if is_before_call(&error) => {
+            EngineError::Unreachable(error.to_string().into())
+        }
         SendRequestError::Url(error) => EngineError::Refused(error.to_string().into()),
         other => EngineError::Lost(other.to_string().into()),
     }
--- a/crates/magnoliaspar-serve/src/cluster/convert.rs
+++ b/crates/magnoliaspar-serve/src/cluster/convert.rs
@@ -10,6 +10,7 @@
     ZoneSummary,
 };
 use magnoliaspar_platform::{ListedKind, ServerRole};
+use magnoliaspar_retry::{Fingerprint, QuarantineDelta};
 use magnoliaspar_wire::peer;
 use magnoliaspar_wire::peer::member_entry::Kind;
 
@@ -65,6 +66,26 @@
     Ok(ConfigDelta { version: delta.version, content })
 }
 
+/// Writes what is known of a request that crashes engines.
+pub fn to_quarantine(delta: &QuarantineDelta) -> peer::QuarantineDelta {
+    peer::QuarantineDelta {
+        fingerprint: delta.fingerprint.0,
+        crashes: delta.crashes,
+        hlc: delta.hlc,
+        is_released: delta.released,
+    }
+}
+
+/// Reads what is known of a request that crashes engines.
+pub fn from_quarantine(delta: &peer::QuarantineDelta) -> QuarantineDelta {
+    QuarantineDelta {
+        fingerprint: Fingerprint(delta.fingerprint),
+        crashes: delta.crashes,
+        hlc: delta.hlc,
+        released: delta.is_released,
+    }
+}
+
 fn to_member(delta: &MemberDelta) -> peer::MemberDelta {
     peer::MemberDelta {
         name: delta.id.as_str().into(),
--- a/crates/magnoliaspar-serve/src/cluster/gossip.rs
+++ b/crates/magnoliaspar-serve/src/cluster/gossip.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +8,9 @@
 use magnoliaspar_membership::Outgoing;
 use magnoliaspar_wire::peer::GossipFrame;
 
-use super::convert::{from_delta, from_gossip, to_delta, to_membership};
+use super::convert::{
+    from_delta, from_gossip, from_quarantine, to_delta, to_membership, to_quarantine,
+};
 use super::state::ClusterState;
 use crate::peer::{BadMessage, PeerClients};
 
@@ -77,6 +79,9 @@
         if let Some(membership) = &frame.membership {
             self.receive_membership(&from_gossip(&sender, membership)?);
         }
+        for delta in &frame.quarantine {
+            self.quarantine().merge(&from_quarantine(delta));
+        }
         let mut deltas = Vec::new();
         for delta in &frame.config {
             deltas.push(from_delta(delta)?);
@@ -101,6 +106,7 @@
         for message in messages {
             self.add_configuration(&mut frames, message);
         }
+        self.add_quarantine(&mut frames, &neighbours);
         frames
     }
 
@@ -115,17 +121,43 @@
         frames: &mut BTreeMap<InstanceName, Addressed>,
         message: ConfigMessage,
     ) {
-        if !frames.contains_key(&message.to) {
-            let Some(address) = self.address_of(&message.to) else { return };
-            let frame = self.frame();
-            frames.insert(message.to.clone(), Addressed { address, frame });
-        }
-        let Some(addressed) = frames.get_mut(&message.to) else { return };
+        let Some(addressed) = self.addressed(frames, &message.to) else { return };
         for delta in &message.deltas {
             addressed.frame.config.push(to_delta(delta));
         }
     }
 
+    /// Tells neighbours, and one instance of each other zone, of requests that crash engines.
+    fn add_quarantine(
+        &self,
+        frames: &mut BTreeMap<InstanceName, Addressed>,
+        neighbours: &BTreeSet<InstanceName>,
+    ) {
+        let deltas = self.quarantine().take_deltas();
+        if deltas.is_empty() {
+            return;
+        }
+        for name in neighbours.iter().chain(&self.foreign_contacts()) {
+            let Some(addressed) = self.addressed(frames, name) else { continue };
+            for delta in &deltas {
+                addressed.frame.quarantine.push(to_quarantine(delta));
+            }
+        }
+    }
+
+    /// Returns the frame to an instance, and starts one if there is none yet.
+    fn addressed<'a>(
+        &self,
+        frames: &'a mut BTreeMap<InstanceName, Addressed>,
+        to: &InstanceName,
+    ) -> Option<&'a mut Addressed> {
+        if !frames.contains_key(to) {
+            let address = self.address_of(to)?;
+            frames.insert(to.clone(), Addressed { address, frame: self.frame() });
+        }
+        frames.get_mut(to)
+    }
+
     fn frame(&self) -> GossipFrame {
         GossipFrame {
             sender: self.name().to_string(),
--- a/crates/magnoliaspar-serve/src/cluster/state.rs
+++ b/crates/magnoliaspar-serve/src/cluster/state.rs
@@ -21,6 +21,7 @@
 use crate::instance::{ConfigurationInForce, InForce};
 use crate::journal::Journal;
 use crate::peer::{KnownInstance, ZoneHomes};
+use crate::quarantine::QuarantineState;
 
 /// The state that this instance shares with others.
 pub struct ClusterState {
@@ -59,6 +60,8 @@
     pub directory: Rc<Directory>,
     /// Chooses home instances.
     pub zone_homes: Rc<ZoneHomes>,
+    /// What is known of requests that crash engines.
+    pub quarantine: Rc<QuarantineState>,
     /// The table service, whose rates are divided by the number of instances.
     pub table: Rc<BudgetedTable>,
 }
@@ -166,7 +169,26 @@
 
     /// Waits until there is something to tell others at once.
     pub async fn woken(&self) {
-        self.wake.notified().await;
+        tokio::select! {
+            () = self.wake.notified() => {}
+            () = self.quarantine().changed() => {}
+        }
+    }
+
+    /// Returns what is known of requests that crash engines.
+    pub fn quarantine(&self) -> &QuarantineState {
+        &self.services.quarantine
+    }
+
+    /// Returns instances of other zones, one for each zone.
+    pub fn foreign_contacts(&self) -> Vec<InstanceName> {
+        let membership = self.membership.borrow();
+        let mut contacts = Vec::new();
+        for zone in membership.zone_summaries() {
+            let Some(contact) = zone.contacts.first() else { continue };
+            contacts.push(contact.instance.clone());
+        }
+        contacts
     }
 
     /// Waits until the servers of the zone or their states have changed.
--- a/crates/magnoliaspar-serve/src/engines.rs
+++ b/crates/magnoliaspar-serve/src/engines.rs
@@ -40,6 +40,7 @@
     async fn keep_bound(self: Rc<Self>) {
         loop {
             self.bind_engines().await;
+            self.observe_lives();
             tokio::select! {
                 () = self.instance.cluster.servers_changed() => self.seal_engines(),
                 () = self.instance.home.shard_added() => {}
@@ -48,6 +49,19 @@
         }
     }
 
+    /// Looks whether engines have started another life.
+    fn observe_lives(&self) {
+        for (_, dispatcher) in self.instance.home.dispatchers() {
+            for engine in dispatcher.engines() {
+                let quarantine = self.instance.quarantine.clone();
+                actix_rt::spawn(async move {
+                    let Ok(status) = engine.engine.status().await else { return };
+                    quarantine.observe(&engine, status.incarnation);
+                });
+            }
+        }
+    }
+
     /// Gives no new work to engines that are leaving, and forgets those that are gone.
     fn seal_engines(&self) {
         for (_, dispatcher) in self.instance.home.dispatchers() {
@@ -99,7 +113,9 @@
         let engine = self.connector.connect(server.address);
         let Ok(status) = engine.status().await else { return };
         let Some(spec) = describe(&self.instance, server, &status) else { return };
-        dispatcher.add_engine(spec, server.address, engine);
+        let name = server.name.clone();
+        let handle = EngineHandle::new(name, server.address, engine, status.incarnation);
+        dispatcher.add_engine(spec, handle);
     }
 
     async fn read_reports(self: Rc<Self>) {
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -19,6 +19,7 @@
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, ZoneHomes};
+use crate::quarantine::QuarantineState;
 use crate::reaping::StreamOwnership;
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
@@ -39,6 +40,8 @@
     pub home: Rc<LocalHome>,
     /// Chooses home instances.
     pub zone_homes: Rc<ZoneHomes>,
+    /// What is known of requests that crash engines.
+    pub quarantine: Rc<QuarantineState>,
     /// The streams on engines that this instance drives.
     pub ownership: Rc<StreamOwnership>,
     /// Finds streams that nobody drives.
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
+use magnoliaspar_core::{BlockHash, Clock, Incarnation, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
 use magnoliaspar_event::Plan;
 use magnoliaspar_policy::{
@@ -37,14 +37,22 @@
     pub address: SocketAddr,
     /// The engine.
     pub engine: Rc<dyn Engine>,
+    /// The life of the engine, as it was last seen.
+    pub incarnation: Rc<Cell<Incarnation>>,
     /// The number of the last event of its prefix cache that was read.
     pub last_cache_event: Rc<Cell<u64>>,
 }
 
 impl EngineHandle {
     /// Creates a handle of an engine whose cache events were not read yet.
-    pub fn new(name: ServerName, address: SocketAddr, engine: Rc<dyn Engine>) -> Self {
-        Self { name, address, engine, last_cache_event: Rc::default() }
+    pub fn new(
+        name: ServerName,
+        address: SocketAddr,
+        engine: Rc<dyn Engine>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let incarnation = Rc::new(Cell::new(incarnation));
+        Self { name, address, engine, incarnation, last_cache_event: Rc::default() }
     }
 }
 
@@ -108,13 +116,12 @@
     }
 
     /// Adds an engine or renews what is known of it.
-    pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
+    pub fn add_engine(&self, spec: ServerSpec, handle: EngineHandle) {
         let name = spec.name.clone();
         let key = self.tell(|policy, now| policy.add_server(now, spec));
         if self.sealed.borrow_mut().remove(&name) {
             self.tell(|policy, now| policy.open_server(now, key));
         }
-        let handle = EngineHandle::new(name, address, engine);
         self.engines.borrow_mut().insert(key, handle);
     }
 
--- a/crates/magnoliaspar-serve/src/run/driver.rs
+++ b/crates/magnoliaspar-serve/src/run/driver.rs
@@ -12,6 +12,7 @@
 use super::task::RunTask;
 use crate::directory::Directory;
 use crate::journal::Journal;
+use crate::quarantine::QuarantineState;
 use crate::reaping::StreamOwnership;
 
 /// Drives runs through prefill, transfer and decode.
@@ -28,6 +29,8 @@
     pub directory: Rc<Directory>,
     /// Records events.
     pub journal: Rc<Journal>,
+    /// What is known of requests that crash engines.
+    pub quarantine: Rc<QuarantineState>,
 }
 
 impl Driver {
@@ -61,6 +64,4 @@
     pub route: CompletionRoute,
     /// The share of the caller's workspace.
     pub share: u32,
-    /// Whether the request is suspected of crashing engines.
-    pub is_suspect: bool,
 }
--- a/crates/magnoliaspar-serve/src/run/home.rs
+++ b/crates/magnoliaspar-serve/src/run/home.rs
@@ -124,7 +124,6 @@
         Ok(RunPlan {
             route: completion.clone(),
             share: workspace.map_or(1, |workspace| workspace.share),
-            is_suspect: false,
         })
     }
 
--- a/crates/magnoliaspar-serve/src/run/task.rs
+++ b/crates/magnoliaspar-serve/src/run/task.rs
@@ -3,7 +3,7 @@
 
 use futures_util::StreamExt;
 use log::warn;
-use magnoliaspar_core::{AttemptId, BlockHash, Outcome, Refusal, RefusalCode, hash_blocks};
+use magnoliaspar_core::{AttemptId, BlockHash, Outcome, RefusalCode, hash_blocks};
 use magnoliaspar_declaration::WaitRule;
 use magnoliaspar_engine::{
     DecodeCall, EndReason, EngineError, KvSource, PrefillCall, Prefilled, StreamFrame, StreamId,
@@ -11,14 +11,16 @@
 };
 use magnoliaspar_event::EventKind;
 use magnoliaspar_policy::{FailedStage, Job, Urgency, Weights};
+use magnoliaspar_retry::{Admission, Fingerprint};
 
 use super::completion::{Completed, CompletionRequest, Placement};
 use super::dispatcher::{Dispatcher, EngineHandle, EnginePair, PlacedJob, Step};
 use super::driver::{Driver, RunPlan};
 use super::held::HeldMemory;
 use super::plan::PlanContext;
-use super::refusal::refused;
+use super::refusal::{refusal, refused};
 use super::running::{Run, RunResult};
+use crate::quarantine::EngineHealth;
 use crate::reaping::OwnedStream;
 
 /// How many bytes of prompt text count as one token in estimates.
@@ -34,6 +36,8 @@
     req: &'a CompletionRequest,
     plan: &'a RunPlan,
     blocks: Box<[BlockHash]>,
+    fingerprint: Fingerprint,
+    is_apart: bool,
     held: HeldMemory,
     prefilled: Option<HeldPrefill>,
 }
@@ -61,7 +65,17 @@
         plan: &'a RunPlan,
     ) -> Self {
         let blocks = hash_blocks(req.prompt.as_bytes());
-        Self { driver, run, req, plan, blocks, held: HeldMemory::default(), prefilled: None }
+        Self {
+            driver,
+            run,
+            req,
+            plan,
+            blocks,
+            fingerprint: Fingerprint::of(&req.route, req.prompt.as_bytes()),
+            is_apart: false,
+            held: HeldMemory::default(),
+            prefilled: None,
+        }
     }
 
     /// Takes the run through its stages until it has ended.
@@ -69,24 +83,49 @@
         if let Some(result) = self.resume().await {
             return result;
         }
+        loop {
+            let admission = self.driver.quarantine.admit(self.fingerprint);
+            if admission == Admission::Refused {
+                let message = "the request has crashed two engines";
+                let code = RefusalCode::Quarantined;
+                return RunResult::Refused(refusal(self.run, code, message));
+            }
+            if let Some(result) = self.run_job(dispatcher, admission).await {
+                return result;
+            }
+        }
+    }
+
+    /// Runs a job to its end; gives nothing if the request must be admitted again.
+    async fn run_job(
+        &mut self,
+        dispatcher: &Rc<Dispatcher>,
+        admission: Admission,
+    ) -> Option<RunResult> {
+        self.is_apart = admission == Admission::Apart;
         let mut job = dispatcher.submit(self.describe_job());
         while let Some(step) = job.next().await {
-            match step {
+            let failure = match step {
                 Step::Refuse { reason, retry_after } => {
-                    return RunResult::Refused(refused(self.run, reason, retry_after));
+                    return Some(RunResult::Refused(refused(self.run, reason, retry_after)));
                 }
-                Step::Prefill(engine) => self.prefill(&job, engine).await,
-                Step::Transfer(pair) => match self.transfer(&job, pair).await {
+                Step::Prefill(engine) => self.prefill(&job, &engine).await.err(),
+                Step::Transfer(pair) => match self.transfer(&job, &pair).await {
                     Progress::Complete { tokens, reason } => {
                         job.finished();
-                        return self.complete(tokens, reason);
+                        return Some(self.complete(tokens, reason));
                     }
-                    Progress::Failed(stage) => job.failed(stage, self.kv_held_until(stage)),
+                    Progress::Failed(failure) => Some(failure),
                 },
+            };
+            let Some(stage) = failure else { continue };
+            job.failed(stage, self.kv_held_until(stage));
+            if self.driver.quarantine.admit(self.fingerprint) != admission {
+                return None;
             }
         }
         let message = "the instance stopped deciding";
-        RunResult::Refused(Refusal::may_have_run(RefusalCode::Internal, message))
+        Some(RunResult::Refused(refusal(self.run, RefusalCode::Internal, message)))
     }
 
     fn describe_job(&self) -> Job {
@@ -107,7 +146,7 @@
                 WaitRule::MayWait => Urgency::Deferrable,
             },
             weights: self.weights(),
-            is_suspect: self.plan.is_suspect,
+            is_suspect: self.is_apart,
         }
     }
 
@@ -119,11 +158,9 @@
         let server = self.driver.directory.find_address(placement.decode)?;
         let age = self.driver.clock.now().saturating_duration_since(self.req.accepted_at);
         let owned = self.driver.ownership.adopt(&server.name, &stream, age).ok()?;
-        let engine = EngineHandle::new(
-            server.name,
-            placement.decode,
-            self.driver.connector.connect(placement.decode),
-        );
+        let connected = self.driver.connector.connect(placement.decode);
+        let address = placement.decode;
+        let engine = EngineHandle::new(server.name, address, connected, server.incarnation);
         let owned = Rc::new(owned);
         self.held.add(&engine, &stream, owned.clone());
         let from = self.run.token_count();
@@ -135,14 +172,19 @@
         Some(self.complete(tokens, reason))
     }
 
-    async fn prefill(&mut self, job: &PlacedJob, engine: EngineHandle) {
+    async fn prefill(&mut self, job: &PlacedJob, engine: &EngineHandle) -> Result<(), FailedStage> {
         self.held.free_all();
+        // A crash is counted once for each life, so a suspect runs only where the life is known.
+        if self.is_apart && !self.driver.quarantine.check(engine).await.is_running() {
+            return Err(FailedStage::Prefill);
+        }
         let stream = self.stream_id(self.driver.attempts.next(&*self.driver.clock));
-        if self.hold(&engine, &stream).is_none() {
-            return job.failed(FailedStage::Prefill, None);
+        if self.hold(engine, &stream).is_none() {
+            return Err(FailedStage::Prefill);
         }
-        self.record_plan(job, &engine, stream.attempt);
-        self.record_on(&engine, EventKind::PrefillStarted { attempt: stream.attempt });
+        let in_flight = self.driver.quarantine.start(&engine.name, self.fingerprint, self.is_apart);
+        self.record_plan(job, engine, stream.attempt);
+        self.record_on(engine, EventKind::PrefillStarted { attempt: stream.attempt });
         let emitted = self.run.tokens();
         let first_index = emitted.len() as u32;
         let call = PrefillCall {
@@ -158,7 +200,7 @@
         };
         let may_have_run = self.run.may_have_run();
         self.run.set_may_have_run(true);
-        let result = self.prefill_settled(&engine, &call).await;
+        let result = self.prefill_settled(engine, &call).await;
         let was_refused = result.as_ref().is_err_and(EngineError::is_not_run);
         self.run.set_may_have_run(may_have_run || !was_refused);
         let now = self.driver.clock.now();
@@ -167,13 +209,18 @@
                 let held_until = now + Duration::from_millis(result.hold_ms.into());
                 job.prefilled(result.cached_tokens, held_until);
                 let (attempt, cached_tokens) = (stream.attempt, result.cached_tokens);
-                self.record_on(&engine, EventKind::Prefilled { attempt, cached_tokens });
+                self.record_on(engine, EventKind::Prefilled { attempt, cached_tokens });
                 self.prefilled = Some(HeldPrefill { result, first_index, held_until });
+                Ok(())
             }
             Err(error) => {
-                self.record_failure(&engine, &stream, &error);
-                self.held.free(&engine, &stream);
-                job.failed(FailedStage::Prefill, None);
+                self.record_failure(engine, &stream, &error);
+                self.held.free(engine, &stream);
+                if !was_refused {
+                    self.driver.quarantine.check(engine).await;
+                }
+                drop(in_flight);
+                Err(FailedStage::Prefill)
             }
         }
     }
@@ -186,15 +233,22 @@
         engine: &EngineHandle,
         call: &PrefillCall,
     ) -> Result<Prefilled, EngineError> {
-        match engine.engine.prefill(call).await {
-            Err(EngineError::Stalled(_) | EngineError::Lost(_) | EngineError::Crossed(_)) => {
-                self.driver.connector.connect_afresh(engine.address).prefill(call).await
-            }
+        let first = match engine.engine.prefill(call).await {
+            Err(error) if !error.is_not_run() => error,
+            result => return result,
+        };
+        if self.driver.quarantine.check(engine).await != EngineHealth::Same {
+            return Err(first);
+        }
+        let again = self.driver.connector.connect(engine.address).prefill(call).await;
+        match again {
+            // That the second call took no effect tells nothing about the first.
+            Err(error) if error.is_not_run() => Err(first),
             result => result,
         }
     }
 
-    async fn transfer(&mut self, job: &PlacedJob, pair: EnginePair) -> Progress {
+    async fn transfer(&mut self, job: &PlacedJob, pair: &EnginePair) -> Progress {
         let Some(prefilled) = self.prefilled.clone() else {
             return Progress::Failed(FailedStage::Transfer);
         };
@@ -221,11 +275,20 @@
                 self.held.forget(&pair.decode, &stream);
                 return Progress::Failed(FailedStage::Admission);
             }
-            Err(error) => return self.fail_transfer(&pair, &stream, &error),
+            Err(error) => return self.fail_transfer(pair, &stream, &error),
         };
+        let in_flight =
+            self.driver.quarantine.start(&pair.decode.name, self.fingerprint, self.is_apart);
         let placement = Placement { decode: pair.decode.address, attempt: stream.attempt };
         self.run.set_placement(placement);
-        self.relay_settled(job, &pair, &owned, frames).await
+        let progress = self.relay_settled(job, pair, &owned, frames).await;
+        match &progress {
+            Progress::Complete { .. } => in_flight.finish(),
+            Progress::Failed(_) => {
+                self.driver.quarantine.check(&pair.decode).await;
+            }
+        }
+        progress
     }
 
     /// Relays an answer; a connection that breaks or goes silent is replaced by a fresh one.
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::operator;
 use crate::peer::{PeerClients, PeerServer, ZoneHomes};
+use crate::quarantine::QuarantineState;
 use crate::reaping::{ReapingController, StreamOwnership};
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
 use crate::service::ServiceCaller;
@@ -160,6 +161,7 @@
     let journal = Journal::new(clock.clone(), settings.instance.clone());
     let life = incarnation_at(&*clock);
     let ownership = StreamOwnership::new(clock.clone(), settings.instance.clone(), life);
+    let quarantine = QuarantineState::new(clock.clone(), journal.clone(), connector.clone());
     let driver = Driver {
         clock: clock.clone(),
         connector,
@@ -167,6 +169,7 @@
         ownership: ownership.clone(),
         directory: directory.clone(),
         journal: journal.clone(),
+        quarantine: quarantine.clone(),
     };
     let shards = ShardMap::new(directory.clone());
     let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
@@ -185,6 +188,7 @@
         directory: directory.clone(),
         zone_homes: zone_homes.clone(),
         table: table.clone(),
+        quarantine: quarantine.clone(),
     };
     let cluster =
         open_cluster(&settings, addresses, life, clock.clone(), journal.clone(), services);
@@ -195,6 +199,7 @@
         homes: Homes::new(zone_homes.clone()),
         home,
         zone_homes,
+        quarantine,
         ownership,
         reaper: ReapingController::reaper(reaper_id),
         clients,
--- a/crates/magnoliaspar-standin/src/engine/model_engine.rs
+++ b/crates/magnoliaspar-standin/src/engine/model_engine.rs
@@ -136,6 +136,7 @@
         if late_ms > 0 {
             tokio::time::sleep(Duration::from_millis(late_ms)).await;
         }
+        let life = self.incarnation();
         let path = req.path().to_owned();
         let result = match path.as_str() {
             "/prefill" => self.serve_prefill(req).await,
@@ -152,6 +153,10 @@
             "/probe" => Ok(answer(&json!({}))),
             _ => Err(other(StatusCode::NOT_FOUND, "no such path")),
         };
+        if self.incarnation() != life {
+            // A call that was open at a crash is never answered.
+            std::future::pending::<()>().await;
+        }
         result.unwrap_or_else(|refused| refused)
     }
 
--- a/crates/magnoliaspar-standin/src/engine/prefill.rs
+++ b/crates/magnoliaspar-standin/src/engine/prefill.rs
@@ -33,7 +33,7 @@
         req: Request,
     ) -> Result<Response<BoxBody>, Response<BoxBody>> {
         let call: PrefillCall = read_json(req).await?;
-        self.crash_if_marked(&call)?;
+        self.crash_if_marked(&call).await;
         let known = self.shared.state.borrow().streams.get(&call.stream).cloned();
         let stream = match known {
             Some(stream) => stream,
@@ -150,13 +150,13 @@
         hold
     }
 
-    fn crash_if_marked(&self, call: &PrefillCall) -> Result<(), Response<BoxBody>> {
+    /// Crashes the engine if the prompt is one of those that do; nobody gets an answer then.
+    async fn crash_if_marked(&self, call: &PrefillCall) {
         let mark = self.shared.state.borrow().faults.crash_mark.clone();
-        if mark.is_none_or(|mark| !call.prompt.contains(&*mark)) {
-            return Ok(());
+        if mark.is_some_and(|mark| call.prompt.contains(&*mark)) {
+            self.die();
+            std::future::pending::<()>().await;
         }
-        self.die();
-        Err(other(StatusCode::INTERNAL_SERVER_ERROR, "the engine crashed"))
     }
 
     fn takes_stall(&self) -> bool {
