Answer operators for all instances and follow their commands

Cause: queries reached the events of the asked instance only, and commands had no way in.

Commands that the build cannot follow are refused as such. Outside: Policy has unseal_server and usage with defaults; the list reader takes drains into account; Run keeps its origin and stage.

Ruled out: keeping an instance's drain at the platform, since its process ends with the drain.

--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -50,6 +50,11 @@
     /// Gives no new work to a server that is leaving; running work goes on.
     fn seal_server(&mut self, now: Instant, server: ServerKey);
 
+    /// Gives new work again to a server that was sealed.
+    ///
+    /// A policy without it keeps the server sealed until it is removed and added again.
+    fn unseal_server(&mut self, _now: Instant, _server: ServerKey) {}
+
     /// Forgets a server that is gone. Jobs on it must be reported as failed by the driver.
     fn remove_server(&mut self, now: Instant, server: ServerKey);
 
@@ -101,6 +106,11 @@
     /// Returns when [`poll`](Self::poll) should be called next if nothing happens before.
     fn next_poll(&self) -> Option<Instant>;
 
+    /// Returns what the policy has planned on a server, if it keeps books.
+    fn usage(&self, _server: ServerKey) -> Option<ServerUsage> {
+        None
+    }
+
     /// Returns why a job runs where it does or waits, for jobs that are here or ended lately.
     fn explain(&self, _job: JobKey) -> Option<&Explanation> {
         None
--- a/crates/magnoliaspar-policy/src/pool.rs
+++ b/crates/magnoliaspar-policy/src/pool.rs
@@ -101,6 +101,18 @@
         was_open
     }
 
+    /// Gives a server new work again; returns whether it was sealed before.
+    pub(crate) fn unseal(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else { return false };
+        if !server.is_sealed {
+            return false;
+        }
+        server.is_sealed = false;
+        self.replace(key);
+        self.measure();
+        true
+    }
+
     /// Forgets a server.
     pub(crate) fn remove(&mut self, key: ServerKey) {
         self.displace(key);
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -235,6 +235,10 @@
         self.is_changed = true;
     }
 
+    fn unseal_server(&mut self, _now: Instant, server: ServerKey) {
+        self.is_changed |= self.pool.unseal(server);
+    }
+
     fn remove_server(&mut self, now: Instant, server: ServerKey) {
         self.pool.seal(server);
         self.withdraw(now, server);
@@ -372,6 +376,10 @@
         next
     }
 
+    fn usage(&self, server: ServerKey) -> Option<ServerUsage> {
+        Self::usage(self, server)
+    }
+
     fn explain(&self, job: JobKey) -> Option<&Explanation> {
         match self.jobs.get(job) {
             Some(state) => Some(&state.explanation),
--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod service;
 mod shape;
 
+pub use self::body::read_body;
 pub use self::respond::json;
 pub use self::service::ServiceLoad;
 
--- a/crates/magnoliaspar-serve/src/directory.rs
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -34,6 +34,13 @@
         self.servers.borrow_mut().insert(server.name.clone(), server);
     }
 
+    /// Gives no new work to a server until it is put again as live.
+    pub fn seal(&self, name: &ServerName) {
+        if let Some(server) = self.servers.borrow_mut().get_mut(name) {
+            server.is_live = false;
+        }
+    }
+
     /// Forgets servers that are not in `names`.
     pub fn retain(&self, keep: impl Fn(&ServerName) -> bool) {
         self.servers.borrow_mut().retain(|name, _| keep(name));
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
+use crate::operator::{ConfigurationWriter, QuarantineBook, ServerDrains};
 use crate::peer::ZoneHomes;
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
@@ -52,8 +53,16 @@
     pub metrics: Rc<Metrics>,
     /// When the instance started.
     pub started_at: Instant,
-    /// Whether the instance drains.
+    /// The backend servers that operators drain.
+    pub drains: ServerDrains,
+    /// Changes the configuration.
+    pub configuration_writer: Rc<dyn ConfigurationWriter>,
+    /// The fingerprints of requests that engines may crash on.
+    pub quarantine: Rc<dyn QuarantineBook>,
+    /// Whether the instance drains since its process ends.
     pub is_draining: Cell<bool>,
+    /// Whether the instance drains since an operator wants it to.
+    pub is_drained_by_operator: Cell<bool>,
 }
 
 impl Instance {
@@ -62,9 +71,14 @@
         self.configuration.current()
     }
 
+    /// Whether the instance takes no more requests, for whatever reason.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.get() || self.is_drained_by_operator.get()
+    }
+
     /// Whether the instance can take requests.
     pub fn readiness(&self) -> Readiness {
-        if self.is_draining.get() {
+        if self.is_draining() {
             return Readiness::Draining;
         }
         if self.configuration.current().is_none() {
--- a/crates/magnoliaspar-serve/src/operator/access.rs
+++ b/crates/magnoliaspar-serve/src/operator/access.rs
@@ -5,29 +5,36 @@
 
 use crate::instance::Instance;
 
-/// Finds the operator by the key in a request and checks what the operator may do.
-pub fn check_rights<'a>(
+/// Finds the operator by the key in a request.
+pub fn find_operator<'a>(
     instance: &'a Instance,
     req: &Request,
-    needed: OperatorRights,
 ) -> Result<&'a OperatorKey, ErrorResponse> {
     let header = req.headers().get("authorization").and_then(|value| value.to_str().ok());
     let key = header.and_then(|header| header.strip_prefix("Bearer "));
-    let operator = key.and_then(|key| find_operator(instance, key));
-    let Some(operator) = operator else {
+    let operator = key.and_then(|key| operator_of_key(instance, key));
+    operator.ok_or_else(|| {
         count_failure(instance, ErrorCode::Unauthenticated);
         let message = "the authorization header must hold the bearer key of an operator";
-        return Err(ErrorResponse::new(ErrorCode::Unauthenticated, message));
-    };
-    if operator.rights < needed {
-        count_failure(instance, ErrorCode::Forbidden);
-        let message = "the key gives the right to read only";
-        return Err(ErrorResponse::new(ErrorCode::Forbidden, message));
+        ErrorResponse::new(ErrorCode::Unauthenticated, message)
+    })
+}
+
+/// Checks what an operator may do.
+pub fn check_right(
+    instance: &Instance,
+    operator: &OperatorKey,
+    needed: OperatorRights,
+) -> Result<(), ErrorResponse> {
+    if operator.rights >= needed {
+        return Ok(());
     }
-    Ok(operator)
+    count_failure(instance, ErrorCode::Forbidden);
+    let message = "the key gives the right to read only";
+    Err(ErrorResponse::new(ErrorCode::Forbidden, message))
 }
 
-fn find_operator<'a>(instance: &'a Instance, key: &str) -> Option<&'a OperatorKey> {
+fn operator_of_key<'a>(instance: &'a Instance, key: &str) -> Option<&'a OperatorKey> {
     instance.settings.operator_keys.iter().find(|operator| operator.key.matches(key))
 }
 
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/ask.rs
@@ -0,0 +1,122 @@
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use magnoliaspar_core::InstanceName;
+use magnoliaspar_event::{EventFilter, EventPart};
+use magnoliaspar_query::api::{ErrorCode, ErrorResponse, StatusResponse};
+use magnoliaspar_query::{Answer, AnswerGap, Query, Statement, Subject};
+
+use super::{drain, rows, status};
+use crate::instance::Instance;
+use crate::peer::{PeerClient, PeerQuestion, PeerReply, PeerSilence};
+
+/// What all instances answered to one question.
+#[derive(Debug)]
+pub struct Parts<T> {
+    /// The parts of the instances that answered, the own one first.
+    pub answered: Vec<T>,
+    /// The instances that did not answer.
+    pub gaps: Vec<AnswerGap>,
+}
+
+impl<T> Parts<T> {
+    /// Returns the instances that did not answer.
+    pub fn silent(&self) -> Vec<InstanceName> {
+        self.gaps.iter().map(|gap| gap.instance.clone()).collect()
+    }
+}
+
+/// Asks all known instances for events.
+pub async fn events(instance: &Rc<Instance>, filter: &EventFilter) -> Parts<EventPart> {
+    let question = PeerQuestion::Events { filter: filter.to_string().into() };
+    let own = instance.journal.part(filter);
+    ask_others(instance, &question, own, |reply| match reply {
+        PeerReply::Events(part) => Some(part),
+        _ => None,
+    })
+    .await
+}
+
+/// Asks all known instances for their state.
+pub async fn statuses(instance: &Rc<Instance>) -> Parts<StatusResponse> {
+    let own = status::describe(instance);
+    ask_others(instance, &PeerQuestion::Status, own, |reply| match reply {
+        PeerReply::Status(status) => Some(status),
+        _ => None,
+    })
+    .await
+}
+
+/// Asks all known instances for their rows of a subject.
+pub async fn rows(instance: &Rc<Instance>, subject: &Subject) -> Parts<Answer> {
+    let subject = subject.clone();
+    let own = rows::own(instance, &subject);
+    let query = Query { subject, conditions: Vec::new(), since: None, limit: None };
+    let question = PeerQuestion::Rows { query: query.to_string().into() };
+    ask_others(instance, &question, own, |reply| match reply {
+        PeerReply::Rows(answer) => Some(answer),
+        _ => None,
+    })
+    .await
+}
+
+/// Answers the question of another instance.
+pub fn answer_peer(
+    instance: &Rc<Instance>,
+    question: PeerQuestion,
+) -> Result<PeerReply, ErrorResponse> {
+    match question {
+        PeerQuestion::Events { filter } => {
+            let filter = EventFilter::try_from(&*filter)
+                .map_err(|error| ErrorResponse::new(ErrorCode::BadRequest, error.to_string()))?;
+            Ok(PeerReply::Events(instance.journal.part(&filter)))
+        }
+        PeerQuestion::Status => Ok(PeerReply::Status(status::describe(instance))),
+        PeerQuestion::Rows { query } => match Statement::parse(&query)? {
+            Statement::Query(query) => Ok(PeerReply::Rows(rows::own(instance, &query.subject))),
+            Statement::Command(_) => {
+                let message = "a question about rows must be a query";
+                Err(ErrorResponse::new(ErrorCode::BadRequest, message))
+            }
+        },
+        PeerQuestion::Drain { is_draining, operator, command } => {
+            drain::set_own(instance, is_draining, &operator, &command);
+            Ok(PeerReply::Done)
+        }
+    }
+}
+
+async fn ask_others<T>(
+    instance: &Rc<Instance>,
+    question: &PeerQuestion,
+    own: T,
+    read: impl Fn(PeerReply) -> Option<T>,
+) -> Parts<T> {
+    let mut parts = Parts { answered: vec![own], gaps: Vec::new() };
+    let mut asked = Vec::new();
+    for client in instance.zone_homes.others() {
+        asked.push(ask_one(client, question));
+    }
+    for Asked { name, result } in join_all(asked).await {
+        let cause = match result.map(&read) {
+            Ok(Some(part)) => {
+                parts.answered.push(part);
+                continue;
+            }
+            Ok(None) => "it answered another question".into(),
+            Err(silence) => silence.to_string().into(),
+        };
+        parts.gaps.push(AnswerGap { instance: name, cause });
+    }
+    parts
+}
+
+struct Asked {
+    name: InstanceName,
+    result: Result<PeerReply, PeerSilence>,
+}
+
+async fn ask_one(client: PeerClient, question: &PeerQuestion) -> Asked {
+    let result = client.ask(question).await;
+    Asked { name: client.instance().clone(), result }
+}
--- a/crates/magnoliaspar-serve/src/operator/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/mod.rs
@@ -1,24 +1,41 @@
-//! What operators see: health, readiness, metrics, events and the state of the instance.
+//! What operators see and do: health, readiness, metrics, queries over all instances and commands.
 
 mod access;
+mod apply;
+mod ask;
+mod configuration;
+mod drain;
+mod quarantine;
 mod respond;
+mod rows;
+mod statement;
 mod status;
 
+pub use self::ask::answer_peer;
+pub use self::configuration::{ConfigurationWriter, HeadWriter};
+pub use self::drain::{ServerDrains, read_drains};
+pub use self::quarantine::{NoQuarantine, QuarantineBook};
+
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Method, Payload, Request, Response, StatusCode};
 use magnoliaspar_event::EventFilter;
 use magnoliaspar_query::api::{
-    CONFIG_PATH, EVENTS_PATH, ErrorCode, ErrorResponse, EventsResponse, HEALTH_PATH, METRICS_PATH,
-    READY_PATH, STATUS_PATH,
+    APPLY_PATH, ApplyRequest, CONFIG_PATH, EVENTS_PATH, ErrorCode, ErrorResponse, EventsResponse,
+    HEALTH_PATH, METRICS_PATH, READY_PATH, SPREAD_PATH, STATEMENT_PATH, STATUS_PATH,
+    StatementRequest,
 };
 use magnoliaspar_settings::OperatorRights;
+use serde::de::DeserializeOwned;
 
-use self::access::check_rights;
 use self::respond::{answer, text};
+use crate::caller::read_body;
 use crate::instance::{Instance, Readiness};
 
+/// The largest body of a request in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Answers one request of an operator.
 pub async fn handle(instance: Rc<Instance>, req: Request) -> Response<BoxBody> {
     match req.path() {
@@ -33,24 +50,49 @@
 
 async fn answer_api(
     instance: &Rc<Instance>,
-    req: Request,
+    mut req: Request,
 ) -> Result<Response<BoxBody>, ErrorResponse> {
-    let path = req.path().to_owned();
-    check_rights(instance, &req, OperatorRights::Read)?;
-    match path.as_str() {
-        STATUS_PATH => Ok(answer(&status::describe(instance))),
-        CONFIG_PATH => Ok(answer(&status::configuration(instance)?)),
-        EVENTS_PATH => Ok(answer(&events(instance, &req)?)),
-        _ => Err(ErrorResponse::new(ErrorCode::NotFound, "there is nothing at this path")),
+    let operator = access::find_operator(instance, &req)?;
+    let (method, path) = (req.method().clone(), req.path().to_owned());
+    let mut payload = req.take_payload();
+    match (method, path.as_str()) {
+        (Method::GET, STATUS_PATH) => Ok(answer(&status::describe(instance))),
+        (Method::GET, CONFIG_PATH) => Ok(answer(&status::configuration(instance)?)),
+        (Method::GET, SPREAD_PATH) => Ok(answer(&apply::spread(instance).await)),
+        (Method::GET, EVENTS_PATH) => Ok(answer(&events(instance, &req).await?)),
+        (Method::POST, STATEMENT_PATH) => {
+            let req: StatementRequest = read_json(&mut payload).await?;
+            Ok(answer(&statement::run(instance, operator, &req.text).await?))
+        }
+        (Method::POST, APPLY_PATH) => {
+            access::check_right(instance, operator, OperatorRights::Command)?;
+            let req: ApplyRequest = read_json(&mut payload).await?;
+            Ok(answer(&apply::apply(instance, &operator.name, req).await?))
+        }
+        _ => {
+            let message = "there is nothing at this path, or not for this method";
+            Err(ErrorResponse::new(ErrorCode::NotFound, message))
+        }
     }
 }
 
-fn events(instance: &Instance, req: &Request) -> Result<EventsResponse, ErrorResponse> {
+async fn events(instance: &Rc<Instance>, req: &Request) -> Result<EventsResponse, ErrorResponse> {
     let query = req.uri().query().unwrap_or("");
     let filter = EventFilter::try_from(query)
-        .map_err(|error| ErrorResponse::new(ErrorCode::BadRequest, format!("{error}")))?;
-    let parts = vec![instance.journal.part(&filter)];
-    Ok(EventsResponse { parts, silent: Vec::new() })
+        .map_err(|error| ErrorResponse::new(ErrorCode::BadRequest, error.to_string()))?;
+    let parts = ask::events(instance, &filter).await;
+    let silent = parts.silent();
+    Ok(EventsResponse { parts: parts.answered, silent })
+}
+
+async fn read_json<T: DeserializeOwned>(payload: &mut Payload) -> Result<T, ErrorResponse> {
+    let body = read_body(payload, MAX_BODY_BYTES)
+        .await
+        .map_err(|refusal| ErrorResponse::new(ErrorCode::BadRequest, refusal.message))?;
+    serde_json::from_slice(&body).map_err(|error| {
+        let message = format!("the body cannot be read: {error}");
+        ErrorResponse::new(ErrorCode::BadRequest, message)
+    })
 }
 
 fn answer_readiness(instance: &Instance) -> Response<BoxBody> {
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/rows/mod.rs
@@ -0,0 +1,106 @@
+//! The rows of the answers to queries.
+
+mod declared;
+mod requests;
+mod servers;
+mod stored;
+
+use std::rc::Rc;
+
+use magnoliaspar_query::api::{ErrorResponse, StatusResponse};
+use magnoliaspar_query::{Answer, Cell, Query, Subject};
+
+use super::ask::{self, Parts};
+use crate::instance::Instance;
+
+/// Returns the rows that this instance knows best, for subjects that all instances are asked for.
+pub fn own(instance: &Instance, subject: &Subject) -> Answer {
+    match subject {
+        Subject::Running => requests::running(instance),
+        Subject::Servers => servers::own(instance),
+        _ => Answer::new(subject),
+    }
+}
+
+/// Returns all rows of a query's subject, whatever its conditions.
+pub async fn all(instance: &Rc<Instance>, query: &Query) -> Result<Answer, ErrorResponse> {
+    match &query.subject {
+        Subject::Running => Ok(running(instance).await),
+        Subject::Servers => Ok(servers(instance).await),
+        Subject::Instances => Ok(instances(instance, ask::statuses(instance).await)),
+        Subject::Routes => declared::routes(instance),
+        Subject::Pools => declared::pools(instance, &servers(instance).await),
+        Subject::Workspaces => declared::workspaces(instance, &running(instance).await),
+        Subject::Config => declared::config(instance),
+        Subject::Claims => stored::claims(instance).await,
+        Subject::Orders => stored::orders(instance).await,
+        Subject::Quarantine => Ok(quarantine(instance)),
+        Subject::Timeline | Subject::Why(_) => Ok(Answer::new(&query.subject)),
+    }
+}
+
+/// Returns the state of all instances; those that did not answer have a row and a gap.
+pub fn instances(instance: &Instance, parts: Parts<StatusResponse>) -> Answer {
+    let mut answer = Answer::new(&Subject::Instances);
+    for status in &parts.answered {
+        let state = if status.draining { "draining" } else { "live" };
+        answer.push([
+            status.instance.as_str().into(),
+            status.zone.as_str().into(),
+            state.into(),
+            Cell::Empty,
+            status.ready.into(),
+            status.config_version.into(),
+            status.running.into(),
+            Cell::Empty,
+        ]);
+    }
+    for gap in &parts.gaps {
+        let zone = instance.zone_homes.zone_of(&gap.instance);
+        let mut row = vec![Cell::Empty; answer.columns.len()];
+        row[0] = gap.instance.as_str().into();
+        row[1] = zone.as_ref().map(|zone| zone.as_str()).into();
+        row[2] = "unreachable".into();
+        answer.push(row);
+    }
+    answer.gaps = parts.gaps;
+    answer
+}
+
+async fn running(instance: &Rc<Instance>) -> Answer {
+    merge(&Subject::Running, ask::rows(instance, &Subject::Running).await)
+}
+
+async fn servers(instance: &Rc<Instance>) -> Answer {
+    let mut answer = merge(&Subject::Servers, ask::rows(instance, &Subject::Servers).await);
+    servers::keep_best(&mut answer);
+    answer
+}
+
+fn quarantine(instance: &Instance) -> Answer {
+    let mut answer = Answer::new(&Subject::Quarantine);
+    for entry in instance.quarantine.entries() {
+        let mut servers = Vec::new();
+        for server in &entry.servers {
+            servers.push(server.as_str().into());
+        }
+        answer.push([
+            Cell::Text(entry.fingerprint),
+            Cell::Text(entry.state),
+            entry.crashes.into(),
+            Cell::List(servers.into()),
+            entry.version.into(),
+            entry.age.into(),
+        ]);
+    }
+    answer
+}
+
+fn merge(subject: &Subject, parts: Parts<Answer>) -> Answer {
+    let mut answer = Answer::new(subject);
+    for part in parts.answered {
+        answer.append(part);
+    }
+    answer.gaps.extend(parts.gaps);
+    answer
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/rows/requests.rs
@@ -0,0 +1,28 @@
+use magnoliaspar_query::{Answer, Cell, Subject};
+
+use crate::instance::Instance;
+
+/// Returns the requests of which this instance is the home and that have not ended.
+pub fn running(instance: &Instance) -> Answer {
+    let mut answer = Answer::new(&Subject::Running);
+    let now = instance.clock.now();
+    for run in instance.home.registry().live() {
+        let stage = run.stage();
+        let origin = run.origin();
+        let age = origin.as_ref().map(|origin| now.saturating_duration_since(origin.accepted_at));
+        answer.push([
+            run.id.request.as_str().into(),
+            origin.as_ref().map(|origin| origin.route.as_str()).into(),
+            run.id.workspace.as_str().into(),
+            Cell::text(stage.step.to_string()),
+            stage.server().map(|server| server.as_str()).into(),
+            stage.prefill.as_ref().map(|server| server.as_str()).into(),
+            stage.decode.as_ref().map(|server| server.as_str()).into(),
+            instance.settings.instance.as_str().into(),
+            stage.attempt.map(|attempt| attempt.0).into(),
+            u64::from(run.token_count()).into(),
+            age.into(),
+        ]);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/rows/servers.rs
@@ -0,0 +1,140 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use magnoliaspar_core::ServerName;
+use magnoliaspar_policy::{Role, ServerUsage};
+use magnoliaspar_query::{Answer, Cell, Subject};
+
+use crate::directory::KnownServer;
+use crate::instance::Instance;
+use crate::run::EngineBooks;
+
+/// The column of the server's name.
+const SERVER: usize = 0;
+
+/// The column of the instance that keeps the books.
+const HOME: usize = 6;
+
+/// Returns the servers of the own availability zone, with the books of those that have them here.
+pub fn own(instance: &Instance) -> Answer {
+    let mut answer = Answer::new(&Subject::Servers);
+    let books = own_books(instance);
+    for server in instance.directory.all() {
+        let books = books.get(&server.name);
+        answer.push(row(instance, &server, books));
+    }
+    answer
+}
+
+/// Keeps one row for each server, and prefers the instance that is its home.
+pub fn keep_best(answer: &mut Answer) {
+    let mut homed = BTreeSet::new();
+    for row in &answer.rows {
+        if row[HOME] != Cell::Empty {
+            homed.insert(row[SERVER].to_string());
+        }
+    }
+    let mut seen = BTreeSet::new();
+    answer.rows.retain(|row| {
+        let name = row[SERVER].to_string();
+        // Two instances that both keep books for a server are both shown.
+        row[HOME] != Cell::Empty || (!homed.contains(&name) && seen.insert(name))
+    });
+    answer.rows.sort_by_key(|row| row[SERVER].to_string());
+}
+
+fn own_books(instance: &Instance) -> BTreeMap<ServerName, EngineBooks> {
+    let mut all = BTreeMap::new();
+    for (shard, dispatcher) in instance.home.dispatchers() {
+        if !instance.zone_homes.is_own(&shard) {
+            continue;
+        }
+        for books in dispatcher.books() {
+            all.insert(books.name.clone(), books);
+        }
+    }
+    all
+}
+
+fn row(instance: &Instance, server: &KnownServer, books: Option<&EngineBooks>) -> Vec<Cell> {
+    let drain = instance.drains.of(&server.name);
+    let is_drained = drain.as_ref().is_some_and(|drain| drain.is_drained);
+    let state = match server.is_live {
+        true => "live",
+        false if is_drained => "draining",
+        false => "leaving",
+    };
+    let home = books.map(|_| instance.settings.instance.as_str());
+    let load = books.map(Load::of).unwrap_or_default();
+    let now = instance.clock.now();
+    let reported_at = books.and_then(|books| books.reported_at);
+    vec![
+        server.name.as_str().into(),
+        server.pool.as_str().into(),
+        instance.settings.zone.as_str().into(),
+        state.into(),
+        Cell::Empty,
+        drain.map_or(0, |drain| drain.made_by.version).into(),
+        home.into(),
+        model(instance, server).map_or(Cell::Empty, Cell::Text),
+        load.slots_used.into(),
+        load.slots.into(),
+        load.pieces_used.into(),
+        load.pieces.into(),
+        load.queue.into(),
+        reported_at.map(|at| now.saturating_duration_since(at)).into(),
+    ]
+}
+
+/// Returns the only model that the routes in force lead to the server's pool for, if there is one.
+fn model(instance: &Instance, server: &KnownServer) -> Option<Box<str>> {
+    let in_force = instance.in_force()?;
+    let mut models = BTreeSet::new();
+    for route in in_force.declarations.routes.values() {
+        let magnoliaspar_declaration::RouteTarget::Completion(route) = &route.target else {
+            continue;
+        };
+        if route.prefill_pool == server.pool || route.decode_pool == server.pool {
+            models.insert(route.model.as_str());
+        }
+    }
+    match models.len() {
+        1 => models.first().map(|model| Box::from(*model)),
+        _ => None,
+    }
+}
+
+/// What the books show of the load of an engine.
+#[derive(Debug, Default)]
+struct Load {
+    slots_used: Option<u64>,
+    slots: Option<u64>,
+    pieces_used: Option<u64>,
+    pieces: Option<u64>,
+    queue: Option<u64>,
+}
+
+impl Load {
+    fn of(books: &EngineBooks) -> Self {
+        let usage = books.usage;
+        let is_prefill = books.spec.role == Role::Prefill;
+        let slots_used = |usage: ServerUsage| match is_prefill {
+            true => usage.reading,
+            false => usage.running + usage.foreign,
+        };
+        let pieces_used = |usage: ServerUsage| match is_prefill {
+            true => usage.read_pieces,
+            false => usage.running_pieces + usage.reserved_pieces,
+        };
+        let queue = |usage: ServerUsage| match is_prefill {
+            true => usage.transfers,
+            false => usage.reserved,
+        };
+        Self {
+            slots_used: usage.map(|usage| slots_used(usage).into()),
+            slots: Some(books.spec.slots.into()),
+            pieces_used: usage.map(|usage| pieces_used(usage).into()),
+            pieces: Some(books.spec.memory_pieces.into()),
+            queue: usage.map(|usage| queue(usage).into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/statement.rs
@@ -0,0 +1,98 @@
+use std::rc::Rc;
+
+use magnoliaspar_event::Timeline;
+use magnoliaspar_query::api::ErrorResponse;
+use magnoliaspar_query::{
+    Answer, Command, CommandKind, DrainTarget, EntityRef, Query, Statement, Subject,
+};
+use magnoliaspar_settings::OperatorKey;
+
+use super::access;
+use super::quarantine::{QuarantineChange, unsupported};
+use super::{apply, ask, drain, rows};
+use crate::instance::Instance;
+
+/// Answers a query, or follows a command if the operator may give it.
+pub async fn run(
+    instance: &Rc<Instance>,
+    operator: &OperatorKey,
+    text: &str,
+) -> Result<Answer, ErrorResponse> {
+    let statement = Statement::parse(text)?;
+    access::check_right(instance, operator, statement.required_rights())?;
+    match statement {
+        Statement::Query(query) => answer(instance, &query).await,
+        Statement::Command(command) => follow(instance, &operator.name, &command).await,
+    }
+}
+
+async fn answer(instance: &Rc<Instance>, query: &Query) -> Result<Answer, ErrorResponse> {
+    let mut answer = match &query.subject {
+        Subject::Timeline => Answer::of_timeline(&timeline(instance, query).await),
+        Subject::Why(_) => Answer::of_why(&timeline(instance, query).await, &query.subject),
+        _ => rows::all(instance, query).await?,
+    };
+    query.apply(&mut answer);
+    Ok(answer)
+}
+
+async fn timeline(instance: &Rc<Instance>, query: &Query) -> Timeline {
+    let filter = query.event_filter(instance.journal.stamp());
+    let parts = ask::events(instance, &filter).await;
+    let silent = parts.silent();
+    Timeline::merge(&filter, parts.answered, silent)
+}
+
+async fn follow(
+    instance: &Rc<Instance>,
+    operator: &str,
+    command: &Command,
+) -> Result<Answer, ErrorResponse> {
+    match &command.kind {
+        CommandKind::Drain(target) => change_drain(instance, operator, command, target, true).await,
+        CommandKind::Undrain(target) => {
+            change_drain(instance, operator, command, target, false).await
+        }
+        CommandKind::Change { target: EntityRef::Declared(id), assignments } => {
+            apply::change(instance, operator, command, id, assignments).await
+        }
+        CommandKind::Change { target: EntityRef::Server(_), .. } => {
+            Err(unsupported("changing a backend server"))
+        }
+        CommandKind::AddServer { .. } => Err(unsupported("adding a backend server")),
+        CommandKind::Quarantine { fingerprint } => {
+            let change = quarantine_change(operator, command, fingerprint);
+            instance.quarantine.quarantine(&change).await.map(Answer::of_command)
+        }
+        CommandKind::Release { fingerprint } => {
+            let change = quarantine_change(operator, command, fingerprint);
+            instance.quarantine.release(&change).await.map(Answer::of_command)
+        }
+        CommandKind::LoadModel { .. } => Err(unsupported("loading a model")),
+    }
+}
+
+async fn change_drain(
+    instance: &Rc<Instance>,
+    operator: &str,
+    command: &Command,
+    target: &DrainTarget,
+    is_drained: bool,
+) -> Result<Answer, ErrorResponse> {
+    match target {
+        DrainTarget::Server(server) => {
+            drain::change_server(instance, operator, command, server, is_drained).await
+        }
+        DrainTarget::Instance(target) => {
+            drain::change_instance(instance, operator, command, target, is_drained).await
+        }
+    }
+}
+
+fn quarantine_change(operator: &str, command: &Command, fingerprint: &str) -> QuarantineChange {
+    QuarantineChange {
+        fingerprint: fingerprint.into(),
+        expected_version: command.expected_version,
+        operator: operator.into(),
+    }
+}
--- a/crates/magnoliaspar-serve/src/operator/status.rs
+++ b/crates/magnoliaspar-serve/src/operator/status.rs
@@ -13,7 +13,7 @@
         zone: instance.settings.zone.clone(),
         ready: is_ready,
         reasons: if is_ready { Vec::new() } else { vec![readiness.to_string().into()] },
-        draining: instance.is_draining.get(),
+        draining: instance.is_draining(),
         config_version: instance.in_force().map(|in_force| in_force.version),
         running: instance.home.registry().live().len() as u64,
         live_instances: instance.zone_homes.instance_count() as u64,
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -66,19 +66,19 @@
 /// A link to another instance.
 #[derive(Clone)]
 pub struct PeerClient {
-    name: InstanceName,
+    pub(super) name: InstanceName,
     clock: Rc<dyn Clock>,
-    journal: Rc<Journal>,
+    pub(super) journal: Rc<Journal>,
     key: Secret,
     channel: Channel,
 }
 
 impl PeerClient {
-    fn generated(&self) -> GeneratedClient<Channel> {
+    pub(super) fn generated(&self) -> GeneratedClient<Channel> {
         GeneratedClient::new(self.channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
 
-    fn sign<T>(&self, message: T) -> Request<T> {
+    pub(super) fn sign<T>(&self, message: T) -> Request<T> {
         let mut req = Request::new(message);
         let bearer = format!("Bearer {}", self.key.expose());
         if let Ok(value) = MetadataValue::try_from(bearer) {
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -7,7 +7,7 @@
 use magnoliaspar_declaration::RouteTarget;
 use magnoliaspar_policy::rank_by_rendezvous;
 
-use super::client::PeerClients;
+use super::client::{PeerClient, PeerClients};
 use crate::instance::ConfigurationInForce;
 use crate::run::{CompletionRequest, Home, HomeChooser, LocalHome, LocalHomeHandle, Shard};
 
@@ -61,6 +61,25 @@
         instances.len() + usize::from(!has_own)
     }
 
+    /// Returns links to all known instances but the own one, whether they answer or not.
+    pub fn others(&self) -> Vec<PeerClient> {
+        let mut others = Vec::new();
+        for (name, instance) in self.instances.borrow().iter() {
+            if *name != self.own {
+                others.push(self.clients.client(name, instance.peers));
+            }
+        }
+        others
+    }
+
+    /// Returns the availability zone of a known instance.
+    pub fn zone_of(&self, name: &InstanceName) -> Option<ZoneName> {
+        if *name == self.own {
+            return Some(self.zone.clone());
+        }
+        Some(self.instances.borrow().get(name)?.zone.clone())
+    }
+
     fn rank(&self, key: &str, is_own_zone: bool) -> Vec<InstanceName> {
         let instances = self.instances.borrow();
         let mut names = Vec::new();
--- a/crates/magnoliaspar-serve/src/peer/mod.rs
+++ b/crates/magnoliaspar-serve/src/peer/mod.rs
@@ -3,8 +3,10 @@
 mod client;
 mod convert;
 mod homes;
+mod query;
 mod server;
 
-pub use self::client::PeerClients;
+pub use self::client::{PeerClient, PeerClients};
 pub use self::homes::{KnownInstance, ZoneHomes};
+pub use self::query::{PeerQuestion, PeerReply, PeerSilence};
 pub use self::server::{PeerError, PeerServer};
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -23,6 +23,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::convert::{from_open, to_event, to_refused};
+use super::query;
 use crate::instance::Instance;
 use crate::run::{LocalLink, RunLink, RunResult, RunUpdate};
 
@@ -109,6 +110,7 @@
 /// A call of another instance, on its way to the thread that owns the state.
 enum PeerCall {
     Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+    Query { req: QueryRequest, tx: oneshot::Sender<Result<QueryAnswer, Status>> },
 }
 
 /// Hands calls over to the thread that owns the state.
@@ -142,8 +144,14 @@
         Err(Status::unimplemented("state is not exchanged yet"))
     }
 
-    async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
-        Err(Status::unimplemented("queries are not passed on yet"))
+    async fn query(&self, req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Query { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(answer?))
     }
 }
 
@@ -153,6 +161,13 @@
             PeerCall::Run { frames, tx } => {
                 actix_rt::spawn(serve_run(instance.clone(), frames, tx));
             }
+            PeerCall::Query { req, tx } => {
+                let instance = instance.clone();
+                actix_rt::spawn(async move {
+                    // An instance that asked and is gone needs no answer.
+                    let _ = tx.send(query::answer(&instance, &req).await);
+                });
+            }
         }
     }
 }
--- a/crates/magnoliaspar-serve/src/refresh.rs
+++ b/crates/magnoliaspar-serve/src/refresh.rs
@@ -100,6 +100,7 @@
     async fn take_list(&self, entries: &[ListEntry]) {
         self.take_instances(entries);
         let mut names = BTreeSet::new();
+        let drains = self.instance.drains.drained();
         for entry in entries {
             if entry.zone != self.instance.settings.zone {
                 continue;
@@ -108,11 +109,11 @@
             let Ok(name) = ServerName::try_from(&*entry.name) else { continue };
             names.insert(name.clone());
             self.instance.directory.put(KnownServer {
-                name,
+                name: name.clone(),
                 address: entry.address,
                 pool: pool.clone(),
                 role: *role,
-                is_live: entry.state == ListState::Live,
+                is_live: entry.state == ListState::Live && !drains.contains(&name),
             });
         }
         self.forget_engines(&names);
@@ -178,6 +179,7 @@
             return;
         }
         if dispatcher.has_engine(&server.name) {
+            dispatcher.unseal_engine(&server.name);
             return;
         }
         let engine = self.connector.connect(server.address);
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -8,7 +8,7 @@
 use magnoliaspar_engine::Engine;
 use magnoliaspar_event::Plan;
 use magnoliaspar_policy::{
-    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
+    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec, ServerUsage,
 };
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -38,6 +38,23 @@
     pub engine: Rc<dyn Engine>,
     /// The number of the last event of its prefix cache that was read.
     pub last_cache_event: Rc<Cell<u64>>,
+    /// What the engine is.
+    pub spec: Rc<ServerSpec>,
+    /// When the engine made its latest load report.
+    pub reported_at: Rc<Cell<Option<Instant>>>,
+}
+
+/// What the books of a dispatcher show of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineBooks {
+    /// The name of the engine.
+    pub name: ServerName,
+    /// What the engine is.
+    pub spec: Rc<ServerSpec>,
+    /// What the policy has planned on it, if it keeps books.
+    pub usage: Option<ServerUsage>,
+    /// When the engine made its latest load report.
+    pub reported_at: Option<Instant>,
 }
 
 /// What to do next for a job.
@@ -101,8 +118,16 @@
     /// Adds an engine or renews what is known of it.
     pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
         let name = spec.name.clone();
+        let known = Rc::new(spec.clone());
         let key = self.tell(|policy, now| policy.add_server(now, spec));
-        let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
+        let handle = EngineHandle {
+            name,
+            address,
+            engine,
+            last_cache_event: Rc::default(),
+            spec: known,
+            reported_at: Rc::default(),
+        };
         self.engines.borrow_mut().insert(key, handle);
     }
 
@@ -112,6 +137,27 @@
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
+    /// Gives new work again to an engine that was sealed.
+    pub fn unseal_engine(&self, name: &ServerName) {
+        let Some(key) = self.key_of(name) else { return };
+        self.tell(|policy, now| policy.unseal_server(now, key));
+    }
+
+    /// Returns what the books show of each engine.
+    pub fn books(&self) -> Vec<EngineBooks> {
+        let policy = self.policy.borrow();
+        let mut books = Vec::new();
+        for (key, engine) in self.engines.borrow().iter() {
+            books.push(EngineBooks {
+                name: engine.name.clone(),
+                spec: engine.spec.clone(),
+                usage: policy.usage(*key),
+                reported_at: engine.reported_at.get(),
+            });
+        }
+        books
+    }
+
     /// Forgets an engine that is gone.
     pub fn remove_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
@@ -122,6 +168,9 @@
     /// Takes in a load report.
     pub fn report(&self, name: &ServerName, report: LoadReport) {
         let Some(key) = self.key_of(name) else { return };
+        if let Some(engine) = self.engines.borrow().get(&key) {
+            engine.reported_at.set(Some(report.made_at));
+        }
         self.tell(|policy, now| policy.report(now, key, report));
     }
 
--- a/crates/magnoliaspar-serve/src/run/driver.rs
+++ b/crates/magnoliaspar-serve/src/run/driver.rs
@@ -388,10 +388,12 @@
     }
 
     fn record(&self, kind: EventKind) {
+        self.run.observe(None, &kind);
         self.driver.journal.record(&self.run.id.request, kind);
     }
 
     fn record_on(&self, engine: &EngineHandle, kind: EventKind) {
+        self.run.observe(Some(&engine.name), &kind);
         self.driver.journal.record_on(&self.run.id.request, &engine.name, kind);
     }
 
--- a/crates/magnoliaspar-serve/src/run/mod.rs
+++ b/crates/magnoliaspar-serve/src/run/mod.rs
@@ -11,10 +11,11 @@
 mod registry;
 mod running;
 mod shard;
+mod stage;
 
 pub use self::attempt::AttemptIds;
 pub use self::completion::{Completed, CompletionRequest, Placement, ScopedId};
-pub use self::dispatcher::{Dispatcher, EngineHandle};
+pub use self::dispatcher::{Dispatcher, EngineBooks, EngineHandle};
 pub use self::driver::Driver;
 pub use self::home::{LocalHome, LocalHomeHandle};
 pub use self::link::{Home, LinkBroken, LocalLink, OpenError, RunLink};
--- a/crates/magnoliaspar-serve/src/run/registry.rs
+++ b/crates/magnoliaspar-serve/src/run/registry.rs
@@ -6,7 +6,7 @@
 use magnoliaspar_core::{Outcome, Refusal, RefusalCode};
 
 use super::completion::{CompletionRequest, ScopedId};
-use super::running::Run;
+use super::running::{Run, RunOrigin};
 
 /// How long a finished run is kept for a caller that comes back.
 const FINISHED_KEPT: Duration = Duration::from_secs(60);
@@ -57,6 +57,7 @@
             return Ok(Opened { run: run.clone(), is_new: false });
         }
         let run = Rc::new(Run::new(req.id.clone(), fingerprint, req.emitted.clone()));
+        run.set_origin(RunOrigin { route: req.route.clone(), accepted_at: req.accepted_at });
         inner.runs.insert(req.id.clone(), run.clone());
         Ok(Opened { run, is_new: true })
     }
--- a/crates/magnoliaspar-serve/src/run/running.rs
+++ b/crates/magnoliaspar-serve/src/run/running.rs
@@ -1,10 +1,13 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Instant;
 
-use magnoliaspar_core::Refusal;
+use magnoliaspar_core::{Refusal, RouteName, ServerName};
+use magnoliaspar_event::EventKind;
 use tokio::sync::Notify;
 
 use super::completion::{Completed, Placement, ScopedId};
+use super::stage::RunStage;
 
 /// A completion that runs or has ended, with all tokens produced so far.
 #[derive(Debug)]
@@ -22,6 +25,8 @@
     tokens: Vec<Box<str>>,
     result: Option<RunResult>,
     placement: Option<Placement>,
+    origin: Option<RunOrigin>,
+    stage: RunStage,
     latest_subscription: u64,
     open_subscriptions: u32,
     is_delivered: bool,
@@ -29,6 +34,15 @@
     may_have_run: bool,
 }
 
+/// Where a run comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunOrigin {
+    /// The route.
+    pub route: RouteName,
+    /// When the request was accepted.
+    pub accepted_at: Instant,
+}
+
 /// What a run ended with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunResult {
@@ -84,6 +98,26 @@
         self.changed.notify_waiters();
     }
 
+    /// Notes where the run comes from.
+    pub fn set_origin(&self, origin: RunOrigin) {
+        self.state.borrow_mut().origin = Some(origin);
+    }
+
+    /// Returns where the run comes from, if it was noted.
+    pub fn origin(&self) -> Option<RunOrigin> {
+        self.state.borrow().origin.clone()
+    }
+
+    /// Takes in what happened to the run.
+    pub fn observe(&self, server: Option<&ServerName>, kind: &EventKind) {
+        self.state.borrow_mut().stage.observe(server, kind);
+    }
+
+    /// Returns how far the run has come.
+    pub fn stage(&self) -> RunStage {
+        self.state.borrow().stage.clone()
+    }
+
     /// Whether an engine may have worked on the request.
     pub fn may_have_run(&self) -> bool {
         self.state.borrow().may_have_run
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -23,7 +23,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::operator;
+use crate::operator::{self, HeadWriter, NoQuarantine, ServerDrains};
 use crate::peer::{PeerClients, PeerError, PeerServer, ZoneHomes};
 use crate::refresh::Refresh;
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
@@ -77,6 +77,7 @@
     let connector = Rc::new(HttpConnector::new(PROGRESS_TIMEOUT));
     let instance = assemble(settings, connector.clone());
     Refresh::new(instance.clone(), connector).spawn();
+    actix_rt::spawn(operator::read_drains(instance.clone()));
     let peers = PeerServer::start(instance.clone()).await.map_err(ServeError::Peers)?;
     let callers = listen(instance.settings.callers, caller_handler(instance.clone())).await?;
     let operators = listen(instance.settings.operators, operator_handler(instance.clone())).await?;
@@ -109,6 +110,7 @@
     };
     let table = open_table(&settings, clock.clone());
     let claims = open_claims(&settings, clock.clone(), table.clone());
+    let configuration_writer = Rc::new(HeadWriter::new(table.clone(), &settings.instance));
     let shards = ShardMap::new(directory.clone());
     let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
     let clients =
@@ -135,7 +137,11 @@
         metrics: Rc::new(Metrics::new()),
         started_at: clock.now(),
         clock,
+        drains: ServerDrains::default(),
+        configuration_writer,
+        quarantine: Rc::new(NoQuarantine),
         is_draining: Cell::new(false),
+        is_drained_by_operator: Cell::new(false),
         settings,
     })
 }
