Prove the operators' interface by real processes

Cause: queries, commands and apply had no test over several instances.

Change: the command line asks and commands two or three instances: apply waits and names a killed and a paused instance, racing operators are told who won, a time line spans two instances with a gap for a silent one, why names chosen and rejected servers, drains are kept and withdrawn, a read key commands nothing, and no key is in a log or time line. Outside: the platform's stand-in answers the read of an absent row with null, as docs/design/platform.md says; it answered 404, which no adapter takes for an absent row. The cluster of the tests has a second operator and keeps logs.

--- a/crates/magnoliaspar-standin/src/platform.rs
+++ b/crates/magnoliaspar-standin/src/platform.rs
@@ -94,10 +94,7 @@
     async fn read(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
         let read: ReadRequest = read_json(req).await?;
         let row = self.table.read(&read.key).await.map_err(fail)?;
-        match row {
-            Some(row) => Ok(answer(&row)),
-            None => Err(answer_with(StatusCode::NOT_FOUND, &json!({}))),
-        }
+        Ok(answer(&row))
     }
 
     async fn scan(&self, req: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -13,6 +13,9 @@
 /// How often a condition is checked.
 const CHECK_PERIOD: Duration = Duration::from_millis(20);
 
+/// The key of a second operator who may give commands.
+pub const SECOND_OPERATOR_KEY: &str = "second-shift-operator-key";
+
 /// Stand-ins on the current thread, and instances as processes.
 pub struct Cluster {
     /// The stand-ins.
@@ -52,6 +55,13 @@
         self.wait_until_ready().await;
     }
 
+    /// Writes a file into the folder of the cluster and returns its path.
+    pub fn write_file(&self, name: &str, content: &str) -> Box<str> {
+        let file = self.folder.join(name);
+        std::fs::write(&file, content).expect("the file can be written");
+        file.to_string_lossy().into()
+    }
+
     /// Returns the addresses for callers of all instances.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.instances.iter().map(|instance| instance.addresses.callers).collect()
@@ -90,6 +100,7 @@
             "peer_keys": { "current": PEER_KEY },
             "operator_keys": [
                 { "name": "on-call", "key": OPERATOR_KEY, "rights": "command" },
+                { "name": "second-shift", "key": SECOND_OPERATOR_KEY, "rights": "command" },
                 { "name": "dashboard", "key": READER_KEY, "rights": "read" },
             ],
             "log": { "filter": "info" },
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod caller;
 mod cluster;
+mod operator;
 mod process;
 
 pub use self::caller::{AnswerEnd, Caller, StreamedAnswer};
-pub use self::cluster::{Cluster, wait_until};
+pub use self::cluster::{Cluster, SECOND_OPERATOR_KEY, wait_until};
+pub use self::operator::{CommandOutput, Operator, column_of};
 pub use self::process::InstanceProcess;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
 
 use magnoliaspar_standin::InstanceAddresses;
 use serde_json::Value;
@@ -11,6 +12,7 @@
     child: Child,
     /// Where the instance listens.
     pub addresses: InstanceAddresses,
+    log: Arc<Mutex<String>>,
 }
 
 impl InstanceProcess {
@@ -31,13 +33,24 @@
                 break addresses;
             }
         };
+        let log = Arc::new(Mutex::new(String::new()));
+        let copy = log.clone();
         std::thread::spawn(move || {
             for line in lines {
                 let Ok(line) = line else { return };
+                let mut log = copy.lock().expect("no thread panics with the log");
+                log.push_str(&line);
+                log.push('\n');
+                drop(log);
                 eprintln!("{line}");
             }
         });
-        Self { child, addresses }
+        Self { child, addresses, log }
+    }
+
+    /// Returns what the instance has logged so far.
+    pub fn log(&self) -> Box<str> {
+        self.log.lock().expect("no thread panics with the log").as_str().into()
     }
 
     /// Ends the process at once, as a crash would.
