Tell why a request waits, and bound the events about wrong keys

Cause: why showed nothing of a request that waits for a decision; a drain of a server that nobody knows was accepted; a flood of wrong keys would have pushed all other events out of the ring.

Change: live runs name their job, and why asks the policy for the reason of its wait; drains of unknown servers and undrains of servers that the platform ends are refused; events about wrong keys have a rate, the metric counts all.

--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -10,7 +10,7 @@
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{Declarations, Document};
 use magnoliaspar_event::{EventKind, Listener};
-use magnoliaspar_platform::BudgetedTable;
+use magnoliaspar_platform::{BudgetedTable, RateBudget};
 use magnoliaspar_reaper::Reaper;
 use magnoliaspar_settings::Settings;
 
@@ -26,6 +26,12 @@
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
 
+/// How many events about wrong keys are recorded in a second, once there was a burst of them.
+pub const AUTH_EVENTS_PER_SECOND: f64 = 2.0;
+
+/// How many events about wrong keys are recorded at once.
+pub const AUTH_EVENTS_BURST: f64 = 100.0;
+
 /// One entry instance.
 pub struct Instance {
     /// The settings.
@@ -68,6 +74,8 @@
     pub table: Rc<BudgetedTable>,
     /// The fingerprints of requests that engines may crash on.
     pub quarantine: Rc<dyn QuarantineBook>,
+    /// Bounds the events about wrong keys.
+    pub auth_events: RefCell<RateBudget>,
     /// Whether the instance drains since its process ends.
     pub is_draining: Cell<bool>,
     /// Whether the instance drains since an operator wants it to.
@@ -93,6 +101,10 @@
             Listener::Operators => "operator",
         };
         self.metrics.count_auth_failure(who);
+        // A flood of wrong keys must not push all other events out of the ring.
+        if self.auth_events.borrow_mut().try_take(self.clock.now(), 1.0).is_err() {
+            return;
+        }
         self.journal.record_own(EventKind::AuthFailed { listener, status });
     }
 
--- a/crates/magnoliaspar-serve/src/operator/drain.rs
+++ b/crates/magnoliaspar-serve/src/operator/drain.rs
@@ -11,7 +11,7 @@
     Transaction, Write, WriteToken, commit_settled,
 };
 use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
-use magnoliaspar_query::{Answer, Command, CommandResult, Subject, Winner};
+use magnoliaspar_query::{Answer, Cell, Command, CommandResult, Winner};
 use serde::{Deserialize, Serialize};
 
 use super::apply::record_command;
@@ -125,6 +125,7 @@
     server: &ServerName,
     is_drained: bool,
 ) -> Result<Answer, ErrorResponse> {
+    check_known(instance, server, is_drained).await?;
     let text: Box<str> = command.to_string().into();
     record_command(instance, operator, &text);
     let key = RowKey(format!("{DRAIN_PREFIX}{server}").into());
@@ -159,6 +160,29 @@
     }
 }
 
+/// Refuses a command that could have no effect.
+async fn check_known(
+    instance: &Rc<Instance>,
+    server: &ServerName,
+    is_drained: bool,
+) -> Result<(), ErrorResponse> {
+    let servers = rows::servers(instance).await;
+    let name = Cell::from(server.as_str());
+    let Some(row) = servers.rows.iter().find(|row| row.first() == Some(&name)) else {
+        if !servers.gaps.is_empty() {
+            // An instance that does not answer may know the server.
+            return Ok(());
+        }
+        let message = format!("the server {server} is not known");
+        return Err(ErrorResponse::new(ErrorCode::NotFound, message));
+    };
+    if !is_drained && row.contains(&"leaving".into()) {
+        let message = format!("the platform itself ends the server {server}");
+        return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+    }
+    Ok(())
+}
+
 /// Has an instance drain, or withdraws that, and answers with its state.
 pub async fn change_instance(
     instance: &Rc<Instance>,
@@ -179,10 +203,8 @@
         pass_on(instance, operator, text, target, is_draining).await?;
     }
     let mut answer = rows::instances(instance, ask::statuses(instance).await);
-    let is_target = |cell: &magnoliaspar_query::Cell| cell.to_string() == target.as_str();
-    answer.rows.retain(|row| row.first().is_some_and(is_target));
+    answer.rows.retain(|row| row.first() == Some(&target.as_str().into()));
     answer.gaps.retain(|gap| gap.instance == *target);
-    debug_assert_eq!(answer.columns, Subject::Instances.columns());
     Ok(answer)
 }
 
--- a/crates/magnoliaspar-serve/src/operator/rows/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/mod.rs
@@ -20,6 +20,7 @@
     match subject {
         Subject::Running => requests::running(instance),
         Subject::Servers => servers::own(instance),
+        Subject::Why(request) => requests::why_waiting(instance, request),
         _ => Answer::new(subject),
     }
 }
@@ -37,7 +38,8 @@
         Subject::Claims => stored::claims(instance).await,
         Subject::Orders => stored::orders(instance).await,
         Subject::Quarantine => Ok(quarantine(instance)),
-        Subject::Timeline | Subject::Why(_) => Ok(Answer::new(&query.subject)),
+        Subject::Why(_) => Ok(waiting(instance, &query.subject).await),
+        Subject::Timeline => Ok(Answer::new(&query.subject)),
     }
 }
 
@@ -75,11 +77,17 @@
     answer
 }
 
+/// Returns why a request waits, which is the last row of what is told of it.
+async fn waiting(instance: &Rc<Instance>, subject: &Subject) -> Answer {
+    merge(subject, ask::rows(instance, subject).await)
+}
+
 async fn running(instance: &Rc<Instance>) -> Answer {
     merge(&Subject::Running, ask::rows(instance, &Subject::Running).await)
 }
 
-async fn servers(instance: &Rc<Instance>) -> Answer {
+/// Returns the servers of all availability zones.
+pub async fn servers(instance: &Rc<Instance>) -> Answer {
     let mut answer = merge(&Subject::Servers, ask::rows(instance, &Subject::Servers).await);
     servers::keep_best(&mut answer);
     // Without the table the versions are not known, and their cells stay empty.
--- a/crates/magnoliaspar-serve/src/operator/rows/requests.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/requests.rs
@@ -1,3 +1,4 @@
+use magnoliaspar_core::RequestId;
 use magnoliaspar_query::{Answer, Cell, Subject};
 
 use crate::instance::Instance;
@@ -26,3 +27,25 @@
     }
     answer
 }
+
+/// Returns why the live runs of a request wait for a decision, if they do.
+pub fn why_waiting(instance: &Instance, request: &RequestId) -> Answer {
+    let mut answer = Answer::new(&Subject::Why(request.clone()));
+    let now = instance.clock.now();
+    for run in instance.home.registry().live() {
+        if run.id.request != *request {
+            continue;
+        }
+        let Some(waiting) = run.waiting() else { continue };
+        let age = now.saturating_duration_since(waiting.decided_at);
+        answer.push([
+            Cell::text(instance.journal.stamp().to_string()),
+            instance.settings.instance.as_str().into(),
+            "waiting".into(),
+            Cell::Text(waiting.reason),
+            Cell::text(format!("considered {} ms ago", age.as_millis())),
+            Cell::List(waiting.rejected),
+        ]);
+    }
+    answer
+}
--- a/crates/magnoliaspar-serve/src/operator/statement.rs
+++ b/crates/magnoliaspar-serve/src/operator/statement.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use futures_util::future::join;
 use magnoliaspar_event::Timeline;
 use magnoliaspar_query::api::ErrorResponse;
 use magnoliaspar_query::{
@@ -29,13 +30,22 @@
 async fn answer(instance: &Rc<Instance>, query: &Query) -> Result<Answer, ErrorResponse> {
     let mut answer = match &query.subject {
         Subject::Timeline => Answer::of_timeline(&timeline(instance, query).await),
-        Subject::Why(_) => Answer::of_why(&timeline(instance, query).await, &query.subject),
+        Subject::Why(_) => why(instance, query).await?,
         _ => rows::all(instance, query).await?,
     };
     query.apply(&mut answer);
     Ok(answer)
 }
 
+/// Tells what was decided for a request, and why it waits if it does.
+async fn why(instance: &Rc<Instance>, query: &Query) -> Result<Answer, ErrorResponse> {
+    let (timeline, waiting) = join(timeline(instance, query), rows::all(instance, query)).await;
+    let mut answer = Answer::of_why(&timeline, &query.subject);
+    // The instances that did not answer are gaps of the time line already.
+    answer.rows.append(&mut waiting?.rows);
+    Ok(answer)
+}
+
 async fn timeline(instance: &Rc<Instance>, query: &Query) -> Timeline {
     let filter = query.event_filter(instance.journal.stamp());
     let parts = ask::events(instance, &filter).await;
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use super::plan::PlanContext;
+use super::waiting::{JobHandle, Waiting};
 
 /// How long the dispatcher sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -146,6 +147,19 @@
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
+    /// Returns why a job waits, if it does.
+    pub fn explain_wait(&self, key: JobKey) -> Option<Waiting> {
+        let policy = self.policy.borrow();
+        let explanation = policy.explain(key)?;
+        let Decision::Wait(reason) = explanation.decision else { return None };
+        let mut rejected = Vec::new();
+        for server in &explanation.rejected {
+            rejected.push(format!("{} ({})", server.server, server.reason).into());
+        }
+        let decided_at = explanation.decided_at;
+        Some(Waiting { reason: reason.to_string().into(), decided_at, rejected: rejected.into() })
+    }
+
     /// Returns what the books show of each engine.
     pub fn books(&self) -> Vec<EngineBooks> {
         let policy = self.policy.borrow();
@@ -264,6 +278,11 @@
 }
 
 impl PlacedJob {
+    /// Returns what names the job as long as it is not over.
+    pub fn handle(&self) -> JobHandle {
+        JobHandle { dispatcher: self.dispatcher.clone(), key: self.key }
+    }
+
     /// Waits for the next decision.
     pub async fn next(&mut self) -> Option<Step> {
         let step = self.rx.recv().await;
--- a/crates/magnoliaspar-serve/src/run/mod.rs
+++ b/crates/magnoliaspar-serve/src/run/mod.rs
@@ -15,6 +15,7 @@
 mod shard;
 mod stage;
 mod task;
+mod waiting;
 
 pub use self::attempt::AttemptIds;
 pub use self::completion::{Completed, CompletionRequest, Placement, ScopedId};
--- a/crates/magnoliaspar-serve/src/run/running.rs
+++ b/crates/magnoliaspar-serve/src/run/running.rs
@@ -8,6 +8,7 @@
 
 use super::completion::{Completed, Placement, ScopedId};
 use super::stage::RunStage;
+use super::waiting::{JobHandle, Waiting};
 
 /// A completion that runs or has ended, with all tokens produced so far.
 #[derive(Debug)]
@@ -27,6 +28,7 @@
     placement: Option<Placement>,
     origin: Option<RunOrigin>,
     stage: RunStage,
+    job: Option<JobHandle>,
     latest_subscription: u64,
     open_subscriptions: u32,
     is_delivered: bool,
@@ -108,6 +110,17 @@
         self.state.borrow().origin.clone()
     }
 
+    /// Notes the job that the run waits for or runs as.
+    pub fn set_job(&self, job: JobHandle) {
+        self.state.borrow_mut().job = Some(job);
+    }
+
+    /// Returns why the run waits for a decision, if it does.
+    pub fn waiting(&self) -> Option<Waiting> {
+        let job = self.state.borrow().job.clone()?;
+        job.waiting()
+    }
+
     /// Takes in what happened to the run.
     pub fn observe(&self, server: Option<&ServerName>, kind: &EventKind) {
         self.state.borrow_mut().stage.observe(server, kind);
--- a/crates/magnoliaspar-serve/src/run/task.rs
+++ b/crates/magnoliaspar-serve/src/run/task.rs
@@ -70,6 +70,7 @@
             return result;
         }
         let mut job = dispatcher.submit(self.describe_job());
+        self.run.set_job(job.handle());
         while let Some(step) = job.next().await {
             match step {
                 Step::Refuse { reason, retry_after } => {
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starting and stopping an instance.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -14,7 +14,7 @@
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
 use magnoliaspar_platform::{
     Backoff, BudgetedTable, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts,
-    InstanceBudget, ListEntry, ListState, ListedKind, TimerSleep,
+    InstanceBudget, ListEntry, ListState, ListedKind, RateBudget, TimerSleep,
 };
 use magnoliaspar_reaper::ReaperId;
 use magnoliaspar_settings::Settings;
@@ -25,7 +25,7 @@
 use crate::cluster::{self, ClusterState, Services};
 use crate::directory::Directory;
 use crate::engines::EngineWatch;
-use crate::instance::{ConfigurationInForce, Instance};
+use crate::instance::{AUTH_EVENTS_BURST, AUTH_EVENTS_PER_SECOND, ConfigurationInForce, Instance};
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
@@ -189,6 +189,7 @@
     let cluster =
         open_cluster(&settings, addresses, life, clock.clone(), journal.clone(), services);
     let reaper_id = ReaperId { instance: settings.instance.clone(), incarnation: life };
+    let auth_events = RateBudget::new(clock.now(), AUTH_EVENTS_PER_SECOND, AUTH_EVENTS_BURST);
     Rc::new(Instance {
         configuration,
         cluster,
@@ -209,6 +210,7 @@
         clock,
         table,
         quarantine: Rc::new(NoQuarantine),
+        auth_events: RefCell::new(auth_events),
         is_draining: Cell::new(false),
         is_drained_by_operator: Cell::new(false),
         settings,
