Choose other homes for a drained instance, and prove the stored subjects

Cause: an instance that an operator drained went on as the home of requests that others took; claims are read by a layout that no test tied to its writer.

Change: the drain is told to the zone as a drain of the member and taken back by undrain. Tests for claims, declared things, commands without a carrier, and that no drained instance is a home, whichever the zone would choose.

Conclusion: a drained instance ends its work and gets none.

--- a/crates/magnoliaspar-serve/src/operator/drain.rs
+++ b/crates/magnoliaspar-serve/src/operator/drain.rs
@@ -216,6 +216,8 @@
     }
     let kind = if is_draining { EventKind::DrainStarted } else { EventKind::DrainWithdrawn };
     instance.journal.record_own(kind);
+    // The zone chooses other homes for new requests.
+    mark(instance, &MemberId::Instance(instance.settings.instance.clone()), is_draining);
 }
 
 async fn pass_on(
@@ -240,12 +242,16 @@
 
 /// Drains a server of the own zone or withdraws that; other zones read it at the platform.
 fn take_effect(instance: &Instance, server: &ServerName, is_drained: bool) {
-    let id = MemberId::Server(server.clone());
+    mark(instance, &MemberId::Server(server.clone()), is_drained);
+}
+
+/// Tells the zone that a member is drained or not; nothing is told of one that is not of the zone.
+fn mark(instance: &Instance, id: &MemberId, is_drained: bool) {
     let now = instance.clock.now();
     let mut membership = instance.cluster.membership.borrow_mut();
     let changes = match is_drained {
-        true => membership.mark_leaving(now, &id).unwrap_or_default(),
-        false => membership.undrain(now, &id).unwrap_or_default(),
+        true => membership.mark_leaving(now, id).unwrap_or_default(),
+        false => membership.undrain(now, id).unwrap_or_default(),
     };
     drop(membership);
     instance.cluster.take_changes(&changes);
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -1,5 +1,6 @@
 //! Operators who ask and command several instances by the command line.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -305,11 +306,56 @@
     let answer = on_call.query("undrain instance a-2").await;
     assert_eq!(column_of(&answer, "state"), ["live".into()]);
     ask(cluster.entries()[1], "y", "Assess it.").await;
+    // Whichever instance the zone would choose as home, a drained one is none.
+    for (drained, other, entry) in [("a-1", "a-2", 1), ("a-2", "a-1", 0)] {
+        on_call.query(&format!("drain instance {drained}")).await;
+        let number = Cell::new(0);
+        wait_until(SEEN_TIMEOUT, async || {
+            number.set(number.get() + 1);
+            let id = format!("away-from-{drained}-{}", number.get());
+            ask(cluster.entries()[entry], &id, "Assess it.").await;
+            let homes = on_call.column(&format!("why {id}"), "instance").await;
+            homes.iter().all(|home| &**home == other)
+        })
+        .await;
+        on_call.query(&format!("undrain instance {drained}")).await;
+    }
     let unknown = on_call.run(&["query", "drain instance a-9"]).await;
     assert_eq!(unknown.code, 1);
     assert!(unknown.err.contains("a-9 is not known"), "{}", unknown.err);
 }
 
+#[actix_rt::test]
+async fn stored_and_declared_things_are_shown_and_unsupported_commands_refused() {
+    let cluster = start(&["a-1"], &["b-1"]).await;
+    let client = awc::Client::default();
+    let url = format!("http://{}/grants/payouts", cluster.entries()[0]);
+    let req = client.post(url).bearer_auth(CALLER_KEY).insert_header(("idempotency-key", "k/17"));
+    let res = req.send_json(&json!({ "pounds": 250 })).await.unwrap();
+    assert!(res.status().is_success(), "{}", res.status());
+    let on_call = operator(&cluster, 1, OPERATOR_KEY);
+    let claims = on_call.query("claims where key = k/17").await;
+    let columns = ["workspace", "route", "outcome", "instance"];
+    let found = columns.map(|column| column_of(&claims, column));
+    let expected = ["council", "payouts", "answered", "a-1"];
+    assert_eq!(found, expected.map(|text| vec![Box::from(text)]));
+    let routes = on_call.column("routes where repeat = at_most_once", "prefix").await;
+    assert_eq!(routes, ["/grants/payouts".into()]);
+    let pools = on_call.query("pools where kind = service").await;
+    assert_eq!(column_of(&pools, "servers"), ["2".into()]);
+    assert_eq!(on_call.column("workspaces", "concurrency").await, ["1000".into()]);
+    for subject in ["orders", "quarantine"] {
+        assert_eq!(on_call.query(subject).await["rows"], json!([]), "{subject}");
+    }
+    for command in ["quarantine 0a0b", "release 0a0b", "load model m version 2 on pool p"] {
+        let output = on_call.run(&["query", command]).await;
+        assert_eq!(output.code, 1, "{command}: {output:?}");
+        assert!(output.err.contains("not supported by this build"), "{}", output.err);
+    }
+    let wrong = on_call.run(&["query", "servers wher pool = x"]).await;
+    assert!(wrong.code == 2 && wrong.err.contains("did you mean where?"), "{wrong:?}");
+}
+
 #[actix_rt::test]
 async fn a_waiting_request_is_told_why() {
     let cluster = start(&["a-1", "a-2"], &[]).await;
