--- a/crates/magnoliaspar-retry/src/quarantine.rs
+++ b/crates/magnoliaspar-retry/src/quarantine.rs
@@ -1,10 +1,14 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{RouteName, ServerName};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+/// The length of a fingerprint as it is written.
+const FINGERPRINT_DIGITS: usize = 16;
+
 /// Finds requests that crash the servers that run them, and keeps them out.
 ///
 /// All requests in flight at a crash become suspects and run apart from others. One that finishes is
@@ -252,6 +256,22 @@
     }
 }
 
+impl Fingerprint {
+    /// Reads a fingerprint as it is written.
+    pub fn parse(text: &str) -> Option<Self> {
+        if text.len() != FINGERPRINT_DIGITS {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// What one instance tells others of a fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineDelta {
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -9,6 +9,8 @@
 use magnoliaspar_configuration::Readiness as ConfigurationReadiness;
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{Declarations, Document};
+use magnoliaspar_event::{EventKind, Listener};
+use magnoliaspar_platform::{BudgetedTable, RateBudget};
 use magnoliaspar_reaper::Reaper;
 use magnoliaspar_settings::Settings;
 
@@ -24,6 +26,12 @@
 use crate::run::{Homes, LocalHome};
 use crate::service::ServiceCaller;
 
+/// How many events about wrong keys are recorded in a second, once there was a burst of them.
+pub const AUTH_EVENTS_PER_SECOND: f64 = 2.0;
+
+/// How many events about wrong keys are recorded at once.
+pub const AUTH_EVENTS_BURST: f64 = 100.0;
+
 /// One entry instance.
 pub struct Instance {
     /// The settings.
@@ -64,8 +72,14 @@
     pub metrics: Rc<Metrics>,
     /// When the instance started.
     pub started_at: Instant,
-    /// Whether the instance drains.
+    /// The table service, within this instance's share of its rates.
+    pub table: Rc<BudgetedTable>,
+    /// Bounds the events about wrong keys.
+    pub auth_events: RefCell<RateBudget>,
+    /// Whether the instance drains since its process ends.
     pub is_draining: Cell<bool>,
+    /// Whether the instance drains since an operator wants it to.
+    pub is_drained_by_operator: Cell<bool>,
 }
 
 impl Instance {
@@ -74,9 +88,29 @@
         self.configuration.current()
     }
 
+    /// Whether the instance takes no more requests, for whatever reason.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.get() || self.is_drained_by_operator.get()
+    }
+
+    /// Counts and records a wrong or missing key, or one without the needed right.
+    pub fn record_auth_failure(&self, listener: Listener, status: u16) {
+        let who = match listener {
+            Listener::Callers => "caller",
+            Listener::Peers => "peer",
+            Listener::Operators => "operator",
+        };
+        self.metrics.count_auth_failure(who);
+        // A flood of wrong keys must not push all other events out of the ring.
+        if self.auth_events.borrow_mut().try_take(self.clock.now(), 1.0).is_err() {
+            return;
+        }
+        self.journal.record_own(EventKind::AuthFailed { listener, status });
+    }
+
     /// Whether the instance can take requests.
     pub fn readiness(&self) -> Readiness {
-        if self.is_draining.get() {
+        if self.is_draining() {
             return Readiness::Draining;
         }
         if self.configuration.current().is_none() {
--- a/crates/magnoliaspar-serve/src/metrics.rs
+++ b/crates/magnoliaspar-serve/src/metrics.rs
@@ -64,11 +64,6 @@
         self.auth_failures.with_label_values(&[who]).inc();
     }
 
-    /// Returns the counter of wrong or missing keys that `who` showed.
-    pub fn auth_failures_of(&self, who: &str) -> IntCounter {
-        self.auth_failures.with_label_values(&[who])
-    }
-
     /// Returns all metrics as text.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/crates/magnoliaspar-serve/src/run/task.rs
+++ b/crates/magnoliaspar-serve/src/run/task.rs
@@ -104,6 +104,7 @@
     ) -> Option<RunResult> {
         self.is_apart = admission == Admission::Apart;
         let mut job = dispatcher.submit(self.describe_job());
+        self.run.set_job(job.handle());
         while let Some(step) = job.next().await {
             let failure = match step {
                 Step::Refuse { reason, retry_after } => {
@@ -411,10 +412,12 @@
     }
 
     fn record(&self, kind: EventKind) {
+        self.run.observe(None, &kind);
         self.driver.journal.record(&self.run.id.request, kind);
     }
 
     fn record_on(&self, engine: &EngineHandle, kind: EventKind) {
+        self.run.observe(Some(&engine.name), &kind);
         self.driver.journal.record_on(&self.run.id.request, &engine.name, kind);
     }
 
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -215,6 +215,7 @@
             expected_version: configuration.version(),
             delta: configuration.document().diff(document),
             operator: "deployment".into(),
+            command: "put declarations in force".into(),
             at: SystemTime::now(),
             token: WriteToken(format!("{:x}", rand::random::<u64>()).into()),
         };
