Tell apart the events that a policy sees

Cause: one long match mixed events of engines with messages to the policy, and the crate exported types that nobody outside used.

Change: two matches; fewer public types.

--- a/crates/magnoliaspar-bench/src/catalogue.rs
+++ b/crates/magnoliaspar-bench/src/catalogue.rs
@@ -6,11 +6,11 @@
 
 /// The documents that callers of a deployment ask about again and again.
 #[derive(Debug, Clone)]
-pub struct Catalogue {
+pub(crate) struct Catalogue {
     /// The documents, the most popular one first.
-    pub documents: Box<[Document]>,
+    pub(crate) documents: Box<[Document]>,
     /// A document of mean length that nobody has read before.
-    pub hot: Document,
+    pub(crate) hot: Document,
 }
 
 /// The bits of a block's hash that number the block within its document.
@@ -18,16 +18,16 @@
 
 /// A document that many prompts begin with.
 #[derive(Debug, Clone)]
-pub struct Document {
+pub(crate) struct Document {
     /// The chained hashes of the document's blocks.
-    pub blocks: Box<[BlockHash]>,
+    pub(crate) blocks: Box<[BlockHash]>,
     /// The share of requests that ask about the document.
-    pub share: f64,
+    pub(crate) share: f64,
 }
 
 impl Catalogue {
     /// Creates the documents of a workload.
-    pub fn new(workload: &WorkloadSize, seed: u64) -> Self {
+    pub(crate) fn new(workload: &WorkloadSize, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut total = 0.0;
         for rank in 1..=workload.documents {
@@ -46,7 +46,7 @@
     }
 
     /// Draws a document by popularity.
-    pub fn draw(&self, rng: &mut StdRng) -> &Document {
+    pub(crate) fn draw(&self, rng: &mut StdRng) -> &Document {
         let mut point: f64 = rng.random();
         for document in &self.documents {
             point -= document.share;
@@ -58,7 +58,7 @@
     }
 
     /// Returns the mean number of document tokens in a prompt.
-    pub fn mean_tokens(&self) -> f64 {
+    pub(crate) fn mean_tokens(&self) -> f64 {
         let mut tokens = 0.0;
         for document in &self.documents {
             tokens += document.share * document.tokens();
@@ -68,7 +68,7 @@
 
     /// Returns the mean number of document tokens that must be read if `cache_blocks` blocks of
     /// the most popular documents are always cached.
-    pub fn mean_uncached_tokens(&self, cache_blocks: u32) -> f64 {
+    pub(crate) fn mean_uncached_tokens(&self, cache_blocks: u32) -> f64 {
         let mut room = cache_blocks as usize;
         let mut tokens = 0.0;
         for document in &self.documents {
@@ -94,7 +94,7 @@
     }
 
     /// Returns the length of the document in tokens.
-    pub fn tokens(&self) -> f64 {
+    pub(crate) fn tokens(&self) -> f64 {
         self.blocks.len() as f64 * f64::from(BLOCK_TOKENS)
     }
 }
--- a/crates/magnoliaspar-bench/src/driver/caller.rs
+++ b/crates/magnoliaspar-bench/src/driver/caller.rs
@@ -19,7 +19,7 @@
         }
     }
 
-    pub(super) fn arrive(&mut self, now: Instant, number: usize) {
+    pub(super) fn arrive(&mut self, now: Instant, number: usize) -> bool {
         let workload = &self.deployment.workload;
         let request = &self.requests[number];
         let arrival = &request.arrival;
@@ -42,6 +42,7 @@
         );
         self.requests[number].job = Some(job);
         self.jobs.insert(job, number);
+        true
     }
 
     pub(super) fn cancel(&mut self, now: Instant, number: usize) -> bool {
--- a/crates/magnoliaspar-bench/src/driver/fault.rs
+++ b/crates/magnoliaspar-bench/src/driver/fault.rs
@@ -25,7 +25,7 @@
         self.events.push(window + back_at, Event::FaultEnd);
     }
 
-    pub(super) fn begin_fault(&mut self, _now: Instant) {
+    pub(super) fn begin_fault(&mut self) {
         for server in self.faulty() {
             let engine = DecodeEngine::new(&self.deployment.engine);
             let state = &mut self.servers[server];
@@ -40,7 +40,7 @@
         }
     }
 
-    pub(super) fn notice_fault(&mut self, now: Instant) {
+    pub(super) fn notice_fault(&mut self, now: Instant) -> bool {
         for server in self.faulty() {
             let Some(key) = self.servers[server].key.take() else { continue };
             self.policy.remove_server(now, key);
@@ -48,6 +48,7 @@
         for server in self.faulty() {
             self.fail_requests(now, server);
         }
+        true
     }
 
     /// Reports the requests on a lost server as failed.
@@ -73,7 +74,7 @@
         }
     }
 
-    pub(super) fn end_fault(&mut self, now: Instant) {
+    pub(super) fn end_fault(&mut self, now: Instant) -> bool {
         for server in self.faulty() {
             let state = &mut self.servers[server];
             state.is_dead = false;
@@ -82,6 +83,7 @@
             self.cancel_orphans(now, server);
             self.introduce(now, server);
         }
+        true
     }
 
     /// Cancels the requests that went on behind a cut while others took their place.
--- a/crates/magnoliaspar-bench/src/driver/mod.rs
+++ b/crates/magnoliaspar-bench/src/driver/mod.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{Clock, JobKey, ManualClock, ServerKey};
-use magnoliaspar_policy::{Policy, Role, ServerSpec};
+use magnoliaspar_core::{BlockHash, Clock, JobKey, ManualClock, ServerKey};
+use magnoliaspar_policy::{LoadReport, Policy, Role, ServerSpec};
 use rand::Rng;
 use rand::rngs::StdRng;
 
@@ -166,63 +166,71 @@
     fn handle(&mut self, now: Instant, event: Event) -> bool {
         match event {
             Event::Arrive(request) => self.arrive(now, request),
-            Event::Cancel(request) => return self.cancel(now, request),
-            Event::GiveUp(request) => return self.give_up(now, request),
-            Event::PrefillOrder { server, request, tag } => {
-                self.start_prefill(now, server, request, tag);
-                return false;
-            }
-            Event::PrefillEnd { server, epoch } => {
-                self.end_prefill(now, server, epoch);
-                return false;
-            }
+            Event::Cancel(request) => self.cancel(now, request),
+            Event::GiveUp(request) => self.give_up(now, request),
             Event::Prefilled { request, tag, cached_tokens, held_until } => {
-                return self.prefilled(now, request, tag, cached_tokens, held_until);
-            }
-            Event::HoldEnd { request, tag } => {
-                self.end_hold(now, request, tag);
-                return false;
-            }
-            Event::TransferOrder { request, tag } => {
-                self.start_transfer(now, request, tag);
-                return false;
-            }
-            Event::TransferEnd { server, request, tag } => {
-                self.end_transfer(now, server, request, tag);
-                return false;
-            }
-            Event::Transferred { request, tag } => return self.transferred(now, request, tag),
-            Event::StepEnd { server, epoch } => {
-                self.end_step(now, server, epoch);
-                return false;
+                self.prefilled(now, request, tag, cached_tokens, held_until)
             }
-            Event::Finished { request, tag } => return self.finished(now, request, tag),
+            Event::Transferred { request, tag } => self.transferred(now, request, tag),
+            Event::Finished { request, tag } => self.finished(now, request, tag),
             Event::Failed { request, tag, stage, held_until } => {
-                return self.failed(now, request, tag, stage, held_until);
-            }
-            Event::MakeReport { server } => {
-                self.make_report(now, server);
-                return false;
-            }
-            Event::Report { server, report } => {
-                let Some(key) = self.servers[server].key else { return false };
-                self.policy.report(now, key, report);
+                self.failed(now, request, tag, stage, held_until)
             }
+            Event::Report { server, report } => self.report(now, server, report),
             Event::Cache { server, stored, evicted, gap } => {
-                let Some(key) = self.servers[server].key else { return false };
-                self.policy.cache_events(now, key, &stored, &evicted, gap);
-            }
-            Event::FaultBegin => {
-                self.begin_fault(now);
-                return false;
+                self.cache_events(now, server, &stored, &evicted, gap)
             }
             Event::FaultNoticed => self.notice_fault(now),
             Event::FaultEnd => self.end_fault(now),
-            Event::Poll => {
-                if self.polled_at == Some(now) {
-                    self.polled_at = None;
-                }
+            Event::Poll => self.take_poll(now),
+            event => {
+                self.handle_on_engine(now, event);
+                false
+            }
+        }
+    }
+
+    /// Handles an event that the policy does not see.
+    fn handle_on_engine(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::PrefillOrder { server, request, tag } => {
+                self.start_prefill(now, server, request, tag);
             }
+            Event::PrefillEnd { server, epoch } => self.end_prefill(now, server, epoch),
+            Event::HoldEnd { request, tag } => self.end_hold(now, request, tag),
+            Event::TransferOrder { request, tag } => self.start_transfer(now, request, tag),
+            Event::TransferEnd { server, request, tag } => {
+                self.end_transfer(now, server, request, tag);
+            }
+            Event::StepEnd { server, epoch } => self.end_step(now, server, epoch),
+            Event::MakeReport { server } => self.make_report(now, server),
+            Event::FaultBegin => self.begin_fault(),
+            _ => unreachable!("the policy sees all other events"),
+        }
+    }
+
+    fn report(&mut self, now: Instant, server: usize, report: LoadReport) -> bool {
+        let Some(key) = self.servers[server].key else { return false };
+        self.policy.report(now, key, report);
+        true
+    }
+
+    fn cache_events(
+        &mut self,
+        now: Instant,
+        server: usize,
+        stored: &[BlockHash],
+        evicted: &[BlockHash],
+        gap: bool,
+    ) -> bool {
+        let Some(key) = self.servers[server].key else { return false };
+        self.policy.cache_events(now, key, stored, evicted, gap);
+        true
+    }
+
+    fn take_poll(&mut self, now: Instant) -> bool {
+        if self.polled_at == Some(now) {
+            self.polled_at = None;
         }
         true
     }
--- a/crates/magnoliaspar-bench/src/ledger.rs
+++ b/crates/magnoliaspar-bench/src/ledger.rs
@@ -7,7 +7,7 @@
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum End {
+pub(crate) enum End {
     /// The caller has the whole answer.
     Answered,
     /// The policy refused the request.
@@ -20,7 +20,7 @@
 
 /// Why the result of a prefill was thrown away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub enum WasteCause {
+pub(crate) enum WasteCause {
     /// no decode slot
     NoDecodeSlot,
     /// hold ran out
@@ -35,7 +35,7 @@
 
 /// A promise that a policy has broken.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub enum Violation {
+pub(crate) enum Violation {
     /// request {0} was refused after it had produced tokens
     RefusedAfterTokens(usize),
     /// request {0} was refused with the untrue reason "{1}"
@@ -60,7 +60,7 @@
 
 impl Violation {
     /// Whether the violation is an untruthful refusal.
-    pub fn is_untrue_refusal(&self) -> bool {
+    pub(crate) fn is_untrue_refusal(&self) -> bool {
         matches!(self, Self::RefusedAfterTokens(_) | Self::UntrueReason(_, _))
     }
 }
--- a/crates/magnoliaspar-bench/src/lib.rs
+++ b/crates/magnoliaspar-bench/src/lib.rs
@@ -25,16 +25,14 @@
 pub use self::arrival::{Arrival, arrivals};
 pub use self::baseline::{Baseline, Placement};
 pub use self::bound::{Bound, Evidence};
-pub use self::catalogue::{Catalogue, Document};
 pub use self::deployment::{
     Deployment, EngineSize, ITL_SHARE, ITL_TARGET, TTFT_TARGET, WorkloadSize,
 };
 pub use self::driver::run;
 pub use self::known_red::{KnownRed, Verdict};
-pub use self::ledger::{End, Violation, WasteCause};
-pub use self::limit::{Limit, capacity};
+pub use self::limit::Limit;
 pub use self::report::{Latency, Report, StageTimes, Waste};
-pub use self::scenario::{Fault, Scenario, Shape};
+pub use self::scenario::Scenario;
 pub use self::slope::{DECISION_BUDGET, SERVERS, WAITING, slopes};
 pub use self::suite::{Run, SCHEDULER, run_all, side_by_side};
 pub use self::table::table;
--- a/crates/magnoliaspar-bench/src/limit.rs
+++ b/crates/magnoliaspar-bench/src/limit.rs
@@ -11,7 +11,7 @@
 /// The load that a deployment is built for, relative to what its engines can do at best.
 ///
 /// At the peak a decode engine's memory is nearly full, but not quite: arrivals are random.
-pub const CAPACITY_SHARE: f64 = 0.9;
+const CAPACITY_SHARE: f64 = 0.9;
 
 /// The most requests of a scenario that any policy can answer within both latency targets.
 ///
@@ -33,7 +33,7 @@
 
 impl Limit {
     /// Computes the limit of a scenario.
-    pub fn new(
+    pub(crate) fn new(
         deployment: &Deployment,
         scenario: Scenario,
         catalogue: &Catalogue,
@@ -52,7 +52,7 @@
     }
 
     /// Returns the smallest of the limits that come from the engines.
-    pub fn service(&self) -> f64 {
+    pub(crate) fn service(&self) -> f64 {
         self.prefill.min(self.decode).min(self.link)
     }
 
@@ -129,7 +129,7 @@
 }
 
 /// Returns the requests a second that a deployment is built for.
-pub fn capacity(deployment: &Deployment, catalogue: &Catalogue) -> f64 {
+pub(crate) fn capacity(deployment: &Deployment, catalogue: &Catalogue) -> f64 {
     let prefill_engines = f64::from(deployment.prefill_engines);
     let request = MeanRequest::new(deployment, catalogue, 0.0, prefill_engines);
     let rates = Rates::new(deployment, &request);
--- a/crates/magnoliaspar-bench/src/scenario.rs
+++ b/crates/magnoliaspar-bench/src/scenario.rs
@@ -3,13 +3,13 @@
 use displaydoc::Display;
 
 /// How long the load rises before requests are counted.
-pub const WARM_UP: Duration = Duration::from_secs(30);
+pub(crate) const WARM_UP: Duration = Duration::from_secs(30);
 
 /// For how long requests are counted.
-pub const WINDOW: Duration = Duration::from_secs(60);
+pub(crate) const WINDOW: Duration = Duration::from_secs(60);
 
 /// The load at the start of the warm-up, relative to capacity.
-pub const WARM_UP_LOAD: f64 = 0.3;
+pub(crate) const WARM_UP_LOAD: f64 = 0.3;
 
 /// A load and the faults in it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
@@ -34,22 +34,22 @@
 
 /// What a scenario consists of.
 #[derive(Debug, Clone)]
-pub struct Shape {
+pub(crate) struct Shape {
     /// The load in the window, relative to capacity.
-    pub load: f64,
+    pub(crate) load: f64,
     /// The share of requests for one document that nobody has read before the window.
-    pub hot_share: f64,
+    pub(crate) hot_share: f64,
     /// The share of requests whose callers cancel.
-    pub cancel_share: f64,
+    pub(crate) cancel_share: f64,
     /// The share of requests that come from one workspace.
-    pub greedy_share: f64,
+    pub(crate) greedy_share: f64,
     /// The fault, if one is injected.
-    pub fault: Option<Fault>,
+    pub(crate) fault: Option<Fault>,
 }
 
 /// A fault, with times from the start of the window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
+pub(crate) enum Fault {
     /// The first decode engine dies and comes back empty.
     DecodeLost {
         /// When it dies.
@@ -80,7 +80,7 @@
     ];
 
     /// Returns what the scenario consists of.
-    pub fn shape(self) -> Shape {
+    pub(crate) fn shape(self) -> Shape {
         let usual =
             Shape { load: 1.0, hot_share: 0.0, cancel_share: 0.0, greedy_share: 0.0, fault: None };
         let at = Duration::from_secs(20);
