Call an engine's request unrun only when it certainly was not run

Cause: a connection that breaks while an engine reads is reported by the HTTP client as a connect error, which counted as "never reached"; a second call that was refused hid the first that may have run; and an engine that no longer knows a stream counted as one that never worked on it. A request whose only prefill engine died in its prefill was refused as "not_run" although it was being read. Change: a connection that ends after it was open is lost, not unreachable; the outcome of the first call stands when the second is refused; an unknown stream is no proof. The stand-in counts prefills, can lose a hold early, and sends foreign tokens in a crossed answer. A stalled transfer is noticed only after about 10 s, so such a request is whole but misses its target.

--- a/crates/magnoliaspar-engine/src/error.rs
+++ b/crates/magnoliaspar-engine/src/error.rs
@@ -35,7 +35,9 @@
     pub fn is_not_run(&self) -> bool {
         match self {
             Self::Unreachable(_) | Self::Refused(_) | Self::Full | Self::Fenced { .. } => true,
-            Self::UnknownStream | Self::KvGone => true,
+            Self::KvGone => true,
+            // The engine may have worked on the stream before it gave it up.
+            Self::UnknownStream => false,
             Self::Lost(_) | Self::Stalled(_) | Self::Crossed(_) => false,
         }
     }
--- a/crates/magnoliaspar-engine/src/http.rs
+++ b/crates/magnoliaspar-engine/src/http.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::{JsonPayloadError, SendRequestError};
+use awc::error::{ConnectError, JsonPayloadError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -210,6 +210,10 @@
 
 fn map_send_error(error: SendRequestError) -> EngineError {
     match error {
+        // The connection was open and broke later, when the engine may have the call already.
+        SendRequestError::Connect(error @ ConnectError::Disconnected) => {
+            EngineError::Lost(error.to_string().into())
+        }
         SendRequestError::Connect(error) => EngineError::Unreachable(error.to_string().into()),
         SendRequestError::Url(error) => EngineError::Refused(error.to_string().into()),
         other => EngineError::Lost(other.to_string().into()),
--- a/crates/magnoliaspar-serve/src/run/driver.rs
+++ b/crates/magnoliaspar-serve/src/run/driver.rs
@@ -233,10 +233,15 @@
         engine: &EngineHandle,
         call: &PrefillCall,
     ) -> Result<Prefilled, EngineError> {
-        match engine.engine.prefill(call).await {
-            Err(EngineError::Stalled(_) | EngineError::Lost(_) | EngineError::Crossed(_)) => {
-                self.driver.connector.connect_afresh(engine.address).prefill(call).await
-            }
+        let lost = match engine.engine.prefill(call).await {
+            Err(
+                error @ (EngineError::Stalled(_) | EngineError::Lost(_) | EngineError::Crossed(_)),
+            ) => error,
+            result => return result,
+        };
+        match self.driver.connector.connect_afresh(engine.address).prefill(call).await {
+            // The first call may have run, whatever became of the second.
+            Err(error) if error.is_not_run() => Err(lost),
             result => result,
         }
     }
--- a/crates/magnoliaspar-standin/src/engine/decode.rs
+++ b/crates/magnoliaspar-standin/src/engine/decode.rs
@@ -26,6 +26,9 @@
 /// How long an import may take.
 const IMPORT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Every token of an answer that belongs to another stream.
+const CROSSED_TOKEN: &str = "crossed ";
+
 /// Asks an engine to attach to a stream.
 #[derive(Deserialize)]
 struct AttachCall {
@@ -164,6 +167,7 @@
             stream,
             next: from,
             number: state.answers_opened,
+            is_crossed,
             has_announced: false,
             is_done: false,
         };
@@ -179,6 +183,7 @@
     stream: Rc<EngineStream>,
     next: u32,
     number: u64,
+    is_crossed: bool,
     has_announced: bool,
     is_done: bool,
 }
@@ -215,6 +220,7 @@
         let inner = self.stream.inner.borrow();
         if let Some(text) = inner.token(next) {
             self.next += 1;
+            let text = if self.is_crossed { CROSSED_TOKEN } else { text };
             return Some(StreamFrame::Token { index: next, text: text.into() });
         }
         let reason = inner.end?;
--- a/crates/magnoliaspar-standin/src/engine/fault.rs
+++ b/crates/magnoliaspar-standin/src/engine/fault.rs
@@ -12,6 +12,8 @@
     pub restart_ms: u64,
     /// How many exports of KV cache stall for good.
     pub stall_exports: u32,
+    /// How many prefills lose their KV cache at once, although their hold should last longer.
+    pub lost_holds: u32,
     /// Open answers go silent once this many more tokens were produced; new ones work.
     pub silent_after_tokens: Option<u32>,
     /// How many decode calls are answered with another stream's frames.
--- a/crates/magnoliaspar-standin/src/engine/model_engine.rs
+++ b/crates/magnoliaspar-standin/src/engine/model_engine.rs
@@ -6,7 +6,9 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use magnoliaspar_core::Incarnation;
-use magnoliaspar_engine::{EngineStatus, LoadSnapshot, Order, OrderKind, Refused, StreamId};
+use magnoliaspar_engine::{
+    EngineStatus, HeldStream, LoadSnapshot, Order, OrderKind, Refused, StreamId,
+};
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
 use serde_json::json;
 
@@ -28,6 +30,7 @@
     pub(super) state: RefCell<EngineState>,
     pub(super) prefill_turn: PriorityTurn,
     pub(super) link: Link,
+    pub(super) prefills: Cell<u32>,
     address: Cell<SocketAddr>,
     stop: RefCell<StopHandle>,
 }
@@ -42,6 +45,7 @@
             state: RefCell::new(state),
             prefill_turn: PriorityTurn::default(),
             link,
+            prefills: Cell::new(0),
             address: Cell::new(address),
             stop: RefCell::default(),
         });
@@ -63,11 +67,26 @@
         self.shared.state.borrow().used_pieces()
     }
 
+    /// Lists the streams that hold memory.
+    pub fn streams(&self) -> Vec<HeldStream> {
+        self.shared.state.borrow().held_streams()
+    }
+
+    /// Returns how many prompts the engine has begun to read in all its lives.
+    pub fn prefills(&self) -> u32 {
+        self.shared.prefills.get()
+    }
+
     /// Returns the life of the engine.
     pub fn incarnation(&self) -> Incarnation {
         self.shared.state.borrow().incarnation
     }
 
+    /// Returns the faults that are still on.
+    pub fn faults(&self) -> Faults {
+        self.shared.state.borrow().faults.clone()
+    }
+
     /// Switches faults on and off.
     pub fn set_faults(&self, faults: Faults) {
         self.shared.state.borrow_mut().faults = faults;
--- a/crates/magnoliaspar-standin/src/engine/prefill.rs
+++ b/crates/magnoliaspar-standin/src/engine/prefill.rs
@@ -106,6 +106,7 @@
         if stream.inner.borrow().is_released {
             return;
         }
+        self.shared.prefills.set(self.shared.prefills.get() + 1);
         let (cached_tokens, time) = self.plan_read(&call, &stream);
         tokio::time::sleep(time).await;
         drop(turn);
@@ -136,7 +137,9 @@
     ) -> Duration {
         let mut state = self.shared.state.borrow_mut();
         state.cache.store(Instant::now(), &call.blocks);
-        let hold = state.spec.hold;
+        let promised = state.spec.hold;
+        let is_lost = state.faults.lost_holds > 0;
+        state.faults.lost_holds = state.faults.lost_holds.saturating_sub(1);
         drop(state);
         stream.update(|inner| {
             inner.stage = Stage::Hold;
@@ -144,10 +147,10 @@
                 stream: call.stream.clone(),
                 prompt_tokens: stream.prompt_tokens,
                 cached_tokens,
-                hold_ms: hold.as_millis() as u32,
+                hold_ms: promised.as_millis() as u32,
             });
         });
-        hold
+        if is_lost { Duration::ZERO } else { promised }
     }
 
     fn crash_if_marked(&self, call: &PrefillCall) -> Result<(), Response<BoxBody>> {
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -19,6 +19,7 @@
 /// Asks for completions, and asks again through other instances when an answer breaks off.
 pub struct Caller {
     client: Client,
+    silence_timeout: Duration,
 }
 
 /// The tokens of one answer over all its attempts.
@@ -51,8 +52,13 @@
 impl Caller {
     /// Creates a caller.
     pub fn new() -> Self {
+        Self::with_silence_timeout(SILENCE_TIMEOUT)
+    }
+
+    /// Creates a caller that waits for `silence_timeout` for the next bytes of an answer.
+    pub fn with_silence_timeout(silence_timeout: Duration) -> Self {
         let client = Client::builder().disable_timeout().finish();
-        Self { client }
+        Self { client, silence_timeout }
     }
 
     /// Asks until the answer is complete or refused for good, through each entry in turn.
@@ -97,7 +103,7 @@
             req = req.insert_header(("last-event-id", (answer.tokens.len() - 1).to_string()));
         }
         answer.end = AnswerEnd::Broken;
-        let sent = actix_rt::time::timeout(SILENCE_TIMEOUT, req.send_json(&body)).await;
+        let sent = actix_rt::time::timeout(self.silence_timeout, req.send_json(&body)).await;
         let Ok(Ok(mut res)) = sent else { return };
         if !res.status().is_success() {
             let Ok(refusal) = res.json::<Value>().await else { return };
@@ -106,7 +112,7 @@
         }
         let mut buf = BytesMut::new();
         loop {
-            let next = actix_rt::time::timeout(SILENCE_TIMEOUT, res.next()).await;
+            let next = actix_rt::time::timeout(self.silence_timeout, res.next()).await;
             let Ok(Some(Ok(chunk))) = next else { return };
             buf.extend_from_slice(&chunk);
             while let Some(event) = take_event(&mut buf) {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,9 +1,13 @@
-//! Shared parts of the tests of whole behaviour: instances as real processes, and callers.
+//! Shared parts of the tests of whole behaviour: instances, callers, and waiting.
 
 mod caller;
 mod cluster;
+mod local;
 mod process;
+mod reply;
 
 pub use self::caller::{AnswerEnd, Caller, StreamedAnswer};
 pub use self::cluster::{Cluster, wait_until};
+pub use self::local::LocalCluster;
 pub use self::process::InstanceProcess;
+pub use self::reply::{Call, Reply};
--- /dev/null
+++ b/tests/src/local.rs
@@ -0,0 +1,106 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use magnoliaspar_engine::Stage;
+use magnoliaspar_serve::InstanceHandle;
+use magnoliaspar_standin::{Deployment, DeploymentSpec, ModelEngine};
+
+use crate::wait_until;
+
+/// How long instances may take to become ready, and engines to reach a stage.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How often a stage is looked for; it must be found before it has passed.
+const STAGE_CHECK_PERIOD: Duration = Duration::from_millis(1);
+
+/// Stand-ins and instances, all on the current thread.
+pub struct LocalCluster {
+    /// The stand-ins.
+    pub deployment: Deployment,
+    /// The instances, in the order in which they were started.
+    pub instances: Vec<InstanceHandle>,
+}
+
+impl LocalCluster {
+    /// Starts stand-ins, and the instances by the index of their zone and their name.
+    pub async fn start(spec: &DeploymentSpec, instances: &[(usize, &str)]) -> Self {
+        let deployment = Deployment::start(spec).await.expect("the stand-ins start");
+        let mut cluster = Self { deployment, instances: Vec::new() };
+        for (zone, name) in instances {
+            cluster.start_instance(*zone, name).await;
+        }
+        cluster.wait_until_ready().await;
+        cluster
+    }
+
+    /// Starts an instance and puts it on the platform's list.
+    pub async fn start_instance(&mut self, zone: usize, name: &str) -> usize {
+        let settings = self.deployment.settings(zone, name).expect("the name is valid");
+        let handle = magnoliaspar_serve::start(settings.clone()).await.expect("it starts");
+        self.deployment.enlist_instance(&settings, handle.addresses());
+        self.instances.push(handle);
+        self.instances.len() - 1
+    }
+
+    /// Returns the address for callers of one instance.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.instances[index].addresses().callers
+    }
+
+    /// Returns the addresses for callers of all instances.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|instance| instance.addresses().callers).collect()
+    }
+
+    /// Whether an instance says that it takes requests.
+    pub async fn is_ready(&self, index: usize) -> bool {
+        let operators = self.instances[index].addresses().operators;
+        let url = format!("http://{operators}/readyz");
+        awc::Client::default().get(url).send().await.is_ok_and(|res| res.status().is_success())
+    }
+
+    /// Waits until all instances take requests.
+    pub async fn wait_until_ready(&self) {
+        for index in 0..self.instances.len() {
+            wait_until(READY_TIMEOUT, async || self.is_ready(index).await).await;
+        }
+    }
+
+    /// Waits until no engine memory is held.
+    pub async fn wait_until_free(&self, timeout: Duration) {
+        wait_until(timeout, async || self.deployment.used_pieces() == 0).await;
+    }
+
+    /// Returns all prefill engines, then all decode engines.
+    pub fn engines(&self) -> Vec<ModelEngine> {
+        let mut engines = Vec::new();
+        for zone in &self.deployment.zones {
+            engines.extend(zone.prefills.iter().cloned());
+        }
+        for zone in &self.deployment.zones {
+            engines.extend(zone.decodes.iter().cloned());
+        }
+        engines
+    }
+
+    /// Returns how many prompts all engines have begun to read.
+    pub fn prefills(&self) -> u32 {
+        self.engines().iter().map(ModelEngine::prefills).sum()
+    }
+
+    /// Waits until a stream is in `stage` on some engine, and returns the engine.
+    pub async fn wait_for_stage(&self, stage: Stage) -> ModelEngine {
+        let search = async {
+            loop {
+                for engine in self.engines() {
+                    if engine.streams().iter().any(|stream| stream.stage == stage) {
+                        return engine;
+                    }
+                }
+                actix_rt::time::sleep(STAGE_CHECK_PERIOD).await;
+            }
+        };
+        let found = actix_rt::time::timeout(READY_TIMEOUT, search).await;
+        found.unwrap_or_else(|_| panic!("no stream was in {stage:?}"))
+    }
+}
