Never call a claimed call unrun when its server died with it

Cause: the HTTP client reports a connection that breaks before the answer as a connect error, and every connect error counted as "not reached". A payout whose server died while it ran it was refused as "not run" and its claim abandoned, so that a resend ran it a second time. Change: a connection that ends after it was open counts as lost: the call may have run and its claim stays. Shown failing first: a_claimed_call_is_not_sent_to_another_server_when_one_dies printed outcome "not_run", "the server cannot be reached, so the call was not run: Internal error: connector has been disconnected". Ruled out: the table's adapter, which tells the two apart already.

--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -5,7 +5,7 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Payload};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use displaydoc::Display;
 use futures_util::TryStreamExt;
@@ -85,6 +85,10 @@
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(res)) => Ok(res),
+            // The connection was open and broke later, when the server may have the call already.
+            Ok(Err(SendRequestError::Connect(error @ ConnectError::Disconnected))) => {
+                Err(ServiceError::Lost(error.to_string().into()))
+            }
             Ok(Err(SendRequestError::Connect(error))) => {
                 Err(ServiceError::NotReached(error.to_string().into()))
             }
--- /dev/null
+++ b/tests/tests/service_failures.rs
@@ -0,0 +1,222 @@
+//! Calls of plain services while servers, the platform and instances fail.
+
+use std::time::Duration;
+
+use futures_util::future::{join, join_all};
+use magnoliaspar_standin::{DeploymentSpec, PlainService};
+use magnoliaspar_tests::{Call, Cluster, LocalCluster, Reply, wait_until};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
+
+/// How many calls are made where the choice of the server matters.
+const CALLS: usize = 6;
+
+/// How many times one key is raced for.
+const ROUNDS: usize = 10;
+
+/// How long instances and services may take to settle.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long a slow call runs.
+const SLOW_CALL: Duration = Duration::from_millis(500);
+
+async fn start(instances: &[(usize, &str)]) -> LocalCluster {
+    let mut spec = DeploymentSpec::small(&["zone-a"]);
+    spec.services = 2;
+    let cluster = LocalCluster::start(&spec, instances).await;
+    wait_for_service(&cluster).await;
+    cluster
+}
+
+/// Waits until every instance knows the servers.
+async fn wait_for_service(cluster: &LocalCluster) {
+    for entry in cluster.entries() {
+        let call = Call::get("/grants/status/warm-up");
+        wait_until(SETTLE_TIMEOUT, async || call.send(entry).await.is_answer()).await;
+    }
+}
+
+fn services(cluster: &LocalCluster) -> &[PlainService] {
+    &cluster.deployment.zones[0].services
+}
+
+/// Returns how many calls with this key the servers have run.
+fn runs_of(services: &[PlainService], key: &str) -> usize {
+    let mut runs = 0;
+    for service in services {
+        runs += service.calls().iter().filter(|call| call.key.as_deref() == Some(key)).count();
+    }
+    runs
+}
+
+fn payout(key: &str) -> Call {
+    Call::post("/grants/payouts/7", "{\"pence\": 12500}").with_key(key)
+}
+
+#[actix_rt::test]
+async fn lookups_are_answered_when_a_server_dies() {
+    let cluster = start(&[(0, "a-1")]).await;
+    services(&cluster)[0].die();
+    for number in 0..CALLS {
+        let reply = Call::get(&format!("/grants/status/{number}")).send(cluster.entry(0)).await;
+        assert!(reply.is_answer(), "{reply:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn lookups_are_answered_when_a_server_goes_silent() {
+    let cluster = start(&[(0, "a-1")]).await;
+    services(&cluster)[0].drop_answers(u32::MAX);
+    let mut asked = Vec::new();
+    for number in 0..CALLS {
+        let entry = cluster.entry(0);
+        asked.push(async move { Call::get(&format!("/grants/status/{number}")).send(entry).await });
+    }
+    for reply in join_all(asked).await {
+        assert!(reply.is_answer(), "{reply:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn idempotent_calls_are_sent_again_when_a_server_dies_or_goes_silent() {
+    let cluster = start(&[(0, "a-1")]).await;
+    services(&cluster)[0].drop_answers(1);
+    let first = Call::post("/grants/notes/1", "a").send(cluster.entry(0)).await;
+    let second = Call::post("/grants/notes/2", "b").send(cluster.entry(0)).await;
+    services(&cluster)[0].die();
+    let third = Call::post("/grants/notes/3", "c").send(cluster.entry(0)).await;
+    for reply in [first, second, third] {
+        assert!(reply.is_answer(), "{reply:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_call_without_an_idempotency_key_is_refused_unrun() {
+    let cluster = start(&[(0, "a-1")]).await;
+    let reply = Call::post("/grants/payouts/7", "{}").send(cluster.entry(0)).await;
+    assert_eq!(reply.status, 400);
+    assert!(reply.is_refusal("missing_idempotency_key", "not_run"), "{reply:?}");
+    let calls: usize = services(&cluster).iter().map(|service| service.calls().len()).sum();
+    assert_eq!(calls, 1, "only the call of the start was run");
+}
+
+#[actix_rt::test]
+async fn a_claimed_call_whose_answer_is_lost_is_never_run_again() {
+    let cluster = start(&[(0, "a-1"), (0, "a-2")]).await;
+    for service in services(&cluster) {
+        service.drop_answers(1);
+    }
+    let first = payout("lost-answer").send(cluster.entry(0)).await;
+    assert_eq!(&*first.outcome, "may_have_run", "{first:?}");
+    for entry in cluster.entries() {
+        let again = payout("lost-answer").send(entry).await;
+        assert_eq!(&*again.outcome, "may_have_run", "{again:?}");
+    }
+    assert_eq!(runs_of(services(&cluster), "lost-answer"), 1);
+}
+
+#[actix_rt::test]
+async fn a_claimed_call_is_not_sent_to_another_server_when_one_dies() {
+    let cluster = start(&[(0, "a-1")]).await;
+    for service in services(&cluster) {
+        service.set_delay(SLOW_CALL);
+    }
+    let killer = async {
+        wait_until(SETTLE_TIMEOUT, async || runs_of(services(&cluster), "dies") > 0).await;
+        for service in services(&cluster) {
+            if runs_of(std::slice::from_ref(service), "dies") > 0 {
+                service.die();
+            }
+        }
+    };
+    let call = payout("dies");
+    let (reply, ()) = join(call.send(cluster.entry(0)), killer).await;
+    assert_eq!(&*reply.outcome, "may_have_run", "{reply:?}");
+    let again = call.send(cluster.entry(0)).await;
+    assert_eq!(&*again.outcome, "may_have_run", "{again:?}");
+    assert_eq!(runs_of(services(&cluster), "dies"), 1);
+}
+
+#[actix_rt::test]
+async fn a_resend_through_another_instance_gets_the_kept_answer() {
+    let cluster = start(&[(0, "a-1"), (0, "a-2"), (0, "a-3")]).await;
+    let first = payout("kept").send(cluster.entry(0)).await;
+    assert!(first.is_answer() && !first.is_replayed, "{first:?}");
+    for entry in cluster.entries() {
+        let again = payout("kept").send(entry).await;
+        assert!(again.is_answer() && again.is_replayed, "{again:?}");
+        assert_eq!(again.body, first.body);
+    }
+    assert_eq!(runs_of(services(&cluster), "kept"), 1);
+}
+
+#[actix_rt::test]
+async fn one_key_raced_through_three_instances_runs_once() {
+    let cluster = start(&[(0, "a-1"), (0, "a-2"), (0, "a-3")]).await;
+    for round in 0..ROUNDS {
+        let key = format!("race-{round}");
+        let call = payout(&key);
+        let mut raced = Vec::new();
+        for entry in cluster.entries() {
+            raced.push(call.send(entry));
+        }
+        let replies = join_all(raced).await;
+        assert_eq!(runs_of(services(&cluster), &key), 1, "{replies:?}");
+        assert!(replies.iter().any(Reply::is_answer), "{replies:?}");
+        for reply in &replies {
+            assert!(reply.is_answer() || &*reply.outcome == "may_have_run", "{reply:?}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_key_that_is_used_for_another_call_is_refused() {
+    let cluster = start(&[(0, "a-1")]).await;
+    assert!(payout("reused").send(cluster.entry(0)).await.is_answer());
+    let other = Call::post("/grants/payouts/7", "{\"pence\": 99}").with_key("reused");
+    let reply = other.send(cluster.entry(0)).await;
+    assert_eq!(reply.status, 400, "{reply:?}");
+    assert!(reply.is_refusal("bad_request", "not_run"), "{reply:?}");
+    assert_eq!(runs_of(services(&cluster), "reused"), 1);
+}
+
+#[actix_rt::test]
+async fn a_call_killed_with_its_instance_is_never_run_again() {
+    let mut spec = DeploymentSpec::small(&["zone-a"]);
+    spec.services = 2;
+    let mut cluster = Cluster::start(PROGRAM, &spec).await;
+    cluster.start_instances(0, &["a-1", "a-2"]).await;
+    let entries = cluster.entries();
+    for entry in &entries {
+        let call = Call::get("/grants/status/warm-up");
+        wait_until(SETTLE_TIMEOUT, async || call.send(*entry).await.is_answer()).await;
+    }
+    let services = cluster.deployment.zones[0].services.clone();
+    for service in &services {
+        service.set_delay(SLOW_CALL);
+    }
+    let killer = async {
+        wait_until(SETTLE_TIMEOUT, async || runs_of(&services, "killed") > 0).await;
+        cluster.instances[0].kill();
+    };
+    let call = payout("killed");
+    let (broken, ()) = join(call.send(entries[0]), killer).await;
+    assert_eq!(broken.status, 0, "{broken:?}");
+    let again = call.send(entries[1]).await;
+    assert_eq!(&*again.outcome, "may_have_run", "{again:?}");
+    assert_eq!(runs_of(&services, "killed"), 1);
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_still_has_its_outcome_kept() {
+    let cluster = start(&[(0, "a-1"), (0, "a-2")]).await;
+    for service in services(&cluster) {
+        service.set_delay(SLOW_CALL);
+    }
+    let call = payout("gone");
+    let gone = actix_rt::time::timeout(SLOW_CALL / 2, call.send(cluster.entry(0))).await;
+    assert!(gone.is_err(), "{gone:?}");
+    let entry = cluster.entry(1);
+    wait_until(SETTLE_TIMEOUT, async || call.send(entry).await.is_replayed).await;
+    assert_eq!(runs_of(services(&cluster), "gone"), 1);
+}
