Notice a caller that leaves before its first token

Cause: a request with an identifier of its own got no byte before its first token, and the end of a connection that may be half-closed is noticed only when something is written to it. The KV cache of a caller that had left in its prefill was transferred and a decode slot taken. Change: after 250 ms the head is sent without waiting longer for a refusal, and an answer without news gets a comment every 250 ms. Ruled out: treating the end of what the caller sends as its leaving, since half- closed connections get their answers. An answer that is not streamed has no bytes to spare, so its caller's leaving is noticed only at its end. Shown failing first: nothing_is_decoded_for_a_caller_that_left_in_its_prefill printed "a decode engine was used for a caller with id Some("own-id")".

--- a/crates/magnoliaspar-serve/src/caller/relay.rs
+++ b/crates/magnoliaspar-serve/src/caller/relay.rs
@@ -1,4 +1,5 @@
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
@@ -23,6 +24,15 @@
 /// How many chunks wait for a slow caller.
 const CHUNKS_AHEAD: usize = 16;
 
+/// How long the head of a streamed answer waits for a refusal that would change its status.
+const HEAD_WAIT: Duration = Duration::from_millis(250);
+
+/// How often an answer without news is written to, so that a caller that left is noticed.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_millis(250);
+
+/// A comment among server-sent events, which callers skip.
+const KEEP_ALIVE: &[u8] = b": waiting\n\n";
+
 /// Runs a completion and relays its answer.
 pub async fn answer(
     cx: &mut CallContext,
@@ -43,7 +53,7 @@
     }
     // A caller without an identifier of its own gets one in the head, at once, so that it can come
     // back with it; a refusal then follows in the stream.
-    let first = if cx.has_own_id { Some(first_update(&mut reader).await?) } else { None };
+    let first = if cx.has_own_id { early_update(&mut reader).await? } else { None };
     Ok(answer_streamed(cx, reader, writer, first))
 }
 
@@ -75,11 +85,15 @@
     Ok(last.saturating_add(1))
 }
 
-async fn first_update(reader: &mut Reader) -> Result<RunUpdate, Refusal> {
-    match reader.next().await {
+/// Waits a while for the first update, so that an early refusal has a status of its own.
+async fn early_update(reader: &mut Reader) -> Result<Option<RunUpdate>, Refusal> {
+    let Ok(update) = tokio::time::timeout(HEAD_WAIT, reader.next()).await else {
+        return Ok(None);
+    };
+    match update {
         RunUpdate::Ended(RunResult::Refused(refusal)) => Err(refusal),
         RunUpdate::Superseded => Err(superseded()),
-        update => Ok(update),
+        update => Ok(Some(update)),
     }
 }
 
@@ -153,14 +167,25 @@
 impl StreamRelay {
     async fn run(mut self, first: Option<RunUpdate>, sent_rx: oneshot::Receiver<()>) {
         let mut pending = first;
+        let mut keep_alive = tokio::time::interval(KEEP_ALIVE_PERIOD);
+        let mut is_idle = false;
         loop {
             let update = match pending.take() {
                 Some(update) => update,
                 None => tokio::select! {
                     update = self.reader.next() => update,
                     () = self.tx.closed() => return self.reader.cancel(),
+                    _ = keep_alive.tick() => {
+                        if is_idle {
+                            // A caller that is slow to read has enough to read already.
+                            let _ = self.tx.try_send(Bytes::from_static(KEEP_ALIVE));
+                        }
+                        is_idle = true;
+                        continue;
+                    }
                 },
             };
+            is_idle = false;
             let is_end = matches!(update, RunUpdate::Ended(_) | RunUpdate::Superseded);
             let is_complete = matches!(update, RunUpdate::Ended(RunResult::Completed(_)));
             let Some(chunk) = self.encode(&update) else { continue };
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -31,6 +31,21 @@
     pub end: AnswerEnd,
     /// How many attempts there were.
     pub attempts: usize,
+    /// How often the answer started again from its first token.
+    pub restarts: usize,
+}
+
+impl StreamedAnswer {
+    /// Returns an answer that was not asked for yet.
+    pub fn new() -> Self {
+        Self { tokens: Vec::new(), end: AnswerEnd::Broken, attempts: 0, restarts: 0 }
+    }
+}
+
+impl Default for StreamedAnswer {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 /// How an attempt ended.
@@ -69,7 +84,7 @@
         prompt: &str,
         max_tokens: u32,
     ) -> StreamedAnswer {
-        let mut answer = StreamedAnswer { tokens: Vec::new(), end: AnswerEnd::Broken, attempts: 0 };
+        let mut answer = StreamedAnswer::new();
         while answer.attempts < MAX_ATTEMPTS {
             let entry = entries[answer.attempts % entries.len()];
             answer.attempts += 1;
@@ -116,7 +131,7 @@
             let Ok(Some(Ok(chunk))) = next else { return };
             buf.extend_from_slice(&chunk);
             while let Some(event) = take_event(&mut buf) {
-                if let Some(end) = read_event(&event, &mut answer.tokens) {
+                if let Some(end) = read_event(&event, answer) {
                     answer.end = end;
                     return;
                 }
@@ -149,7 +164,7 @@
 }
 
 /// Takes in one event; returns how the answer ended if it did.
-fn read_event(event: &str, tokens: &mut Vec<Box<str>>) -> Option<AnswerEnd> {
+fn read_event(event: &str, answer: &mut StreamedAnswer) -> Option<AnswerEnd> {
     let mut id = None;
     let mut data = "";
     for line in event.lines() {
@@ -168,13 +183,14 @@
         return Some(refused(&value));
     }
     let index = id?;
-    if index == 0 {
+    if index == 0 && !answer.tokens.is_empty() {
         // The answer starts again, in place of what was there.
-        tokens.clear();
+        answer.tokens.clear();
+        answer.restarts += 1;
     }
-    assert_eq!(index, tokens.len(), "a token is repeated or missing");
+    assert_eq!(index, answer.tokens.len(), "a token is repeated or missing");
     let text = value["choices"][0]["text"].as_str().unwrap_or_default();
-    tokens.push(text.into());
+    answer.tokens.push(text.into());
     None
 }
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,10 +4,12 @@
 mod cluster;
 mod local;
 mod process;
+mod raw;
 mod reply;
 
 pub use self::caller::{AnswerEnd, Caller, StreamedAnswer};
 pub use self::cluster::{Cluster, wait_until};
 pub use self::local::LocalCluster;
 pub use self::process::InstanceProcess;
+pub use self::raw::RawConnection;
 pub use self::reply::{Call, Reply};
--- /dev/null
+++ b/tests/src/raw.rs
@@ -0,0 +1,57 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use magnoliaspar_standin::{CALLER_KEY, MODEL};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// How long a read may take before the test fails.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller's connection, of which each byte is in the test's hand.
+pub struct RawConnection(TcpStream);
+
+impl RawConnection {
+    /// Connects and asks for a streamed completion.
+    pub async fn ask(entry: SocketAddr, id: Option<&str>, prompt: &str, max_tokens: u32) -> Self {
+        let body = json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        })
+        .to_string();
+        let id = id.map(|id| format!("x-request-id: {id}\r\n")).unwrap_or_default();
+        let mut connection = TcpStream::connect(entry).await.expect("the instance listens");
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+             authorization: Bearer {CALLER_KEY}\r\n{id}content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        connection.write_all(head.as_bytes()).await.expect("the request is taken");
+        Self(connection)
+    }
+
+    /// Says that nothing more is sent, and goes on reading.
+    pub async fn close_half(&mut self) {
+        self.0.shutdown().await.expect("the connection is open");
+    }
+
+    /// Reads at most `bytes` bytes of what arrives next; nothing at the end.
+    pub async fn read_some(&mut self, bytes: usize) -> Box<str> {
+        let mut buf = vec![0; bytes];
+        let read = actix_rt::time::timeout(READ_TIMEOUT, self.0.read(&mut buf)).await;
+        let read = read.expect("something arrives in time").unwrap_or(0);
+        String::from_utf8_lossy(&buf[..read]).into()
+    }
+
+    /// Reads until the connection ends.
+    pub async fn read_all(&mut self) -> Box<str> {
+        let mut text = String::new();
+        loop {
+            let read = self.read_some(64 << 10).await;
+            if read.is_empty() {
+                return text.into();
+            }
+            text.push_str(&read);
+        }
+    }
+}
--- /dev/null
+++ b/tests/tests/caller_failures.rs
@@ -0,0 +1,262 @@
+//! Callers that go away, come back, read slowly, or ask twice.
+
+use std::time::Duration;
+
+use futures_util::future::{join, join_all};
+use magnoliaspar_engine::Stage;
+use magnoliaspar_standin::{DeploymentSpec, answer_tokens};
+use magnoliaspar_tests::{
+    AnswerEnd, Caller, Cluster, LocalCluster, RawConnection, StreamedAnswer, wait_until,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
+
+/// How soon all engine memory is free after a caller went away.
+const FREE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long memory must then stay free; a request that goes on would take it again.
+const STAYS_FREE: Duration = Duration::from_millis(1_500);
+
+/// How long instances may take to do what they must.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An answer that takes far longer than engine memory may stay held.
+const ENDLESS: u32 = 20_000;
+
+/// How many tokens an answer has that is read to its end.
+const TOKENS: u32 = 300;
+
+/// How many requests are taken over.
+const REQUESTS: usize = 6;
+
+/// A time at which all streams are running.
+const MID_STREAM: Duration = Duration::from_millis(300);
+
+fn prompt(name: &str) -> String {
+    format!("[long] {name} {}", "with many pages ".repeat(1_000))
+}
+
+/// Starts one instance before engines on which each stage lasts about a second.
+async fn start_slow() -> LocalCluster {
+    let mut spec = DeploymentSpec::small(&["zone-a"]);
+    spec.prefills = 1;
+    spec.prefill.prefill_tokens_per_second = 4_000.0;
+    spec.prefill.link_tokens_per_second = 8_000.0;
+    spec.decode.link_tokens_per_second = 8_000.0;
+    LocalCluster::start(&spec, &[(0, "a-1")]).await
+}
+
+async fn start() -> LocalCluster {
+    LocalCluster::start(&DeploymentSpec::small(&["zone-a"]), &[(0, "a-1")]).await
+}
+
+/// Lets a caller go away in `stage`, and checks that all memory is free soon and stays free.
+async fn leave_in(stage: Stage, id: Option<&str>) {
+    let cluster = start_slow().await;
+    let connection = RawConnection::ask(cluster.entry(0), id, &prompt("leave"), ENDLESS).await;
+    cluster.wait_for_stage(stage).await;
+    drop(connection);
+    cluster.wait_until_free(FREE_TIMEOUT).await;
+    actix_rt::time::sleep(STAYS_FREE).await;
+    assert_eq!(cluster.deployment.used_pieces(), 0);
+}
+
+#[actix_rt::test]
+async fn memory_is_free_soon_after_a_caller_leaves_in_its_prefill() {
+    leave_in(Stage::Prefill, None).await;
+    leave_in(Stage::Prefill, Some("own-id")).await;
+}
+
+#[actix_rt::test]
+async fn nothing_is_decoded_for_a_caller_that_left_in_its_prefill() {
+    for id in [None, Some("own-id")] {
+        let cluster = start_slow().await;
+        let connection = RawConnection::ask(cluster.entry(0), id, &prompt("left"), ENDLESS).await;
+        cluster.wait_for_stage(Stage::Prefill).await;
+        drop(connection);
+        let decoded = cluster.wait_for_stage(Stage::Import);
+        let decoded = actix_rt::time::timeout(STAYS_FREE * 2, decoded).await;
+        assert!(decoded.is_err(), "a decode engine was used for a caller with id {id:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn memory_is_free_soon_after_a_caller_leaves_in_its_transfer() {
+    leave_in(Stage::Import, None).await;
+    leave_in(Stage::Import, Some("own-id")).await;
+}
+
+#[actix_rt::test]
+async fn memory_is_free_soon_after_a_caller_leaves_in_its_decode() {
+    leave_in(Stage::Decode, None).await;
+    leave_in(Stage::Decode, Some("own-id")).await;
+}
+
+#[actix_rt::test]
+async fn a_caller_that_leaves_while_it_is_queued_costs_no_prefill() {
+    let cluster = start_slow().await;
+    let entry = cluster.entry(0);
+    let mut queued = Vec::new();
+    for number in 0..REQUESTS {
+        let prompt = prompt(&format!("queued {number}"));
+        queued.push(RawConnection::ask(entry, None, &prompt, ENDLESS).await);
+    }
+    cluster.wait_for_stage(Stage::Prefill).await;
+    let begun = cluster.prefills();
+    drop(queued);
+    cluster.wait_until_free(FREE_TIMEOUT).await;
+    actix_rt::time::sleep(STAYS_FREE).await;
+    assert_eq!(cluster.deployment.used_pieces(), 0);
+    let wasted = cluster.prefills() - begun;
+    assert!(wasted <= 1, "{wasted} prefills were begun for callers that had left");
+}
+
+#[actix_rt::test]
+async fn a_half_closed_connection_still_gets_its_whole_answer() {
+    let cluster = start().await;
+    let mut connection = RawConnection::ask(cluster.entry(0), None, &prompt("half"), TOKENS).await;
+    connection.close_half().await;
+    let text = connection.read_all().await;
+    assert_whole_text(&text, &prompt("half"));
+}
+
+#[actix_rt::test]
+async fn a_caller_that_reads_slowly_gets_its_whole_answer() {
+    let cluster = start().await;
+    let mut connection = RawConnection::ask(cluster.entry(0), None, &prompt("slow"), TOKENS).await;
+    let mut text = String::new();
+    for _ in 0..20 {
+        text.push_str(&connection.read_some(100).await);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    text.push_str(&connection.read_all().await);
+    assert_whole_text(&text, &prompt("slow"));
+    cluster.wait_until_free(FREE_TIMEOUT).await;
+}
+
+#[actix_rt::test]
+async fn an_answer_that_was_delivered_is_not_given_again() {
+    let cluster = start().await;
+    let caller = Caller::new();
+    let first = caller.ask(&cluster.entries(), "twice", &prompt("twice"), TOKENS).await;
+    assert_eq!(first.end, AnswerEnd::Complete, "{first:?}");
+    let second = caller.ask(&cluster.entries(), "twice", &prompt("twice"), TOKENS).await;
+    assert_eq!(second.end, refused("already_answered", "answered"));
+    assert!(second.tokens.is_empty());
+    let other = caller.ask(&cluster.entries(), "twice", &prompt("other"), TOKENS).await;
+    assert_eq!(other.end, refused("bad_request", "not_run"));
+}
+
+#[actix_rt::test]
+async fn a_request_that_is_asked_twice_at_once_is_answered_once() {
+    let instances = [(0, "a-1"), (0, "a-2"), (0, "a-3")];
+    let cluster = LocalCluster::start(&DeploymentSpec::small(&["zone-a"]), &instances).await;
+    for round in 0..REQUESTS {
+        let id = format!("race-{round}");
+        let prompt = prompt(&id);
+        let mut raced = Vec::new();
+        for entry in cluster.entries() {
+            let (id, prompt) = (&id, &prompt);
+            raced.push(async move {
+                let mut answer = StreamedAnswer::new();
+                Caller::new().attempt(entry, id, prompt, TOKENS, &mut answer).await;
+                answer
+            });
+        }
+        let answers = join_all(raced).await;
+        let mut complete = 0;
+        for answer in &answers {
+            if answer.end == AnswerEnd::Complete {
+                complete += 1;
+                assert_eq!(answer.tokens, answer_tokens(&prompt, TOKENS));
+                continue;
+            }
+            assert_eq!(answer.end, refused("in_progress", "may_have_run"));
+        }
+        assert_eq!(complete, 1, "{answers:?}");
+    }
+    cluster.wait_until_free(SETTLE_TIMEOUT).await;
+}
+
+/// Kills the entry of running streams; their callers come back to other instances.
+async fn take_over_from(victim: usize) -> usize {
+    let mut cluster = Cluster::start(PROGRAM, &DeploymentSpec::small(&["zone-a"])).await;
+    cluster.start_instances(0, &["a-1", "a-2", "a-3"]).await;
+    let mut entries = cluster.entries();
+    entries.rotate_left(victim);
+    let mut asked = Vec::new();
+    for number in 0..REQUESTS {
+        let entries = entries.clone();
+        asked.push(async move {
+            let name = format!("taken-{number}");
+            Caller::new().ask(&entries, &name, &prompt(&name), TOKENS).await
+        });
+    }
+    let killer = async {
+        actix_rt::time::sleep(MID_STREAM).await;
+        cluster.instances[victim].kill();
+    };
+    let (answers, ()) = join(join_all(asked), killer).await;
+    let mut restarts = 0;
+    for (number, answer) in answers.iter().enumerate() {
+        assert_eq!(answer.end, AnswerEnd::Complete, "{answer:?}");
+        assert_eq!(answer.tokens, answer_tokens(&prompt(&format!("taken-{number}")), TOKENS));
+        assert!(answer.attempts > 1, "the entry died before the answer was whole");
+        restarts += answer.restarts;
+    }
+    let engines = &cluster.deployment.zones[0].prefills;
+    let prefills: u32 = engines.iter().map(|engine| engine.prefills()).sum();
+    assert!(prefills as usize <= REQUESTS + restarts, "{prefills} prefills, {restarts} restarts");
+    cluster.wait_until_free(SETTLE_TIMEOUT).await;
+    println!("victim {victim}: {prefills} prefills, {restarts} of {REQUESTS} answers restarted");
+    restarts
+}
+
+#[actix_rt::test]
+async fn a_stream_whose_entry_died_goes_on_elsewhere_without_a_second_prefill() {
+    let mut restarts = 0;
+    for victim in 0..3 {
+        restarts += take_over_from(victim).await;
+    }
+    assert!(restarts < 3 * REQUESTS, "no stream went on: {restarts} restarts");
+}
+
+#[actix_rt::test]
+async fn one_caller_at_a_time_may_come_back_to_the_same_stream() {
+    let cluster = start().await;
+    let caller = Caller::new();
+    let mut first = StreamedAnswer::new();
+    let mut second = StreamedAnswer::new();
+    let prompt = prompt("back");
+    let later = async {
+        let decodes = &cluster.deployment.zones[0].decodes;
+        wait_until(SETTLE_TIMEOUT, async || decodes.iter().any(|e| e.used_pieces() > 0)).await;
+        actix_rt::time::sleep(MID_STREAM / 2).await;
+        caller.attempt(cluster.entry(0), "back", &prompt, TOKENS, &mut second).await;
+    };
+    let earlier = caller.attempt(cluster.entry(0), "back", &prompt, TOKENS, &mut first);
+    join(earlier, later).await;
+    assert_eq!(first.end, refused("in_progress", "may_have_run"));
+    assert_eq!(second.end, AnswerEnd::Complete);
+    assert_eq!(second.tokens, answer_tokens(&prompt, TOKENS));
+    assert_eq!(cluster.prefills(), 1);
+}
+
+fn refused(code: &str, outcome: &str) -> AnswerEnd {
+    AnswerEnd::Refused { code: code.into(), outcome: outcome.into() }
+}
+
+/// Checks that a response holds each token of an answer once and its end.
+fn assert_whole_text(text: &str, prompt: &str) {
+    let mut tokens: Vec<Box<str>> = Vec::new();
+    for line in text.lines() {
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        let Ok(value) = serde_json::from_str::<serde_json::Value>(data) else { continue };
+        let token = value["choices"][0]["text"].as_str().unwrap_or_default();
+        if !token.is_empty() {
+            tokens.push(token.into());
+        }
+    }
+    assert!(text.contains("[DONE]"), "the answer has no end: {text}");
+    assert_eq!(tokens, answer_tokens(prompt, TOKENS));
+}
--- a/tests/tests/engine_failures.rs
+++ b/tests/tests/engine_failures.rs
@@ -43,7 +43,7 @@
 
 async fn ask(cluster: &LocalCluster, name: &str) -> StreamedAnswer {
     let caller = Caller::with_silence_timeout(PATIENCE);
-    let mut answer = StreamedAnswer { tokens: Vec::new(), end: AnswerEnd::Broken, attempts: 1 };
+    let mut answer = StreamedAnswer::new();
     caller.attempt(cluster.entry(0), name, &prompt(name), TOKENS, &mut answer).await;
     answer
 }
