--- a/crates/magnoliaspar-configuration/tests/common/mod.rs
+++ b/crates/magnoliaspar-configuration/tests/common/mod.rs
@@ -98,6 +98,7 @@
             expected_version: self.nodes[instance].configuration.version().saturating_sub(lag),
             delta,
             operator: format!("operator-{instance}").into(),
+            command: "change a pool".into(),
             at: SystemTime::UNIX_EPOCH + self.clock.elapsed(),
             token: WriteToken(format!("token-{}", self.rng.random::<u64>()).into()),
         };
--- a/crates/magnoliaspar-engine/src/error.rs
+++ b/crates/magnoliaspar-engine/src/error.rs
@@ -36,7 +36,7 @@
         match self {
             Self::Unreachable(_) | Self::Refused(_) | Self::Full | Self::Fenced { .. } => true,
             Self::KvGone => true,
-            // The engine may have worked on the stream before it gave it up.
+            // A stream that was cancelled or lost may have been worked on before.
             Self::UnknownStream => false,
             Self::Lost(_) | Self::Stalled(_) | Self::Crossed(_) => false,
         }
--- a/crates/magnoliaspar-serve/src/cluster/configuration.rs
+++ b/crates/magnoliaspar-serve/src/cluster/configuration.rs
@@ -3,7 +3,7 @@
 
 use log::warn;
 
-use magnoliaspar_configuration::{Acceptance, Proposal};
+use magnoliaspar_configuration::{Acceptance, CatchUpError, Proposal};
 use magnoliaspar_core::RequestId;
 use magnoliaspar_declaration::DocumentDelta;
 use magnoliaspar_platform::WriteToken;
@@ -34,11 +34,13 @@
         expected_version: u64,
         delta: DocumentDelta,
         operator: &str,
+        command: &str,
     ) -> Acceptance {
         let proposal = Proposal {
             expected_version,
             delta,
             operator: operator.into(),
+            command: command.into(),
             at: self.clock.wall(),
             token: WriteToken(RequestId::random().into()),
         };
@@ -55,18 +57,19 @@
         acceptance
     }
 
-    async fn read_news(&self) {
+    /// Brings the configuration to the newest version at the platform.
+    pub async fn catch_up(&self) -> Result<(), CatchUpError> {
         let version = self.configuration.borrow().version();
-        match self.store.news_since(version).await {
-            Ok(news) => {
-                self.startup.borrow_mut().platform_answered(Some(news.newest));
-                self.take_deltas(news.deltas);
-            }
-            Err(error) => {
-                warn!("the configuration cannot be read: {error}");
-                self.startup.borrow_mut().platform_answered(None);
-                self.readers.borrow_mut().read_failed(self.clock.now());
-            }
-        }
+        let news = self.store.news_since(version).await?;
+        self.startup.borrow_mut().platform_answered(Some(news.newest));
+        self.take_deltas(news.deltas);
+        Ok(())
+    }
+
+    async fn read_news(&self) {
+        let Err(error) = self.catch_up().await else { return };
+        warn!("the configuration cannot be read: {error}");
+        self.startup.borrow_mut().platform_answered(None);
+        self.readers.borrow_mut().read_failed(self.clock.now());
     }
 }
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -10,6 +10,8 @@
 mod metrics;
 mod operator;
 mod peer;
+mod quarantine;
+mod reaping;
 mod run;
 mod serve;
 mod service;
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use futures_core::Stream;
-use magnoliaspar_event::Stamp;
+use magnoliaspar_event::{Listener, Stamp};
 use magnoliaspar_settings::PeerKeys;
 use magnoliaspar_wire::peer::peer_server::{Peer, PeerServer as GeneratedServer};
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
 use magnoliaspar_wire::peer::{
-    GossipFrame, QueryAnswer, QueryRequest, RunAccepted, RunEvent, RunFrame, RunOpen,
+    GossipFrame, QueryAnswer, QueryRequest, ReapAnswer, ReapRequest, RunAccepted, RunEvent,
+    RunFrame, RunOpen,
 };
-use prometheus::IntCounter;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
@@ -20,7 +20,8 @@
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::convert::{from_open, to_event, to_refused};
+use super::convert::{BadMessage, from_open, to_event, to_refused};
+use super::query;
 use crate::instance::Instance;
 use crate::run::{LocalLink, RunLink, RunResult, RunUpdate};
 
@@ -39,6 +40,9 @@
 /// The largest message in bytes; prompts are the largest content.
 pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
+/// The HTTP status that stands for a wrong or missing key.
+const UNAUTHENTICATED_STATUS: u16 = 401;
+
 /// The key that every call between instances carries.
 pub const KEY_HEADER: &str = "authorization";
 
@@ -52,12 +56,9 @@
     pub fn start(instance: Rc<Instance>, listener: TcpListener) -> Self {
         let (tx, rx) = mpsc::channel(CALLS_AHEAD);
         let (stop, stopped) = oneshot::channel();
-        let service =
-            GeneratedServer::new(PeerService { tx }).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let key_check = KeyCheck {
-            keys: instance.settings.peer_keys.clone(),
-            failures: instance.metrics.auth_failures_of("peer"),
-        };
+        let service = GeneratedServer::new(PeerService { tx: tx.clone() })
+            .max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let key_check = KeyCheck { keys: instance.settings.peer_keys.clone(), tx };
         let service = InterceptedService::new(service, key_check);
         actix_rt::spawn(take_calls(instance, rx));
         actix_rt::spawn(async move {
@@ -84,7 +85,10 @@
 /// A call of another instance, on its way to the thread that owns the state.
 enum PeerCall {
     Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+    Reap { req: ReapRequest, tx: oneshot::Sender<Result<ReapAnswer, BadMessage>> },
     Gossip { frames: Streaming<GossipFrame>, tx: mpsc::Sender<Result<GossipFrame, Status>> },
+    Query { req: QueryRequest, tx: oneshot::Sender<Result<QueryAnswer, Status>> },
+    Unauthenticated,
 }
 
 /// Hands calls over to the thread that owns the state.
@@ -123,8 +127,24 @@
         Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
     }
 
-    async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
-        Err(Status::unimplemented("queries are not passed on yet"))
+    async fn reap(&self, req: Request<ReapRequest>) -> Result<Response<ReapAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Reap { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        answer.map(Response::new).map_err(|error| Status::invalid_argument(error.to_string()))
+    }
+
+    async fn query(&self, req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Query { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(answer?))
     }
 }
 
@@ -134,9 +154,23 @@
             PeerCall::Run { frames, tx } => {
                 actix_rt::spawn(serve_run(instance.clone(), frames, tx));
             }
+            PeerCall::Reap { req, tx } => {
+                // A caller that is gone needs no answer.
+                let _ = tx.send(instance.answer_reap(&req));
+            }
             PeerCall::Gossip { frames, tx } => {
                 actix_rt::spawn(serve_gossip(instance.clone(), frames, tx));
             }
+            PeerCall::Query { req, tx } => {
+                let instance = instance.clone();
+                actix_rt::spawn(async move {
+                    // An instance that asked and is gone needs no answer.
+                    let _ = tx.send(query::answer(&instance, &req).await);
+                });
+            }
+            PeerCall::Unauthenticated => {
+                instance.record_auth_failure(Listener::Peers, UNAUTHENTICATED_STATUS);
+            }
         }
     }
 }
@@ -233,7 +267,7 @@
 #[derive(Clone)]
 struct KeyCheck {
     keys: PeerKeys,
-    failures: IntCounter,
+    tx: mpsc::Sender<PeerCall>,
 }
 
 impl Interceptor for KeyCheck {
@@ -243,7 +277,8 @@
         if key.is_some_and(|key| self.keys.accepts(key)) {
             return Ok(req);
         }
-        self.failures.inc();
+        // Under so many calls that this one finds no place, others stand for it.
+        let _ = self.tx.try_send(PeerCall::Unauthenticated);
         Err(Status::unauthenticated("the key of the other instance is not valid"))
     }
 }
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -4,16 +4,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
+use magnoliaspar_core::{BlockHash, Clock, Incarnation, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
 use magnoliaspar_event::Plan;
 use magnoliaspar_policy::{
-    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec,
+    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec, ServerUsage,
 };
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use super::plan::PlanContext;
+use super::waiting::{JobHandle, Waiting};
 
 /// How long the dispatcher sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -24,6 +25,7 @@
     policy: RefCell<Box<dyn Policy>>,
     waiters: RefCell<BTreeMap<JobKey, UnboundedSender<Step>>>,
     engines: RefCell<BTreeMap<ServerKey, EngineHandle>>,
+    specs: RefCell<BTreeMap<ServerKey, Rc<ServerSpec>>>,
     sealed: RefCell<BTreeSet<ServerName>>,
     wake: Notify,
 }
@@ -37,8 +39,45 @@
     pub address: SocketAddr,
     /// The engine.
     pub engine: Rc<dyn Engine>,
+    /// The life of the engine, as it was last seen.
+    pub incarnation: Rc<Cell<Incarnation>>,
     /// The number of the last event of its prefix cache that was read.
     pub last_cache_event: Rc<Cell<u64>>,
+    /// When the engine made its latest load report.
+    pub reported_at: Rc<Cell<Option<Instant>>>,
+}
+
+/// What the books of a dispatcher show of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineBooks {
+    /// The name of the engine.
+    pub name: ServerName,
+    /// What the engine is.
+    pub spec: Rc<ServerSpec>,
+    /// What the policy has planned on it, if it keeps books.
+    pub usage: Option<ServerUsage>,
+    /// When the engine made its latest load report.
+    pub reported_at: Option<Instant>,
+}
+
+impl EngineHandle {
+    /// Creates a handle of an engine whose cache events were not read yet.
+    pub fn new(
+        name: ServerName,
+        address: SocketAddr,
+        engine: Rc<dyn Engine>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let incarnation = Rc::new(Cell::new(incarnation));
+        Self {
+            name,
+            address,
+            engine,
+            incarnation,
+            last_cache_event: Rc::default(),
+            reported_at: Rc::default(),
+        }
+    }
 }
 
 /// What to do next for a job.
@@ -74,6 +113,7 @@
             policy: RefCell::new(policy),
             waiters: RefCell::default(),
             engines: RefCell::default(),
+            specs: RefCell::default(),
             sealed: RefCell::default(),
             wake: Notify::new(),
         })
@@ -101,13 +141,14 @@
     }
 
     /// Adds an engine or renews what is known of it.
-    pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
+    pub fn add_engine(&self, spec: ServerSpec, handle: EngineHandle) {
         let name = spec.name.clone();
+        let known = Rc::new(spec.clone());
         let key = self.tell(|policy, now| policy.add_server(now, spec));
         if self.sealed.borrow_mut().remove(&name) {
             self.tell(|policy, now| policy.open_server(now, key));
         }
-        let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
+        self.specs.borrow_mut().insert(key, known);
         self.engines.borrow_mut().insert(key, handle);
     }
 
@@ -120,17 +161,51 @@
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
+    /// Returns why a job waits, if it does.
+    pub fn explain_wait(&self, key: JobKey) -> Option<Waiting> {
+        let policy = self.policy.borrow();
+        let explanation = policy.explain(key)?;
+        let Decision::Wait(reason) = explanation.decision else { return None };
+        let mut rejected = Vec::new();
+        for server in &explanation.rejected {
+            rejected.push(format!("{} ({})", server.server, server.reason).into());
+        }
+        let decided_at = explanation.decided_at;
+        Some(Waiting { reason: reason.to_string().into(), decided_at, rejected: rejected.into() })
+    }
+
+    /// Returns what the books show of each engine.
+    pub fn books(&self) -> Vec<EngineBooks> {
+        let policy = self.policy.borrow();
+        let specs = self.specs.borrow();
+        let mut books = Vec::new();
+        for (key, engine) in self.engines.borrow().iter() {
+            let Some(spec) = specs.get(key) else { continue };
+            books.push(EngineBooks {
+                name: engine.name.clone(),
+                spec: spec.clone(),
+                usage: policy.usage(*key),
+                reported_at: engine.reported_at.get(),
+            });
+        }
+        books
+    }
+
     /// Forgets an engine that is gone.
     pub fn remove_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
         self.tell(|policy, now| policy.remove_server(now, key));
         self.sealed.borrow_mut().remove(name);
+        self.specs.borrow_mut().remove(&key);
         self.engines.borrow_mut().remove(&key);
     }
 
     /// Takes in a load report.
     pub fn report(&self, name: &ServerName, report: LoadReport) {
         let Some(key) = self.key_of(name) else { return };
+        if let Some(engine) = self.engines.borrow().get(&key) {
+            engine.reported_at.set(Some(report.made_at));
+        }
         self.tell(|policy, now| policy.report(now, key, report));
     }
 
@@ -217,6 +292,11 @@
 }
 
 impl PlacedJob {
+    /// Returns what names the job as long as it is not over.
+    pub fn handle(&self) -> JobHandle {
+        JobHandle { dispatcher: self.dispatcher.clone(), key: self.key }
+    }
+
     /// Waits for the next decision.
     pub async fn next(&mut self) -> Option<Step> {
         let step = self.rx.recv().await;
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -1,5 +1,6 @@
 //! Calls of plain services.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -85,11 +86,7 @@
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(res)) => Ok(res),
-            // The connection was open and broke later, when the server may have the call already.
-            Ok(Err(SendRequestError::Connect(error @ ConnectError::Disconnected))) => {
-                Err(ServiceError::Lost(error.to_string().into()))
-            }
-            Ok(Err(SendRequestError::Connect(error))) => {
+            Ok(Err(SendRequestError::Connect(error))) if is_before_call(&error) => {
                 Err(ServiceError::NotReached(error.to_string().into()))
             }
             Ok(Err(error)) => Err(ServiceError::Lost(error.to_string().into())),
@@ -104,6 +101,17 @@
     }
 }
 
+/// Whether a connection could not be opened, so that the call was never sent.
+///
+/// A connection that ends before the answer is reported as a connect error too.
+fn is_before_call(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout | ConnectError::NoRecords | ConnectError::Unresolved => true,
+        ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Whether a header is passed on from one hop to the next.
 pub fn is_passed_on(name: &str) -> bool {
     !HOP_HEADERS.contains(&name) && name != "authorization"
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -158,6 +158,15 @@
         used
     }
 
+    /// Returns how many pieces of memory are in use on decode engines.
+    pub fn decoding_pieces(&self) -> u32 {
+        let mut used = 0;
+        for zone in &self.zones {
+            used += zone.decodes.iter().map(ModelEngine::used_pieces).sum::<u32>();
+        }
+        used
+    }
+
     /// Returns settings for an instance, with free ports.
     pub fn settings(&self, zone: usize, name: &str) -> Result<Settings, DeploymentError> {
         let zone = &self.zones[zone];
@@ -206,6 +215,7 @@
             expected_version: configuration.version(),
             delta: configuration.document().diff(document),
             operator: "deployment".into(),
+            command: "put declarations in force".into(),
             at: SystemTime::now(),
             token: WriteToken(format!("{:x}", rand::random::<u64>()).into()),
         };
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -23,7 +23,7 @@
 }
 
 /// The tokens of one answer over all its attempts.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StreamedAnswer {
     /// The tokens.
     pub tokens: Vec<Box<str>>,
@@ -49,8 +49,11 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum AnswerEnd {
+    /// The answer broke off.
+    #[default]
+    Broken,
     /// The answer is complete.
     Complete,
     /// The request was refused with this code and outcome.
@@ -60,8 +63,6 @@
         /// The outcome.
         outcome: Box<str>,
     },
-    /// The answer broke off.
-    Broken,
 }
 
 impl Caller {
