Hand waiting requests over on a drain, and spill over to other zones

Cause: a draining home went on taking new runs, and a request that its own zone could not serve was refused although another zone had room.

Change: a draining instance refuses new runs and hands over those that no engine has worked on; the entry opens a run elsewhere after a refusal that certainly was not run: anywhere after a drain, in other zones for lack of a server or room.

--- a/crates/magnoliaspar-serve/src/operator/drain.rs
+++ b/crates/magnoliaspar-serve/src/operator/drain.rs
@@ -214,6 +214,7 @@
     if instance.is_drained_by_operator.replace(is_draining) == is_draining {
         return;
     }
+    instance.home.set_draining(instance.is_draining());
     let kind = if is_draining { EventKind::DrainStarted } else { EventKind::DrainWithdrawn };
     instance.journal.record_own(kind);
     // The zone chooses other homes for new requests.
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -88,6 +88,7 @@
         drop(channels);
         PeerClient {
             name: name.clone(),
+            is_foreign: false,
             clock: self.clock.clone(),
             journal: self.journal.clone(),
             key: self.key.clone(),
@@ -100,6 +101,7 @@
 #[derive(Clone)]
 pub struct PeerClient {
     pub(super) name: InstanceName,
+    is_foreign: bool,
     clock: Rc<dyn Clock>,
     pub(super) journal: Rc<Journal>,
     key: Secret,
@@ -107,6 +109,11 @@
 }
 
 impl PeerClient {
+    /// Marks the link as one to another availability zone.
+    pub fn into_foreign(self) -> Self {
+        Self { is_foreign: true, ..self }
+    }
+
     pub(super) fn generated(&self) -> GeneratedClient<Channel> {
         GeneratedClient::new(self.channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
@@ -168,6 +175,10 @@
         &self.name
     }
 
+    fn is_foreign(&self) -> bool {
+        self.is_foreign
+    }
+
     async fn open(&self, req: &CompletionRequest) -> Result<Box<dyn RunLink>, OpenError> {
         match tokio::time::timeout(OPEN_TIMEOUT, self.start(req)).await {
             Ok(Ok(link)) => Ok(Box::new(link)),
@@ -198,8 +209,8 @@
         self.is_new
     }
 
-    fn home(&self) -> Option<&InstanceName> {
-        Some(&self.home)
+    fn home(&self) -> &InstanceName {
+        &self.home
     }
 
     async fn next(&mut self) -> Result<RunUpdate, LinkBroken> {
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -96,8 +96,12 @@
             let home = self.home.clone();
             return Some(Rc::new(LocalHomeHandle { name: name.clone(), home }));
         }
-        let address = self.instances.borrow().get(name)?.peers;
-        Some(Rc::new(self.clients.client(name, address)))
+        let known = self.instances.borrow().get(name)?.clone();
+        let client = self.clients.client(name, known.peers);
+        if known.zone == self.zone {
+            return Some(Rc::new(client));
+        }
+        Some(Rc::new(client.into_foreign()))
     }
 
     /// Whether this instance is the home of a shard.
--- a/crates/magnoliaspar-serve/src/run/home.rs
+++ b/crates/magnoliaspar-serve/src/run/home.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +27,8 @@
 
 /// This instance as the home of runs.
 pub struct LocalHome {
+    name: InstanceName,
+    is_draining: Cell<bool>,
     clock: Rc<dyn Clock>,
     configuration: Rc<ConfigurationInForce>,
     driver: Driver,
@@ -39,12 +41,15 @@
 impl LocalHome {
     /// Creates a home without runs.
     pub fn new(
+        name: InstanceName,
         clock: Rc<dyn Clock>,
         configuration: Rc<ConfigurationInForce>,
         driver: Driver,
         shards: ShardMap,
     ) -> Rc<Self> {
         Rc::new(Self {
+            name,
+            is_draining: Cell::new(false),
             clock,
             configuration,
             driver,
@@ -60,6 +65,19 @@
         &self.registry
     }
 
+    /// Takes no new runs while it drains; those that still wait go to other homes.
+    pub fn set_draining(&self, is_draining: bool) {
+        self.is_draining.set(is_draining);
+        if !is_draining {
+            return;
+        }
+        for run in self.registry.live() {
+            if !run.may_have_run() {
+                run.hand_over(draining());
+            }
+        }
+    }
+
     /// Returns how pools are divided into shards.
     pub fn shards(&self) -> &ShardMap {
         &self.shards
@@ -100,6 +118,9 @@
 
     /// Opens a run or attaches to it, and starts to drive it if it is new.
     pub fn open_run(self: &Rc<Self>, req: &CompletionRequest) -> Result<LocalLink, Refusal> {
+        if self.is_draining.get() && !self.registry.contains(&req.id) {
+            return Err(draining());
+        }
         let plan = self.plan(req)?;
         let opened = self.registry.open(req)?;
         let subscription = opened.run.subscribe(req.from);
@@ -107,7 +128,7 @@
             let home = self.clone();
             actix_rt::spawn(home.drive(opened.run, req.clone(), plan));
         }
-        Ok(LocalLink { subscription, is_new: opened.is_new })
+        Ok(LocalLink { home: self.name.clone(), subscription, is_new: opened.is_new })
     }
 
     fn plan(&self, req: &CompletionRequest) -> Result<RunPlan, Refusal> {
@@ -138,6 +159,10 @@
     }
 }
 
+fn draining() -> Refusal {
+    Refusal::not_run(RefusalCode::Draining, "the instance drains")
+}
+
 /// This instance, as a home for its own requests.
 pub struct LocalHomeHandle {
     /// The name of this instance.
@@ -152,6 +177,10 @@
         &self.name
     }
 
+    fn is_foreign(&self) -> bool {
+        false
+    }
+
     async fn open(&self, req: &CompletionRequest) -> Result<Box<dyn RunLink>, OpenError> {
         let link = self.home.open_run(req).map_err(OpenError::Refused)?;
         Ok(Box::new(link))
--- a/crates/magnoliaspar-serve/src/run/link.rs
+++ b/crates/magnoliaspar-serve/src/run/link.rs
@@ -11,6 +11,9 @@
     /// Returns the name of the instance.
     fn name(&self) -> &InstanceName;
 
+    /// Whether the instance runs in another availability zone.
+    fn is_foreign(&self) -> bool;
+
     /// Opens a run, or attaches to it if it is there already.
     async fn open(&self, req: &CompletionRequest) -> Result<Box<dyn RunLink>, OpenError>;
 }
@@ -21,8 +24,8 @@
     /// Whether the run was not there before.
     fn is_new(&self) -> bool;
 
-    /// Returns the name of the home instance, if it is another one.
-    fn home(&self) -> Option<&InstanceName>;
+    /// Returns the name of the home instance.
+    fn home(&self) -> &InstanceName;
 
     /// Waits for what comes next.
     async fn next(&mut self) -> Result<RunUpdate, LinkBroken>;
@@ -59,6 +62,8 @@
 
 /// A link to a run of this instance.
 pub struct LocalLink {
+    /// The name of this instance.
+    pub home: InstanceName,
     /// Reads the answer.
     pub subscription: Subscription,
     /// Whether the run was not there before.
@@ -71,8 +76,8 @@
         self.is_new
     }
 
-    fn home(&self) -> Option<&InstanceName> {
-        None
+    fn home(&self) -> &InstanceName {
+        &self.home
     }
 
     async fn next(&mut self) -> Result<RunUpdate, LinkBroken> {
--- a/crates/magnoliaspar-serve/src/run/reader.rs
+++ b/crates/magnoliaspar-serve/src/run/reader.rs
@@ -42,7 +42,8 @@
         // A run that is new starts its answer again, so that two answers are never mixed.
         let skip_until = if link.is_new() { 0 } else { wanted };
         let chooser = self.chooser.clone();
-        Ok(Reader { chooser, req, link, skip_until, lost, failures: 0 })
+        let declined = BTreeSet::new();
+        Ok(Reader { chooser, req, link, skip_until, lost, declined, failures: 0 })
     }
 }
 
@@ -53,6 +54,7 @@
     link: Box<dyn RunLink>,
     skip_until: u32,
     lost: BTreeSet<InstanceName>,
+    declined: BTreeSet<InstanceName>,
     failures: u32,
 }
 
@@ -67,6 +69,11 @@
                     Err(refusal) => return RunUpdate::Ended(RunResult::Refused(refusal)),
                 },
             };
+            if let RunUpdate::Ended(RunResult::Refused(refusal)) = &update
+                && self.open_elsewhere(refusal).await
+            {
+                continue;
+            }
             self.remember(&update);
             if self.is_skipped(&update) {
                 continue;
@@ -85,6 +92,28 @@
         self.link.set_delivered();
     }
 
+    /// Opens the run on another home, if the one that refused it has certainly not run it.
+    async fn open_elsewhere(&mut self, refusal: &Refusal) -> bool {
+        let is_untouched = refusal.outcome == Outcome::NotRun && self.req.emitted.is_empty();
+        let Some(scope) = Scope::after(refusal.code).filter(|_| is_untouched) else {
+            return false;
+        };
+        self.declined.insert(self.link.home().clone());
+        for home in self.chooser.choose(&self.req) {
+            let is_tried = self.declined.contains(home.name()) || self.lost.contains(home.name());
+            if is_tried || scope == Scope::OtherZones && !home.is_foreign() {
+                continue;
+            }
+            self.declined.insert(home.name().clone());
+            let Ok(link) = home.open(&self.req).await else { continue };
+            info!(request = self.req.id.request.as_str(), home = home.name().as_str();
+                "the request goes to another home: {}", refusal.message);
+            self.link = link;
+            return true;
+        }
+        false
+    }
+
     fn is_skipped(&self, update: &RunUpdate) -> bool {
         matches!(update, RunUpdate::Token { index, .. } if *index < self.skip_until)
     }
@@ -104,9 +133,7 @@
 
     /// Takes the answer up again on another home, from the first token that is missing.
     async fn reopen(&mut self, cause: &str) -> Result<(), Refusal> {
-        if let Some(home) = self.link.home() {
-            self.lost.insert(home.clone());
-        }
+        self.lost.insert(self.link.home().clone());
         while self.failures < MAX_REOPENS {
             info!(request = self.req.id.request.as_str(); "taking the answer up again: {cause}");
             tokio::time::sleep(REOPEN_PAUSE * 2u32.pow(self.failures)).await;
@@ -128,6 +155,25 @@
     }
 }
 
+/// Which other homes may run a request that one refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// Any other instance.
+    AllZones,
+    /// The instances of other availability zones, since the own zone has no room.
+    OtherZones,
+}
+
+impl Scope {
+    fn after(code: RefusalCode) -> Option<Self> {
+        match code {
+            RefusalCode::Draining | RefusalCode::NotReady => Some(Self::AllZones),
+            RefusalCode::NoServer | RefusalCode::Overloaded => Some(Self::OtherZones),
+            _ => None,
+        }
+    }
+}
+
 /// Opens a run on the first home that can be reached; those in `lost` are tried last.
 async fn open(
     chooser: &dyn HomeChooser,
@@ -141,6 +187,9 @@
     for home in homes {
         match home.open(req).await {
             Ok(link) => return Ok(link),
+            Err(OpenError::Refused(refusal)) if Scope::after(refusal.code).is_some() => {
+                failure = OpenFailure { refusal, is_final: false };
+            }
             Err(OpenError::Refused(mut refusal)) => {
                 if may_have_run && refusal.outcome == Outcome::NotRun {
                     refusal.outcome = Outcome::MayHaveRun;
--- a/crates/magnoliaspar-serve/src/run/registry.rs
+++ b/crates/magnoliaspar-serve/src/run/registry.rs
@@ -62,6 +62,11 @@
         Ok(Opened { run, is_new: true })
     }
 
+    /// Whether the run of a request is known.
+    pub fn contains(&self, id: &ScopedId) -> bool {
+        self.inner.borrow().runs.contains_key(id)
+    }
+
     /// Keeps a run that has ended for a while, or forgets it at once if it gave no answer.
     pub fn retire(&self, now: Instant, run: &Rc<Run>, has_answer: bool) {
         let mut inner = self.inner.borrow_mut();
--- a/crates/magnoliaspar-serve/src/run/running.rs
+++ b/crates/magnoliaspar-serve/src/run/running.rs
@@ -178,6 +178,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Ends a run that no engine has worked on, so that another home can run it.
+    pub fn hand_over(&self, refusal: Refusal) {
+        self.finish(RunResult::Refused(refusal));
+        self.cancel();
+    }
+
     /// Whether nobody reads the answer.
     pub fn is_abandoned(&self) -> bool {
         self.state.borrow().open_subscriptions == 0
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -172,7 +172,13 @@
         quarantine: quarantine.clone(),
     };
     let shards = ShardMap::new(directory.clone());
-    let home = LocalHome::new(clock.clone(), configuration.clone(), driver, shards);
+    let home = LocalHome::new(
+        settings.instance.clone(),
+        clock.clone(),
+        configuration.clone(),
+        driver,
+        shards,
+    );
     let key = settings.peer_keys.current.clone();
     let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key));
     let zone_homes = Rc::new(ZoneHomes::new(
@@ -316,6 +322,7 @@
     pub async fn drain(self) -> Exit {
         self.instance.is_draining.set(true);
         self.instance.cluster.leave();
+        self.instance.home.set_draining(true);
         let deadline = self.instance.clock.now() + self.instance.settings.drain_limit;
         loop {
             let live = self.instance.home.registry().live().len();
