--- a/crates/magnoliaspar-policy/src/placement.rs
+++ b/crates/magnoliaspar-policy/src/placement.rs
@@ -270,7 +270,8 @@
         if server.reading.is_silent(now) {
             return Some(RejectReason::Silent);
         }
-        if demand.avoid == Some(key) && self.pool.best().prefill_servers > 1 {
+        let is_avoided = demand.avoid == Some(key) && !is_apart;
+        if is_avoided && self.pool.best().prefill_servers > 1 {
             return Some(RejectReason::FailedThisJob);
         }
         let is_far = self.zone.is_some_and(|own| *own != server.spec.zone);
@@ -368,7 +369,8 @@
         if server.link.is_silent(now) {
             return Err(RejectReason::Silent);
         }
-        if demand.avoid == Some(key) && self.pool.best().decode_servers > 1 {
+        let is_avoided = demand.avoid == Some(key) && !is_apart;
+        if is_avoided && self.pool.best().decode_servers > 1 {
             return Err(RejectReason::FailedThisJob);
         }
         let transfer_time = self.transfer_time(from, server, demand.tokens);
--- a/crates/magnoliaspar-policy/src/scheduler/apart.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/apart.rs
@@ -24,7 +24,7 @@
     pub(super) fn start_suspect(&mut self, now: Instant) {
         let Some((_, job)) = self.suspects.first().copied() else { return };
         let Some(isolation) = self.isolate() else { return };
-        if isolation.running.is_some() {
+        if self.is_occupied(&isolation, job) {
             return;
         }
         if !self.is_vacated(&isolation) {
@@ -40,7 +40,7 @@
     /// Returns the decode engine for a suspect whose KV cache is held, if it is vacated.
     pub(super) fn isolated_decode(&mut self, now: Instant, job: JobKey) -> Option<ServerKey> {
         let isolation = self.isolate()?;
-        if isolation.running.is_some_and(|running| running != job) {
+        if self.is_occupied(&isolation, job) {
             return None;
         }
         let server = self.pool.get(isolation.apart.decode)?;
@@ -118,6 +118,15 @@
         best.map(|(_, key)| (key, count))
     }
 
+    /// Returns whether a suspect other than `job` is on the engines that are set apart.
+    fn is_occupied(&self, isolation: &Isolation, job: JobKey) -> bool {
+        let Some(running) = isolation.running.filter(|running| *running != job) else {
+            return false;
+        };
+        // A suspect that waits to be tried again is on no engine.
+        self.jobs.get(running).is_some_and(|state| state.stage.is_on_engine())
+    }
+
     fn is_vacated(&self, isolation: &Isolation) -> bool {
         let prefill = self.pool.get(isolation.apart.prefill);
         let decode = self.pool.get(isolation.apart.decode);
--- a/crates/magnoliaspar-policy/tests/decisions.rs
+++ b/crates/magnoliaspar-policy/tests/decisions.rs
@@ -470,6 +470,23 @@
     assert_eq!(bench.scheduler.jobs(), 0);
 }
 
+#[test]
+fn a_suspect_that_fails_runs_again_and_does_not_block_the_next() {
+    let mut bench = Bench::new(2, 2);
+    let suspect = Job { is_suspect: true, ..job(bench.now) };
+    let (first, ..) = bench.run_to_decode(suspect.clone());
+    bench.scheduler.progressed(bench.now, first, 3);
+    let second = bench.submit(suspect);
+    assert_eq!(bench.poll(), []);
+    bench.scheduler.failed(bench.now, first, FailedStage::Decode, None);
+    bench.pass(10_000);
+    let actions = bench.poll();
+    assert!(prefill_of(&actions, first).is_some(), "{actions:?}");
+    assert_eq!(prefill_of(&actions, second), None);
+    bench.scheduler.finished(bench.now, first);
+    assert!(prefill_of(&bench.poll(), second).is_some());
+}
+
 #[test]
 fn a_key_of_a_job_that_is_gone_is_ignored() {
     let mut bench = Bench::new(1, 1);
