--- a/crates/magnoliaspar-bench/src/limit.rs
+++ b/crates/magnoliaspar-bench/src/limit.rs
@@ -1,20 +1,23 @@
+use std::time::Duration;
+
+use magnoliaspar_policy::Role;
 use serde::Serialize;
 
 use crate::arrival::Arrival;
 use crate::catalogue::Catalogue;
 use crate::deployment::{Deployment, TTFT_TARGET};
-use crate::scenario::{Fault, Scenario, WINDOW};
+use crate::scenario::{Fault, Scenario, Shape, WARM_UP, WINDOW};
 
 /// The load that a deployment is built for, relative to what its engines can do at best.
 ///
 /// At the peak a decode engine's memory is nearly full, but not quite: arrivals are random.
-pub const CAPACITY_SHARE: f64 = 0.9;
+const CAPACITY_SHARE: f64 = 0.9;
 
 /// The most requests of a scenario that any policy can answer within both latency targets.
 ///
-/// The arithmetic takes the mean request. A policy that could tell short answers from long ones
-/// in advance would do better.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+/// The arithmetic takes the mean request, and for the answers the mean of those that were drawn. A
+/// policy that could tell short answers from long ones in advance would do better.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Limit {
     /// The requests that are offered and not cancelled.
     pub offered: f64,
@@ -24,52 +27,145 @@
     pub decode: f64,
     /// The requests whose KV cache the links can carry.
     pub link: f64,
+    /// The smallest of these, added up over the times before, during and after a fault.
+    pub feasible: f64,
 }
 
 impl Limit {
     /// Computes the limit of a scenario.
-    pub fn new(
+    pub(crate) fn new(
         deployment: &Deployment,
         scenario: Scenario,
         catalogue: &Catalogue,
         arrivals: &[&Arrival],
     ) -> Self {
+        let shape = scenario.shape();
+        let mut limit = Self::default();
+        for phase in phases(deployment, &shape) {
+            let (hot_share, engines) = (shape.hot_share, phase.prefill_engines);
+            let mut request = MeanRequest::new(deployment, catalogue, hot_share, engines);
+            request.output = mean_output_tokens(arrivals);
+            let rates = Rates::new(deployment, &request);
+            limit.add(&phase, &rates, deployment, shape.load, arrivals);
+        }
+        limit
+    }
+
+    /// Returns the smallest of the limits that come from the engines.
+    pub(crate) fn service(&self) -> f64 {
+        self.prefill.min(self.decode).min(self.link)
+    }
+
+    fn add(
+        &mut self,
+        phase: &Phase,
+        rates: &Rates,
+        deployment: &Deployment,
+        load: f64,
+        arrivals: &[&Arrival],
+    ) {
         let mut offered = 0.0;
         for arrival in arrivals {
-            if arrival.is_counted && arrival.cancel_after.is_none() {
+            let at = arrival.at.saturating_sub(WARM_UP);
+            let is_in_phase = arrival.is_counted && phase.from <= at && at < phase.to;
+            if is_in_phase && arrival.cancel_after.is_none() {
                 offered += 1.0;
             }
         }
-        let (prefill_seconds, decode_seconds) = engine_seconds(deployment, scenario);
-        let rates = Rates::new(deployment, catalogue, scenario.shape().hot_share);
-        Self {
-            offered,
-            prefill: prefill_seconds * rates.prefill,
-            decode: decode_seconds * rates.decode,
-            link: prefill_seconds * rates.export,
-        }
+        // A request that comes at the end of a phase may start as late as its target allows.
+        let seconds = (phase.to - phase.from + TTFT_TARGET).as_secs_f64();
+        let slots = phase.decode_engines * f64::from(deployment.engine.decode_slots);
+        let idle_slots = slots * (1.0 - CAPACITY_SHARE * load).max(0.0);
+        let prefill = rates.prefill * phase.prefill_engines * seconds;
+        let decode = rates.decode * phase.decode_engines * seconds + idle_slots;
+        let link = rates.export * phase.prefill_engines * seconds;
+        self.offered += offered;
+        self.prefill += prefill;
+        self.decode += decode;
+        self.link += link;
+        self.feasible += offered.min(prefill).min(decode).min(link);
     }
+}
+
+/// A part of the window in which the same engines work.
+struct Phase {
+    from: Duration,
+    to: Duration,
+    prefill_engines: f64,
+    decode_engines: f64,
+}
 
-    /// Returns the smallest of the limits.
-    pub fn feasible(&self) -> f64 {
-        self.offered.min(self.prefill).min(self.decode).min(self.link)
+/// Returns the parts of the window before, during and after the fault of a scenario.
+fn phases(deployment: &Deployment, shape: &Shape) -> Vec<Phase> {
+    let all = |from, to| Phase {
+        from,
+        to,
+        prefill_engines: f64::from(deployment.prefill_engines),
+        decode_engines: f64::from(deployment.decode_engines),
+    };
+    let (at, back_at) = match shape.fault {
+        None => return vec![all(Duration::ZERO, WINDOW)],
+        Some(Fault::DecodeLost { at, back_at } | Fault::ZoneCut { at, back_at }) => (at, back_at),
+    };
+    let mut during = all(at, back_at);
+    match shape.fault {
+        Some(Fault::ZoneCut { .. }) => remove_last_zone(deployment, &mut during),
+        _ => during.decode_engines -= 1.0,
     }
+    vec![all(Duration::ZERO, at), during, all(back_at, WINDOW)]
+}
 
-    /// Returns the smallest of the limits that come from the engines.
-    pub fn service(&self) -> f64 {
-        self.prefill.min(self.decode).min(self.link)
+fn remove_last_zone(deployment: &Deployment, phase: &mut Phase) {
+    let last = &deployment.zones[deployment.zones.len() - 1];
+    for spec in deployment.servers() {
+        if spec.zone != *last {
+            continue;
+        }
+        match spec.role {
+            Role::Prefill => phase.prefill_engines -= 1.0,
+            Role::Decode => phase.decode_engines -= 1.0,
+        }
     }
 }
 
 /// Returns the requests a second that a deployment is built for.
-pub fn capacity(deployment: &Deployment, catalogue: &Catalogue) -> f64 {
-    let rates = Rates::new(deployment, catalogue, 0.0);
-    let prefill = rates.prefill * f64::from(deployment.prefill_engines);
+pub(crate) fn capacity(deployment: &Deployment, catalogue: &Catalogue) -> f64 {
+    let prefill_engines = f64::from(deployment.prefill_engines);
+    let request = MeanRequest::new(deployment, catalogue, 0.0, prefill_engines);
+    let rates = Rates::new(deployment, &request);
+    let prefill = rates.prefill * prefill_engines;
     let decode = rates.decode * f64::from(deployment.decode_engines);
-    let export = rates.export * f64::from(deployment.prefill_engines);
+    let export = rates.export * prefill_engines;
     CAPACITY_SHARE * prefill.min(decode).min(export)
 }
 
+/// The lengths of the mean request in tokens.
+struct MeanRequest {
+    prompt: f64,
+    uncached: f64,
+    output: f64,
+}
+
+impl MeanRequest {
+    fn new(
+        deployment: &Deployment,
+        catalogue: &Catalogue,
+        hot_share: f64,
+        prefill_engines: f64,
+    ) -> Self {
+        let workload = &deployment.workload;
+        let question = f64::from(workload.min_question_tokens + workload.max_question_tokens) / 2.0;
+        let usual = 1.0 - hot_share;
+        let hot = hot_share * catalogue.hot.tokens();
+        let cache_blocks = f64::from(deployment.engine.cache_blocks()) * prefill_engines;
+        Self {
+            prompt: usual * catalogue.mean_tokens() + hot + question,
+            uncached: usual * catalogue.mean_uncached_tokens(cache_blocks as u32) + question,
+            output: workload.mean_output_tokens(),
+        }
+    }
+}
+
 /// The requests a second that one engine can carry.
 struct Rates {
     prefill: f64,
@@ -78,22 +174,15 @@
 }
 
 impl Rates {
-    fn new(deployment: &Deployment, catalogue: &Catalogue, hot_share: f64) -> Self {
+    fn new(deployment: &Deployment, request: &MeanRequest) -> Self {
         let engine = &deployment.engine;
-        let workload = &deployment.workload;
-        let question = f64::from(workload.min_question_tokens + workload.max_question_tokens) / 2.0;
-        let usual = 1.0 - hot_share;
-        let hot = hot_share * catalogue.documents[0].tokens();
-        let prompt = usual * catalogue.mean_tokens() + hot + question;
-        let cache_blocks = engine.cache_blocks() * deployment.prefill_engines;
-        let uncached = usual * catalogue.mean_uncached_tokens(cache_blocks) + question;
-        let prefill_seconds =
-            engine.prefill_overhead.as_secs_f64() + uncached / engine.prefill_tokens_per_second;
-        let transfer_seconds = prompt / engine.link_tokens_per_second;
-        let pieces =
-            (prompt + f64::from(workload.max_output_tokens)) / f64::from(engine.piece_tokens);
+        let prefill_seconds = engine.prefill_overhead.as_secs_f64()
+            + request.uncached / engine.prefill_tokens_per_second;
+        let transfer_seconds = request.prompt / engine.link_tokens_per_second;
+        let longest = request.prompt + f64::from(deployment.workload.max_output_tokens);
+        let pieces = longest / f64::from(engine.piece_tokens);
         let batch = f64::from(engine.decode_slots).min(f64::from(engine.memory_pieces) / pieces);
-        let answer_seconds = workload.mean_output_tokens() * deployment.full_step().as_secs_f64();
+        let answer_seconds = request.output * deployment.full_step().as_secs_f64();
         Self {
             prefill: 1.0 / prefill_seconds,
             decode: batch / (transfer_seconds + answer_seconds),
@@ -102,27 +191,15 @@
     }
 }
 
-/// Returns the seconds in which the prefill and the decode engines can start requests that meet
-/// their target.
-fn engine_seconds(deployment: &Deployment, scenario: Scenario) -> (f64, f64) {
-    let window = (WINDOW + TTFT_TARGET).as_secs_f64();
-    let mut prefill = f64::from(deployment.prefill_engines) * window;
-    let mut decode = f64::from(deployment.decode_engines) * window;
-    match scenario.shape().fault {
-        None => {}
-        Some(Fault::DecodeLost { at, back_at }) => decode -= (back_at - at).as_secs_f64(),
-        Some(Fault::ZoneCut { at, back_at }) => {
-            let last = &deployment.zones[deployment.zones.len() - 1];
-            for spec in deployment.servers() {
-                if spec.zone != *last {
-                    continue;
-                }
-                match spec.role {
-                    magnoliaspar_policy::Role::Prefill => prefill -= (back_at - at).as_secs_f64(),
-                    magnoliaspar_policy::Role::Decode => decode -= (back_at - at).as_secs_f64(),
-                }
-            }
+/// Returns the mean length of the answers to the requests that are counted.
+fn mean_output_tokens(arrivals: &[&Arrival]) -> f64 {
+    let mut tokens = 0.0;
+    let mut answers = 0.0;
+    for arrival in arrivals {
+        if arrival.is_counted {
+            tokens += f64::from(arrival.output_tokens);
+            answers += 1.0;
         }
     }
-    (prefill, decode)
+    tokens / answers
 }
--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -51,6 +51,9 @@
     /// Gives no new work to a server that is leaving; running work goes on.
     fn seal_server(&mut self, now: Instant, server: ServerKey);
 
+    /// Gives a sealed server new work again, since its suspicion or drain was taken back.
+    fn open_server(&mut self, _now: Instant, _server: ServerKey) {}
+
     /// Forgets a server that is gone. Jobs on it must be reported as failed by the driver.
     fn remove_server(&mut self, now: Instant, server: ServerKey);
 
@@ -102,6 +105,11 @@
     /// Returns when [`poll`](Self::poll) should be called next if nothing happens before.
     fn next_poll(&self) -> Option<Instant>;
 
+    /// Returns what the policy has planned on a server, if it keeps books.
+    fn usage(&self, _server: ServerKey) -> Option<ServerUsage> {
+        None
+    }
+
     /// Returns why a job runs where it does or waits, for jobs that are here or ended lately.
     fn explain(&self, _job: JobKey) -> Option<&Explanation> {
         None
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -238,6 +238,11 @@
         self.is_changed = true;
     }
 
+    fn open_server(&mut self, _now: Instant, server: ServerKey) {
+        self.pool.open(server);
+        self.is_changed = true;
+    }
+
     fn remove_server(&mut self, now: Instant, server: ServerKey) {
         self.pool.seal(server);
         self.withdraw(now, server);
@@ -378,6 +383,10 @@
         next
     }
 
+    fn usage(&self, server: ServerKey) -> Option<ServerUsage> {
+        Self::usage(self, server)
+    }
+
     fn explain(&self, job: JobKey) -> Option<&Explanation> {
         match self.jobs.get(job) {
             Some(state) => Some(&state.explanation),
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -1,14 +1,19 @@
 //! One entry instance: takes requests, runs them on backend servers and relays the answers.
 
 mod caller;
+mod cluster;
 mod directory;
+mod engines;
 mod instance;
+mod journal;
 mod limit;
 mod metrics;
+mod operator;
 mod peer;
-mod refresh;
+mod quarantine;
+mod reaping;
 mod run;
 mod serve;
 mod service;
 
-pub use self::serve::{Exit, InstanceHandle, ServeError, serve, start};
+pub use self::serve::{Addresses, Exit, InstanceHandle, ServeError, serve, start};
--- a/crates/magnoliaspar-serve/src/metrics.rs
+++ b/crates/magnoliaspar-serve/src/metrics.rs
@@ -13,6 +13,8 @@
     pub answers: IntCounter,
     /// Tokens that were relayed.
     pub tokens: IntCounter,
+    /// Pieces of engine memory that were freed for requests that are gone.
+    pub reaped_pieces: IntCounter,
     refusals: IntCounterVec,
     auth_failures: IntCounterVec,
 }
@@ -25,6 +27,11 @@
             requests: counter(&registry, "requests_total", "Completions that were accepted."),
             answers: counter(&registry, "answers_total", "Complete answers delivered."),
             tokens: counter(&registry, "tokens_total", "Tokens relayed to callers."),
+            reaped_pieces: counter(
+                &registry,
+                "reaped_pieces_total",
+                "Pieces of engine memory freed for requests that are gone.",
+            ),
             refusals: counters(
                 &registry,
                 "refusals_total",
@@ -57,11 +64,6 @@
         self.auth_failures.with_label_values(&[who]).inc();
     }
 
-    /// Returns the counter of wrong or missing keys that `who` showed.
-    pub fn auth_failures_of(&self, who: &str) -> IntCounter {
-        self.auth_failures.with_label_values(&[who])
-    }
-
     /// Returns all metrics as text.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -6,19 +6,24 @@
 
 use async_trait::async_trait;
 use magnoliaspar_core::{Clock, InstanceName};
+use magnoliaspar_event::Stamp;
 use magnoliaspar_settings::Secret;
 use magnoliaspar_wire::peer::peer_client::PeerClient as GeneratedClient;
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
-use magnoliaspar_wire::peer::{RunCancel, RunDelivered, RunEvent, RunFrame};
+use magnoliaspar_wire::peer::{
+    GossipFrame, ReapAnswer, ReapRequest, RunCancel, RunDelivered, RunEvent, RunFrame,
+};
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::UnboundedReceiverStream;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio_stream::wrappers::{ReceiverStream, UnboundedReceiverStream};
 use tonic::metadata::MetadataValue;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Request, Status, Streaming};
 
 use super::convert::{from_event, from_refused, to_open};
 use super::server::{KEY_HEADER, MAX_MESSAGE_BYTES};
+use crate::journal::Journal;
 use crate::run::{CompletionRequest, Home, LinkBroken, OpenError, RunLink, RunUpdate};
 
 /// How long a connection may take to open.
@@ -27,6 +32,9 @@
 /// How long an instance may take to accept a run.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How many frames of gossip wait for a slow instance.
+const FRAMES_AHEAD: usize = 16;
+
 /// How often a link is probed.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -36,39 +44,74 @@
 /// The links to other instances, one for each address.
 pub struct PeerClients {
     clock: Rc<dyn Clock>,
+    journal: Rc<Journal>,
     key: Secret,
     channels: RefCell<BTreeMap<SocketAddr, Channel>>,
+    gossip: RefCell<BTreeMap<SocketAddr, mpsc::Sender<GossipFrame>>>,
 }
 
 impl PeerClients {
     /// Creates an empty set of links that show `key`.
-    pub fn new(clock: Rc<dyn Clock>, key: Secret) -> Self {
-        Self { clock, key, channels: RefCell::default() }
+    pub fn new(clock: Rc<dyn Clock>, journal: Rc<Journal>, key: Secret) -> Self {
+        Self { clock, journal, key, channels: RefCell::default(), gossip: RefCell::default() }
+    }
+
+    /// Sends a frame to an instance; one that cannot be sent now is dropped.
+    pub fn send_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
+        let mut streams = self.gossip.borrow_mut();
+        if let Some(tx) = streams.get(&address) {
+            match tx.try_send(frame) {
+                Ok(()) | Err(TrySendError::Full(_)) => return,
+                Err(TrySendError::Closed(frame)) => {
+                    streams.remove(&address);
+                    drop(streams);
+                    return self.open_gossip(name, address, frame);
+                }
+            }
+        }
+        drop(streams);
+        self.open_gossip(name, address, frame);
+    }
+
+    fn open_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
+        let (tx, rx) = mpsc::channel(FRAMES_AHEAD);
+        let _ = tx.try_send(frame);
+        self.gossip.borrow_mut().insert(address, tx);
+        let client = self.client(name, address);
+        actix_rt::spawn(async move { client.stream_gossip(rx).await });
     }
 
     /// Returns the link to an instance; it connects when it is first used.
     pub fn client(&self, name: &InstanceName, address: SocketAddr) -> PeerClient {
         let mut channels = self.channels.borrow_mut();
         let channel = channels.entry(address).or_insert_with(|| connect(address)).clone();
-        PeerClient { name: name.clone(), clock: self.clock.clone(), key: self.key.clone(), channel }
+        drop(channels);
+        PeerClient {
+            name: name.clone(),
+            clock: self.clock.clone(),
+            journal: self.journal.clone(),
+            key: self.key.clone(),
+            channel,
+        }
     }
 }
 
 /// A link to another instance.
 #[derive(Clone)]
 pub struct PeerClient {
-    name: InstanceName,
+    pub(super) name: InstanceName,
     clock: Rc<dyn Clock>,
+    pub(super) journal: Rc<Journal>,
     key: Secret,
     channel: Channel,
 }
 
 impl PeerClient {
-    fn generated(&self) -> GeneratedClient<Channel> {
+    pub(super) fn generated(&self) -> GeneratedClient<Channel> {
         GeneratedClient::new(self.channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
 
-    fn sign<T>(&self, message: T) -> Request<T> {
+    pub(super) fn sign<T>(&self, message: T) -> Request<T> {
         let mut req = Request::new(message);
         let bearer = format!("Bearer {}", self.key.expose());
         if let Ok(value) = MetadataValue::try_from(bearer) {
@@ -77,15 +120,34 @@
         req
     }
 
+    /// Sends frames until the other instance ends the stream.
+    async fn stream_gossip(&self, rx: mpsc::Receiver<GossipFrame>) {
+        let call = self.sign(ReceiverStream::new(rx));
+        let Ok(answer) = self.generated().gossip(call).await else { return };
+        let mut answers = answer.into_inner();
+        while let Ok(Some(_)) = answers.message().await {}
+    }
+
+    /// Asks or answers about streams on engines; gives nothing if the instance does not answer.
+    pub async fn reap(&self, req: ReapRequest) -> Option<ReapAnswer> {
+        let call = self.sign(req);
+        let mut client = self.generated();
+        let answer = tokio::time::timeout(OPEN_TIMEOUT, client.reap(call)).await;
+        Some(answer.ok()?.ok()?.into_inner())
+    }
+
     async fn start(&self, req: &CompletionRequest) -> Result<RemoteLink, OpenError> {
         let (tx, rx) = mpsc::unbounded_channel();
-        let open = RunFrame { frame: Some(Frame::Open(to_open(req, self.clock.now()))) };
+        let open = RunFrame {
+            frame: Some(Frame::Open(to_open(req, self.clock.now(), self.journal.stamp()))),
+        };
         let _ = tx.send(open);
         let call = self.sign(UnboundedReceiverStream::new(rx));
         let events = self.generated().run(call).await.map_err(map_status)?.into_inner();
         let mut link = RemoteLink { home: self.name.clone(), is_new: false, tx, events };
         match link.events.message().await.map_err(map_status)? {
             Some(RunEvent { event: Some(Event::Accepted(accepted)) }) => {
+                self.journal.observe(Stamp(accepted.hlc));
                 link.is_new = accepted.is_new;
                 Ok(link)
             }
--- a/crates/magnoliaspar-serve/src/peer/server.rs
+++ b/crates/magnoliaspar-serve/src/peer/server.rs
@@ -1,18 +1,17 @@
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use displaydoc::Display;
 use futures_core::Stream;
+use magnoliaspar_event::{Listener, Stamp};
 use magnoliaspar_settings::PeerKeys;
 use magnoliaspar_wire::peer::peer_server::{Peer, PeerServer as GeneratedServer};
 use magnoliaspar_wire::peer::run_event::Event;
 use magnoliaspar_wire::peer::run_frame::Frame;
 use magnoliaspar_wire::peer::{
-    GossipFrame, QueryAnswer, QueryRequest, RunAccepted, RunEvent, RunFrame, RunOpen,
+    GossipFrame, QueryAnswer, QueryRequest, ReapAnswer, ReapRequest, RunAccepted, RunEvent,
+    RunFrame, RunOpen,
 };
-use prometheus::IntCounter;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
@@ -21,7 +20,8 @@
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::convert::{from_open, to_event, to_refused};
+use super::convert::{BadMessage, from_open, to_event, to_refused};
+use super::query;
 use crate::instance::Instance;
 use crate::run::{LocalLink, RunLink, RunResult, RunUpdate};
 
@@ -40,31 +40,25 @@
 /// The largest message in bytes; prompts are the largest content.
 pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
+/// The HTTP status that stands for a wrong or missing key.
+const UNAUTHENTICATED_STATUS: u16 = 401;
+
 /// The key that every call between instances carries.
 pub const KEY_HEADER: &str = "authorization";
 
 /// Serves the calls of other instances.
 pub struct PeerServer {
-    address: SocketAddr,
     stop: oneshot::Sender<()>,
 }
 
 impl PeerServer {
-    /// Listens on the address in the settings and serves calls until stopped.
-    pub async fn start(instance: Rc<Instance>) -> Result<Self, PeerError> {
-        let address = instance.settings.peers;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|error| PeerError { address, message: error.to_string().into() })?;
-        let address = listener.local_addr().unwrap_or(address);
+    /// Serves the calls that arrive on a listener until stopped.
+    pub fn start(instance: Rc<Instance>, listener: TcpListener) -> Self {
         let (tx, rx) = mpsc::channel(CALLS_AHEAD);
         let (stop, stopped) = oneshot::channel();
-        let service =
-            GeneratedServer::new(PeerService { tx }).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let key_check = KeyCheck {
-            keys: instance.settings.peer_keys.clone(),
-            failures: instance.metrics.auth_failures_of("peer"),
-        };
+        let service = GeneratedServer::new(PeerService { tx: tx.clone() })
+            .max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let key_check = KeyCheck { keys: instance.settings.peer_keys.clone(), tx };
         let service = InterceptedService::new(service, key_check);
         actix_rt::spawn(take_calls(instance, rx));
         actix_rt::spawn(async move {
@@ -79,12 +73,7 @@
                 log::error!("the listener for other instances failed: {error}");
             }
         });
-        Ok(Self { address, stop })
-    }
-
-    /// Returns the address on which the server listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+        Self { stop }
     }
 
     /// Takes no more calls; those in progress go on.
@@ -93,21 +82,13 @@
     }
 }
 
-/// Why the server cannot run.
-#[derive(Debug, Display)]
-#[displaydoc("cannot listen on {address}: {message}")]
-pub struct PeerError {
-    /// The address.
-    pub address: SocketAddr,
-    /// What the operating system said.
-    pub message: Box<str>,
-}
-
-impl std::error::Error for PeerError {}
-
 /// A call of another instance, on its way to the thread that owns the state.
 enum PeerCall {
     Run { frames: Streaming<RunFrame>, tx: mpsc::Sender<Result<RunEvent, Status>> },
+    Reap { req: ReapRequest, tx: oneshot::Sender<Result<ReapAnswer, BadMessage>> },
+    Gossip { frames: Streaming<GossipFrame>, tx: mpsc::Sender<Result<GossipFrame, Status>> },
+    Query { req: QueryRequest, tx: oneshot::Sender<Result<QueryAnswer, Status>> },
+    Unauthenticated,
 }
 
 /// Hands calls over to the thread that owns the state.
@@ -136,13 +117,34 @@
 
     async fn gossip(
         &self,
-        _req: Request<Streaming<GossipFrame>>,
+        req: Request<Streaming<GossipFrame>>,
     ) -> Result<Response<Self::GossipStream>, Status> {
-        Err(Status::unimplemented("state is not exchanged yet"))
+        let (tx, rx) = mpsc::channel(1);
+        let call = PeerCall::Gossip { frames: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
     }
 
-    async fn query(&self, _req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
-        Err(Status::unimplemented("queries are not passed on yet"))
+    async fn reap(&self, req: Request<ReapRequest>) -> Result<Response<ReapAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Reap { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        answer.map(Response::new).map_err(|error| Status::invalid_argument(error.to_string()))
+    }
+
+    async fn query(&self, req: Request<QueryRequest>) -> Result<Response<QueryAnswer>, Status> {
+        let (tx, rx) = oneshot::channel();
+        let call = PeerCall::Query { req: req.into_inner(), tx };
+        if self.tx.send(call).await.is_err() {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        let answer = rx.await.map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(answer?))
     }
 }
 
@@ -152,10 +154,41 @@
             PeerCall::Run { frames, tx } => {
                 actix_rt::spawn(serve_run(instance.clone(), frames, tx));
             }
+            PeerCall::Reap { req, tx } => {
+                // A caller that is gone needs no answer.
+                let _ = tx.send(instance.answer_reap(&req));
+            }
+            PeerCall::Gossip { frames, tx } => {
+                actix_rt::spawn(serve_gossip(instance.clone(), frames, tx));
+            }
+            PeerCall::Query { req, tx } => {
+                let instance = instance.clone();
+                actix_rt::spawn(async move {
+                    // An instance that asked and is gone needs no answer.
+                    let _ = tx.send(query::answer(&instance, &req).await);
+                });
+            }
+            PeerCall::Unauthenticated => {
+                instance.record_auth_failure(Listener::Peers, UNAUTHENTICATED_STATUS);
+            }
         }
     }
 }
 
+/// Takes in frames for as long as the other instance sends them; answers go over a stream of this
+/// instance's own.
+async fn serve_gossip(
+    instance: Rc<Instance>,
+    mut frames: Streaming<GossipFrame>,
+    tx: mpsc::Sender<Result<GossipFrame, Status>>,
+) {
+    while let Ok(Some(frame)) = frames.message().await {
+        let Err(error) = instance.cluster.receive(frame) else { continue };
+        let _ = tx.send(Err(Status::invalid_argument(error.to_string()))).await;
+        return;
+    }
+}
+
 async fn serve_run(
     instance: Rc<Instance>,
     mut frames: Streaming<RunFrame>,
@@ -172,7 +205,7 @@
             return;
         }
     };
-    let accepted = RunAccepted { hlc: 0, is_new: link.is_new };
+    let accepted = RunAccepted { hlc: instance.journal.stamp().0, is_new: link.is_new };
     if tx.send(Ok(RunEvent { event: Some(Event::Accepted(accepted)) })).await.is_err() {
         return;
     }
@@ -180,6 +213,7 @@
 }
 
 fn open_link(instance: &Instance, open: RunOpen) -> Result<LocalLink, Result<RunEvent, Status>> {
+    instance.journal.observe(Stamp(open.hlc));
     let req = from_open(open, instance.clock.now())
         .map_err(|error| Err(Status::invalid_argument(error.to_string())))?;
     instance
@@ -233,7 +267,7 @@
 #[derive(Clone)]
 struct KeyCheck {
     keys: PeerKeys,
-    failures: IntCounter,
+    tx: mpsc::Sender<PeerCall>,
 }
 
 impl Interceptor for KeyCheck {
@@ -243,7 +277,8 @@
         if key.is_some_and(|key| self.keys.accepts(key)) {
             return Ok(req);
         }
-        self.failures.inc();
+        // Under so many calls that this one finds no place, others stand for it.
+        let _ = self.tx.try_send(PeerCall::Unauthenticated);
         Err(Status::unauthenticated("the key of the other instance is not valid"))
     }
 }
--- a/crates/magnoliaspar-serve/src/run/dispatcher.rs
+++ b/crates/magnoliaspar-serve/src/run/dispatcher.rs
@@ -1,15 +1,21 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{BlockHash, Clock, JobKey, ServerKey, ServerName};
+use magnoliaspar_core::{BlockHash, Clock, Incarnation, JobKey, ServerKey, ServerName};
 use magnoliaspar_engine::Engine;
-use magnoliaspar_policy::{Action, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec};
+use magnoliaspar_event::Plan;
+use magnoliaspar_policy::{
+    Action, Decision, FailedStage, Job, LoadReport, Policy, RefuseReason, ServerSpec, ServerUsage,
+};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use super::plan::PlanContext;
+use super::waiting::{JobHandle, Waiting};
+
 /// How long the dispatcher sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -19,6 +25,8 @@
     policy: RefCell<Box<dyn Policy>>,
     waiters: RefCell<BTreeMap<JobKey, UnboundedSender<Step>>>,
     engines: RefCell<BTreeMap<ServerKey, EngineHandle>>,
+    specs: RefCell<BTreeMap<ServerKey, Rc<ServerSpec>>>,
+    sealed: RefCell<BTreeSet<ServerName>>,
     wake: Notify,
 }
 
@@ -31,8 +39,45 @@
     pub address: SocketAddr,
     /// The engine.
     pub engine: Rc<dyn Engine>,
+    /// The life of the engine, as it was last seen.
+    pub incarnation: Rc<Cell<Incarnation>>,
     /// The number of the last event of its prefix cache that was read.
     pub last_cache_event: Rc<Cell<u64>>,
+    /// When the engine made its latest load report.
+    pub reported_at: Rc<Cell<Option<Instant>>>,
+}
+
+/// What the books of a dispatcher show of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineBooks {
+    /// The name of the engine.
+    pub name: ServerName,
+    /// What the engine is.
+    pub spec: Rc<ServerSpec>,
+    /// What the policy has planned on it, if it keeps books.
+    pub usage: Option<ServerUsage>,
+    /// When the engine made its latest load report.
+    pub reported_at: Option<Instant>,
+}
+
+impl EngineHandle {
+    /// Creates a handle of an engine whose cache events were not read yet.
+    pub fn new(
+        name: ServerName,
+        address: SocketAddr,
+        engine: Rc<dyn Engine>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let incarnation = Rc::new(Cell::new(incarnation));
+        Self {
+            name,
+            address,
+            engine,
+            incarnation,
+            last_cache_event: Rc::default(),
+            reported_at: Rc::default(),
+        }
+    }
 }
 
 /// What to do next for a job.
@@ -68,6 +113,8 @@
             policy: RefCell::new(policy),
             waiters: RefCell::default(),
             engines: RefCell::default(),
+            specs: RefCell::default(),
+            sealed: RefCell::default(),
             wake: Notify::new(),
         })
     }
@@ -94,29 +141,71 @@
     }
 
     /// Adds an engine or renews what is known of it.
-    pub fn add_engine(&self, spec: ServerSpec, address: SocketAddr, engine: Rc<dyn Engine>) {
+    pub fn add_engine(&self, spec: ServerSpec, handle: EngineHandle) {
         let name = spec.name.clone();
+        let known = Rc::new(spec.clone());
         let key = self.tell(|policy, now| policy.add_server(now, spec));
-        let handle = EngineHandle { name, address, engine, last_cache_event: Rc::default() };
+        if self.sealed.borrow_mut().remove(&name) {
+            self.tell(|policy, now| policy.open_server(now, key));
+        }
+        self.specs.borrow_mut().insert(key, known);
         self.engines.borrow_mut().insert(key, handle);
     }
 
     /// Gives no new work to an engine.
     pub fn seal_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
+        if !self.sealed.borrow_mut().insert(name.clone()) {
+            return;
+        }
         self.tell(|policy, now| policy.seal_server(now, key));
     }
 
+    /// Returns why a job waits, if it does.
+    pub fn explain_wait(&self, key: JobKey) -> Option<Waiting> {
+        let policy = self.policy.borrow();
+        let explanation = policy.explain(key)?;
+        let Decision::Wait(reason) = explanation.decision else { return None };
+        let mut rejected = Vec::new();
+        for server in &explanation.rejected {
+            rejected.push(format!("{} ({})", server.server, server.reason).into());
+        }
+        let decided_at = explanation.decided_at;
+        Some(Waiting { reason: reason.to_string().into(), decided_at, rejected: rejected.into() })
+    }
+
+    /// Returns what the books show of each engine.
+    pub fn books(&self) -> Vec<EngineBooks> {
+        let policy = self.policy.borrow();
+        let specs = self.specs.borrow();
+        let mut books = Vec::new();
+        for (key, engine) in self.engines.borrow().iter() {
+            let Some(spec) = specs.get(key) else { continue };
+            books.push(EngineBooks {
+                name: engine.name.clone(),
+                spec: spec.clone(),
+                usage: policy.usage(*key),
+                reported_at: engine.reported_at.get(),
+            });
+        }
+        books
+    }
+
     /// Forgets an engine that is gone.
     pub fn remove_engine(&self, name: &ServerName) {
         let Some(key) = self.key_of(name) else { return };
         self.tell(|policy, now| policy.remove_server(now, key));
+        self.sealed.borrow_mut().remove(name);
+        self.specs.borrow_mut().remove(&key);
         self.engines.borrow_mut().remove(&key);
     }
 
     /// Takes in a load report.
     pub fn report(&self, name: &ServerName, report: LoadReport) {
         let Some(key) = self.key_of(name) else { return };
+        if let Some(engine) = self.engines.borrow().get(&key) {
+            engine.reported_at.set(Some(report.made_at));
+        }
         self.tell(|policy, now| policy.report(now, key, report));
     }
 
@@ -132,9 +221,9 @@
         self.tell(|policy, now| policy.cache_events(now, key, stored, evicted, gap));
     }
 
-    /// Whether an engine is known.
-    pub fn has_engine(&self, name: &ServerName) -> bool {
-        self.key_of(name).is_some()
+    /// Whether an engine is known and gets new work.
+    pub fn has_open_engine(&self, name: &ServerName) -> bool {
+        self.key_of(name).is_some() && !self.sealed.borrow().contains(name)
     }
 
     /// Returns the engines.
@@ -203,6 +292,11 @@
 }
 
 impl PlacedJob {
+    /// Returns what names the job as long as it is not over.
+    pub fn handle(&self) -> JobHandle {
+        JobHandle { dispatcher: self.dispatcher.clone(), key: self.key }
+    }
+
     /// Waits for the next decision.
     pub async fn next(&mut self) -> Option<Step> {
         let step = self.rx.recv().await;
@@ -210,6 +304,17 @@
         step
     }
 
+    /// Returns why the policy decided as it did, if it has decided where the job runs.
+    pub fn explain(&self, cx: &PlanContext) -> Option<Plan> {
+        let policy = self.dispatcher.policy.borrow();
+        let explanation = policy.explain(self.key)?;
+        let Decision::Prefill { prefill, decode } = explanation.decision else { return None };
+        let engines = self.dispatcher.engines.borrow();
+        let prefill = engines.get(&prefill)?.name.clone();
+        let decode = engines.get(&decode)?.name.clone();
+        Some(cx.describe(explanation, prefill, decode))
+    }
+
     /// Reports that the prefill is done.
     pub fn prefilled(&self, cached_tokens: u32, held_until: Instant) {
         self.dispatcher
@@ -230,6 +335,11 @@
         );
     }
 
+    /// Reports that an engine has crashed; it gets no new work until it answers again.
+    pub fn engine_gone(&self, name: &ServerName) {
+        self.dispatcher.seal_engine(name);
+    }
+
     /// Reports that a stage failed.
     pub fn failed(&self, stage: FailedStage, kv_held_until: Option<Instant>) {
         self.dispatcher.tell(|policy, now| policy.failed(now, self.key, stage, kv_held_until));
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -1,14 +1,16 @@
 //! Calls of plain services.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Payload};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use displaydoc::Display;
 use futures_util::TryStreamExt;
+use magnoliaspar_core::RequestId;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -19,6 +21,9 @@
 /// How long a pooled connection may be idle.
 const CONNECTION_MAX_IDLE: Duration = Duration::from_secs(5);
 
+/// Names a request towards the service.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// Headers that concern one connection only and are not passed on.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -45,6 +50,8 @@
     pub path: &'a str,
     /// The headers of the caller.
     pub headers: &'a HeaderMap,
+    /// The identifier of the request.
+    pub request_id: &'a RequestId,
     /// The body.
     pub body: Payload,
 }
@@ -75,10 +82,11 @@
                 req = req.insert_header((name.clone(), value.clone()));
             }
         }
+        req = req.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(res)) => Ok(res),
-            Ok(Err(SendRequestError::Connect(error))) => {
+            Ok(Err(SendRequestError::Connect(error))) if is_before_call(&error) => {
                 Err(ServiceError::NotReached(error.to_string().into()))
             }
             Ok(Err(error)) => Err(ServiceError::Lost(error.to_string().into())),
@@ -93,6 +101,17 @@
     }
 }
 
+/// Whether a connection could not be opened, so that the call was never sent.
+///
+/// A connection that ends before the answer is reported as a connect error too.
+fn is_before_call(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout | ConnectError::NoRecords | ConnectError::Unresolved => true,
+        ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Whether a header is passed on from one hop to the next.
 pub fn is_passed_on(name: &str) -> bool {
     !HOP_HEADERS.contains(&name) && name != "authorization"
--- a/crates/magnoliaspar-standin/src/engine/prefill.rs
+++ b/crates/magnoliaspar-standin/src/engine/prefill.rs
@@ -33,7 +33,7 @@
         req: Request,
     ) -> Result<Response<BoxBody>, Response<BoxBody>> {
         let call: PrefillCall = read_json(req).await?;
-        self.crash_if_marked(&call)?;
+        self.crash_if_marked(&call).await;
         let known = self.shared.state.borrow().streams.get(&call.stream).cloned();
         let stream = match known {
             Some(stream) => stream,
@@ -106,6 +106,7 @@
         if stream.inner.borrow().is_released {
             return;
         }
+        self.shared.prefills.set(self.shared.prefills.get() + 1);
         let (cached_tokens, time) = self.plan_read(&call, &stream);
         tokio::time::sleep(time).await;
         drop(turn);
@@ -136,7 +137,9 @@
     ) -> Duration {
         let mut state = self.shared.state.borrow_mut();
         state.cache.store(Instant::now(), &call.blocks);
-        let hold = state.spec.hold;
+        let promised = state.spec.hold;
+        let is_lost = state.faults.lost_holds > 0;
+        state.faults.lost_holds = state.faults.lost_holds.saturating_sub(1);
         drop(state);
         stream.update(|inner| {
             inner.stage = Stage::Hold;
@@ -144,19 +147,19 @@
                 stream: call.stream.clone(),
                 prompt_tokens: stream.prompt_tokens,
                 cached_tokens,
-                hold_ms: hold.as_millis() as u32,
+                hold_ms: promised.as_millis() as u32,
             });
         });
-        hold
+        if is_lost { Duration::ZERO } else { promised }
     }
 
-    fn crash_if_marked(&self, call: &PrefillCall) -> Result<(), Response<BoxBody>> {
+    /// Crashes the engine if the prompt is one of those that do; nobody gets an answer then.
+    async fn crash_if_marked(&self, call: &PrefillCall) {
         let mark = self.shared.state.borrow().faults.crash_mark.clone();
-        if mark.is_none_or(|mark| !call.prompt.contains(&*mark)) {
-            return Ok(());
+        if mark.is_some_and(|mark| call.prompt.contains(&*mark)) {
+            self.die();
+            std::future::pending::<()>().await;
         }
-        self.die();
-        Err(other(StatusCode::INTERNAL_SERVER_ERROR, "the engine crashed"))
     }
 
     fn takes_stall(&self) -> bool {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,17 @@
-//! Shared parts of the tests of whole behaviour.
+//! Shared parts of the tests of whole behaviour: instances, callers, and waiting.
+
+mod caller;
+mod cluster;
+mod local;
+mod operator;
+mod process;
+mod raw;
+mod reply;
+
+pub use self::caller::{AnswerEnd, Caller, StreamedAnswer};
+pub use self::cluster::{Cluster, SECOND_OPERATOR_KEY, wait_until};
+pub use self::local::LocalCluster;
+pub use self::operator::{CommandOutput, Operator, column_of};
+pub use self::process::InstanceProcess;
+pub use self::raw::RawConnection;
+pub use self::reply::{Call, Reply};
