--- a/crates/magnoliaspar-policy/src/scheduler/apart.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/apart.rs
@@ -25,7 +25,7 @@
         let Some((_, job)) = self.suspects.first().copied() else { return };
         self.leave_cooling(now);
         let Some(isolation) = self.isolate(now) else { return };
-        if isolation.running.is_some() {
+        if self.occupant(&isolation).is_some() {
             return;
         }
         if !self.is_vacated(&isolation) {
@@ -41,7 +41,7 @@
     /// Returns the decode engine for a suspect whose KV cache is held, if it is vacated.
     pub(super) fn isolated_decode(&mut self, now: Instant, job: JobKey) -> Option<ServerKey> {
         let isolation = self.isolate(now)?;
-        if isolation.running.is_some_and(|running| running != job) {
+        if self.occupant(&isolation).is_some_and(|running| running != job) {
             return None;
         }
         let server = self.pool.get(isolation.apart.decode)?;
@@ -81,7 +81,7 @@
         let Some(isolation) = self.isolation else { return };
         let is_cooling = |key| self.pool.get(key).is_none_or(|server| server.is_cooling(now));
         let has_failed = is_cooling(isolation.apart.prefill) || is_cooling(isolation.apart.decode);
-        if isolation.running.is_none() && has_failed {
+        if self.occupant(&isolation).is_none() && has_failed {
             self.lift_isolation();
         }
     }
@@ -131,6 +131,14 @@
         best.map(|(_, key)| (key, count))
     }
 
+    /// Returns the suspect that is on the engines that are set apart.
+    fn occupant(&self, isolation: &Isolation) -> Option<JobKey> {
+        let running = isolation.running?;
+        // A suspect that waits to be tried again is on no engine.
+        let state = self.jobs.get(running)?;
+        state.stage.is_on_engine().then_some(running)
+    }
+
     fn is_vacated(&self, isolation: &Isolation) -> bool {
         let prefill = self.pool.get(isolation.apart.prefill);
         let decode = self.pool.get(isolation.apart.decode);
