Prove that a late renewal of a released lease concludes nothing

Change: the test that gave way to leases by epoch is back in the form that holds now: a renewal that arrives after its release says nothing of streams that are opened later.

Shown failing first: with the epoch left out of the lease, the reaper cancels the later stream.

--- a/crates/magnoliaspar-reaper/tests/rules.rs
+++ b/crates/magnoliaspar-reaper/tests/rules.rs
@@ -120,6 +120,34 @@
     assert_eq!(reaped[0].key, key());
 }
 
+#[test]
+fn a_late_renewal_of_a_released_lease_says_nothing_of_later_streams() {
+    let start = Instant::now();
+    let mut reaper = reaper();
+    let cfg = ReaperConfig::default();
+    let mut ownership = Ownership::new(name(), Incarnation(1), cfg, start);
+    let id = |life: u64| ReaperId { instance: name(), incarnation: Incarnation(life) };
+    ownership.set_reaper(&server(), id(1));
+    ownership.open(start, key()).unwrap();
+    let late = ownership.renewals(start).pop().unwrap();
+    ownership.close(&key());
+    let elsewhere = InstanceName::try_from("elsewhere").unwrap();
+    ownership.set_reaper(&server(), ReaperId { instance: elsewhere, incarnation: Incarnation(1) });
+    let later = start + cfg.renewal_interval;
+    for renewal in ownership.renewals(later) {
+        reaper.renew(later, &renewal);
+    }
+    let request = RequestId::try_from("next").unwrap();
+    let next = HeldKey { stream: StreamId { request, attempt: AttemptId(2) }, ..key() };
+    ownership.open(later, next.clone()).unwrap();
+    assert!(reaper.renew(later, &late).is_some());
+    let at = later + 200 * SECOND;
+    let mut fresh = list(at, 200 * SECOND);
+    fresh.streams[0].stream = next.stream;
+    fresh.streams[0].owner = ownership.owner();
+    assert!(reaper.listed(&server(), &fresh).is_empty());
+}
+
 #[test]
 fn streams_opened_after_a_reaper_was_lost_outlive_its_lease() {
     let start = Instant::now();
