--- a/crates/magnoliaspar-configuration/src/row.rs
+++ b/crates/magnoliaspar-configuration/src/row.rs
@@ -12,6 +12,9 @@
     /// Who made it.
     #[serde(default)]
     pub operator: Box<str>,
+    /// The command that made it.
+    #[serde(default)]
+    pub command: Box<str>,
     /// When it was made, in milliseconds since 1970.
     #[serde(default)]
     pub at_ms: u64,
@@ -30,6 +33,9 @@
     pub version: u64,
     /// Who made it.
     pub operator: Box<str>,
+    /// The command that made it.
+    #[serde(default)]
+    pub command: Box<str>,
     /// When it was made, in milliseconds since 1970.
     pub at_ms: u64,
     /// The change.
--- a/crates/magnoliaspar-policy/src/lib.rs
+++ b/crates/magnoliaspar-policy/src/lib.rs
@@ -105,6 +105,11 @@
     /// Returns when [`poll`](Self::poll) should be called next if nothing happens before.
     fn next_poll(&self) -> Option<Instant>;
 
+    /// Returns what the policy has planned on a server, if it keeps books.
+    fn usage(&self, _server: ServerKey) -> Option<ServerUsage> {
+        None
+    }
+
     /// Returns why a job runs where it does or waits, for jobs that are here or ended lately.
     fn explain(&self, _job: JobKey) -> Option<&Explanation> {
         None
--- a/crates/magnoliaspar-policy/src/scheduler/mod.rs
+++ b/crates/magnoliaspar-policy/src/scheduler/mod.rs
@@ -383,6 +383,10 @@
         next
     }
 
+    fn usage(&self, server: ServerKey) -> Option<ServerUsage> {
+        Self::usage(self, server)
+    }
+
     fn explain(&self, job: JobKey) -> Option<&Explanation> {
         match self.jobs.get(job) {
             Some(state) => Some(&state.explanation),
--- a/crates/magnoliaspar-serve/src/caller/filters.rs
+++ b/crates/magnoliaspar-serve/src/caller/filters.rs
@@ -1,6 +1,7 @@
 use async_trait::async_trait;
 use magnoliaspar_core::{Refusal, RefusalCode};
 use magnoliaspar_declaration::Declarations;
+use magnoliaspar_event::Listener;
 
 use super::body::{read_body, too_large};
 use super::completion::{CompletionCall, CompletionShape};
@@ -84,15 +85,16 @@
 #[async_trait(?Send)]
 impl Filter for Authenticate {
     async fn apply(&self, cx: &mut CallContext) -> Result<(), Refusal> {
+        let status = RefusalCode::Unauthenticated.as_status();
         let header = cx.head.header("authorization").unwrap_or("");
         let Some(key) = header.strip_prefix("Bearer ") else {
-            cx.instance.metrics.count_auth_failure("caller");
+            cx.instance.record_auth_failure(Listener::Callers, status);
             let message = "the authorization header must hold a bearer key";
             return Err(Refusal::not_run(RefusalCode::Unauthenticated, message));
         };
         let found = cx.declarations()?.workspace_of_key(key);
         let Some((name, workspace)) = found else {
-            cx.instance.metrics.count_auth_failure("caller");
+            cx.instance.record_auth_failure(Listener::Callers, status);
             let message = "the key belongs to no workspace";
             return Err(Refusal::not_run(RefusalCode::Unauthenticated, message));
         };
--- a/crates/magnoliaspar-serve/src/operator/apply.rs
+++ b/crates/magnoliaspar-serve/src/operator/apply.rs
@@ -1,36 +1,114 @@
-use actix_http::Request;
+use std::rc::Rc;
+
+use log::info;
 use magnoliaspar_configuration::Acceptance;
-use magnoliaspar_event::Stamp;
-use magnoliaspar_query::Winner;
-use magnoliaspar_query::api::{ApplyRequest, ApplyResponse, ErrorCode, ErrorResponse};
+use magnoliaspar_core::InstanceName;
+use magnoliaspar_declaration::{DocumentDelta, EntityId};
+use magnoliaspar_event::{EventKind, Stamp};
+use magnoliaspar_query::api::{
+    ApplyRequest, ApplyResponse, ErrorCode, ErrorResponse, InstanceVersion, SpreadResponse,
+};
+use magnoliaspar_query::{Answer, Assignment, Command, CommandResult, Winner};
 
-use super::body::read_json;
+use super::ask;
 use crate::instance::Instance;
 
-/// Proposes a change of the declarations.
+/// Has a change of the declarations accepted.
 pub async fn apply(
-    instance: &Instance,
+    instance: &Rc<Instance>,
     operator: &str,
-    req: Request,
+    req: ApplyRequest,
 ) -> Result<ApplyResponse, ErrorResponse> {
-    let change: ApplyRequest = read_json(req).await?;
-    let acceptance =
-        instance.cluster.propose(change.expected_version, change.delta, operator).await;
-    match acceptance {
+    let command = format!(
+        "apply declarations, {} set and {} removed, if version {}",
+        req.delta.upserts.len(),
+        req.delta.removals.len(),
+        req.expected_version
+    );
+    record_command(instance, operator, &command);
+    accept(instance, operator, &command, req.expected_version, req.delta).await
+}
+
+/// Changes fields of a declared thing.
+pub async fn change(
+    instance: &Rc<Instance>,
+    operator: &str,
+    command: &Command,
+    id: &EntityId,
+    assignments: &[Assignment],
+) -> Result<Answer, ErrorResponse> {
+    let text = command.to_string();
+    record_command(instance, operator, &text);
+    let caught_up = instance.cluster.catch_up().await;
+    caught_up.map_err(|error| unavailable(error.to_string()))?;
+    let configuration = instance.cluster.configuration.borrow().clone();
+    let expected = command.expected_version.unwrap_or(configuration.version());
+    let is_newest = expected == configuration.version();
+    let delta = match Assignment::delta(assignments, id, configuration.document()) {
+        Ok(delta) => delta,
+        Err(findings) if is_newest => return Ok(Answer::of_findings(findings)),
+        // The command loses whatever it asks for; proposing it tells to whom.
+        Err(_) => DocumentDelta::default(),
+    };
+    match accept(instance, operator, &text, expected, delta).await? {
+        ApplyResponse::Accepted { version } => {
+            Ok(Answer::of_command(CommandResult::Accepted { version }))
+        }
+        ApplyResponse::Conflict { winner } => {
+            Ok(Answer::of_command(CommandResult::Conflict { winner }))
+        }
+        ApplyResponse::Refused { findings } => Ok(Answer::of_findings(findings)),
+    }
+}
+
+/// Tells which version is in force where.
+pub async fn spread(instance: &Rc<Instance>) -> SpreadResponse {
+    let parts = ask::statuses(instance).await;
+    let unreachable: Vec<InstanceName> = parts.silent();
+    let mut instances = Vec::new();
+    for status in parts.answered {
+        instances.push(InstanceVersion {
+            instance: status.instance,
+            zone: status.zone,
+            version: status.config_version,
+        });
+    }
+    SpreadResponse { instances, unreachable }
+}
+
+async fn accept(
+    instance: &Rc<Instance>,
+    operator: &str,
+    command: &str,
+    expected_version: u64,
+    delta: DocumentDelta,
+) -> Result<ApplyResponse, ErrorResponse> {
+    match instance.cluster.propose(expected_version, delta, operator, command).await {
         Acceptance::Accepted { version } => Ok(ApplyResponse::Accepted { version }),
-        Acceptance::Conflict { winner, version, at } => {
-            let operator = Some(winner);
+        Acceptance::Conflict { winner, version, command, at } => {
             let stamp = Some(Stamp::at(at));
-            let winner = Winner { version, operator, command: None, stamp };
-            Ok(ApplyResponse::Conflict { winner })
+            let (operator, command) = (known(winner), known(command));
+            Ok(ApplyResponse::Conflict { winner: Winner { version, operator, command, stamp } })
         }
         Acceptance::Refused(findings) => Ok(ApplyResponse::Refused { findings }),
-        Acceptance::Unavailable(message) => {
-            Err(ErrorResponse::new(ErrorCode::StoreUnavailable, message))
-        }
+        Acceptance::Unavailable(message) => Err(unavailable(message)),
         Acceptance::Unknown => {
-            let message = "the platform gave no answer, and the change may be accepted";
-            Err(ErrorResponse::new(ErrorCode::StoreUnavailable, message))
+            Err(unavailable("the platform gave no answer, and the change may be accepted"))
         }
     }
 }
+
+/// Records that an operator gave a command, whatever becomes of it.
+pub fn record_command(instance: &Instance, operator: &str, command: &str) {
+    info!(operator; "command: {command}");
+    let (operator, command) = (operator.into(), command.into());
+    instance.journal.record_own(EventKind::CommandGiven { operator, command });
+}
+
+fn known(text: Box<str>) -> Option<Box<str>> {
+    (!text.is_empty()).then_some(text)
+}
+
+fn unavailable(message: impl Into<Box<str>>) -> ErrorResponse {
+    ErrorResponse::new(ErrorCode::StoreUnavailable, message)
+}
--- a/crates/magnoliaspar-serve/src/peer/homes.rs
+++ b/crates/magnoliaspar-serve/src/peer/homes.rs
@@ -59,6 +59,13 @@
         *self.instances.borrow_mut() = instances;
     }
 
+    /// Returns the known instances but the own one.
+    pub fn others(&self) -> BTreeMap<InstanceName, KnownInstance> {
+        let mut others = self.instances.borrow().clone();
+        others.remove(&self.own);
+        others
+    }
+
     /// Returns how many instances are known, the own one included.
     pub fn instance_count(&self) -> usize {
         let instances = self.instances.borrow();
