Load models by desired states, under the zone's lease

Cause: load model was refused, and nothing gave the orders that desired states ask for.

Change: the command writes a desired state for each engine, conditional on the version that the operator saw, and needs the size of the weights, by which the weight store limits downloads (magnoliaspar-query: clause size).

Ruled out: a size of 0 where none is known, since the weight store would not limit such a load.

Conclusion: an engine that is not drained waits, and a drained one loads once.

--- a/crates/magnoliaspar-query/src/command.rs
+++ b/crates/magnoliaspar-query/src/command.rs
@@ -69,6 +69,8 @@
         version: Box<str>,
         /// The adapters.
         adapters: Vec<Box<str>>,
+        /// The size of the weights in bytes, if it is given.
+        weight_bytes: Option<u64>,
         /// The engines.
         target: LoadTarget,
     },
@@ -99,13 +101,16 @@
                 write!(f, "quarantine {}", Quoted::name(fingerprint))
             }
             Self::Release { fingerprint } => write!(f, "release {}", Quoted::name(fingerprint)),
-            Self::LoadModel { model, version, adapters, target } => {
+            Self::LoadModel { model, version, adapters, weight_bytes, target } => {
                 write!(f, "load model {}", Quoted::name(model.as_str()))?;
                 write!(f, " version {}", Quoted::name(version))?;
                 for (index, adapter) in adapters.iter().enumerate() {
                     let lead = if index == 0 { " adapters" } else { "," };
                     write!(f, "{lead} {}", Quoted::name(adapter))?;
                 }
+                if let Some(bytes) = weight_bytes {
+                    write!(f, " size {bytes}")?;
+                }
                 write!(f, " on {target}")
             }
         }
--- a/crates/magnoliaspar-query/src/grammar/command.rs
+++ b/crates/magnoliaspar-query/src/grammar/command.rs
@@ -68,17 +68,23 @@
     keyword(input, &["version"])?;
     let version = word(input, "the version of a model")?;
     let mut adapters = Vec::new();
-    if keyword(input, &["adapters", "on"])? == "adapters" {
+    let mut weight_bytes = None;
+    let mut clause = keyword(input, &["adapters", "size", "on"])?;
+    if clause == "adapters" {
         let adapter = |input: &mut Input| word(input, "an adapter");
         let comma = |input: &mut Input| accept(input, ",").and_then(continues);
         adapters = separated(1.., adapter, comma).parse_next(input)?;
+        clause = keyword(input, &["size", "on"])?;
+    }
+    if clause == "size" {
+        weight_bytes = Some(count(input, "the size of the weights in bytes")?);
         keyword(input, &["on"])?;
     }
     let target = match keyword(input, &["server", "pool"])? {
         "server" => LoadTarget::Server(name(input, "the name of a server")?),
         _ => LoadTarget::Pool(name(input, "the name of a pool")?),
     };
-    finish(input, CommandKind::LoadModel { model, version, adapters, target })
+    finish(input, CommandKind::LoadModel { model, version, adapters, weight_bytes, target })
 }
 
 fn drain_target(input: &mut Input) -> Parsed<DrainTarget> {
--- a/crates/magnoliaspar-query/src/grammar/tests.rs
+++ b/crates/magnoliaspar-query/src/grammar/tests.rs
@@ -40,6 +40,8 @@
         "release 9f3c if version 3",
         "load model lm version 5 adapters a, b on pool p",
         "load model lm version 5 on server d-1",
+        "load model lm version 5 size 14000000000 on server d-1",
+        "load model lm version 5 adapters a size 7 on pool p",
     ] {
         let statement = Statement::parse(text).unwrap_or_else(|err| panic!("{err}"));
         assert_eq!(statement.to_string(), text);
@@ -225,14 +227,17 @@
         ),
         word().prop_map(|word| CommandKind::Quarantine { fingerprint: word.into() }),
         word().prop_map(|word| CommandKind::Release { fingerprint: word.into() }),
-        (word(), word(), vec(word(), 0..3)).prop_map(|(model, version, adapters)| {
-            CommandKind::LoadModel {
-                model: model.as_str().try_into().unwrap(),
-                version: version.into(),
-                adapters: adapters.into_iter().map(Into::into).collect(),
-                target: LoadTarget::Pool(model.as_str().try_into().unwrap()),
+        (word(), word(), vec(word(), 0..3), option::of(any::<u64>())).prop_map(
+            |(model, version, adapters, weight_bytes)| {
+                CommandKind::LoadModel {
+                    model: model.as_str().try_into().unwrap(),
+                    version: version.into(),
+                    adapters: adapters.into_iter().map(Into::into).collect(),
+                    weight_bytes,
+                    target: LoadTarget::Pool(model.as_str().try_into().unwrap()),
+                }
             }
-        }),
+        ),
     ];
     (kind, option::of(any::<u64>()))
         .prop_map(|(kind, expected_version)| Statement::Command(Command { kind, expected_version }))
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -20,7 +20,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::operator::QuarantineBook;
+use crate::operator::{QuarantineBook, ZoneOrders};
 use crate::peer::{PeerClients, ZoneHomes};
 use crate::reaping::StreamOwnership;
 use crate::run::{Homes, LocalHome};
@@ -74,6 +74,8 @@
     pub table: Rc<BudgetedTable>,
     /// The fingerprints of requests that engines may crash on.
     pub quarantine: Rc<dyn QuarantineBook>,
+    /// The orders that this instance gave to the engines of its availability zone.
+    pub orders: ZoneOrders,
     /// Bounds the events about wrong keys.
     pub auth_events: RefCell<RateBudget>,
     /// Whether the instance drains since its process ends.
--- /dev/null
+++ b/crates/magnoliaspar-serve/src/operator/load.rs
@@ -0,0 +1,178 @@
+use std::rc::Rc;
+
+use magnoliaspar_core::{ModelName, PoolName, ServerName, ZoneName};
+use magnoliaspar_declaration::PoolKind;
+use magnoliaspar_order::{DesiredError, DesiredRole, DesiredState, OperatorName};
+use magnoliaspar_platform::{PlatformError, RowVersion};
+use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
+use magnoliaspar_query::{Answer, Cell, Command, CommandResult, LoadTarget, Subject, Winner};
+
+use super::apply::record_command;
+use super::orders::desired_table;
+use super::rows;
+use crate::instance::Instance;
+
+/// What engines are to load.
+#[derive(Debug, Clone, Copy)]
+pub struct Load<'a> {
+    /// The model.
+    pub model: &'a ModelName,
+    /// The version of the model.
+    pub version: &'a str,
+    /// The adapters.
+    pub adapters: &'a [Box<str>],
+    /// The size of the weights in bytes, if the operator gave it.
+    pub weight_bytes: Option<u64>,
+    /// The engines.
+    pub target: &'a LoadTarget,
+}
+
+/// An engine that is to load a model.
+struct Engine {
+    server: ServerName,
+    zone: ZoneName,
+    role: DesiredRole,
+}
+
+/// Writes what engines should run; the zones' lease holders bring it about.
+pub async fn load(
+    instance: &Rc<Instance>,
+    operator: &str,
+    command: &Command,
+    load: Load<'_>,
+) -> Result<Answer, ErrorResponse> {
+    let engines = find_engines(instance, load.target).await?;
+    if command.expected_version.is_some() && matches!(load.target, LoadTarget::Pool(_)) {
+        let message = "the engines of a pool have a version each; name one server";
+        return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+    }
+    record_command(instance, operator, &command.to_string());
+    let mut answer = Answer::new(&Subject::Orders);
+    for engine in engines {
+        let result = desire(instance, operator, command, load, &engine).await?;
+        let state = match &result {
+            CommandResult::Accepted { .. } => "desired".into(),
+            CommandResult::Conflict { winner } => format!("lost to {winner}"),
+        };
+        let mut row = vec![Cell::Empty; answer.columns.len()];
+        row[0] = engine.server.as_str().into();
+        row[1] = Cell::text(format!("{} {}", load.model, load.version));
+        row[2] = Cell::text(state);
+        answer.push(row);
+        answer.command = Some(worse(answer.command.take(), result));
+    }
+    Ok(answer)
+}
+
+async fn desire(
+    instance: &Instance,
+    operator: &str,
+    command: &Command,
+    load: Load<'_>,
+    engine: &Engine,
+) -> Result<CommandResult, ErrorResponse> {
+    let table = desired_table(instance, &engine.zone);
+    let current = table.read(&engine.server).await.map_err(unavailable)?;
+    let known = current.as_ref().and_then(|row| row.state.as_ref());
+    let is_same =
+        |state: &&DesiredState| state.model == *load.model && *state.version == *load.version;
+    let weight_bytes = load.weight_bytes.or(known.filter(is_same).map(|state| state.weight_bytes));
+    let Some(weight_bytes) = weight_bytes else {
+        let message = "the size of the weights is not known; give it as size BYTES";
+        return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+    };
+    let seen = match command.expected_version {
+        Some(0) => None,
+        Some(version) => Some(RowVersion(version)),
+        None => current.map(|row| row.version),
+    };
+    let state = DesiredState {
+        model: load.model.clone(),
+        version: load.version.into(),
+        adapters: load.adapters.iter().cloned().collect(),
+        role: engine.role,
+        weight_bytes,
+    };
+    match table.set(&engine.server, Some(&state), seen, &OperatorName(operator.into())).await {
+        Ok(version) => Ok(CommandResult::Accepted { version: version.0 }),
+        Err(DesiredError::Conflict { winner, at_version }) => {
+            let version = at_version.map_or(0, |version| version.0);
+            let operator = winner.map(|winner| winner.0);
+            let winner = Winner { version, operator, command: None, stamp: None };
+            Ok(CommandResult::Conflict { winner })
+        }
+        Err(error @ DesiredError::Unsettled) => {
+            Err(ErrorResponse::new(ErrorCode::StoreUnavailable, error.to_string()))
+        }
+        Err(DesiredError::Platform(error)) => Err(unavailable(error)),
+    }
+}
+
+async fn find_engines(
+    instance: &Rc<Instance>,
+    target: &LoadTarget,
+) -> Result<Vec<Engine>, ErrorResponse> {
+    let servers = rows::servers(instance).await;
+    let mut engines = Vec::new();
+    for row in &servers.rows {
+        let [server, pool, zone, ..] = &**row else { continue };
+        let is_target = match target {
+            LoadTarget::Server(name) => *server == Cell::from(name.as_str()),
+            LoadTarget::Pool(name) => *pool == Cell::from(name.as_str()),
+        };
+        if is_target {
+            engines.extend(read_engine(instance, server, pool, zone)?);
+        }
+    }
+    if engines.is_empty() {
+        let message = format!("no engine is known for {target}");
+        return Err(ErrorResponse::new(ErrorCode::NotFound, message));
+    }
+    Ok(engines)
+}
+
+fn read_engine(
+    instance: &Instance,
+    server: &Cell,
+    pool: &Cell,
+    zone: &Cell,
+) -> Result<Option<Engine>, ErrorResponse> {
+    let (server, zone) = (server.to_string(), zone.to_string());
+    let (Ok(server), Ok(zone)) = (server.as_str().try_into(), zone.as_str().try_into()) else {
+        return Ok(None);
+    };
+    let in_force = instance.in_force();
+    let declared = PoolName::try_from(pool.to_string().as_str()).ok();
+    let kind = in_force.zip(declared).and_then(|(in_force, name)| {
+        in_force.declarations.pools.get(&name).map(|declared| declared.kind)
+    });
+    let role = match kind {
+        Some(PoolKind::Prefill) => DesiredRole::Prefill,
+        Some(PoolKind::Decode) => DesiredRole::Decode,
+        Some(PoolKind::Service) => {
+            let message = format!("{server} is a plain service and loads no model");
+            return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+        }
+        None => {
+            let message = format!("the pool {pool} of {server} is not declared");
+            return Err(ErrorResponse::new(ErrorCode::BadRequest, message));
+        }
+    };
+    Ok(Some(Engine { server, zone, role }))
+}
+
+/// Returns the result that the operator must know of: a conflict, or the newest version.
+fn worse(before: Option<CommandResult>, fresh: CommandResult) -> CommandResult {
+    match (before, fresh) {
+        (Some(conflict @ CommandResult::Conflict { .. }), _) => conflict,
+        (
+            Some(CommandResult::Accepted { version: before }),
+            CommandResult::Accepted { version: fresh },
+        ) => CommandResult::Accepted { version: before.max(fresh) },
+        (_, fresh) => fresh,
+    }
+}
+
+fn unavailable(error: PlatformError) -> ErrorResponse {
+    ErrorResponse::new(ErrorCode::StoreUnavailable, error.to_string())
+}
--- a/crates/magnoliaspar-serve/src/operator/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/mod.rs
@@ -4,6 +4,8 @@
 mod apply;
 mod ask;
 mod drain;
+mod load;
+mod orders;
 mod quarantine;
 mod respond;
 mod rows;
@@ -12,6 +14,7 @@
 
 pub use self::ask::answer_peer;
 pub use self::drain::read_drains;
+pub use self::orders::{ZoneOrders, tend_orders};
 pub use self::quarantine::{NoQuarantine, QuarantineBook};
 
 use std::rc::Rc;
--- a/crates/magnoliaspar-serve/src/operator/rows/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/mod.rs
@@ -20,6 +20,7 @@
     match subject {
         Subject::Running => requests::running(instance),
         Subject::Servers => servers::own(instance),
+        Subject::Orders => stored::given_orders(instance),
         Subject::Why(request) => requests::why_waiting(instance, request),
         _ => Answer::new(subject),
     }
@@ -36,7 +37,10 @@
         Subject::Workspaces => declared::workspaces(instance, &running(instance).await),
         Subject::Config => declared::config(instance),
         Subject::Claims => stored::claims(instance).await,
-        Subject::Orders => stored::orders(instance).await,
+        Subject::Orders => {
+            let given = merge(&query.subject, ask::rows(instance, &query.subject).await);
+            stored::orders(instance, given).await
+        }
         Subject::Quarantine => Ok(quarantine(instance)),
         Subject::Why(_) => Ok(waiting(instance, &query.subject).await),
         Subject::Timeline => Ok(Answer::new(&query.subject)),
--- a/crates/magnoliaspar-serve/src/operator/rows/stored.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/stored.rs
@@ -1,15 +1,15 @@
-use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
 use magnoliaspar_claim::ClaimOwner;
-use magnoliaspar_order::{DesiredRow, DesiredTable};
-use magnoliaspar_platform::{Backoff, PlatformError, Row, TableService, TimerSleep};
+use magnoliaspar_order::{DesiredRow, OrderStep};
+use magnoliaspar_platform::{PlatformError, Row, TableService};
 use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
 use magnoliaspar_query::{Answer, Cell, Subject};
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::instance::Instance;
+use crate::operator::orders::desired_table;
 
 /// What stands before the workspace in the key of a claim's row.
 const CLAIM_PREFIX: &str = "claim/";
@@ -43,24 +43,52 @@
     Ok(answer)
 }
 
-/// Returns what the engines of the own availability zone should run.
-pub async fn orders(instance: &Instance) -> Result<Answer, ErrorResponse> {
-    let backoff = Backoff::new(Rc::new(TimerSleep));
-    let (table, zone) = (instance.table.clone(), &instance.settings.zone);
-    let table = DesiredTable::new(table, backoff, zone, "reader".into());
+/// Returns what this instance has done to bring engines to their desired states.
+pub fn given_orders(instance: &Instance) -> Answer {
     let mut answer = Answer::new(&Subject::Orders);
-    for (server, row) in table.list().await.map_err(unavailable)? {
-        let order = describe_order(&row);
+    let now = instance.clock.now();
+    for (server, order) in instance.orders.all() {
         answer.push([
             server.as_str().into(),
-            Cell::text(order),
-            "desired".into(),
-            Cell::Empty,
-            Cell::Empty,
             Cell::Empty,
+            Cell::text(describe_step(&order.step)),
+            order.fence.into(),
+            instance.settings.instance.as_str().into(),
+            now.saturating_duration_since(order.since).into(),
         ]);
     }
-    Ok(answer)
+    answer
+}
+
+/// Adds what the engines of the own availability zone should run to what was done about them.
+pub async fn orders(instance: &Instance, mut given: Answer) -> Result<Answer, ErrorResponse> {
+    let table = desired_table(instance, &instance.settings.zone);
+    for (server, row) in table.list().await.map_err(unavailable)? {
+        let order = Cell::text(describe_order(&row));
+        let name = Cell::from(server.as_str());
+        if let Some(known) = given.rows.iter_mut().find(|known| known[0] == name) {
+            known[1] = order;
+            continue;
+        }
+        given.push([name, order, "desired".into(), Cell::Empty, Cell::Empty, Cell::Empty]);
+    }
+    Ok(given)
+}
+
+fn describe_step(step: &OrderStep) -> String {
+    match step {
+        OrderStep::Undeclared => "undeclared".to_owned(),
+        OrderStep::InForce => "in force".to_owned(),
+        OrderStep::Ordered(_) => "ordered".to_owned(),
+        OrderStep::NotSeen(_) => "ordered, not seen yet".to_owned(),
+        OrderStep::Busy => "at work".to_owned(),
+        OrderStep::AwaitsDrain => "awaits a drain".to_owned(),
+        OrderStep::LoadsLimited => "waits for other loads".to_owned(),
+        OrderStep::WeightsLimited { .. } => "waits for the weight store".to_owned(),
+        OrderStep::WeightsUnavailable(error) => format!("no weights: {error}"),
+        OrderStep::NoLease(error) => format!("no lease: {error}"),
+        OrderStep::Failed(error) => format!("failed: {error}"),
+    }
 }
 
 /// What an answer shows of a claim's row.
--- a/crates/magnoliaspar-serve/src/operator/statement.rs
+++ b/crates/magnoliaspar-serve/src/operator/statement.rs
@@ -9,6 +9,7 @@
 use magnoliaspar_settings::OperatorKey;
 
 use super::access;
+use super::load::{self, Load};
 use super::quarantine::{QuarantineChange, unsupported};
 use super::{apply, ask, drain, rows};
 use crate::instance::Instance;
@@ -78,7 +79,11 @@
             let change = quarantine_change(operator, command, fingerprint);
             instance.quarantine.release(&change).await.map(Answer::of_command)
         }
-        CommandKind::LoadModel { .. } => Err(unsupported("loading a model")),
+        CommandKind::LoadModel { model, version, adapters, weight_bytes, target } => {
+            let weight_bytes = *weight_bytes;
+            let load = Load { model, version, adapters, weight_bytes, target };
+            load::load(instance, operator, command, load).await
+        }
     }
 }
 
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -29,7 +29,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::operator::{self, NoQuarantine};
+use crate::operator::{self, NoQuarantine, ZoneOrders};
 use crate::peer::{PeerClients, PeerServer, ZoneHomes};
 use crate::reaping::{ReapingController, StreamOwnership};
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
@@ -210,6 +210,7 @@
         clock,
         table,
         quarantine: Rc::new(NoQuarantine),
+        orders: ZoneOrders::default(),
         auth_events: RefCell::new(auth_events),
         is_draining: Cell::new(false),
         is_drained_by_operator: Cell::new(false),
@@ -228,6 +229,8 @@
     actix_rt::spawn(cluster::probe_servers(cluster.clone(), connector.clone()));
     actix_rt::spawn(settle_claims(instance.clone()));
     actix_rt::spawn(operator::read_drains(instance.clone()));
+    let life = incarnation_at(&*instance.clock);
+    actix_rt::spawn(operator::tend_orders(instance.clone(), connector.clone(), life));
     ReapingController::new(instance.clone(), connector.clone()).spawn();
     EngineWatch::new(instance.clone(), connector).spawn();
 }
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -22,6 +22,9 @@
 /// How many tokens an answer has that runs while it is asked about.
 const LONG_TOKENS: u32 = 2_000;
 
+/// How long an order may take, with the lease and the drain before it.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// How long a state may take to be seen everywhere.
 const SEEN_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -347,7 +350,8 @@
     for subject in ["orders", "quarantine"] {
         assert_eq!(on_call.query(subject).await["rows"], json!([]), "{subject}");
     }
-    for command in ["quarantine 0a0b", "release 0a0b", "load model m version 2 on pool p"] {
+    let add = "add server x to pool grants-app in zone zone-a at \"127.0.0.1:1\"";
+    for command in ["quarantine 0a0b", "release 0a0b", add] {
         let output = on_call.run(&["query", command]).await;
         assert_eq!(output.code, 1, "{command}: {output:?}");
         assert!(output.err.contains("not supported by this build"), "{}", output.err);
@@ -356,6 +360,30 @@
     assert!(wrong.code == 2 && wrong.err.contains("did you mean where?"), "{wrong:?}");
 }
 
+#[actix_rt::test]
+async fn a_drained_engine_loads_what_an_operator_wants() {
+    let cluster = start(&["a-1", "a-2"], &[]).await;
+    let on_call = operator(&cluster, 0, OPERATOR_KEY);
+    let second_shift = operator(&cluster, 1, SECOND_OPERATOR_KEY);
+    let load = "load model assessor-llm version 2";
+    let missing = on_call.run(&["query", &format!("{load} on server zone-a-decode-1")]).await;
+    assert!(missing.code == 1 && missing.err.contains("size BYTES"), "{missing:?}");
+    let sized = format!("{load} size 1000 on server zone-a-decode-1");
+    on_call.query(&format!("{sized} if version 0")).await;
+    let late = second_shift.run(&["query", &format!("{sized} if version 0")]).await;
+    assert!(late.code == 1 && late.err.contains("by on-call"), "{late:?}");
+    let orders = "orders where server = zone-a-decode-1";
+    let is_at = async |state: &str| second_shift.column(orders, "state").await == [state.into()];
+    wait_until(ORDER_TIMEOUT, async || is_at("awaits a drain").await).await;
+    on_call.query("drain server zone-a-decode-1").await;
+    wait_until(ORDER_TIMEOUT, async || is_at("in force").await).await;
+    let sent = "timeline where server = zone-a-decode-1 and kind = order_sent";
+    let details = on_call.column(sent, "details").await;
+    assert!(details[0].contains("load assessor-llm 2"), "{details:?}");
+    assert_eq!(details.len(), 1);
+    on_call.query("undrain server zone-a-decode-1").await;
+}
+
 #[actix_rt::test]
 async fn a_waiting_request_is_told_why() {
     let cluster = start(&["a-1", "a-2"], &[]).await;
