--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -20,6 +20,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
+use crate::operator::ZoneOrders;
 use crate::peer::{PeerClients, ZoneHomes};
 use crate::quarantine::QuarantineState;
 use crate::reaping::StreamOwnership;
@@ -74,6 +75,8 @@
     pub started_at: Instant,
     /// The table service, within this instance's share of its rates.
     pub table: Rc<BudgetedTable>,
+    /// The orders that this instance gave to the engines of its availability zone.
+    pub orders: ZoneOrders,
     /// Bounds the events about wrong keys.
     pub auth_events: RefCell<RateBudget>,
     /// Whether the instance drains since its process ends.
--- a/crates/magnoliaspar-serve/src/operator/rows/mod.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/mod.rs
@@ -21,6 +21,8 @@
     match subject {
         Subject::Running => requests::running(instance),
         Subject::Servers => servers::own(instance),
+        Subject::Orders => stored::given_orders(instance),
+        Subject::Quarantine => quarantine::list(instance),
         Subject::Why(request) => requests::why_waiting(instance, request),
         _ => Answer::new(subject),
     }
@@ -37,8 +39,11 @@
         Subject::Workspaces => declared::workspaces(instance, &running(instance).await),
         Subject::Config => declared::config(instance),
         Subject::Claims => stored::claims(instance).await,
-        Subject::Orders => stored::orders(instance).await,
-        Subject::Quarantine => Ok(quarantine::list(instance)),
+        Subject::Orders => {
+            let given = merge(&query.subject, ask::rows(instance, &query.subject).await);
+            stored::orders(instance, given).await
+        }
+        Subject::Quarantine => Ok(strictest(instance).await),
         Subject::Why(_) => Ok(waiting(instance, &query.subject).await),
         Subject::Timeline => Ok(Answer::new(&query.subject)),
     }
@@ -98,6 +103,16 @@
     answer
 }
 
+/// Returns the fingerprints that any instance suspects or refuses, each with the strictest state.
+async fn strictest(instance: &Rc<Instance>) -> Answer {
+    let parts = ask::rows(instance, &Subject::Quarantine).await;
+    let mut answer = merge(&Subject::Quarantine, parts);
+    // "refused" stands before "suspect".
+    answer.rows.sort_by_key(|row| (row[0].to_string(), row[1].to_string()));
+    answer.rows.dedup_by(|later, earlier| later[0] == earlier[0]);
+    answer
+}
+
 fn merge(subject: &Subject, parts: Parts<Answer>) -> Answer {
     let mut answer = Answer::new(subject);
     for part in parts.answered {
--- a/crates/magnoliaspar-serve/src/operator/statement.rs
+++ b/crates/magnoliaspar-serve/src/operator/statement.rs
@@ -10,6 +10,7 @@
 
 use super::access;
 use super::apply::record_command;
+use super::load::{self, Load};
 use super::quarantine::{self, unsupported};
 use super::{apply, ask, drain, rows};
 use crate::instance::Instance;
@@ -79,7 +80,11 @@
             record_command(instance, operator, &command.to_string());
             quarantine::change(instance, command, fingerprint, false)
         }
-        CommandKind::LoadModel { .. } => Err(unsupported("loading a model")),
+        CommandKind::LoadModel { model, version, adapters, weight_bytes, target } => {
+            let weight_bytes = *weight_bytes;
+            let load = Load { model, version, adapters, weight_bytes, target };
+            load::load(instance, operator, command, load).await
+        }
     }
 }
 
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -29,7 +29,7 @@
 use crate::journal::Journal;
 use crate::limit::ConcurrencyLimits;
 use crate::metrics::Metrics;
-use crate::operator::{self};
+use crate::operator::{self, ZoneOrders};
 use crate::peer::{PeerClients, PeerServer, ZoneHomes};
 use crate::quarantine::QuarantineState;
 use crate::reaping::{ReapingController, StreamOwnership};
@@ -220,6 +220,7 @@
         started_at: clock.now(),
         clock,
         table,
+        orders: ZoneOrders::default(),
         auth_events: RefCell::new(auth_events),
         is_draining: Cell::new(false),
         is_drained_by_operator: Cell::new(false),
@@ -238,6 +239,8 @@
     actix_rt::spawn(cluster::probe_servers(cluster.clone(), connector.clone()));
     actix_rt::spawn(settle_claims(instance.clone()));
     actix_rt::spawn(operator::read_drains(instance.clone()));
+    let life = incarnation_at(&*instance.clock);
+    actix_rt::spawn(operator::tend_orders(instance.clone(), connector.clone(), life));
     ReapingController::new(instance.clone(), connector.clone()).spawn();
     EngineWatch::new(instance.clone(), connector).spawn();
 }
