--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -35,19 +35,6 @@
     pub restarts: usize,
 }
 
-impl StreamedAnswer {
-    /// Returns an answer that was not asked for yet.
-    pub fn new() -> Self {
-        Self { tokens: Vec::new(), end: AnswerEnd::Broken, attempts: 0, restarts: 0 }
-    }
-}
-
-impl Default for StreamedAnswer {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// How an attempt ended.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum AnswerEnd {
@@ -85,7 +72,7 @@
         prompt: &str,
         max_tokens: u32,
     ) -> StreamedAnswer {
-        let mut answer = StreamedAnswer::new();
+        let mut answer = StreamedAnswer::default();
         while answer.attempts < MAX_ATTEMPTS {
             let entry = entries[answer.attempts % entries.len()];
             answer.attempts += 1;
--- a/tests/tests/caller_failures.rs
+++ b/tests/tests/caller_failures.rs
@@ -158,7 +158,7 @@
         for entry in cluster.entries() {
             let (id, prompt) = (&id, &prompt);
             raced.push(async move {
-                let mut answer = StreamedAnswer::new();
+                let mut answer = StreamedAnswer::default();
                 Caller::new().attempt(entry, id, prompt, TOKENS, &mut answer).await;
                 answer
             });
@@ -225,8 +225,8 @@
 async fn one_caller_at_a_time_may_come_back_to_the_same_stream() {
     let cluster = start().await;
     let caller = Caller::new();
-    let mut first = StreamedAnswer::new();
-    let mut second = StreamedAnswer::new();
+    let mut first = StreamedAnswer::default();
+    let mut second = StreamedAnswer::default();
     let prompt = prompt("back");
     let later = async {
         let decodes = &cluster.deployment.zones[0].decodes;
--- a/tests/tests/engine_failures.rs
+++ b/tests/tests/engine_failures.rs
@@ -43,7 +43,7 @@
 
 async fn ask(cluster: &LocalCluster, name: &str) -> StreamedAnswer {
     let caller = Caller::with_silence_timeout(PATIENCE);
-    let mut answer = StreamedAnswer::new();
+    let mut answer = StreamedAnswer::default();
     caller.attempt(cluster.entry(0), name, &prompt(name), TOKENS, &mut answer).await;
     answer
 }
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -298,8 +298,7 @@
     let status = drained.run(&["status"]).await;
     assert!(status.out.contains("draining         yes"), "{}", status.out);
     let refused = Caller::new();
-    let mut answer =
-        magnoliaspar_tests::StreamedAnswer { tokens: vec![], end: AnswerEnd::Broken, attempts: 0 };
+    let mut answer = magnoliaspar_tests::StreamedAnswer::default();
     refused.attempt(cluster.entries()[1], "x", "Assess it.", TOKENS, &mut answer).await;
     let end = AnswerEnd::Refused { code: "draining".into(), outcome: "not_run".into() };
     assert_eq!(answer.end, end);
