Let late transfers push back the ones planned after them

Cause: a planned transfer that had not started by its time no longer counted on the link, so that prefills were granted against link time that was already promised; a hot document's holder lost held KV cache that way.

Change: Link::earliest moves planned windows that are late to the present, and those behind them.

--- a/crates/magnoliaspar-policy/src/link.rs
+++ b/crates/magnoliaspar-policy/src/link.rs
@@ -29,13 +29,23 @@
 
 impl Link {
     /// Returns the earliest start from `from` on at which a transfer of `length` fits.
-    pub(crate) fn earliest(&self, from: Instant, length: Duration) -> Instant {
-        let mut start = from;
+    ///
+    /// Transfers that were planned before now and have not started push the later ones back.
+    pub(crate) fn earliest(&self, now: Instant, from: Instant, length: Duration) -> Instant {
+        let mut start = from.max(now);
+        let mut free_at = now;
         for window in &self.windows {
-            if start + length <= window.start {
+            let (begin, end) = if window.is_running {
+                (window.start, window.end)
+            } else {
+                let begin = window.start.max(free_at);
+                (begin, begin + (window.end - window.start))
+            };
+            if start + length <= begin {
                 break;
             }
-            start = start.max(window.end);
+            start = start.max(end);
+            free_at = free_at.max(end);
         }
         start
     }
@@ -92,11 +102,17 @@
 }
 
 /// Returns the earliest start from `from` on at which a transfer fits on both links.
-pub(crate) fn earliest_on_both(a: &Link, b: &Link, from: Instant, length: Duration) -> Instant {
-    let mut start = from;
+pub(crate) fn earliest_on_both(
+    a: &Link,
+    b: &Link,
+    now: Instant,
+    from: Instant,
+    length: Duration,
+) -> Instant {
+    let mut start = from.max(now);
     // Each round passes at least one window of either link.
     for _ in 0..=a.len() + b.len() {
-        let next = b.earliest(a.earliest(start, length), length);
+        let next = b.earliest(now, a.earliest(now, start, length), length);
         if next == start {
             break;
         }
@@ -128,11 +144,14 @@
         let mut link = Link::default();
         link.plan(a, now + STEP, STEP);
         link.plan(b, now + 4 * STEP, STEP);
-        assert_eq!(link.earliest(now, STEP), now);
-        assert_eq!(link.earliest(now, 2 * STEP), now + 2 * STEP);
-        assert_eq!(link.earliest(now, 3 * STEP), now + 5 * STEP);
+        assert_eq!(link.earliest(now, now, STEP), now);
+        assert_eq!(link.earliest(now, now, 2 * STEP), now + 2 * STEP);
+        assert_eq!(link.earliest(now, now, 3 * STEP), now + 5 * STEP);
+        // A planned transfer that is late pushes the next one back.
+        let later = now + 5 * STEP;
+        assert_eq!(link.earliest(later, later, STEP), now + 7 * STEP);
         link.free(a);
-        assert_eq!(link.earliest(now, 3 * STEP), now);
+        assert_eq!(link.earliest(now, now, 3 * STEP), now);
     }
 
     #[test]
@@ -142,8 +161,8 @@
         let (mut one, mut other) = (Link::default(), Link::default());
         one.plan(a, now, STEP);
         other.plan(b, now + 2 * STEP, STEP);
-        assert_eq!(earliest_on_both(&one, &other, now, STEP), now + STEP);
-        assert_eq!(earliest_on_both(&one, &other, now, 2 * STEP), now + 3 * STEP);
+        assert_eq!(earliest_on_both(&one, &other, now, now, STEP), now + STEP);
+        assert_eq!(earliest_on_both(&one, &other, now, now, 2 * STEP), now + 3 * STEP);
     }
 
     #[test]
--- a/crates/magnoliaspar-policy/src/placement.rs
+++ b/crates/magnoliaspar-policy/src/placement.rs
@@ -381,7 +381,7 @@
             .slot_at(now, demand, server, reader.ready_at, last_start)
             .ok_or(RejectReason::NoSlotInTime)?;
         let start = reader.ready_at.max(slot_at);
-        let transfer_at = earliest_on_both(&from.link, &server.link, start, transfer_time);
+        let transfer_at = earliest_on_both(&from.link, &server.link, now, start, transfer_time);
         if transfer_at > last_start {
             return Err(RejectReason::LinkBusy);
         }
