Show which drains cut requests and how servers leave

Cause: a drained instance waits for the runs of which it is the home only. A stream that it relays from another home, and a call of a service that it passes on, are cut when its process ends.

--- /dev/null
+++ b/tests/tests/drains.rs
@@ -0,0 +1,181 @@
+//! Instances that drain and backend servers that leave.
+
+use std::time::Duration;
+
+use futures_util::future::{join, join_all};
+use magnoliaspar_engine::Stage;
+use magnoliaspar_standin::{DeploymentSpec, answer_tokens};
+use magnoliaspar_tests::{
+    AnswerEnd, Call, Caller, Cluster, LocalCluster, StreamedAnswer, run_unless_known_red,
+    wait_until,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
+
+/// How many tokens each answer has.
+const TOKENS: u32 = 300;
+
+/// How many requests run at the same time.
+const REQUESTS: usize = 8;
+
+/// A time at which all streams are running.
+const MID_STREAM: Duration = Duration::from_millis(300);
+
+/// How long instances may take to do what they must.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long it takes at most until one instance learns of a change of the platform's list.
+const LIST_PERIOD: Duration = Duration::from_millis(2_500);
+
+/// How long it takes at most until all instances act on what one has learned.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+
+/// How long a slow call runs.
+const SLOW_CALL: Duration = Duration::from_millis(1_500);
+
+fn prompt(number: usize) -> String {
+    format!("[long] drained {number} {}", "with many pages ".repeat(64))
+}
+
+async fn ask(entry: std::net::SocketAddr, number: usize) -> StreamedAnswer {
+    let mut answer = StreamedAnswer::default();
+    let id = format!("drained-{number}");
+    Caller::new().attempt(entry, &id, &prompt(number), TOKENS, &mut answer).await;
+    answer
+}
+
+fn assert_whole(number: usize, answer: &StreamedAnswer) {
+    assert_eq!(answer.end, AnswerEnd::Complete, "answer {number}: {answer:?}");
+    assert_eq!(answer.tokens, answer_tokens(&prompt(number), TOKENS), "answer {number}");
+}
+
+async fn start_processes() -> Cluster {
+    let mut cluster = Cluster::start(PROGRAM, &DeploymentSpec::small(&["zone-a"])).await;
+    cluster.start_instances(0, &["a-1", "a-2", "a-3"]).await;
+    for entry in cluster.entries() {
+        let call = Call::get("/grants/status/warm-up");
+        wait_until(SETTLE_TIMEOUT, async || call.send(entry).await.is_answer()).await;
+    }
+    cluster
+}
+
+/// Drains an instance through which all streams run, and those of which it may be the home.
+async fn drain_mid_stream(victim: usize) {
+    let mut cluster = start_processes().await;
+    let entries = cluster.entries();
+    let mut asked = Vec::new();
+    for number in 0..REQUESTS {
+        // Half of the streams run through the drained instance, half through others.
+        let through = if number % 2 == 0 { victim } else { number };
+        asked.push(ask(entries[through % entries.len()], number));
+    }
+    let terminator = async {
+        actix_rt::time::sleep(MID_STREAM).await;
+        cluster.instances[victim].terminate();
+        actix_rt::time::sleep(MID_STREAM).await;
+        let other = entries[(victim + 1) % entries.len()];
+        ask(other, REQUESTS).await
+    };
+    let (answers, later) = join(join_all(asked), terminator).await;
+    let status = cluster.instances[victim].wait();
+    for (number, answer) in answers.iter().enumerate() {
+        assert_whole(number, answer);
+    }
+    assert_whole(REQUESTS, &later);
+    assert_eq!(status.code(), Some(0));
+    cluster.wait_until_free(SETTLE_TIMEOUT).await;
+}
+
+#[actix_rt::test]
+async fn a_drain_cuts_no_stream_of_any_instance() {
+    run_unless_known_red("a_drain_cuts_no_stream_of_any_instance", async {
+        for victim in 0..3 {
+            drain_mid_stream(victim).await;
+        }
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_drain_cuts_no_call_of_a_service() {
+    run_unless_known_red("a_drain_cuts_no_call_of_a_service", drain_mid_call()).await;
+}
+
+/// Drains an instance while it waits for a service.
+async fn drain_mid_call() {
+    let mut cluster = start_processes().await;
+    let entry = cluster.entries()[0];
+    let service = cluster.deployment.zones[0].services[0].clone();
+    service.set_delay(SLOW_CALL);
+    let before = service.calls().len();
+    let terminator = async {
+        wait_until(SETTLE_TIMEOUT, async || service.calls().len() > before + 1).await;
+        cluster.instances[0].terminate();
+    };
+    let lookup = Call::get("/grants/status/slow");
+    let payout = Call::post("/grants/payouts/slow", "{}").with_key("slow");
+    let calls = join(payout.send(entry), lookup.send(entry));
+    let ((payout, lookup), ()) = join(calls, terminator).await;
+    let status = cluster.instances[0].wait();
+    assert!(payout.is_answer(), "{payout:?}");
+    assert!(lookup.is_answer(), "{lookup:?}");
+    assert_eq!(status.code(), Some(0));
+}
+
+#[actix_rt::test]
+async fn leaving_engines_finish_their_streams_and_get_no_new_work() {
+    let spec = DeploymentSpec::small(&["zone-a"]);
+    let cluster = LocalCluster::start(&spec, &[(0, "a-1"), (0, "a-2")]).await;
+    let entries = cluster.entries();
+    let list = &cluster.deployment.platform.instances;
+    let zone = &cluster.deployment.zones[0];
+    let leaver = async {
+        let busy = cluster.wait_for_stage(Stage::Decode).await;
+        for (index, decode) in zone.decodes.iter().enumerate() {
+            if decode.address() == busy.address() {
+                list.leave(&format!("zone-a-decode-{}", index + 1));
+            }
+        }
+        list.leave("zone-a-prefill-1");
+        busy
+    };
+    let (running, busy) = join(ask(entries[0], 0), leaver).await;
+    assert_whole(0, &running);
+    actix_rt::time::sleep(LIST_PERIOD + LEAVE_BOUND).await;
+    let prefills = zone.prefills[0].prefills();
+    let mut asked = Vec::new();
+    for number in 1..=REQUESTS {
+        asked.push(ask(entries[number % entries.len()], number));
+    }
+    let watcher = async {
+        for _ in 0..50 {
+            assert_eq!(busy.used_pieces(), 0, "a leaving decode engine got new work");
+            actix_rt::time::sleep(MID_STREAM / 30).await;
+        }
+    };
+    let (answers, ()) = join(join_all(asked), watcher).await;
+    for (index, answer) in answers.iter().enumerate() {
+        assert_whole(index + 1, answer);
+    }
+    assert_eq!(zone.prefills[0].prefills(), prefills, "a leaving prefill engine got new work");
+    assert!(zone.prefills[1].prefills() as usize >= REQUESTS);
+}
+
+#[actix_rt::test]
+async fn leaving_services_finish_their_calls_and_get_no_new_ones() {
+    let mut spec = DeploymentSpec::small(&["zone-a"]);
+    spec.services = 2;
+    let cluster = LocalCluster::start(&spec, &[(0, "a-1")]).await;
+    let entry = cluster.entry(0);
+    let services = cluster.deployment.zones[0].services.clone();
+    let lookup = Call::get("/grants/status/17");
+    wait_until(SETTLE_TIMEOUT, async || lookup.send(entry).await.is_answer()).await;
+    cluster.deployment.platform.instances.leave("zone-a-grants-1");
+    actix_rt::time::sleep(LIST_PERIOD + LEAVE_BOUND).await;
+    let before = services[0].calls().len();
+    for _ in 0..REQUESTS {
+        assert!(lookup.send(entry).await.is_answer());
+    }
+    assert_eq!(services[0].calls().len(), before);
+    assert!(services[1].calls().len() >= REQUESTS);
+}
