Drain until the last byte of every answer has left

Cause: a drained instance counted the runs of which it is the home only, and exited while it relayed streams of other homes or passed on calls.

Change: every request counts as in progress until its body was taken or its caller is gone, and claims until their outcome is written. Contacts of other zones are known as soon as a zone's summary arrives.

--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -24,14 +24,16 @@
 use self::context::CallContext;
 use self::filter::Filter;
 use crate::instance::Instance;
+use crate::progress::CountedBody;
 
 /// Answers one request of a caller.
 pub async fn handle(instance: Rc<Instance>, req: Request) -> Response<BoxBody> {
+    let guard = instance.in_progress.enter();
     let mut cx = CallContext::new(instance, req);
     let result = dispatch(&mut cx).await;
     let mut res = result.unwrap_or_else(|refusal| respond::refuse(&cx, &refusal));
     respond::add_request_id(&mut res, &cx.request_id);
-    res
+    res.map_body(|_, body| BoxBody::new(CountedBody::new(body, guard)))
 }
 
 async fn dispatch(cx: &mut CallContext) -> Result<Response<BoxBody>, Refusal> {
--- a/crates/magnoliaspar-serve/src/caller/service/claimed.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/claimed.rs
@@ -90,7 +90,9 @@
         Dispatch { instance: cx.instance.clone(), request_id: cx.request_id.clone(), key, ticket };
     let body = whole(&cx.body);
     let head = ForwardHead::of(cx);
+    let guard = cx.instance.in_progress.enter();
     let task = actix_rt::spawn(async move {
+        let _guard = guard;
         let answer = head.send(&call.instance.services, &pick, body, timeout).await;
         call.settle(answer).await
     });
--- a/crates/magnoliaspar-serve/src/cluster/state.rs
+++ b/crates/magnoliaspar-serve/src/cluster/state.rs
@@ -206,6 +206,9 @@
     pub fn receive_membership(&self, gossip: &Gossip) {
         let changes = self.membership.borrow_mut().receive(self.clock.now(), gossip);
         self.take_changes(&changes);
+        if !gossip.zones.is_empty() {
+            self.publish_instances();
+        }
     }
 
     /// Takes in the configuration's version that another instance has, and what it sends of it.
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::operator::ZoneOrders;
 use crate::peer::{PeerClients, ZoneHomes};
+use crate::progress::InProgress;
 use crate::quarantine::QuarantineState;
 use crate::reaping::StreamOwnership;
 use crate::run::{Homes, LocalHome};
@@ -67,6 +68,8 @@
     pub journal: Rc<Journal>,
     /// The backend servers.
     pub directory: Rc<Directory>,
+    /// Counts the requests of callers that are in progress.
+    pub in_progress: InProgress,
     /// Limits how many requests are in progress.
     pub concurrency: ConcurrencyLimits,
     /// Counts what happens.
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod operator;
 mod peer;
+mod progress;
 mod quarantine;
 mod reaping;
 mod run;
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::operator::{self, ZoneOrders};
 use crate::peer::{PeerClients, PeerServer, ZoneHomes};
+use crate::progress::InProgress;
 use crate::quarantine::QuarantineState;
 use crate::reaping::{ReapingController, StreamOwnership};
 use crate::run::{AttemptIds, Driver, Homes, LocalHome, ShardMap};
@@ -42,6 +43,9 @@
 /// How often the outcomes of claims that could not be written are written again.
 const CLAIM_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long the last bytes of answers have to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// The life of an instance that the platform has not listed yet; the list tells the real one.
 const UNLISTED: Incarnation = Incarnation(0);
 
@@ -215,6 +219,7 @@
         claims: open_claims(&settings, life, clock.clone(), table.clone()),
         journal,
         directory,
+        in_progress: InProgress::default(),
         concurrency: ConcurrencyLimits::default(),
         metrics: Rc::new(Metrics::new()),
         started_at: clock.now(),
@@ -328,19 +333,26 @@
         self.instance.home.set_draining(true);
         let deadline = self.instance.clock.now() + self.instance.settings.drain_limit;
         loop {
-            let live = self.instance.home.registry().live().len();
-            if live == 0 {
+            let left = self.left();
+            if left == 0 {
+                tokio::time::sleep(FLUSH_TIME).await;
                 self.stop();
                 return Exit::Drained;
             }
             if self.instance.clock.now() >= deadline {
                 self.stop();
-                return Exit::Cut { requests: live };
+                return Exit::Cut { requests: left };
             }
             tokio::time::sleep(DRAIN_CHECK).await;
         }
     }
 
+    /// Returns how many requests and outcomes the instance still has to finish.
+    fn left(&self) -> usize {
+        let live = self.instance.home.registry().live().len();
+        live + self.instance.in_progress.count() + self.instance.claims.pending_writes()
+    }
+
     fn stop(self) {
         self.caller_stop.stop();
         self.operator_stop.stop();
