--- /dev/null
+++ b/tests/tests/zones.rs
@@ -0,0 +1,40 @@
+//! Requests that another availability zone serves.
+
+use std::time::Duration;
+
+use magnoliaspar_standin::{DeploymentSpec, answer_tokens};
+use magnoliaspar_tests::{AnswerEnd, Caller, LocalCluster, StreamedAnswer, wait_until};
+
+/// How many tokens each answer has.
+const TOKENS: u32 = 40;
+
+/// How long the zones may take to hear of each other.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+#[actix_rt::test]
+async fn a_zone_without_engines_has_its_requests_served_by_another_zone() {
+    let spec = DeploymentSpec::small(&["zone-a", "zone-b"]);
+    let cluster = LocalCluster::start(&spec, &[(0, "a-1"), (1, "b-1")]).await;
+    for number in 1..=2 {
+        for role in ["prefill", "decode"] {
+            cluster.deployment.platform.instances.leave(&format!("zone-b-{role}-{number}"));
+        }
+    }
+    let prompt = "[long] assess this pack elsewhere";
+    let attempt = std::cell::Cell::new(0);
+    wait_until(SETTLE_TIMEOUT, async || {
+        attempt.set(attempt.get() + 1);
+        let mut answer = StreamedAnswer::default();
+        let id = format!("spill-{}", attempt.get());
+        Caller::new().attempt(cluster.entry(1), &id, prompt, TOKENS, &mut answer).await;
+        let is_whole = answer.end == AnswerEnd::Complete;
+        assert!(!is_whole || answer.tokens == answer_tokens(prompt, TOKENS), "{answer:?}");
+        is_whole && served_by_zone_a(&cluster)
+    })
+    .await;
+    cluster.wait_until_free(SETTLE_TIMEOUT).await;
+}
+
+fn served_by_zone_a(cluster: &LocalCluster) -> bool {
+    cluster.deployment.zones[0].prefills.iter().any(|engine| engine.prefills() > 0)
+}
