--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::body::read_body;
 pub use self::respond::json;
-pub use self::service::ServiceLoad;
+pub use self::service::{ServiceGuard, ServiceLoad};
 
 use std::rc::Rc;
 
--- a/crates/magnoliaspar-serve/src/caller/service/forward.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/forward.rs
@@ -1,4 +1,5 @@
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::error::PayloadError;
@@ -7,7 +8,7 @@
 use awc::ClientResponse;
 use bytes::Bytes;
 use futures_util::{StreamExt, TryStreamExt, stream};
-use magnoliaspar_core::{Refusal, RefusalCode, RequestId};
+use magnoliaspar_core::{Clock, Refusal, RefusalCode, RequestId};
 
 use super::pick::ServicePick;
 use crate::caller::context::CallContext;
@@ -19,6 +20,8 @@
     path: Box<str>,
     headers: HeaderMap,
     request_id: RequestId,
+    deadline: Option<Instant>,
+    clock: Rc<dyn Clock>,
 }
 
 impl ForwardHead {
@@ -30,6 +33,8 @@
             path: path.into(),
             headers: cx.head.headers.clone(),
             request_id: cx.request_id.clone(),
+            deadline: cx.deadline,
+            clock: cx.instance.clock.clone(),
         }
     }
 
@@ -46,10 +51,16 @@
             path: &self.path,
             headers: &self.headers,
             request_id: &self.request_id,
+            time_left: self.time_left(),
             body,
         };
         services.call(pick.server.address, call, timeout).await
     }
+
+    /// Returns what is left of the time that the caller gave, if it gave any.
+    fn time_left(&self) -> Option<Duration> {
+        Some(self.deadline?.saturating_duration_since(self.clock.now()))
+    }
 }
 
 /// Returns a body that is in memory.
--- a/crates/magnoliaspar-serve/src/caller/service/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/mod.rs
@@ -2,9 +2,11 @@
 
 mod claimed;
 mod forward;
+mod guard;
 mod pick;
 mod repeat;
 
+pub use self::guard::ServiceGuard;
 pub use self::pick::{ServiceLoad, ServicePick};
 
 use actix_http::Response;
@@ -33,6 +35,7 @@
     failed: &[magnoliaspar_core::ServerName],
 ) -> Result<ServicePick, Refusal> {
     let servers = cx.instance.directory.live_of(&service.pool);
+    let servers = cx.instance.service_guard.usable(&service.pool, servers);
     cx.instance
         .service_load
         .pick(&servers, failed)
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -14,7 +14,7 @@
 use magnoliaspar_reaper::Reaper;
 use magnoliaspar_settings::Settings;
 
-use crate::caller::ServiceLoad;
+use crate::caller::{ServiceGuard, ServiceLoad};
 use crate::cluster::ClusterState;
 use crate::directory::Directory;
 use crate::journal::Journal;
@@ -62,6 +62,8 @@
     pub services: ServiceCaller,
     /// Spreads calls over the servers of plain services.
     pub service_load: ServiceLoad,
+    /// Limits retries, and keeps failing servers of plain services out of use.
+    pub service_guard: ServiceGuard,
     /// Claims calls that must be dispatched at most once.
     pub claims: ClaimController,
     /// Records events.
--- a/crates/magnoliaspar-serve/src/run/task.rs
+++ b/crates/magnoliaspar-serve/src/run/task.rs
@@ -26,6 +26,9 @@
 /// How many bytes of prompt text count as one token in estimates.
 const TOKEN_BYTES: usize = 4;
 
+/// How often a prefill is asked for again while its engine answers otherwise.
+const MAX_PREFILL_WAITS: u32 = 12;
+
 /// How often a stream is attached to again after its connection broke or went silent.
 const MAX_ATTACHES: u32 = 3;
 
@@ -233,19 +236,23 @@
         engine: &EngineHandle,
         call: &PrefillCall,
     ) -> Result<Prefilled, EngineError> {
-        let first = match engine.engine.prefill(call).await {
+        let mut first = match engine.engine.prefill(call).await {
             Err(error) if !error.is_not_run() => error,
             result => return result,
         };
-        if self.check(job, engine).await != EngineHealth::Same {
-            return Err(first);
-        }
-        let again = self.driver.connector.connect(engine.address).prefill(call).await;
-        match again {
-            // That the second call took no effect tells nothing about the first.
-            Err(error) if error.is_not_run() => Err(first),
-            result => result,
+        for _ in 0..MAX_PREFILL_WAITS {
+            if self.check(job, engine).await != EngineHealth::Same {
+                return Err(first);
+            }
+            match self.driver.connector.connect(engine.address).prefill(call).await {
+                // An engine that answers on a fresh connection is still busy reading.
+                Err(error @ EngineError::Stalled(_)) => first = error,
+                // That the second call took no effect tells nothing about the first.
+                Err(error) if error.is_not_run() => return Err(first),
+                result => return result,
+            }
         }
+        Err(first)
     }
 
     /// Finds out whether an engine runs; one that has crashed gets no new work.
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::caller::{self, ServiceLoad};
+use crate::caller::{self, ServiceGuard, ServiceLoad};
 use crate::cluster::{self, ClusterState, Services};
 use crate::directory::Directory;
 use crate::engines::EngineWatch;
@@ -216,6 +216,7 @@
         clients,
         services: ServiceCaller::new(),
         service_load: ServiceLoad::default(),
+        service_guard: ServiceGuard::new(clock.clone(), journal.clone()),
         claims: open_claims(&settings, life, clock.clone(), table.clone()),
         journal,
         directory,
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -24,6 +24,9 @@
 /// Names a request towards the service.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// How many milliseconds the caller still waits.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
 /// Headers that concern one connection only and are not passed on.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -52,6 +55,8 @@
     pub headers: &'a HeaderMap,
     /// The identifier of the request.
     pub request_id: &'a RequestId,
+    /// How long the caller still waits, if it said so.
+    pub time_left: Option<Duration>,
     /// The body.
     pub body: Payload,
 }
@@ -82,6 +87,9 @@
                 req = req.insert_header((name.clone(), value.clone()));
             }
         }
+        if let Some(time_left) = call.time_left {
+            req = req.insert_header((DEADLINE_HEADER, time_left.as_millis().to_string()));
+        }
         req = req.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
