Keep the rates of claims apart, expire old claims and release leases of dead reapers

Cause: a rush of claims could hold up lease renewals and configuration, which shared one budget; old claims were never looked through; owners went on waiting for reapers whose process had ended. A whole answer counted as delivered before it was taken to be written.

Change: claims have a budget of 200 writes a second of their own, all else 100; one instance of a zone in turn looks through a page of claims a minute; leases end with the reaper's process; an answer is delivered when its body is taken.

--- a/crates/magnoliaspar-serve/src/caller/mod.rs
+++ b/crates/magnoliaspar-serve/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod completion;
 mod context;
+mod delivery;
 mod filter;
 mod filters;
 mod relay;
--- a/crates/magnoliaspar-serve/src/caller/relay.rs
+++ b/crates/magnoliaspar-serve/src/caller/relay.rs
@@ -1,7 +1,7 @@
 use std::io;
 use std::time::Duration;
 
-use actix_http::body::{BodyStream, BoxBody};
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 
 use super::completion::CompletionShape;
 use super::context::CallContext;
+use super::delivery::DeliveredBody;
 use super::respond::{json, refusal_body};
 use super::shape::AnswerWriter;
 use crate::run::{Completed, CompletionRequest, Reader, RunResult, RunUpdate, ScopedId};
@@ -110,14 +111,30 @@
             RunUpdate::Superseded => return Err(superseded()),
             RunUpdate::Ended(RunResult::Refused(refusal)) => return Err(refusal),
             RunUpdate::Ended(RunResult::Completed(completed)) => {
-                reader.set_delivered();
-                cx.instance.metrics.answers.inc();
-                return Ok(json(StatusCode::OK, &writer.whole(&text, &completed)));
+                let res = json(StatusCode::OK, &writer.whole(&text, &completed));
+                return Ok(note_delivery(cx, res, reader));
             }
         }
     }
 }
 
+/// Notes that an answer is delivered once it is taken to be written.
+fn note_delivery(
+    cx: &CallContext,
+    res: Response<BoxBody>,
+    mut reader: Reader,
+) -> Response<BoxBody> {
+    let metrics = cx.instance.metrics.clone();
+    res.map_body(|_, body| {
+        let Ok(content) = body.try_into_bytes() else { return BoxBody::new(Bytes::new()) };
+        let on_taken = move || {
+            metrics.answers.inc();
+            reader.set_delivered();
+        };
+        BoxBody::new(DeliveredBody::new(content, Box::new(on_taken)))
+    })
+}
+
 fn answer_streamed(
     cx: &mut CallContext,
     reader: Reader,
--- a/crates/magnoliaspar-serve/src/cluster/state.rs
+++ b/crates/magnoliaspar-serve/src/cluster/state.rs
@@ -64,6 +64,8 @@
     pub quarantine: Rc<QuarantineState>,
     /// The table service, whose rates are divided by the number of instances.
     pub table: Rc<BudgetedTable>,
+    /// The table service for claims, with rates of its own.
+    pub claim_table: Rc<BudgetedTable>,
 }
 
 impl ClusterState {
@@ -339,6 +341,7 @@
             add_contacts(&membership, &summary.zone, &mut instances);
         }
         self.services.table.set_live_instances(count.max(1));
+        self.services.claim_table.set_live_instances(count.max(1));
         self.services.zone_homes.set_instances(instances);
         let now = self.clock.now();
         let live = membership.live_instances(own_zone);
--- a/crates/magnoliaspar-serve/src/lib.rs
+++ b/crates/magnoliaspar-serve/src/lib.rs
@@ -1,6 +1,7 @@
 //! One entry instance: takes requests, runs them on backend servers and relays the answers.
 
 mod caller;
+mod claims;
 mod cluster;
 mod directory;
 mod engines;
--- a/crates/magnoliaspar-serve/src/reaping/controller.rs
+++ b/crates/magnoliaspar-serve/src/reaping/controller.rs
@@ -167,6 +167,12 @@
             let reaper = ReaperId { instance: home, incarnation };
             self.instance.ownership.set_reaper(&server.name, reaper);
         }
+        // A process has certainly ended if the platform no longer lists it, or if it runs again.
+        let possible = self.instance.cluster.possible_instances();
+        self.instance.ownership.forget_gone(|reaper| {
+            let life = possible.get(&reaper.instance);
+            life.is_none_or(|life| *life > reaper.incarnation)
+        });
     }
 
     /// Returns the engines of which this instance is the home.
--- a/crates/magnoliaspar-serve/src/reaping/ownership.rs
+++ b/crates/magnoliaspar-serve/src/reaping/ownership.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 pub struct StreamOwnership {
     clock: Rc<dyn Clock>,
     inner: RefCell<Ownership>,
+    reapers: RefCell<BTreeSet<ReaperId>>,
     lapsed: Notify,
 }
 
@@ -22,7 +24,12 @@
     pub fn new(clock: Rc<dyn Clock>, name: InstanceName, life: Incarnation) -> Rc<Self> {
         let now = clock.now();
         let inner = Ownership::new(name, life, ReaperConfig::default(), now);
-        Rc::new(Self { clock, inner: RefCell::new(inner), lapsed: Notify::new() })
+        Rc::new(Self {
+            clock,
+            inner: RefCell::new(inner),
+            reapers: RefCell::default(),
+            lapsed: Notify::new(),
+        })
     }
 
     /// Returns the text by which engines list this instance as an owner.
@@ -55,9 +62,25 @@
 
     /// Takes in which reaper a server has.
     pub fn set_reaper(&self, server: &ServerName, reaper: ReaperId) {
+        self.reapers.borrow_mut().insert(reaper.clone());
         self.inner.borrow_mut().set_reaper(server, reaper);
     }
 
+    /// Forgets the reapers whose processes have certainly ended; their leases end without effect.
+    pub fn forget_gone(&self, is_gone: impl Fn(&ReaperId) -> bool) {
+        let mut gone = Vec::new();
+        self.reapers.borrow_mut().retain(|reaper| {
+            if is_gone(reaper) {
+                gone.push(reaper.clone());
+                return false;
+            }
+            true
+        });
+        for reaper in gone {
+            self.inner.borrow_mut().reaper_gone(&reaper);
+        }
+    }
+
     /// Returns the renewals that are due.
     pub fn renewals(&self) -> Vec<Renewal> {
         self.inner.borrow_mut().renewals(self.clock.now())
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -22,6 +22,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::caller::{self, ServiceGuard, ServiceLoad};
+use crate::claims;
 use crate::cluster::{self, ClusterState, Services};
 use crate::directory::Directory;
 use crate::engines::EngineWatch;
@@ -40,15 +41,20 @@
 /// How long an engine may go without progress.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How often the outcomes of claims that could not be written are written again.
-const CLAIM_PERIOD: Duration = Duration::from_secs(1);
-
 /// How long the last bytes of answers have to leave the process.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// The life of an instance that the platform has not listed yet; the list tells the real one.
 const UNLISTED: Incarnation = Incarnation(0);
 
+/// The rates of the table service for claims, over all instances.
+const CLAIM_BUDGET: InstanceBudget =
+    InstanceBudget { writes_per_second: 200.0, reads_per_second: 1_000.0 };
+
+/// The rates of the table service for everything else, so that claims cannot hold it up.
+const STATE_BUDGET: InstanceBudget =
+    InstanceBudget { writes_per_second: 100.0, reads_per_second: 1_000.0 };
+
 /// How often a drain checks whether all requests have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
@@ -192,12 +198,14 @@
         home.clone(),
         clients.clone(),
     ));
-    let table = open_table(&settings, clock.clone());
+    let table = open_table(&settings, clock.clone(), STATE_BUDGET);
+    let claim_table = open_table(&settings, clock.clone(), CLAIM_BUDGET);
     let services = Services {
         in_force: configuration.clone(),
         directory: directory.clone(),
         zone_homes: zone_homes.clone(),
         table: table.clone(),
+        claim_table: claim_table.clone(),
         quarantine: quarantine.clone(),
     };
     let cluster =
@@ -217,7 +225,7 @@
         services: ServiceCaller::new(),
         service_load: ServiceLoad::default(),
         service_guard: ServiceGuard::new(clock.clone(), journal.clone()),
-        claims: open_claims(&settings, life, clock.clone(), table.clone()),
+        claims: open_claims(&settings, life, clock.clone(), claim_table),
         journal,
         directory,
         in_progress: InProgress::default(),
@@ -243,7 +251,8 @@
     actix_rt::spawn(cluster::read_list(cluster.clone()));
     actix_rt::spawn(cluster::read_configuration(cluster.clone()));
     actix_rt::spawn(cluster::probe_servers(cluster.clone(), connector.clone()));
-    actix_rt::spawn(settle_claims(instance.clone()));
+    actix_rt::spawn(claims::settle_claims(instance.clone()));
+    actix_rt::spawn(claims::expire_claims(instance.clone()));
     actix_rt::spawn(operator::read_drains(instance.clone()));
     let life = incarnation_at(&*instance.clock);
     actix_rt::spawn(operator::tend_orders(instance.clone(), connector.clone(), life));
@@ -251,14 +260,6 @@
     EngineWatch::new(instance.clone(), connector).spawn();
 }
 
-/// Writes the outcomes of claims again that could not be written before.
-async fn settle_claims(instance: Rc<Instance>) {
-    loop {
-        tokio::time::sleep(CLAIM_PERIOD).await;
-        instance.claims.retry_pending().await;
-    }
-}
-
 fn open_cluster(
     settings: &Settings,
     addresses: Addresses,
@@ -283,9 +284,13 @@
     ClusterState::new(clock, journal, own, life, store, list, services)
 }
 
-fn open_table(settings: &Settings, clock: Rc<dyn Clock>) -> Rc<BudgetedTable> {
+fn open_table(
+    settings: &Settings,
+    clock: Rc<dyn Clock>,
+    budget: InstanceBudget,
+) -> Rc<BudgetedTable> {
     let table = HttpTableService::new(settings.platform.table, HttpTimeouts::default());
-    Rc::new(BudgetedTable::new(Rc::new(table), clock, InstanceBudget::default()))
+    Rc::new(BudgetedTable::new(Rc::new(table), clock, budget))
 }
 
 fn open_claims(
