--- a/crates/magnoliaspar-bench/src/baseline/placement.rs
+++ b/crates/magnoliaspar-bench/src/baseline/placement.rs
@@ -4,7 +4,8 @@
 use super::Known;
 
 /// How a baseline chooses among servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum Placement {
     /// round-robin
     RoundRobin,
--- a/crates/magnoliaspar-bench/src/bin/policy-bench.rs
+++ b/crates/magnoliaspar-bench/src/bin/policy-bench.rs
@@ -9,7 +9,8 @@
 };
 
 /// The options of the command line.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Cli {
     /// print this help
     #[options(no_short)]
--- a/crates/magnoliaspar-bench/src/bound.rs
+++ b/crates/magnoliaspar-bench/src/bound.rs
@@ -25,7 +25,8 @@
 pub const SEEDS: u64 = 5;
 
 /// A bound on counts that follows from the stated targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum Bound {
     /// targets_are_met_up_to_capacity
     TargetsMet,
--- a/crates/magnoliaspar-bench/src/known_red.rs
+++ b/crates/magnoliaspar-bench/src/known_red.rs
@@ -13,7 +13,8 @@
 }
 
 /// What a test has shown, with regard to the tests that are known to fail.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Verdict {
     /// passed
     Passed,
--- a/crates/magnoliaspar-bench/src/ledger.rs
+++ b/crates/magnoliaspar-bench/src/ledger.rs
@@ -19,7 +19,8 @@
 }
 
 /// Why the result of a prefill was thrown away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub(crate) enum WasteCause {
     /// no decode slot
     NoDecodeSlot,
@@ -34,7 +35,8 @@
 }
 
 /// A promise that a policy has broken.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub(crate) enum Violation {
     /// request {0} was refused after it had produced tokens
     RefusedAfterTokens(usize),
--- a/crates/magnoliaspar-bench/src/limit.rs
+++ b/crates/magnoliaspar-bench/src/limit.rs
@@ -17,7 +17,8 @@
 ///
 /// The arithmetic takes the mean request, and for the answers the mean of those that were drawn. A
 /// policy that could tell short answers from long ones in advance would do better.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Limit {
     /// The requests that are offered and not cancelled.
     pub offered: f64,
--- a/crates/magnoliaspar-bench/src/report.rs
+++ b/crates/magnoliaspar-bench/src/report.rs
@@ -14,7 +14,8 @@
 /// What became of the requests of one run.
 ///
 /// Requests and latencies are those of the window; prefill tokens are those of the whole run.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Report {
     /// The name of the policy.
     pub policy: Box<str>,
@@ -69,7 +70,8 @@
 }
 
 /// The computed prompt tokens whose result was thrown away, by cause.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Waste {
     /// The tokens for which there was no decode slot in time.
     pub no_decode_slot: u64,
@@ -84,7 +86,8 @@
 }
 
 /// The distribution of a latency, in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
 pub struct Latency {
     /// The median.
     pub p50: f64,
@@ -96,7 +99,8 @@
 
 /// The mean time in each stage before the first token of answers that were not interrupted, in
 /// milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct StageTimes {
     /// From acceptance to the order to read the prompt.
     pub waiting: f64,
--- a/crates/magnoliaspar-bench/src/scenario.rs
+++ b/crates/magnoliaspar-bench/src/scenario.rs
@@ -12,7 +12,8 @@
 pub(crate) const WARM_UP_LOAD: f64 = 0.3;
 
 /// A load and the faults in it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum Scenario {
     /// calm
     Calm,
--- a/crates/magnoliaspar-claim/src/outcome.rs
+++ b/crates/magnoliaspar-claim/src/outcome.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The outcome of a request, kept for resends.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredOutcome {
     /// The status of the answer.
     pub status: u16,
@@ -12,7 +13,8 @@
 }
 
 /// One kept header.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredHeader {
     /// The name in lower case.
     pub name: Box<str>,
@@ -21,7 +23,8 @@
 }
 
 /// A kept body.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StoredBody {
     /// The whole body, which is text.
--- a/crates/magnoliaspar-claim/src/request.rs
+++ b/crates/magnoliaspar-claim/src/request.rs
@@ -60,7 +60,8 @@
 }
 
 /// Why an attempt is not dispatched.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum NotRunReason {
     /// the claim could not be written: {0}
     StoreUnavailable(Box<str>),
@@ -73,7 +74,8 @@
 }
 
 /// Who made a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimOwner {
     /// The instance.
     pub instance: InstanceName,
--- a/crates/magnoliaspar-claim/src/row.rs
+++ b/crates/magnoliaspar-claim/src/row.rs
@@ -9,7 +9,8 @@
 pub(crate) const CLAIM_PREFIX: &str = "claim/";
 
 /// The row of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ClaimRow {
     /// How far the claim has come.
     pub state: ClaimState,
@@ -26,7 +27,8 @@
 }
 
 /// How far a claim has come.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum ClaimState {
     /// The attempt may be dispatched by the instance that wrote it, so it may have run.
--- a/crates/magnoliaspar-cli/src/args.rs
+++ b/crates/magnoliaspar-cli/src/args.rs
@@ -4,7 +4,8 @@
 use magnoliaspar_json::parse_duration;
 
 /// Routes requests to separate pools of prefill and decode engines.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct Args {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -15,7 +16,8 @@
 }
 
 /// The commands.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) enum Command {
     #[options(help = "run an instance")]
     Serve(ServeArgs),
@@ -34,7 +36,8 @@
 }
 
 /// Runs an instance until SIGTERM or SIGINT, then drains it.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ServeArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -43,7 +46,8 @@
 }
 
 /// Checks declarations as a whole and settings one by one, and reports all findings together.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct CheckArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -56,7 +60,8 @@
 }
 
 /// Shows what declarations would add (+), remove (-) and change (~).
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct DiffArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -83,7 +88,8 @@
 }
 
 /// Puts declarations in force and waits until they are.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ApplyArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -112,7 +118,8 @@
 }
 
 /// Asks a query or gives a command.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct QueryArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -132,7 +139,8 @@
 }
 
 /// Shows the events of all instances in one order.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct TimelineArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
@@ -168,7 +176,8 @@
 }
 
 /// Shows the state of an instance.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct StatusArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
--- a/crates/magnoliaspar-cli/src/failure.rs
+++ b/crates/magnoliaspar-cli/src/failure.rs
@@ -5,7 +5,8 @@
 use magnoliaspar_query::{SyntaxError, Winner};
 
 /// Why a command did not go well.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub(crate) enum Failure {
     /// {0}
     Findings(FindingsReport),
--- a/crates/magnoliaspar-cli/src/logs.rs
+++ b/crates/magnoliaspar-cli/src/logs.rs
@@ -9,7 +9,8 @@
     ["actix_http", "actix_server", "awc", "h2", "hyper", "hyper_util", "tonic", "tower"];
 
 /// Why logs cannot be written.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub(crate) enum LogError {
     /// {0:?} is not a log level, which is off, error, warn, info, debug or trace
     Level(Box<str>),
--- a/crates/magnoliaspar-configuration/src/configuration.rs
+++ b/crates/magnoliaspar-configuration/src/configuration.rs
@@ -99,7 +99,8 @@
 }
 
 /// One version of the configuration on its way between instances.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigDelta {
     /// The version that this leads to.
     pub version: u64,
@@ -108,7 +109,8 @@
 }
 
 /// How a configuration is passed on.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ConfigContent {
     /// The change from the version before.
--- a/crates/magnoliaspar-configuration/src/row.rs
+++ b/crates/magnoliaspar-configuration/src/row.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The row that holds the newest version; every acceptance writes it.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Head {
     /// The newest version.
     pub version: u64,
@@ -27,7 +28,8 @@
 }
 
 /// The row of one accepted change, which is never written again.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ChangeRow {
     /// The version that the change makes.
     pub version: u64,
--- a/crates/magnoliaspar-configuration/src/startup.rs
+++ b/crates/magnoliaspar-configuration/src/startup.rs
@@ -92,7 +92,8 @@
 }
 
 /// Whether an instance may serve by the configuration that it has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Readiness {
     /// the configuration is known
     Ready,
--- a/crates/magnoliaspar-configuration/src/store.rs
+++ b/crates/magnoliaspar-configuration/src/store.rs
@@ -244,7 +244,8 @@
 }
 
 /// Why the newest version cannot be learned from the platform.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum CatchUpError {
     /// {0}
     Platform(PlatformError),
--- a/crates/magnoliaspar-core/src/finding.rs
+++ b/crates/magnoliaspar-core/src/finding.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Several findings, collected so that they can be reported together.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Findings(Vec<Finding>);
 
 impl Findings {
@@ -81,7 +82,8 @@
 }
 
 /// One thing that is wrong with an input.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Finding {
     /// Where the finding is.
     pub place: Place,
@@ -116,7 +118,8 @@
 }
 
 /// A place in a document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Place {
     /// The file, if the document came from one.
     pub file: Option<Box<str>>,
--- a/crates/magnoliaspar-core/src/id.rs
+++ b/crates/magnoliaspar-core/src/id.rs
@@ -7,7 +7,8 @@
 const MAX_NAME_CHARS: usize = 128;
 
 /// Why a text is not a name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(DisplayDoc)]
 pub enum NameError {
     /// the name is empty
     Empty,
@@ -126,7 +127,8 @@
 }
 
 /// One try to run a request; later tries have higher numbers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId(pub u64);
 
 impl Display for AttemptId {
@@ -136,9 +138,8 @@
 }
 
 /// One life of an instance or backend server; a restart has a higher number.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 impl Display for Incarnation {
--- a/crates/magnoliaspar-core/src/outcome.rs
+++ b/crates/magnoliaspar-core/src/outcome.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What became of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// answered
@@ -16,7 +17,8 @@
 }
 
 /// A refusal, in place of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 #[displaydoc("{code}: {message} ({outcome})")]
 pub struct Refusal {
     /// The stable code that programs match on.
@@ -50,7 +52,8 @@
 impl std::error::Error for Refusal {}
 
 /// The stable code of a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
     /// bad_request
--- a/crates/magnoliaspar-core/src/prefix.rs
+++ b/crates/magnoliaspar-core/src/prefix.rs
@@ -8,7 +8,8 @@
 pub const BLOCK_TOKENS: u32 = 64;
 
 /// Identifies a prefix block together with all blocks before it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct BlockHash(pub u64);
 
 /// Hashes the whole blocks of `prompt` in a chain, from the first block on.
--- a/crates/magnoliaspar-declaration/src/document.rs
+++ b/crates/magnoliaspar-declaration/src/document.rs
@@ -5,7 +5,8 @@
 use serde_json::Value;
 
 /// The declarations as they are stored and sent: one JSON value for each declared thing.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Document {
     /// The declared things.
@@ -41,7 +42,8 @@
 }
 
 /// Identifies a declared thing, as `pools/NAME`, `routes/NAME` or `workspaces/NAME`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct EntityId(pub Box<str>);
 
@@ -98,7 +100,8 @@
 }
 
 /// Changes between two documents.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct DocumentDelta {
     /// The things that are new or changed.
     pub upserts: BTreeMap<EntityId, Value>,
--- a/crates/magnoliaspar-engine/src/error.rs
+++ b/crates/magnoliaspar-engine/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a backend server gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum EngineError {
     /// the server cannot be reached, so the call took no effect: {0}
     Unreachable(Box<str>),
--- a/crates/magnoliaspar-engine/src/message.rs
+++ b/crates/magnoliaspar-engine/src/message.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Identifies what one attempt of a request holds on an engine.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct StreamId {
     /// The request.
     pub request: RequestId,
@@ -13,7 +14,8 @@
 }
 
 /// Asks a prefill engine to read a prompt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PrefillCall {
     /// The stream to open.
     pub stream: StreamId,
@@ -36,7 +38,8 @@
 }
 
 /// What a prefill engine did.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Prefilled {
     /// The stream, so that a crossed answer is noticed.
     pub stream: StreamId,
@@ -49,7 +52,8 @@
 }
 
 /// Asks a decode engine to import KV cache and produce tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DecodeCall {
     /// The stream to open, the same as on the prefill engine.
     pub stream: StreamId,
@@ -68,7 +72,8 @@
 }
 
 /// Where the KV cache of a finished prefill is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KvSource {
     /// The address of the prefill engine.
     pub address: SocketAddr,
@@ -77,7 +82,8 @@
 }
 
 /// One frame of a running answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StreamFrame {
     /// The KV cache is imported and its memory on the prefill engine is free.
@@ -102,7 +108,8 @@
 }
 
 /// Why an answer ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndReason {
     /// The model ended the answer.
@@ -112,7 +119,8 @@
 }
 
 /// A stream for which an engine holds memory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldStream {
     /// The stream.
     pub stream: StreamId,
@@ -127,7 +135,8 @@
 }
 
 /// What a held stream is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// Its prompt is queued or being read.
@@ -141,7 +150,8 @@
 }
 
 /// An engine's load at some recent time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadSnapshot {
     /// How many milliseconds ago the snapshot was taken.
     pub age_ms: u64,
@@ -156,7 +166,8 @@
 }
 
 /// Events of a prefix cache.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvents {
     /// The number of the last event contained.
     pub last: u64,
@@ -169,7 +180,8 @@
 }
 
 /// What an engine runs and how large it is.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineStatus {
     /// The life of the engine; a restart raises it.
     pub incarnation: Incarnation,
@@ -198,7 +210,8 @@
 }
 
 /// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// The fencing number of the lease under which the order is given.
     pub fence: u64,
@@ -207,7 +220,8 @@
 }
 
 /// What an order asks for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderKind {
     /// Load a model with its version and adapters.
@@ -227,7 +241,8 @@
 }
 
 /// The body of an engine's answer when it refuses a call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refused {
     /// The engine has no room.
--- a/crates/magnoliaspar-event/src/event.rs
+++ b/crates/magnoliaspar-event/src/event.rs
@@ -6,7 +6,8 @@
 use crate::{EventKind, Stamp};
 
 /// Something that happened on an instance.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// When it happened.
     pub stamp: Stamp,
--- a/crates/magnoliaspar-event/src/filter.rs
+++ b/crates/magnoliaspar-event/src/filter.rs
@@ -98,7 +98,8 @@
 }
 
 /// Why a text is not a filter.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum FilterError {
     /// {0:?} is not of the form name=value
     Malformed(Box<str>),
--- a/crates/magnoliaspar-event/src/hlc.rs
+++ b/crates/magnoliaspar-event/src/hlc.rs
@@ -46,7 +46,8 @@
 }
 
 /// A stamp is too far ahead of the wall clock: {ahead:?}
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub struct DriftError {
     /// How far the stamp is ahead.
     pub ahead: Duration,
@@ -55,9 +56,8 @@
 impl std::error::Error for DriftError {}
 
 /// A stamp of a hybrid logical clock: 48 bits of milliseconds since 1970 and a 16-bit counter.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Stamp(pub u64);
 
--- a/crates/magnoliaspar-event/src/kind.rs
+++ b/crates/magnoliaspar-event/src/kind.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What happened.
-#[derive(Debug, Clone, PartialEq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum EventKind {
     /// instance started, incarnation {incarnation}
@@ -228,7 +229,8 @@
 }
 
 /// The decision for one attempt, with its inputs and what was rejected.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plan {
     /// The attempt.
     pub attempt: AttemptId,
@@ -279,7 +281,8 @@
 }
 
 /// A server that was considered and not taken.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RejectedServer {
     /// The server.
     pub server: ServerName,
@@ -300,7 +303,8 @@
 }
 
 /// The state of a backend server or an instance, as others see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServerState {
     /// live
@@ -316,7 +320,8 @@
 }
 
 /// Who connects to a listener.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Listener {
     /// callers
--- a/crates/magnoliaspar-event/src/ring.rs
+++ b/crates/magnoliaspar-event/src/ring.rs
@@ -80,7 +80,8 @@
 }
 
 /// The events that one instance gives to a time line.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EventPart {
     /// The instance.
     pub instance: InstanceName,
@@ -95,7 +96,8 @@
 }
 
 /// Events that are missing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Dropped {
     /// The stamp of the first.
     pub from: Stamp,
--- a/crates/magnoliaspar-event/src/timeline.rs
+++ b/crates/magnoliaspar-event/src/timeline.rs
@@ -7,7 +7,8 @@
 use crate::{Event, EventFilter, EventPart, Stamp};
 
 /// The events of many instances in one order, with what is missing shown as gaps.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Timeline {
     /// The events and gaps, ordered by stamp.
     pub entries: Vec<Entry>,
@@ -68,7 +69,8 @@
 }
 
 /// A line of a time line.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Entry {
     /// Something that happened.
@@ -88,7 +90,8 @@
 }
 
 /// A span of time in which events of an instance are missing.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Gap {
     /// The instance.
     pub instance: InstanceName,
@@ -115,7 +118,8 @@
 }
 
 /// Why events are missing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(tag = "cause", rename_all = "snake_case")]
 pub enum GapCause {
     /// the instance did not answer
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -139,7 +139,8 @@
 }
 
 /// Why a server cannot run.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum ServerError {
     /// cannot listen on {address}: {message}
     Bind {
--- a/crates/magnoliaspar-json/src/duration.rs
+++ b/crates/magnoliaspar-json/src/duration.rs
@@ -7,7 +7,8 @@
     [("d", 86_400_000), ("h", 3_600_000), ("m", 60_000), ("s", 1_000), ("ms", 1)];
 
 /// Why a text is not a duration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum DurationError {
     /// a duration is a whole number and a unit, such as "970ms", "30s", "5m", "2h" or "1d"
     Malformed,
--- a/crates/magnoliaspar-load/src/bin/control-cost/main.rs
+++ b/crates/magnoliaspar-load/src/bin/control-cost/main.rs
@@ -17,7 +17,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Measures what an instance costs at rest.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// print this help
     help: bool,
--- a/crates/magnoliaspar-membership/src/digest.rs
+++ b/crates/magnoliaspar-membership/src/digest.rs
@@ -7,7 +7,8 @@
 pub const SHARDS: usize = 64;
 
 /// One digest for each part of the member list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShardDigests(pub Box<[u32]>);
 
 impl ShardDigests {
--- a/crates/magnoliaspar-membership/src/member.rs
+++ b/crates/magnoliaspar-membership/src/member.rs
@@ -25,7 +25,8 @@
 }
 
 /// Identifies an instance or a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberId {
     /// An entry instance.
@@ -62,7 +63,8 @@
 ///
 /// Standings form a join semilattice: [`merge`](Self::merge) is commutative, associative and
 /// idempotent, so that instances agree whatever the order in which they hear of changes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Standing {
     /// Which life of the member this is about; a higher one replaces everything else.
     pub incarnation: Incarnation,
@@ -114,9 +116,8 @@
 }
 
 /// Whether a member is believed to run.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Health {
     /// It answers.
@@ -129,9 +130,8 @@
 }
 
 /// The state of a member.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, displaydoc::Display, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(displaydoc::Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
     /// live
--- a/crates/magnoliaspar-membership/src/membership.rs
+++ b/crates/magnoliaspar-membership/src/membership.rs
@@ -432,13 +432,15 @@
 }
 
 /// the member is not known here
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub struct UnknownMember;
 
 impl std::error::Error for UnknownMember {}
 
 /// Why a drain is not taken back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum UndrainError {
     /// the member is not known here
     Unknown,
--- a/crates/magnoliaspar-membership/src/message.rs
+++ b/crates/magnoliaspar-membership/src/message.rs
@@ -32,7 +32,8 @@
 }
 
 /// What one instance tells another; each message is a heartbeat too.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Gossip {
     /// The instance that sends.
     pub sender: InstanceName,
@@ -70,7 +71,8 @@
 }
 
 /// A change of one member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberDelta {
     /// The member.
     pub id: MemberId,
@@ -90,7 +92,8 @@
 }
 
 /// Where a member runs and what it is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberEntry {
     /// The availability zone.
     pub zone: ZoneName,
@@ -114,7 +117,8 @@
 }
 
 /// What other availability zones know of a zone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ZoneSummary {
     /// The zone.
     pub zone: ZoneName,
@@ -143,7 +147,8 @@
 }
 
 /// An instance of another availability zone.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct ZoneContact {
     /// The instance.
     pub instance: InstanceName,
--- a/crates/magnoliaspar-order/src/desired.rs
+++ b/crates/magnoliaspar-order/src/desired.rs
@@ -21,7 +21,8 @@
 }
 
 /// What an engine should run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DesiredState {
     /// The model.
     pub model: ModelName,
@@ -36,7 +37,8 @@
 }
 
 /// The role of an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DesiredRole {
     /// It reads prompts.
@@ -74,7 +76,8 @@
 }
 
 /// The name of an operator.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct OperatorName(pub Box<str>);
 
 /// A desired state as an operator sees it.
@@ -89,7 +92,8 @@
 }
 
 /// Why a desired state was not set.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum DesiredError {
     /// the state was changed since it was read, at version {at_version:?} by {winner:?}
     Conflict {
--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -62,7 +62,8 @@
 }
 
 /// Why a lease is not held.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum LeaseError {
     /// the lease is held by {holder} with fencing number {number}
     Held {
@@ -300,7 +301,8 @@
     since: Instant,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct LeaseRow {
     holder: Box<str>,
     number: u64,
--- a/crates/magnoliaspar-platform/src/error.rs
+++ b/crates/magnoliaspar-platform/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a call to the platform gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum PlatformError {
     /// the platform is unavailable and the call took no effect: {0}
     Unavailable(Box<str>),
--- a/crates/magnoliaspar-platform/src/instances.rs
+++ b/crates/magnoliaspar-platform/src/instances.rs
@@ -14,7 +14,8 @@
 }
 
 /// One entry of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListEntry {
     /// The name, unique within its kind.
     pub name: Box<str>,
@@ -31,7 +32,8 @@
 }
 
 /// Whether an entry is leaving.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListState {
     /// It runs and takes work.
@@ -41,7 +43,8 @@
 }
 
 /// What an entry stands for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListedKind {
     /// An entry instance.
@@ -65,7 +68,8 @@
 }
 
 /// What a backend server does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServerRole {
     /// A model engine that reads prompts.
--- a/crates/magnoliaspar-platform/src/protocol.rs
+++ b/crates/magnoliaspar-platform/src/protocol.rs
@@ -26,14 +26,16 @@
 pub const RETRY_AFTER_HEADER: &str = "retry-after-ms";
 
 /// The body of a table read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ReadRequest {
     /// The key of the row.
     pub key: RowKey,
 }
 
 /// The body of a table scan.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ScanRequest {
     /// What the keys start with.
     pub prefix: Box<str>,
@@ -44,7 +46,8 @@
 }
 
 /// The body of a request to download weights.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AcquireRequest {
     /// The model.
     pub model: Box<str>,
--- a/crates/magnoliaspar-platform/src/settle.rs
+++ b/crates/magnoliaspar-platform/src/settle.rs
@@ -73,7 +73,8 @@
 }
 
 /// Marks the rows that one transaction wrote.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct WriteToken(pub Box<str>);
 
 impl WriteToken {
--- a/crates/magnoliaspar-platform/src/table.rs
+++ b/crates/magnoliaspar-platform/src/table.rs
@@ -22,11 +22,13 @@
 }
 
 /// The key of a row, as a path such as `claim/midlands/voucher-17`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct RowKey(pub Box<str>);
 
 /// The version of a row, which grows with each write to it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct RowVersion(pub u64);
 
 impl RowVersion {
@@ -35,7 +37,8 @@
 }
 
 /// A row as it was read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// The key.
     pub key: RowKey,
@@ -46,14 +49,16 @@
 }
 
 /// Writes that take effect together or not at all.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Transaction {
     /// The writes, at most one for each key.
     pub writes: Vec<Write>,
 }
 
 /// One conditional write.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// The key of the row.
     pub key: RowKey,
@@ -64,7 +69,8 @@
 }
 
 /// What must hold for a row before it is written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Condition {
     /// The row does not exist.
@@ -76,7 +82,8 @@
 }
 
 /// What became of a transaction.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WriteOutcome {
     /// All writes took effect; the versions are in the order of the writes.
--- a/crates/magnoliaspar-policy/src/explain.rs
+++ b/crates/magnoliaspar-policy/src/explain.rs
@@ -46,7 +46,8 @@
 }
 
 /// Why a job waits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum WaitReason {
     /// the job has not been considered yet
     Queued,
@@ -95,7 +96,8 @@
 }
 
 /// Why a server was not taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum RejectReason {
     /// the server is leaving
     Sealed,
--- a/crates/magnoliaspar-policy/src/job.rs
+++ b/crates/magnoliaspar-policy/src/job.rs
@@ -57,7 +57,8 @@
 }
 
 /// Why a job is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum RefuseReason {
     /// no server of the pool can take the request
     NoServer,
--- a/crates/magnoliaspar-query/src/answer.rs
+++ b/crates/magnoliaspar-query/src/answer.rs
@@ -8,7 +8,8 @@
 use crate::{Column, Subject};
 
 /// The answer to a statement: a table, and what is missing from it.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// The columns.
     pub columns: Box<[Column]>,
@@ -57,7 +58,8 @@
 }
 
 /// What a row has in one column.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Cell {
     /// Nothing, or not known.
@@ -136,7 +138,8 @@
 }
 
 /// What became of a command.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum CommandResult {
     /// The command was accepted.
@@ -152,7 +155,8 @@
 }
 
 /// The command that won against another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Winner {
     /// The version that it made.
     pub version: u64,
@@ -181,7 +185,8 @@
 }
 
 /// An instance whose part of an answer is missing.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AnswerGap {
     /// The instance.
     pub instance: InstanceName,
--- a/crates/magnoliaspar-query/src/api.rs
+++ b/crates/magnoliaspar-query/src/api.rs
@@ -40,14 +40,16 @@
 pub const METRICS_PATH: &str = "/metrics";
 
 /// A query or command.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StatementRequest {
     /// The text of the statement.
     pub text: Box<str>,
 }
 
 /// The declarations in force.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigResponse {
     /// The version.
     pub version: u64,
@@ -56,7 +58,8 @@
 }
 
 /// A change of the declarations.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ApplyRequest {
     /// The version that the change was made from.
     pub expected_version: u64,
@@ -65,7 +68,8 @@
 }
 
 /// What became of a change of the declarations.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum ApplyResponse {
     /// The change was accepted.
@@ -86,7 +90,8 @@
 }
 
 /// Which version is in force where.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SpreadResponse {
     /// The instances that answered.
     pub instances: Vec<InstanceVersion>,
@@ -108,7 +113,8 @@
 }
 
 /// The version in force on an instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceVersion {
     /// The instance.
     pub instance: InstanceName,
@@ -119,7 +125,8 @@
 }
 
 /// The events of all instances that answered.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EventsResponse {
     /// The parts of the instances that answered.
     pub parts: Vec<EventPart>,
@@ -128,7 +135,8 @@
 }
 
 /// The state of one instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StatusResponse {
     /// The instance.
     pub instance: InstanceName,
@@ -176,7 +184,8 @@
 }
 
 /// A refusal, which comes with a status of 400 or more.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorResponse {
     /// The stable code that programs match on.
     pub code: ErrorCode,
@@ -188,7 +197,8 @@
 }
 
 /// The codes of refusals.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ErrorCode {
     /// The statement has a mistake; status 400.
--- a/crates/magnoliaspar-query/src/column.rs
+++ b/crates/magnoliaspar-query/src/column.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A column of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Column {
     /// The name, by which conditions refer to the column.
     pub name: Box<str>,
@@ -11,7 +12,8 @@
 }
 
 /// What the cells of a column hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ColumnKind {
     /// text
--- a/crates/magnoliaspar-query/src/syntax_error.rs
+++ b/crates/magnoliaspar-query/src/syntax_error.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Where and why the text of a statement is wrong.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SyntaxError {
     /// The text of the statement.
     pub text: Box<str>,
--- a/crates/magnoliaspar-reaper/src/message.rs
+++ b/crates/magnoliaspar-reaper/src/message.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A stream on a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldKey {
     /// The server.
     pub server: ServerName,
@@ -13,7 +14,8 @@
 }
 
 /// One life of a reaper.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct ReaperId {
     /// The instance on which the reaper runs.
     pub instance: InstanceName,
@@ -22,7 +24,8 @@
 }
 
 /// Asks an instance which of these streams it does not drive.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Question {
     /// The instance to ask.
     pub to: InstanceName,
@@ -33,7 +36,8 @@
 }
 
 /// An answer to a [`Question`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// The instance that answers.
     pub from: InstanceName,
@@ -44,7 +48,8 @@
 }
 
 /// Renews an owner's lease with a reaper.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Renewal {
     /// The reaper.
     pub to: ReaperId,
@@ -61,7 +66,8 @@
 }
 
 /// Acknowledges a [`Renewal`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Acknowledgement {
     /// The reaper.
     pub from: ReaperId,
@@ -81,7 +87,8 @@
 }
 
 /// Why a listed owner does not drive a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum OrphanReason {
     /// the owner says that it does not drive the stream
     Disowned,
--- a/crates/magnoliaspar-reaper/src/ownership.rs
+++ b/crates/magnoliaspar-reaper/src/ownership.rs
@@ -303,7 +303,8 @@
 }
 
 /// Why a stream must not be opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum OpenError {
     /// the instance has said that it will never drive this stream
     Disowned,
--- a/crates/magnoliaspar-retry/src/outlier.rs
+++ b/crates/magnoliaspar-retry/src/outlier.rs
@@ -145,7 +145,8 @@
 }
 
 /// Why a server is taken out of use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
 pub enum EjectionCause {
     /// several calls in a row failed
     FailuresInARow,
--- a/crates/magnoliaspar-retry/src/quarantine.rs
+++ b/crates/magnoliaspar-retry/src/quarantine.rs
@@ -241,7 +241,8 @@
 }
 
 /// Identifies requests with the same content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
@@ -273,7 +274,8 @@
 }
 
 /// What one instance tells others of a fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct QuarantineDelta {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
--- a/crates/magnoliaspar-serve/src/caller/respond.rs
+++ b/crates/magnoliaspar-serve/src/caller/respond.rs
@@ -35,13 +35,15 @@
 }
 
 /// The body of a refusal.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct RefusalBody {
     error: RefusalDetail,
     request_id: RequestId,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct RefusalDetail {
     code: RefusalCode,
     outcome: Outcome,
--- a/crates/magnoliaspar-serve/src/caller/shape.rs
+++ b/crates/magnoliaspar-serve/src/caller/shape.rs
@@ -6,7 +6,8 @@
 use crate::run::Completed;
 
 /// One chunk of a streamed answer, or a whole answer, in the shape that callers use.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct AnswerBody<'a> {
     id: &'a str,
     object: &'static str,
@@ -16,7 +17,8 @@
     usage: Option<Usage>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Choice<'a> {
     index: u32,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -28,13 +30,15 @@
     finish_reason: Option<EndReason>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Message<'a> {
     role: &'static str,
     content: &'a str,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Usage {
     prompt_tokens: u32,
     completion_tokens: u32,
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -135,7 +135,8 @@
 }
 
 /// Whether an instance can take requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Readiness {
     /// the instance takes requests
     Ready,
--- a/crates/magnoliaspar-serve/src/operator/drain.rs
+++ b/crates/magnoliaspar-serve/src/operator/drain.rs
@@ -46,7 +46,8 @@
     stamp: Stamp,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum DrainState {
     Draining,
--- a/crates/magnoliaspar-serve/src/peer/convert.rs
+++ b/crates/magnoliaspar-serve/src/peer/convert.rs
@@ -16,7 +16,8 @@
 use crate::run::{Completed, CompletionRequest, Placement, RunResult, RunUpdate, ScopedId};
 
 /// Why a message cannot be understood.
-#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 #[displaydoc("a message between instances cannot be understood: {0}")]
 pub struct BadMessage(pub Box<str>);
 
--- a/crates/magnoliaspar-serve/src/peer/query.rs
+++ b/crates/magnoliaspar-serve/src/peer/query.rs
@@ -20,7 +20,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A question to one instance about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "ask", rename_all = "snake_case")]
 pub enum PeerQuestion {
     /// Which events it has recorded.
@@ -48,7 +49,8 @@
 }
 
 /// The answer to a [`PeerQuestion`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "reply", content = "content", rename_all = "snake_case")]
 pub enum PeerReply {
     /// The events.
@@ -62,7 +64,8 @@
 }
 
 /// Why an instance gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum PeerSilence {
     /// it did not answer within {0:?}
     TimedOut(Duration),
--- a/crates/magnoliaspar-serve/src/run/link.rs
+++ b/crates/magnoliaspar-serve/src/run/link.rs
@@ -38,7 +38,8 @@
 }
 
 /// Why a run cannot be opened.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum OpenError {
     /// {0}
     Refused(Refusal),
@@ -51,7 +52,8 @@
 impl std::error::Error for OpenError {}
 
 /// The link to the home instance broke; the run may go on there.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 #[displaydoc("the link to the home instance broke: {message}")]
 pub struct LinkBroken {
     /// What broke it.
--- a/crates/magnoliaspar-serve/src/run/stage.rs
+++ b/crates/magnoliaspar-serve/src/run/stage.rs
@@ -16,7 +16,8 @@
 }
 
 /// What happens to a run.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Display)]
 pub enum RunStep {
     /// waiting
     #[default]
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -71,7 +71,8 @@
 }
 
 /// Why an instance cannot run.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum ServeError {
     /// {0}
     Listen(ServerError),
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -126,7 +126,8 @@
 }
 
 /// Why a service gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
 pub enum ServiceError {
     /// the server cannot be reached, so the call was not run: {0}
     NotReached(Box<str>),
--- a/crates/magnoliaspar-standin/src/bin/playground/main.rs
+++ b/crates/magnoliaspar-standin/src/bin/playground/main.rs
@@ -20,7 +20,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(20);
 
 /// Starts stand-ins and several instances in two availability zones on loopback addresses.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// print this help
     help: bool,
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -95,7 +95,8 @@
 }
 
 /// Why a deployment cannot start.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum DeploymentError {
     /// {0}
     Listen(ServerError),
--- a/crates/magnoliaspar-standin/src/engine/fault.rs
+++ b/crates/magnoliaspar-standin/src/engine/fault.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The faults of an engine; all are off by default.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Faults {
     /// The engine dies once it has produced this many more tokens.
--- a/crates/magnoliaspar-standin/src/engine/prefill.rs
+++ b/crates/magnoliaspar-standin/src/engine/prefill.rs
@@ -16,7 +16,8 @@
 const TOKEN_BYTES: usize = 4;
 
 /// The KV cache of a prompt, as far as a stand-in needs it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct KvCache {
     /// The number from which the answer follows.
     pub seed: u64,
