Count gossip by kind and measure instances at rest up to 96

Cause: bytes by message kind were known in virtual time only, and sizes of 3 to 24 instances gave a line too steep to carry on to 380.

Change: the metric gossip_sent_bytes_total by kind; control-cost reads it. PeerClients takes the metrics.

Memory by stream, cost under changes and the overhead ratio are not measured yet.

--- a/crates/magnoliaspar-load/src/bin/control-cost/instances.rs
+++ b/crates/magnoliaspar-load/src/bin/control-cost/instances.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -13,6 +14,9 @@
 /// How often an instance is asked whether it is ready.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
+/// What a line of the counter of gossip starts with.
+const GOSSIP_COUNTER: &str = "magnoliaspar_gossip_sent_bytes_total{kind=\"";
+
 /// An instance on a thread of its own.
 pub struct Entry {
     /// The kernel's number of its thread.
@@ -45,6 +49,22 @@
 }
 
 impl Entry {
+    /// Returns how many bytes of gossip the instance has handed to its links, by kind.
+    pub async fn gossip_bytes(&self) -> Result<BTreeMap<Box<str>, f64>, Box<str>> {
+        let url = format!("http://{}/metrics", self.addresses.operators);
+        let sent = Client::default().get(url).send().await;
+        let body = sent.map_err(|error| error.to_string())?.body().await;
+        let body = body.map_err(|error| error.to_string())?;
+        let mut bytes = BTreeMap::new();
+        for line in String::from_utf8_lossy(&body).lines() {
+            let Some(rest) = line.strip_prefix(GOSSIP_COUNTER) else { continue };
+            let Some((kind, value)) = rest.split_once("\"} ") else { continue };
+            let value: f64 = value.parse().map_err(|_| format!("{line} has no value"))?;
+            bytes.insert(kind.into(), value);
+        }
+        Ok(bytes)
+    }
+
     /// Waits until the instance takes requests.
     pub async fn wait_until_ready(&self) -> Result<(), Box<str>> {
         let client = Client::default();
--- a/crates/magnoliaspar-load/src/bin/control-cost/main.rs
+++ b/crates/magnoliaspar-load/src/bin/control-cost/main.rs
@@ -1,8 +1,9 @@
-//! Prints processor time and memory of instances at rest, at several sizes of an availability zone.
+//! Prints processor time, memory and gossip of instances at rest, at several sizes of an availability zone.
 
 mod instances;
 mod page;
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -63,7 +64,7 @@
             entry.wait_until_ready().await?;
         }
         tokio::time::sleep(SETTLE_TIME).await;
-        rows.push(measure(&entries, period).await.map_err(|error| error.to_string())?);
+        rows.push(measure(&entries, period).await?);
     }
     let table = page::markdown(&rows);
     match args.json {
@@ -76,14 +77,32 @@
     Ok(())
 }
 
-async fn measure(entries: &[instances::Entry], period: Duration) -> std::io::Result<Row> {
+async fn measure(entries: &[instances::Entry], period: Duration) -> Result<Row, Box<str>> {
+    let sent = total_gossip(entries).await?;
     let start = tokio::time::Instant::now();
-    let before = total_time(entries)?;
+    let before = total_time(entries).map_err(|error| error.to_string())?;
     tokio::time::sleep(period).await;
-    let used = total_time(entries)?.saturating_sub(before);
+    let after = total_time(entries).map_err(|error| error.to_string())?;
+    let used = after.saturating_sub(before);
     let seconds = start.elapsed().as_secs_f64();
     let share = used.as_secs_f64() / seconds / entries.len() as f64;
-    Ok(Row { instances: entries.len(), core_percent: share * 100.0, resident: resident_bytes()? })
+    let mut gossip = total_gossip(entries).await?;
+    let instance_seconds = start.elapsed().as_secs_f64() * entries.len() as f64;
+    for (kind, bytes) in &mut gossip {
+        *bytes = (*bytes - sent.get(kind).copied().unwrap_or(0.0)) / instance_seconds;
+    }
+    let resident = resident_bytes().map_err(|error| error.to_string())?;
+    Ok(Row { instances: entries.len(), core_percent: share * 100.0, resident, gossip })
+}
+
+async fn total_gossip(entries: &[instances::Entry]) -> Result<BTreeMap<Box<str>, f64>, Box<str>> {
+    let mut total = BTreeMap::new();
+    for entry in entries {
+        for (kind, bytes) in entry.gossip_bytes().await? {
+            *total.entry(kind).or_insert(0.0) += bytes;
+        }
+    }
+    Ok(total)
 }
 
 fn total_time(entries: &[instances::Entry]) -> std::io::Result<Duration> {
--- a/crates/magnoliaspar-load/src/bin/control-cost/page.rs
+++ b/crates/magnoliaspar-load/src/bin/control-cost/page.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 
@@ -10,6 +11,9 @@
 /// The mark after the table on a page.
 const END_MARK: &str = "<!-- /slopes -->";
 
+/// The kinds of gossip, in the order of their columns.
+const KINDS: [&str; 4] = ["heartbeat", "members", "configuration", "quarantine"];
+
 /// Bytes in a mebibyte.
 const MIB: f64 = 1024.0 * 1024.0;
 
@@ -21,21 +25,30 @@
     pub core_percent: f64,
     /// The memory of the whole process.
     pub resident: u64,
+    /// The bytes of gossip that one instance sent in a second, by kind, without headers.
+    pub gossip: BTreeMap<Box<str>, f64>,
 }
 
 /// Returns the rows and their slopes as a table.
 pub fn markdown(rows: &[Row]) -> String {
     let mut text = String::from(
-        "| instances in the zone | % of a core, each | memory of all and the stand-ins, MiB |\n\
-         |---|---|---|\n",
+        "| instances in the zone | % of a core, each | memory of all and the stand-ins, MiB \
+         | heartbeat, B/s each | members, B/s each | configuration, B/s each \
+         | quarantine, B/s each |\n\
+         |---|---|---|---|---|---|---|\n",
     );
     for row in rows {
         let resident = row.resident as f64 / MIB;
-        text += &format!("| {} | {:.3} | {resident:.1} |\n", row.instances, row.core_percent);
+        text += &format!("| {} | {:.3} | {resident:.1} |", row.instances, row.core_percent);
+        for kind in KINDS {
+            text += &format!(" {:.0} |", row.gossip.get(kind).copied().unwrap_or(0.0));
+        }
+        text.push('\n');
     }
     if let (Some(core), Some(memory)) = lines(rows) {
-        text += &format!("| base of the line | {:.3} | {:.1} |\n", core.base, memory.base);
-        text += &format!("| for each instance | {:.4} | {:.2} |\n", core.slope, memory.slope);
+        text += &format!("| base of the line | {:.3} | {:.1} | | | | |\n", core.base, memory.base);
+        text +=
+            &format!("| for each instance | {:.4} | {:.2} | | | | |\n", core.slope, memory.slope);
     }
     text
 }
@@ -48,6 +61,7 @@
             "instances": row.instances,
             "core_percent": row.core_percent,
             "resident_bytes": row.resident,
+            "gossip_bytes_per_second": row.gossip,
         }));
     }
     let (core, memory) = lines(rows);
--- a/crates/magnoliaspar-serve/src/metrics.rs
+++ b/crates/magnoliaspar-serve/src/metrics.rs
@@ -15,6 +15,7 @@
     pub tokens: IntCounter,
     /// Pieces of engine memory that were freed for requests that are gone.
     pub reaped_pieces: IntCounter,
+    gossip_bytes: IntCounterVec,
     refusals: IntCounterVec,
     auth_failures: IntCounterVec,
 }
@@ -32,6 +33,12 @@
                 "reaped_pieces_total",
                 "Pieces of engine memory freed for requests that are gone.",
             ),
+            gossip_bytes: counters(
+                &registry,
+                "gossip_sent_bytes_total",
+                "Bytes of gossip handed to links by kind, without headers.",
+                &["kind"],
+            ),
             refusals: counters(
                 &registry,
                 "refusals_total",
@@ -59,6 +66,11 @@
         self.refusals.with_label_values(&[code.as_str(), outcome]).inc();
     }
 
+    /// Counts bytes of gossip that were handed to a link.
+    pub fn count_gossip(&self, kind: &str, bytes: usize) {
+        self.gossip_bytes.with_label_values(&[kind]).inc_by(bytes as u64);
+    }
+
     /// Counts a wrong or missing key.
     pub fn count_auth_failure(&self, who: &str) {
         self.auth_failures.with_label_values(&[who]).inc();
--- a/crates/magnoliaspar-serve/src/peer/client.rs
+++ b/crates/magnoliaspar-serve/src/peer/client.rs
@@ -14,6 +14,7 @@
 use magnoliaspar_wire::peer::{
     GossipFrame, ReapAnswer, ReapRequest, RunCancel, RunDelivered, RunEvent, RunFrame,
 };
+use prost::Message;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio_stream::wrappers::{ReceiverStream, UnboundedReceiverStream};
@@ -24,6 +25,7 @@
 use super::convert::{from_event, from_refused, to_open};
 use super::server::{KEY_HEADER, MAX_MESSAGE_BYTES};
 use crate::journal::Journal;
+use crate::metrics::Metrics;
 use crate::run::{CompletionRequest, Home, LinkBroken, OpenError, RunLink, RunUpdate};
 
 /// How long a connection may take to open.
@@ -46,22 +48,31 @@
     clock: Rc<dyn Clock>,
     journal: Rc<Journal>,
     key: Secret,
+    metrics: Rc<Metrics>,
     channels: RefCell<BTreeMap<SocketAddr, Channel>>,
     gossip: RefCell<BTreeMap<SocketAddr, mpsc::Sender<GossipFrame>>>,
 }
 
 impl PeerClients {
     /// Creates an empty set of links that show `key`.
-    pub fn new(clock: Rc<dyn Clock>, journal: Rc<Journal>, key: Secret) -> Self {
-        Self { clock, journal, key, channels: RefCell::default(), gossip: RefCell::default() }
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        journal: Rc<Journal>,
+        key: Secret,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        let (channels, gossip) = (RefCell::default(), RefCell::default());
+        Self { clock, journal, key, metrics, channels, gossip }
     }
 
     /// Sends a frame to an instance; one that cannot be sent now is dropped.
     pub fn send_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
         let mut streams = self.gossip.borrow_mut();
         if let Some(tx) = streams.get(&address) {
+            let sizes = sizes_of(&frame);
             match tx.try_send(frame) {
-                Ok(()) | Err(TrySendError::Full(_)) => return,
+                Ok(()) => return self.count_gossip(sizes),
+                Err(TrySendError::Full(_)) => return,
                 Err(TrySendError::Closed(frame)) => {
                     streams.remove(&address);
                     drop(streams);
@@ -75,12 +86,19 @@
 
     fn open_gossip(&self, name: &InstanceName, address: SocketAddr, frame: GossipFrame) {
         let (tx, rx) = mpsc::channel(FRAMES_AHEAD);
+        self.count_gossip(sizes_of(&frame));
         let _ = tx.try_send(frame);
         self.gossip.borrow_mut().insert(address, tx);
         let client = self.client(name, address);
         actix_rt::spawn(async move { client.stream_gossip(rx).await });
     }
 
+    fn count_gossip(&self, sizes: [(&'static str, usize); 4]) {
+        for (kind, bytes) in sizes {
+            self.metrics.count_gossip(kind, bytes);
+        }
+    }
+
     /// Returns the link to an instance; it connects when it is first used.
     pub fn client(&self, name: &InstanceName, address: SocketAddr) -> PeerClient {
         let mut channels = self.channels.borrow_mut();
@@ -232,6 +250,20 @@
     }
 }
 
+/// Returns how many bytes of a frame carry what; the heartbeat is what the parts leave.
+fn sizes_of(frame: &GossipFrame) -> [(&'static str, usize); 4] {
+    let members = frame.membership.as_ref().map_or(0, Message::encoded_len);
+    let configuration = frame.config.iter().map(Message::encoded_len).sum::<usize>();
+    let quarantine = frame.quarantine.iter().map(Message::encoded_len).sum::<usize>();
+    let heartbeat = frame.encoded_len() - members - configuration - quarantine;
+    [
+        ("heartbeat", heartbeat),
+        ("members", members),
+        ("configuration", configuration),
+        ("quarantine", quarantine),
+    ]
+}
+
 fn connect(address: SocketAddr) -> Channel {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address is a valid authority")
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -180,7 +180,8 @@
         shards,
     );
     let key = settings.peer_keys.current.clone();
-    let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key));
+    let metrics = Rc::new(Metrics::new());
+    let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key, metrics.clone()));
     let zone_homes = Rc::new(ZoneHomes::new(
         settings.instance.clone(),
         settings.zone.clone(),
@@ -216,7 +217,7 @@
         journal,
         directory,
         concurrency: ConcurrencyLimits::default(),
-        metrics: Rc::new(Metrics::new()),
+        metrics,
         started_at: clock.now(),
         clock,
         table,
