--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -191,7 +191,8 @@
         shards,
     );
     let key = settings.peer_keys.current.clone();
-    let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key));
+    let metrics = Rc::new(Metrics::new());
+    let clients = Rc::new(PeerClients::new(clock.clone(), journal.clone(), key, metrics.clone()));
     let zone_homes = Rc::new(ZoneHomes::new(
         settings.instance.clone(),
         settings.zone.clone(),
@@ -231,7 +232,7 @@
         directory,
         in_progress: InProgress::default(),
         concurrency: ConcurrencyLimits::default(),
-        metrics: Rc::new(Metrics::new()),
+        metrics,
         started_at: clock.now(),
         clock,
         table,
