--- a/crates/magnoliaspar-engine/src/http.rs
+++ b/crates/magnoliaspar-engine/src/http.rs
@@ -1,15 +1,15 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::{ConnectError, JsonPayloadError, SendRequestError};
+use awc::error::{JsonPayloadError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, ClientResponse, Connector};
+use magnoliaspar_http::is_never_sent;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -220,22 +220,11 @@
     EngineError::Lost(message)
 }
 
-/// Whether a connection could not be opened, so that the call was never sent.
-///
-/// A connection that ends before the answer is reported as a connect error too.
-fn is_before_call(error: &ConnectError) -> bool {
-    match error {
-        ConnectError::Timeout | ConnectError::NoRecords | ConnectError::Unresolved => true,
-        ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
-
 fn map_send_error(error: SendRequestError) -> EngineError {
+    if is_never_sent(&error) {
+        return EngineError::Unreachable(error.to_string().into());
+    }
     match error {
-        SendRequestError::Connect(error) if is_before_call(&error) => {
-            EngineError::Unreachable(error.to_string().into())
-        }
         SendRequestError::Url(error) => EngineError::Refused(error.to_string().into()),
         other => EngineError::Lost(other.to_string().into()),
     }
--- a/crates/magnoliaspar-platform/src/link.rs
+++ b/crates/magnoliaspar-platform/src/link.rs
@@ -2,10 +2,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientResponse, Connector};
 use bytes::Bytes;
+use magnoliaspar_http::is_never_sent;
 
 use crate::PlatformError;
 use crate::protocol::RETRY_AFTER_HEADER;
@@ -105,13 +106,7 @@
             SendRequestError::Url(_) | SendRequestError::Http(_) => {
                 PlatformError::Rejected(error.to_string().into())
             }
-            // A connection that ends before the answer is reported as a connect error too.
-            SendRequestError::Connect(ConnectError::Disconnected) => {
-                effect.broken("the connection ended before the answer")
-            }
-            SendRequestError::Connect(error) => {
-                PlatformError::Unavailable(error.to_string().into())
-            }
+            error if is_never_sent(error) => PlatformError::Unavailable(error.to_string().into()),
             SendRequestError::Timeout => {
                 self.drop_connections();
                 effect.broken("no answer in time")
--- a/crates/magnoliaspar-serve/src/caller/service/guard.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/guard.rs
@@ -128,14 +128,10 @@
 mod tests {
     use std::rc::Rc;
 
-    use magnoliaspar_core::{
-        Clock, Incarnation, InstanceName, ManualClock, PoolName, RouteName, ServerName,
-    };
-    use magnoliaspar_platform::ServerRole;
-
     use super::ServiceGuard;
     use crate::directory::KnownServer;
     use crate::journal::Journal;
+    use magnoliaspar_core::{Clock, InstanceName, ManualClock, RouteName};
 
     fn guard() -> ServiceGuard {
         let clock: Rc<dyn Clock> = Rc::new(ManualClock::new());
@@ -143,21 +139,10 @@
         ServiceGuard::new(clock.clone(), Journal::new(clock, instance))
     }
 
-    fn server(name: &str) -> KnownServer {
-        KnownServer {
-            name: ServerName::try_from(name).unwrap(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            pool: PoolName::try_from("p").unwrap(),
-            role: ServerRole::Service,
-            incarnation: Incarnation(1),
-            is_live: true,
-        }
-    }
-
     #[test]
     fn a_server_that_fails_again_and_again_is_out_of_use() {
         let guard = guard();
-        let servers = vec![server("a"), server("b")];
+        let servers = vec![KnownServer::for_test("a"), KnownServer::for_test("b")];
         let pool = servers[0].pool.clone();
         assert_eq!(guard.usable(&pool, servers.clone()).len(), 2);
         for _ in 0..10 {
--- a/crates/magnoliaspar-serve/src/caller/service/pick.rs
+++ b/crates/magnoliaspar-serve/src/caller/service/pick.rs
@@ -56,27 +56,13 @@
 
 #[cfg(test)]
 mod tests {
-    use magnoliaspar_core::{Incarnation, PoolName, ServerName};
-    use magnoliaspar_platform::ServerRole;
-
     use super::ServiceLoad;
     use crate::directory::KnownServer;
 
-    fn server(name: &str) -> KnownServer {
-        KnownServer {
-            name: ServerName::try_from(name).unwrap(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            pool: PoolName::try_from("p").unwrap(),
-            role: ServerRole::Service,
-            incarnation: Incarnation(1),
-            is_live: true,
-        }
-    }
-
     #[test]
     fn calls_go_to_the_server_with_the_fewest() {
         let load = ServiceLoad::default();
-        let servers = [server("a"), server("b")];
+        let servers = [KnownServer::for_test("a"), KnownServer::for_test("b")];
         let first = load.pick(&servers, &[]).unwrap();
         let second = load.pick(&servers, &[]).unwrap();
         assert_ne!(first.server.name, second.server.name);
--- a/crates/magnoliaspar-serve/src/cluster/list.rs
+++ b/crates/magnoliaspar-serve/src/cluster/list.rs
@@ -12,6 +12,9 @@
 /// How long one turn of reading the platform's list lasts.
 const TURN: Duration = Duration::from_secs(2);
 
+/// In which turns the list of all zones is read rather than that of the own zone.
+const WHOLE_LIST_TURNS: u64 = 30;
+
 /// How often an instance that knows nobody reads the list.
 const LONELY_PERIOD: Duration = Duration::from_millis(500);
 
@@ -22,8 +25,10 @@
         let turn = current_turn(&cluster);
         let is_turn = last_turn != Some(turn) && cluster.membership.borrow().is_list_reader(turn);
         if is_turn || last_turn.is_none() {
+            // Other zones are known by gossip; their entries serve those who know none yet.
+            let is_whole = last_turn.is_none() || turn.is_multiple_of(WHOLE_LIST_TURNS);
             last_turn = Some(turn);
-            cluster.read_list_once().await;
+            cluster.read_list_once(is_whole).await;
         }
         let is_lonely = cluster.membership.borrow().members().count() <= 1;
         if is_lonely {
@@ -34,15 +39,19 @@
 }
 
 impl ClusterState {
-    async fn read_list_once(&self) {
-        let entries = match self.list.list(None).await {
+    async fn read_list_once(&self, is_whole: bool) {
+        let zone = self.zone().clone();
+        let (asked, scope) = match is_whole {
+            true => (None, ListScope::All),
+            false => (Some(&zone), ListScope::Zone(zone.clone())),
+        };
+        let entries = match self.list.list(asked).await {
             Ok(entries) => entries,
             Err(error) => return warn!("the instance list cannot be read: {error}"),
         };
         self.take_instances(&entries);
         let now = self.clock.now();
-        let changes =
-            self.membership.borrow_mut().merge_platform_list(now, &entries, &ListScope::All);
+        let changes = self.membership.borrow_mut().merge_platform_list(now, &entries, &scope);
         self.take_changes(&changes);
     }
 
--- a/crates/magnoliaspar-serve/src/directory.rs
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -67,3 +67,18 @@
         self.servers.borrow().values().cloned().collect()
     }
 }
+
+#[cfg(test)]
+impl KnownServer {
+    /// Returns a live server of the pool `p`.
+    pub fn for_test(name: &str) -> Self {
+        Self {
+            name: ServerName::try_from(name).unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            pool: PoolName::try_from("p").unwrap(),
+            role: ServerRole::Service,
+            incarnation: Incarnation(1),
+            is_live: true,
+        }
+    }
+}
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -1,16 +1,15 @@
 //! Calls of plain services.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Payload};
-use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use displaydoc::Display;
 use futures_util::TryStreamExt;
 use magnoliaspar_core::RequestId;
+use magnoliaspar_http::is_never_sent;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -94,7 +93,7 @@
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(res)) => Ok(res),
-            Ok(Err(SendRequestError::Connect(error))) if is_before_call(&error) => {
+            Ok(Err(error)) if is_never_sent(&error) => {
                 Err(ServiceError::NotReached(error.to_string().into()))
             }
             Ok(Err(error)) => Err(ServiceError::Lost(error.to_string().into())),
@@ -109,17 +108,6 @@
     }
 }
 
-/// Whether a connection could not be opened, so that the call was never sent.
-///
-/// A connection that ends before the answer is reported as a connect error too.
-fn is_before_call(error: &ConnectError) -> bool {
-    match error {
-        ConnectError::Timeout | ConnectError::NoRecords | ConnectError::Unresolved => true,
-        ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
-
 /// Whether a header is passed on from one hop to the next.
 pub fn is_passed_on(name: &str) -> bool {
     !HOP_HEADERS.contains(&name) && name != "authorization"
