--- a/crates/magnoliaspar-load/src/bin/overhead.rs
+++ b/crates/magnoliaspar-load/src/bin/overhead.rs
@@ -21,7 +21,7 @@
 const TOKENS: u32 = 400;
 
 /// How many streams are open when memory is measured first, and how many more after that.
-const STREAMS: usize = 300;
+const STREAMS: usize = 25;
 
 /// How long an engine or instance may go without progress.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(120);
@@ -29,6 +29,15 @@
 /// How long the instance has to learn of the engines.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// The time of one token while memory is measured, so that streams outlast the measurement.
+const SLOW_TOKEN: Duration = Duration::from_secs(1);
+
+/// How long all streams may take to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How often it is checked whether all streams are open.
+const OPEN_CHECK: Duration = Duration::from_millis(50);
+
 /// Measures time and memory that the router adds to asking an engine directly.
 #[derive(Debug, Options)]
 struct Args {
@@ -93,6 +102,8 @@
         engine.batch_slowdown = 0.0;
         engine.prefill_tokens_per_second = 1e9;
         engine.link_tokens_per_second = 1e9;
+        // Callers who ask engines directly do not wait for their turn.
+        engine.hold = Duration::from_secs(30);
     }
     let deployment = Deployment::start(&spec).await.map_err(|error| error.to_string())?;
     let settings = deployment.settings(0, "a-1").map_err(|error| error.to_string())?;
@@ -147,7 +158,7 @@
     println!("\n| way | KiB a live stream, both ends and the engine included |");
     println!("|---|---|");
     for (way, name) in [(Way::Direct, "direct"), (Way::Routed, "routed")] {
-        let targets = start(Duration::from_secs(600)).await?;
+        let targets = start(SLOW_TOKEN).await?;
         open_streams(&targets, way).await?;
         let before = resident_bytes().unwrap_or_default();
         open_streams(&targets, way).await?;
@@ -167,10 +178,13 @@
             let _ = Caller::new(&targets).ask(way, TOKENS).await;
         });
     }
-    tokio::time::sleep(SETTLE_TIME).await;
-    let open = targets.decode.streams().len();
-    if open != expected {
-        return Err(format!("{open} streams are open instead of {expected}").into());
+    let deadline = Instant::now() + OPEN_TIMEOUT;
+    while targets.decode.streams().len() < expected {
+        if Instant::now() >= deadline {
+            let open = targets.decode.streams().len();
+            return Err(format!("{open} streams are open instead of {expected}").into());
+        }
+        tokio::time::sleep(OPEN_CHECK).await;
     }
     Ok(())
 }
