--- a/crates/magnoliaspar-claim/src/controller.rs
+++ b/crates/magnoliaspar-claim/src/controller.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use magnoliaspar_core::{Clock, Incarnation, InstanceName};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, Condition, PlatformError, Row, RowKey, RowVersion, TableService, Write,
 };
 
--- a/crates/magnoliaspar-claim/src/expiry.rs
+++ b/crates/magnoliaspar-claim/src/expiry.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use magnoliaspar_platform::{Condition, PlatformError, Row, RowKey, Write};
+use magnoliaspar_store::{Condition, PlatformError, Row, RowKey, Write};
 
 use crate::ClaimController;
 use crate::row::{CLAIM_PREFIX, ClaimRow, ClaimState};
@@ -37,7 +37,7 @@
         };
         let key = row.key.clone();
         let write = Write { key, condition: Condition::Version(row.version), value };
-        let transaction = magnoliaspar_platform::Transaction { writes: vec![write] };
+        let transaction = magnoliaspar_store::Transaction { writes: vec![write] };
         // A lost answer or a conflict is seen by the next pass.
         match self.settings().table.commit(&transaction).await {
             Ok(_) | Err(PlatformError::Ambiguous(_)) => Ok(()),
--- a/crates/magnoliaspar-claim/src/lane.rs
+++ b/crates/magnoliaspar-claim/src/lane.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, PlatformError, Row, RowVersion, Settled, TableService, Transaction, Write, WriteToken,
     commit_settled,
 };
--- a/crates/magnoliaspar-claim/src/pending.rs
+++ b/crates/magnoliaspar-claim/src/pending.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use magnoliaspar_platform::{Condition, RowKey, RowVersion};
+use magnoliaspar_store::{Condition, RowKey, RowVersion};
 
 use crate::row::ClaimRow;
 
--- a/crates/magnoliaspar-claim/src/request.rs
+++ b/crates/magnoliaspar-claim/src/request.rs
@@ -2,7 +2,7 @@
 
 use displaydoc::Display;
 use magnoliaspar_core::{IdempotencyKey, Incarnation, InstanceName, RouteName, WorkspaceName};
-use magnoliaspar_platform::{RowKey, RowVersion};
+use magnoliaspar_store::{RowKey, RowVersion};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
--- a/crates/magnoliaspar-claim/src/row.rs
+++ b/crates/magnoliaspar-claim/src/row.rs
@@ -1,5 +1,5 @@
 use magnoliaspar_core::{IdempotencyKey, RouteName, WorkspaceName};
-use magnoliaspar_platform::{Row, RowKey};
+use magnoliaspar_store::{Row, RowKey};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
--- a/crates/magnoliaspar-claim/tests/at_most_once.rs
+++ b/crates/magnoliaspar-claim/tests/at_most_once.rs
@@ -12,7 +12,7 @@
 use magnoliaspar_claim::{ClaimController, ClaimVerdict, StoredOutcome};
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::{Chances, MemoryTable};
-use magnoliaspar_platform::{PlatformError, Row, RowKey, TableService, Transaction, WriteOutcome};
+use magnoliaspar_store::{PlatformError, Row, RowKey, TableService, Transaction, WriteOutcome};
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
 use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
--- a/crates/magnoliaspar-claim/tests/claims.rs
+++ b/crates/magnoliaspar-claim/tests/claims.rs
@@ -11,7 +11,7 @@
 use magnoliaspar_claim::{ClaimController, ClaimSettings, ClaimVerdict, NotRunReason, StoredBody};
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::{Fault, MemoryTable};
-use magnoliaspar_platform::{Backoff, Sleep};
+use magnoliaspar_store::{Backoff, Sleep};
 use tokio::task::yield_now;
 
 fn world() -> (Rc<ManualClock>, MemoryTable) {
--- a/crates/magnoliaspar-claim/tests/common/mod.rs
+++ b/crates/magnoliaspar-claim/tests/common/mod.rs
@@ -8,7 +8,7 @@
     ClaimController, ClaimRequest, ClaimSettings, StoredBody, StoredOutcome, fingerprint,
 };
 use magnoliaspar_core::{Incarnation, ManualClock};
-use magnoliaspar_platform::{Backoff, Sleep, TableService};
+use magnoliaspar_store::{Backoff, Sleep, TableService};
 
 /// Waits by moving a clock.
 pub struct ClockSleep(pub Rc<ManualClock>);
--- a/crates/magnoliaspar-cli/src/args.rs
+++ b/crates/magnoliaspar-cli/src/args.rs
@@ -21,6 +21,8 @@
 pub(crate) enum Command {
     #[options(help = "run an instance")]
     Serve(ServeArgs),
+    #[options(help = "run an instance on the users' platform")]
+    Gateway(GatewayArgs),
     #[options(help = "check declarations and settings, and report all findings")]
     Check(CheckArgs),
     #[options(help = "show what declarations would change")]
@@ -45,6 +47,16 @@
     pub(crate) settings: Option<Box<str>>,
 }
 
+/// Runs an instance on the users' platform until SIGTERM or SIGINT, then drains it.
+#[derive(Debug)]
+#[derive(Options)]
+pub(crate) struct GatewayArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "the settings of the instance", meta = "FILE", no_short, parse(from_str))]
+    pub(crate) settings: Option<Box<str>>,
+}
+
 /// Checks declarations as a whole and settings one by one, and reports all findings together.
 #[derive(Debug)]
 #[derive(Options)]
--- /dev/null
+++ b/crates/magnoliaspar-cli/src/gateway.rs
@@ -0,0 +1,69 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use magnoliaspar_adapter::{PlatformHeaders, feeds};
+use magnoliaspar_core::{Finding, SystemClock};
+use magnoliaspar_gateway::{Gateway, GatewaySettings, Reload};
+use magnoliaspar_json::Source;
+
+use crate::args::GatewayArgs;
+use crate::client::block_on;
+use crate::failure::Failure;
+use crate::logs;
+
+/// Runs a gateway until it is told to stop and has drained.
+pub(crate) fn gateway(args: &GatewayArgs) -> Result<(), Failure> {
+    let Some(file) = &args.settings else {
+        return Err(Failure::Usage("--settings is missing".into()));
+    };
+    let text = std::fs::read_to_string(&**file)
+        .map_err(|cause| Failure::File { file: file.clone(), cause })?;
+    let settings = read_settings(&text, file)?;
+    let _logs = logs::start_filter(&settings.log)
+        .map_err(|err| Failure::Incomplete(err.to_string().into()))?;
+    let feeds = feeds(settings.store);
+    let reload = reload(file.clone(), text.into());
+    block_on(async {
+        let gateway =
+            Rc::new(Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders)));
+        magnoliaspar_gateway::run(gateway, feeds, reload).await
+    })
+    .map_err(|err| Failure::Incomplete(err.to_string().into()))
+}
+
+/// Reads settings, the log filter included.
+pub(crate) fn read_settings(text: &str, file: &str) -> Result<GatewaySettings, Failure> {
+    let settings = GatewaySettings::read(text, file)?;
+    if let Err(err) = logs::read_filter(&settings.log) {
+        let finding = Finding::at("$.log", err.to_string());
+        return Err(Source::parse(text, file)?.locate(finding.into()).into());
+    }
+    Ok(settings)
+}
+
+/// Returns what reads the settings again; settings with findings leave the old ones in force.
+fn reload(file: Box<str>, text: Box<str>) -> Reload {
+    let seen = RefCell::new(text);
+    Rc::new(move |gateway: &Gateway| {
+        let text = match std::fs::read_to_string(&*file) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!(file = &*file, reason:% = error; "settings_unreadable");
+                return;
+            }
+        };
+        if *text == **seen.borrow() {
+            return;
+        }
+        match read_settings(&text, &file) {
+            Ok(settings) => {
+                log::info!(file = &*file; "settings_reloaded");
+                gateway.settings.replace(Rc::new(settings));
+            }
+            Err(failure) => {
+                log::error!(file = &*file, findings:% = failure; "settings_refused");
+            }
+        }
+        seen.replace(text.into());
+    })
+}
--- a/crates/magnoliaspar-cli/src/help.rs
+++ b/crates/magnoliaspar-cli/src/help.rs
@@ -21,6 +21,15 @@
 Example: magnoliaspar serve --settings settings.json
 ";
 
+/// What more there is to say of `gateway`.
+const GATEWAY: &str = "\
+Logs are written to the standard output, one JSON object a line. The settings file is read again on
+SIGHUP and when its content changes; a file with findings is refused and the old settings stay in
+force.
+
+Example: magnoliaspar gateway --settings gateway.json
+";
+
 /// What more there is to say of `check`.
 const CHECK: &str = "\
 Each finding has a file, line, column, JSON path and, where it helps, a hint.
@@ -80,6 +89,7 @@
     let name = command.command_name().unwrap_or_default();
     let (arguments, details, connection) = match command {
         Command::Serve(_) => ("--settings FILE", SERVE, ""),
+        Command::Gateway(_) => ("--settings FILE", GATEWAY, ""),
         Command::Check(_) => ("[OPTIONS] FILES...", CHECK, ""),
         Command::Diff(_) => ("[OPTIONS] FILES...", DIFF, CONNECTION),
         Command::Apply(_) => ("[OPTIONS] FILES...", APPLY, CONNECTION),
--- a/crates/magnoliaspar-cli/src/lib.rs
+++ b/crates/magnoliaspar-cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod diff;
 mod failure;
+mod gateway;
 mod help;
 mod logs;
 mod serve;
@@ -62,6 +63,7 @@
     }
     match command {
         Command::Serve(args) => serve::serve(&args),
+        Command::Gateway(args) => gateway::gateway(&args),
         Command::Check(args) => check::check(&args, out),
         Command::Diff(args) => diff::diff(&args, out),
         Command::Apply(args) => apply::apply(&args, out),
--- a/crates/magnoliaspar-cli/src/logs.rs
+++ b/crates/magnoliaspar-cli/src/logs.rs
@@ -24,7 +24,12 @@
 
 /// Starts to write logs to the standard output, one JSON object a line.
 pub(crate) fn start(settings: &LogSettings) -> Result<LoggerHandle, LogError> {
-    let spec = read_filter(&settings.filter)?;
+    start_filter(&settings.filter)
+}
+
+/// Starts to write the logs that pass `filter`.
+pub(crate) fn start_filter(filter: &str) -> Result<LoggerHandle, LogError> {
+    let spec = read_filter(filter)?;
     let logger = Logger::with(spec).use_utc().format(json_format).log_to_stdout();
     logger.start().map_err(LogError::Start)
 }
--- a/crates/magnoliaspar-configuration/src/row.rs
+++ b/crates/magnoliaspar-configuration/src/row.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, SystemTime};
 
 use magnoliaspar_declaration::{Document, DocumentDelta};
-use magnoliaspar_platform::RowKey;
+use magnoliaspar_store::RowKey;
 use serde::{Deserialize, Serialize};
 
 /// The row that holds the newest version; every acceptance writes it.
--- a/crates/magnoliaspar-configuration/src/store.rs
+++ b/crates/magnoliaspar-configuration/src/store.rs
@@ -6,7 +6,7 @@
 use log::warn;
 use magnoliaspar_core::Findings;
 use magnoliaspar_declaration::{Declarations, Document, DocumentDelta};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, Condition, ObjectStore, PlatformError, Row, Settled, TableService, Transaction, Write,
     WriteToken, commit_settled,
 };
--- a/crates/magnoliaspar-configuration/tests/common/mod.rs
+++ b/crates/magnoliaspar-configuration/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use magnoliaspar_core::{Clock, InstanceName, ManualClock, ZoneName};
 use magnoliaspar_declaration::{Document, DocumentDelta, EntityId};
 use magnoliaspar_fake::{Chances, MemoryObjects, MemoryTable};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, PlatformError, Row, RowKey, Sleep, TableService, Transaction, WriteOutcome, WriteToken,
 };
 use rand::rngs::StdRng;
--- a/crates/magnoliaspar-fake/src/fault.rs
+++ b/crates/magnoliaspar-fake/src/fault.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use magnoliaspar_core::Clock;
-use magnoliaspar_platform::{PlatformError, RateBudget};
+use magnoliaspar_store::{PlatformError, RateBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/magnoliaspar-fake/src/instances.rs
+++ b/crates/magnoliaspar-fake/src/instances.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use magnoliaspar_core::{Clock, ZoneName};
-use magnoliaspar_platform::{InstanceList, ListEntry, ListState, PlatformError};
+use magnoliaspar_store::{InstanceList, ListEntry, ListState, PlatformError};
 
 use crate::fault::Faults;
 
--- a/crates/magnoliaspar-fake/src/objects.rs
+++ b/crates/magnoliaspar-fake/src/objects.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use magnoliaspar_core::Clock;
-use magnoliaspar_platform::{ObjectStore, PlatformError};
+use magnoliaspar_store::{ObjectStore, PlatformError};
 
 use crate::fault::{Fault, Faults, ambiguous};
 
--- a/crates/magnoliaspar-fake/src/table.rs
+++ b/crates/magnoliaspar-fake/src/table.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use magnoliaspar_core::Clock;
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Condition, PlatformError, Row, RowKey, RowVersion, TableService, Transaction, Write,
     WriteOutcome,
 };
--- a/crates/magnoliaspar-fake/src/weights.rs
+++ b/crates/magnoliaspar-fake/src/weights.rs
@@ -3,7 +3,7 @@
 
 use async_trait::async_trait;
 use magnoliaspar_core::Clock;
-use magnoliaspar_platform::{PlatformError, RateBudget, WeightStore};
+use magnoliaspar_store::{PlatformError, RateBudget, WeightStore};
 
 use crate::fault::{Fault, Faults, ambiguous};
 
--- a/crates/magnoliaspar-fake/tests/faults.rs
+++ b/crates/magnoliaspar-fake/tests/faults.rs
@@ -5,7 +5,7 @@
 
 use magnoliaspar_core::{Incarnation, ManualClock, ZoneName};
 use magnoliaspar_fake::{Fault, MemoryInstances, MemoryTable, MemoryWeights};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Condition, InstanceList, ListEntry, ListState, ListedKind, PlatformError, RowKey, ServerRole,
     TableService, Transaction, WeightStore, Write, WriteOutcome,
 };
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -0,0 +1,318 @@
+//! One call to one backend server.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::header::{self, HeaderMap, HeaderName};
+use actix_http::{Method, RequestHead, ResponseHead, Uri};
+use bytes::{Bytes, BytesMut};
+use magnoliaspar_core::ServerKey;
+
+use crate::dialect::{AnswerFacts, Dispatch, RequestFacts};
+use crate::exchange::{AnswerBody, CallError, Connection};
+use crate::gateway::Gateway;
+use crate::route::{Route, ServiceName};
+
+/// How long a new connection to a server may take; a longer wait means a lost packet or server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::EXPECT,
+];
+
+/// A header that concerns one connection only and that the library has no name for.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// A request that was read as a whole.
+pub struct Incoming {
+    /// What the caller says of it.
+    pub facts: RequestFacts,
+    /// The route.
+    pub route: Rc<Route>,
+    /// The service that was chosen by weight.
+    pub service: ServiceName,
+    /// The head, without what concerns the caller's connection.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Bytes,
+    /// When the head was read.
+    pub received: Instant,
+    /// When the caller or the operator no longer waits.
+    pub deadline: Instant,
+}
+
+impl Incoming {
+    /// Returns how long there is until the deadline.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    for name in &CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
+
+/// What a call adds to the request.
+#[derive(Debug, Clone, Default)]
+pub struct CallSpec {
+    /// Whether only the prompt is to be read.
+    pub is_prefill: bool,
+    /// The server that holds the KV cache of the prompt, and the handle.
+    pub kv_cache: Option<(ServerKey, Box<str>)>,
+    /// The id of the last event that was delivered.
+    pub resume_after: Option<u64>,
+    /// Tokens of the prompt that the server has to read.
+    pub unread_tokens: u64,
+}
+
+/// An answer whose head was read.
+pub struct Reply {
+    /// The head.
+    pub head: ResponseHead,
+    /// What the server says of it.
+    pub facts: AnswerFacts,
+    /// The rest of the answer.
+    pub body: AnswerBody,
+    /// Counts the request at the server.
+    pub lease: ServerLease,
+}
+
+impl Reply {
+    /// Whether the answer is a success that the server vouches for.
+    pub fn is_genuine_success(&self) -> bool {
+        let is_encoded = self.head.headers().contains_key(header::CONTENT_ENCODING);
+        self.head.status.is_success() && self.facts.is_sealed && !is_encoded
+    }
+
+    /// Reads the rest of the answer, up to `limit` bytes.
+    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallError> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.body.chunk().await? {
+            if whole.len() + chunk.len() > limit {
+                return Err(CallError::Garbled("the answer is too long".into()));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Keeps the connection for another request, if the server does.
+    pub fn finish(self) {
+        let gateway = self.lease.gateway.clone();
+        let server = self.lease.server;
+        let idle_timeout = self.facts.idle_timeout;
+        keep_connection(&gateway, server, self.body, idle_timeout);
+    }
+}
+
+/// Keeps the connection of an answer that was read as a whole, if the server does.
+pub fn keep_connection(
+    gateway: &Gateway,
+    server: ServerKey,
+    body: AnswerBody,
+    idle_timeout: Option<Duration>,
+) {
+    let Some(connection) = body.into_connection() else { return };
+    if gateway.directory.borrow().get(server).is_none() {
+        return;
+    }
+    let now = gateway.clock.now();
+    gateway.pool.borrow_mut().put(server, connection, now, idle_timeout);
+}
+
+/// Counts a request at a server until it is dropped.
+pub struct ServerLease {
+    gateway: Rc<Gateway>,
+    /// The server.
+    pub server: ServerKey,
+    unread_tokens: u64,
+}
+
+impl ServerLease {
+    fn new(gateway: &Rc<Gateway>, server: ServerKey, unread_tokens: u64) -> Self {
+        if let Some(server) = gateway.directory.borrow_mut().get_mut(server) {
+            server.in_flight += 1;
+            server.unread_tokens += unread_tokens;
+        }
+        Self { gateway: gateway.clone(), server, unread_tokens }
+    }
+
+    /// Takes in that the prompt was read.
+    pub fn prompt_read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(server) = self.gateway.directory.borrow_mut().get_mut(self.server) {
+            server.unread_tokens -= tokens;
+        }
+    }
+}
+
+impl Drop for ServerLease {
+    fn drop(&mut self) {
+        self.prompt_read();
+        if let Some(server) = self.gateway.directory.borrow_mut().get_mut(self.server) {
+            server.in_flight -= 1;
+        }
+    }
+}
+
+/// Sends a request to a server and returns its answer once the head is there.
+pub async fn call(
+    gateway: &Rc<Gateway>,
+    req: &Incoming,
+    server: ServerKey,
+    spec: &CallSpec,
+    patience: Duration,
+) -> Result<Reply, CallError> {
+    let started = gateway.clock.now();
+    let lease = ServerLease::new(gateway, server, spec.unread_tokens);
+    let result = tokio::time::timeout(patience, exchange(gateway, req, server, spec, lease)).await;
+    let result = result.unwrap_or(Err(CallError::TimedOut));
+    let elapsed = gateway.clock.now() - started;
+    report(gateway, req, server, spec, &result, elapsed);
+    result
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    req: &Incoming,
+    server: ServerKey,
+    spec: &CallSpec,
+    lease: ServerLease,
+) -> Result<Reply, CallError> {
+    let gone = || CallError::NotSent("the server is gone".into());
+    let (address, id) = {
+        let directory = gateway.directory.borrow();
+        let record = &directory.get(server).ok_or_else(gone)?.record;
+        (record.address, record.id.clone())
+    };
+    let holder = match &spec.kv_cache {
+        Some((holder, handle)) => {
+            let directory = gateway.directory.borrow();
+            let record = &directory.get(*holder).ok_or_else(gone)?.record;
+            Some((record.address, handle))
+        }
+        None => None,
+    };
+    let now = gateway.clock.now();
+    let pooled = gateway.pool.borrow_mut().take(server, now);
+    let connection = match pooled {
+        Some(connection) => connection,
+        None => {
+            gateway.metrics.connections.inc();
+            Connection::open(address, CONNECT_TIMEOUT).await?
+        }
+    };
+    let mut head = RequestHead::default();
+    head.method = req.head.method.clone();
+    head.uri = req.head.uri.clone();
+    head.headers = req.head.headers.clone();
+    let dispatch = Dispatch {
+        remaining: req.remaining(gateway.clock.now()),
+        server: &id,
+        is_prefill: spec.is_prefill,
+        kv_cache: holder.map(|(address, handle)| (address, &**handle)),
+        resume_after: spec.resume_after,
+    };
+    gateway.dialect.write_dispatch(&mut head.headers, &dispatch);
+    let is_ours = |head: &ResponseHead| {
+        let answered = gateway.dialect.read_answer(head).request_id;
+        answered.is_none_or(|answered| answered == req.facts.id)
+    };
+    let (head, body) = connection.send(head, &req.body, is_ours).await?;
+    let facts = gateway.dialect.read_answer(&head);
+    Ok(Reply { head, facts, body, lease })
+}
+
+/// Takes in and logs what became of a call.
+fn report(
+    gateway: &Gateway,
+    req: &Incoming,
+    server: ServerKey,
+    spec: &CallSpec,
+    result: &Result<Reply, CallError>,
+    elapsed: Duration,
+) {
+    let now = gateway.clock.now();
+    let mut directory = gateway.directory.borrow_mut();
+    let name: Box<str> =
+        directory.get(server).map_or("gone".into(), |server| server.record.id.clone());
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let request = &*req.facts.id;
+    let prefill = spec.is_prefill;
+    match result {
+        Ok(reply) if reply.facts.is_not_run => {
+            directory.was_full(server, now);
+            gateway.metrics.count_call("not_run");
+            let status = reply.head.status.as_u16();
+            log::info!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
+        }
+        Ok(reply) => {
+            directory.succeeded(server);
+            gateway.metrics.count_call("answered");
+            let status = reply.head.status.as_u16();
+            log::debug!(request, server = name, prefill, status, elapsed_ms; "call_answered");
+        }
+        Err(error) => {
+            let avoided = directory.failed(server, now);
+            gateway.metrics.count_call(match error {
+                CallError::NotSent(_) => "not_sent",
+                CallError::Broken(_) => "broken",
+                CallError::Garbled(_) => "garbled",
+                CallError::TimedOut => "timed_out",
+            });
+            let avoided_ms = avoided.map_or(0, |avoided| avoided.as_millis() as u64);
+            log::info!(request, server = name, prefill, reason:% = error, elapsed_ms, avoided_ms; "call_failed");
+            gateway.pool.borrow_mut().drop_server(server);
+        }
+    }
+}
+
+/// How long a call that frees a KV cache may take.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Frees a KV cache that will not be used, beside whatever else runs.
+pub fn release_kv_cache(gateway: &Rc<Gateway>, server: ServerKey, handle: &str) {
+    let gateway = gateway.clone();
+    let path = gateway.dialect.release_path(handle);
+    let handle: Box<str> = handle.into();
+    actix_rt::spawn(async move {
+        let release = send_release(&gateway, server, &path);
+        match tokio::time::timeout(RELEASE_TIMEOUT, release).await {
+            Ok(Ok(())) => log::info!(handle; "kv_cache_released"),
+            Ok(Err(error)) => log::info!(handle, reason:% = error; "kv_cache_not_released"),
+            Err(_) => log::info!(handle, reason = "no answer in time"; "kv_cache_not_released"),
+        }
+    });
+}
+
+async fn send_release(gateway: &Gateway, server: ServerKey, path: &str) -> Result<(), CallError> {
+    let gone = || CallError::NotSent("the server is gone".into());
+    let address = gateway.directory.borrow().get(server).ok_or_else(gone)?.record.address;
+    let pooled = gateway.pool.borrow_mut().take(server, gateway.clock.now());
+    let connection = match pooled {
+        Some(connection) => connection,
+        None => Connection::open(address, CONNECT_TIMEOUT).await?,
+    };
+    let mut head = RequestHead::default();
+    head.method = Method::DELETE;
+    head.uri = Uri::try_from(path).map_err(|error| CallError::NotSent(error.to_string().into()))?;
+    let host = header::HeaderValue::try_from(address.to_string());
+    head.headers.insert(header::HOST, host.expect("an address is a header value"));
+    let (head, mut body) = connection.send(head, &Bytes::new(), |_| true).await?;
+    let facts = gateway.dialect.read_answer(&head);
+    while body.chunk().await?.is_some() {}
+    keep_connection(gateway, server, body, facts.idle_timeout);
+    Ok(())
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -0,0 +1,190 @@
+//! The backend servers that this instance knows, and what it has learned of each.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::ServerKey;
+use slotmap::SlotMap;
+
+use crate::route::ServiceName;
+
+/// How long a server that failed is avoided the first time; it doubles with each failure in a row.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
+
+/// The longest time that a failing server is avoided before it is tried again.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+
+/// How long a server that refused a request for want of room is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// How a server describes itself in the list of servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerRecord {
+    /// The identifier, which a server may keep over a restart.
+    pub id: Box<str>,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Whether it takes no new requests since it will stop.
+    pub is_draining: bool,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Which part of a completion it runs; none for a plain server.
+    pub role: Option<EngineRole>,
+    /// When the process started, as it says, in milliseconds of Unix time.
+    pub started_ms: u64,
+}
+
+/// Which part of a completion an engine runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineRole {
+    /// The engine reads prompts and hands the KV cache over.
+    Prefill,
+    /// The engine produces tokens, and can read a prompt itself at a lower speed.
+    Decode,
+}
+
+/// All known servers.
+#[derive(Debug, Default)]
+pub struct Directory {
+    servers: SlotMap<ServerKey, Server>,
+    by_id: BTreeMap<Box<str>, ServerKey>,
+}
+
+/// A server and what was learned of it.
+#[derive(Debug)]
+pub struct Server {
+    /// What the server says of itself.
+    pub record: ServerRecord,
+    /// Requests of this instance that it runs.
+    pub in_flight: u32,
+    /// Tokens of prompts of this instance that it has still to read.
+    pub unread_tokens: u64,
+    failures_in_a_row: u32,
+    avoided_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+impl Server {
+    /// Whether recent calls failed, so that others are to be preferred.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        let is_after = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        is_after(self.avoided_until) || is_after(self.full_until)
+    }
+}
+
+/// What a new record of a server changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordChange {
+    /// The server was not known.
+    Added,
+    /// Another process runs under the identifier, or at another address.
+    Restarted,
+    /// The server takes no new requests from now on.
+    Draining,
+    /// Nothing that matters for routing.
+    Updated,
+}
+
+impl Directory {
+    /// Takes in the newest record of a server.
+    pub fn put(&mut self, record: ServerRecord) -> RecordChange {
+        let Some(key) = self.by_id.get(&record.id).copied() else {
+            self.insert(record);
+            return RecordChange::Added;
+        };
+        let server = &mut self.servers[key];
+        let old = &server.record;
+        if old.started_ms != record.started_ms || old.address != record.address {
+            // Requests of the former process release a key that no longer exists.
+            self.servers.remove(key);
+            self.insert(record);
+            return RecordChange::Restarted;
+        }
+        let is_leaving = record.is_draining && !old.is_draining;
+        server.record = record;
+        if is_leaving { RecordChange::Draining } else { RecordChange::Updated }
+    }
+
+    fn insert(&mut self, record: ServerRecord) {
+        let id = record.id.clone();
+        let key = self.servers.insert(Server {
+            record,
+            in_flight: 0,
+            unread_tokens: 0,
+            failures_in_a_row: 0,
+            avoided_until: None,
+            full_until: None,
+        });
+        self.by_id.insert(id, key);
+    }
+
+    /// Forgets a server; returns whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        let Some(key) = self.by_id.remove(id) else { return false };
+        self.servers.remove(key).is_some()
+    }
+
+    /// Returns a server unless it is gone or was restarted.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Returns a server for a change, unless it is gone or was restarted.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(key)
+    }
+
+    /// Returns the server with an identifier.
+    pub fn find(&self, id: &str) -> Option<&Server> {
+        self.servers.get(*self.by_id.get(id)?)
+    }
+
+    /// Iterates over all servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Returns the identifiers of all servers.
+    pub fn ids(&self) -> Vec<Box<str>> {
+        self.by_id.keys().cloned().collect()
+    }
+
+    /// Returns the number of servers.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Takes in that a call to a server came to a proper answer.
+    pub fn succeeded(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.failures_in_a_row = 0;
+        server.avoided_until = None;
+        server.full_until = None;
+    }
+
+    /// Takes in that a call to a server failed; returns how long the server is avoided.
+    pub fn failed(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
+        let server = self.servers.get_mut(key)?;
+        let doublings = server.failures_in_a_row.min(8);
+        server.failures_in_a_row += 1;
+        let avoidance = FIRST_AVOIDANCE.saturating_mul(1 << doublings).min(LONGEST_AVOIDANCE);
+        server.avoided_until = Some(now + avoidance);
+        Some(avoidance)
+    }
+
+    /// Takes in that a server had no room for a request.
+    pub fn was_full(&mut self, key: ServerKey, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.full_until = Some(now + FULL_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/events.rs
@@ -0,0 +1,96 @@
+//! Cuts a stream into whole server-sent events and keeps the id of the last one.
+
+use bytes::{Bytes, BytesMut};
+
+/// Bytes of a stream that do not make a whole event yet.
+#[derive(Debug, Default)]
+pub struct EventBuffer {
+    buf: BytesMut,
+    last_id: Option<u64>,
+}
+
+impl EventBuffer {
+    /// Creates a buffer for a stream that goes on after an event.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { buf: BytesMut::new(), last_id }
+    }
+
+    /// Takes in bytes and returns the whole events that are new, if there are any.
+    pub fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
+        self.buf.extend_from_slice(chunk);
+        let mut whole = BytesMut::new();
+        while let Some(end) = end_of_event(&self.buf) {
+            let event = self.buf.split_to(end);
+            let id = read_id(&event);
+            if let (Some(id), Some(last)) = (id, self.last_id)
+                && id <= last
+            {
+                continue;
+            }
+            self.last_id = id.or(self.last_id);
+            whole.unsplit(event);
+        }
+        (!whole.is_empty()).then(|| whole.freeze())
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Returns what is left of an event that was not completed.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
+    /// Drops what is left of an event that was not completed.
+    pub fn drop_rest(&mut self) {
+        self.buf.clear();
+    }
+}
+
+/// Returns the length of the first whole event, with the empty line that ends it.
+fn end_of_event(buf: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in buf.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buf[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn read_id(event: &[u8]) -> Option<u64> {
+    for line in event.split(|byte| *byte == b'\n') {
+        let Some(value) = line.strip_prefix(b"id:") else { continue };
+        let text = std::str::from_utf8(value).ok()?;
+        return text.trim().parse().ok();
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::EventBuffer;
+
+    #[test]
+    fn only_whole_events_pass() {
+        let mut events = EventBuffer::default();
+        assert_eq!(events.push(b"id: 1\ndata: a\n"), None);
+        assert_eq!(events.push(b"\nid: 2").unwrap(), "id: 1\ndata: a\n\n");
+        assert_eq!(events.last_id(), Some(1));
+        assert_eq!(events.take_rest(), "id: 2");
+    }
+
+    #[test]
+    fn events_that_were_delivered_are_not_repeated() {
+        let mut events = EventBuffer::after(Some(2));
+        let out = events.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n").unwrap();
+        assert_eq!(out, "id: 3\ndata: c\n\n");
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -0,0 +1,317 @@
+//! One request and its answer on a connection to a backend server.
+//!
+//! The HTTP/1 codec is the library's. The connection is kept here, because what may be repeated
+//! depends on how far a request had come when its connection failed.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{self, HeaderMap};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// How long sent bytes may stay unacknowledged before the connection counts as broken.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The idle time after which the kernel asks whether the other end is there.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// The time between two such questions.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How many of them may stay without an answer.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
+/// The least room to read into, in bytes.
+const READ_ROOM: usize = 4_096;
+
+/// How many answers to earlier requests are skipped on one connection.
+const MAX_STRAY_ANSWERS: u32 = 2;
+
+/// Why a request has no complete answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display)]
+pub enum CallError {
+    /// the request was not sent: {0}
+    NotSent(Box<str>),
+    /// the connection broke: {0}
+    Broken(Box<str>),
+    /// the answer is not readable: {0}
+    Garbled(Box<str>),
+    /// no answer came in time
+    TimedOut,
+}
+
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// Whether the request was certainly never sent.
+    pub fn is_never_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+
+    fn broken(error: &std::io::Error) -> Self {
+        Self::Broken(error.to_string().into())
+    }
+}
+
+/// An open connection on which no request is waiting.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+    idle_until: Option<Instant>,
+}
+
+impl Connection {
+    /// Opens a connection within `patience`.
+    pub async fn open(address: SocketAddr, patience: Duration) -> Result<Self, CallError> {
+        let opened = tokio::time::timeout(patience, TcpStream::connect(address)).await;
+        let stream = match opened {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(CallError::NotSent(error.to_string().into())),
+            Err(_) => return Err(CallError::NotSent("no connection in time".into())),
+        };
+        if let Err(error) = configure(&stream) {
+            log::warn!(address:%; "socket options are not set: {error}");
+        }
+        Ok(Self { stream, buf: BytesMut::new(), idle_until: None })
+    }
+
+    /// Whether a request may be sent on the connection, which was idle.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        if self.idle_until.is_some_and(|until| now >= until) || !self.buf.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        // Bytes without a request belong to none, and an end of file means that it is closed.
+        let read = self.stream.try_read(&mut byte);
+        matches!(read, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Sets until when the server keeps the connection.
+    pub fn set_idle_until(&mut self, until: Option<Instant>) {
+        self.idle_until = until;
+    }
+
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// `is_ours` tells the answer from late ones to earlier requests.
+    pub async fn send(
+        mut self,
+        head: RequestHead,
+        body: &Bytes,
+        is_ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<(ResponseHead, AnswerBody), CallError> {
+        let mut codec = ClientCodec::default();
+        let mut out = BytesMut::new();
+        let size = match body.len() {
+            0 if !head.headers.contains_key(header::CONTENT_LENGTH) => BodySize::None,
+            length => BodySize::Sized(length as u64),
+        };
+        let is_head = head.method == actix_http::Method::HEAD;
+        let message = Message::Item((RequestHeadType::Owned(head), size));
+        codec
+            .encode(message, &mut out)
+            .map_err(|error| CallError::NotSent(error.to_string().into()))?;
+        out.extend_from_slice(body);
+        let mut strays = 0;
+        let (answer, was_sent) = self.exchange_head(&mut codec, &out).await?;
+        let mut answer = answer;
+        loop {
+            let mut rest = AnswerBody::new(self, codec, &answer, is_head, was_sent);
+            if is_ours(&answer) {
+                return Ok((answer, rest));
+            }
+            strays += 1;
+            if strays > MAX_STRAY_ANSWERS {
+                return Err(CallError::Garbled("answers of other requests".into()));
+            }
+            while rest.chunk().await?.is_some() {}
+            let Some(connection) = rest.into_connection() else {
+                return Err(CallError::Broken("closed after the answer of another request".into()));
+            };
+            self = connection;
+            codec = ClientCodec::default();
+            answer = self.read_head(&mut codec).await?;
+        }
+    }
+
+    /// Writes the request and reads the head of the answer, which may come before all is written.
+    async fn exchange_head(
+        &mut self,
+        codec: &mut ClientCodec,
+        out: &[u8],
+    ) -> Result<(ResponseHead, bool), CallError> {
+        let (mut reader, mut writer) = self.stream.split();
+        let mut written = 0;
+        loop {
+            tokio::select! {
+                biased;
+                write = write_some(&mut writer, &out[written..]), if written < out.len() => {
+                    match write {
+                        Ok(count) => written += count,
+                        // The server may have answered before it closed the connection.
+                        Err(error) => {
+                            drain_reader(&mut reader, &mut self.buf).await;
+                            return match decode_head(codec, &mut self.buf)? {
+                                Some(head) => Ok((head, false)),
+                                None => Err(CallError::broken(&error)),
+                            };
+                        }
+                    }
+                }
+                read = read_some(&mut reader, &mut self.buf) => {
+                    if read? == 0 {
+                        return Err(CallError::Broken(END_OF_STREAM.into()));
+                    }
+                    if let Some(head) = decode_head(codec, &mut self.buf)? {
+                        return Ok((head, written == out.len()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, CallError> {
+        loop {
+            if let Some(head) = decode_head(codec, &mut self.buf)? {
+                return Ok(head);
+            }
+            let (mut reader, _) = self.stream.split();
+            if read_some(&mut reader, &mut self.buf).await? == 0 {
+                return Err(CallError::Broken(END_OF_STREAM.into()));
+            }
+        }
+    }
+}
+
+/// The rest of an answer on its connection.
+pub struct AnswerBody {
+    connection: Connection,
+    codec: Option<ClientPayloadCodec>,
+    is_delimited: bool,
+    is_reusable: bool,
+    is_complete: bool,
+}
+
+impl AnswerBody {
+    fn new(
+        connection: Connection,
+        codec: ClientCodec,
+        head: &ResponseHead,
+        is_head: bool,
+        was_sent: bool,
+    ) -> Self {
+        let kind = if is_head { MessageType::None } else { codec.message_type() };
+        let is_delimited = !matches!(kind, MessageType::Stream);
+        let is_reusable = was_sent && is_delimited && !is_closing(head.headers());
+        let is_complete = matches!(kind, MessageType::None);
+        let codec = (!is_complete).then(|| codec.into_payload_codec());
+        Self { connection, codec, is_delimited, is_reusable, is_complete }
+    }
+
+    /// Returns the next bytes, or none after the last ones.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallError> {
+        let Some(codec) = &mut self.codec else { return Ok(None) };
+        loop {
+            match codec.decode(&mut self.connection.buf) {
+                Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
+                Ok(Some(None)) => {
+                    self.is_complete = true;
+                    self.codec = None;
+                    return Ok(None);
+                }
+                Ok(None) => {}
+                Err(error) => return Err(CallError::Garbled(error.to_string().into())),
+            }
+            let (mut reader, _) = self.connection.stream.split();
+            if read_some(&mut reader, &mut self.connection.buf).await? > 0 {
+                continue;
+            }
+            if self.is_delimited {
+                return Err(CallError::Broken(END_OF_STREAM.into()));
+            }
+            // An answer without a length ends with its connection; a reset is an error above.
+            self.is_complete = true;
+            self.codec = None;
+            return Ok(None);
+        }
+    }
+
+    /// Whether the answer has come to its end.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the connection for another request, if the server keeps it.
+    pub fn into_connection(self) -> Option<Connection> {
+        let is_clean = self.is_complete && self.is_reusable && self.connection.buf.is_empty();
+        is_clean.then_some(self.connection)
+    }
+}
+
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_PROBES);
+    socket.set_tcp_keepalive(&keep_alive)
+}
+
+fn is_closing(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONNECTION) else { return false };
+    value.as_bytes().to_ascii_lowercase().windows(5).any(|word| word == b"close")
+}
+
+async fn write_some(writer: &mut WriteHalf<'_>, bytes: &[u8]) -> std::io::Result<usize> {
+    match writer.write(bytes).await? {
+        0 => Err(ErrorKind::WriteZero.into()),
+        count => Ok(count),
+    }
+}
+
+/// Reads some bytes and returns their number, which is 0 at the end of the stream.
+async fn read_some(reader: &mut ReadHalf<'_>, buf: &mut BytesMut) -> Result<usize, CallError> {
+    buf.reserve(READ_ROOM);
+    reader.read_buf(buf).await.map_err(|error| CallError::broken(&error))
+}
+
+/// What is said of a connection that the server closed.
+const END_OF_STREAM: &str = "closed by the server";
+
+/// Reads what came before the connection ended.
+async fn drain_reader(reader: &mut ReadHalf<'_>, buf: &mut BytesMut) {
+    while read_some(reader, buf).await.is_ok_and(|count| count > 0) {}
+}
+
+/// Decodes a head and skips interim answers.
+fn decode_head(
+    codec: &mut ClientCodec,
+    buf: &mut BytesMut,
+) -> Result<Option<ResponseHead>, CallError> {
+    loop {
+        let decoded = codec.decode(buf);
+        let head = match decoded {
+            Ok(Some(head)) => head,
+            Ok(None) => return Ok(None),
+            Err(error) => return Err(CallError::Garbled(error.to_string().into())),
+        };
+        if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
+            continue;
+        }
+        return Ok(Some(head));
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/front.rs
@@ -0,0 +1,151 @@
+//! The way of a request through the instance, as a chain of filters.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::BoxBody;
+use actix_http::header;
+use actix_http::{ConnectionType, Request, RequestHead, Response};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+use crate::call::{Incoming, strip_connection_headers};
+use crate::dialect::RequestFacts;
+use crate::gateway::Gateway;
+use crate::plain::{self, Ended};
+use crate::refusal::Refusal;
+use crate::route::{CallerLimits, Route, RouteKind, Routing, ServiceName};
+use crate::stream;
+
+/// How long a caller waits that does not say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Serves one request.
+pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
+    let guard = gateway.enter();
+    let received = gateway.clock.now();
+    let mut checked = Checked { received, ..Checked::default() };
+    let ended = match check(&gateway, &mut req, &mut checked).await {
+        Ok(incoming) => {
+            let incoming = Rc::new(incoming);
+            match incoming.route.kind {
+                RouteKind::Stream { .. } => stream::forward(&gateway, incoming, guard).await,
+                RouteKind::Idempotent | RouteKind::AtMostOnce => {
+                    plain::forward(&gateway, &incoming).await
+                }
+            }
+        }
+        Err(refusal) => Ended::Refused(refusal),
+    };
+    let mut response = finish(&gateway, &checked, ended);
+    if gateway.is_stopping() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// What the filters have found out so far.
+struct Checked {
+    received: Instant,
+    facts: Option<RequestFacts>,
+    route: Option<Rc<Route>>,
+    service: Option<ServiceName>,
+    version: u64,
+}
+
+impl Default for Checked {
+    fn default() -> Self {
+        Self { received: Instant::now(), facts: None, route: None, service: None, version: 0 }
+    }
+}
+
+/// Passes a request through the filters: configuration, identifier, route, body, deadline.
+async fn check(
+    gateway: &Gateway,
+    req: &mut Request,
+    checked: &mut Checked,
+) -> Result<Incoming, Refusal> {
+    let facts = gateway.dialect.read_request(req.head());
+    checked.facts.clone_from(&facts);
+    let routing = gateway.routing().ok_or(Refusal::NoConfiguration)?;
+    checked.version = routing.version;
+    let facts = facts.ok_or(Refusal::NoIdentifier)?;
+    let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
+    checked.route = Some(route.clone());
+    let body = read_body(req, &routing.limits).await?;
+    // The configuration may have changed while the body came in.
+    let routing = gateway.routing().ok_or(Refusal::NoConfiguration)?;
+    let route = find_route(&routing, req.head()).unwrap_or(route);
+    checked.version = routing.version;
+    checked.route = Some(route.clone());
+    let service = route.choose_service(gateway.draw()).cloned().ok_or(Refusal::NoServer)?;
+    checked.service = Some(service.clone());
+    gateway.earn_budget(&service);
+    let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    let mut head = RequestHead::default();
+    head.method = req.head().method.clone();
+    head.uri = req.head().uri.clone();
+    head.headers = req.head().headers.clone();
+    strip_connection_headers(&mut head.headers);
+    let received = checked.received;
+    Ok(Incoming { facts, route, service, head, body, received, deadline: received + patience })
+}
+
+fn find_route(routing: &Routing, head: &RequestHead) -> Option<Rc<Route>> {
+    let host = head.headers().get(header::HOST)?.to_str().ok()?;
+    routing.find(host, head.uri.path())
+}
+
+async fn read_body(req: &mut Request, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    let mut payload = req.take_payload();
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else { return Err(Refusal::BodyIncomplete) };
+        if whole.len() + chunk.len() > limits.max_body {
+            return Err(Refusal::BodyTooLarge);
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+/// Logs and counts the end of a request, and builds the answer.
+fn finish(gateway: &Gateway, checked: &Checked, ended: Ended) -> Response<BoxBody> {
+    let elapsed = gateway.clock.now() - checked.received;
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let request = checked.facts.as_ref().map_or("", |facts| &facts.id);
+    let kind = checked.route.as_ref().map_or("unrouted", |route| route.kind.as_str());
+    let route = checked.route.as_ref().map_or("", |route| route.name.as_str());
+    let service = checked.service.as_deref().unwrap_or_default();
+    let version = checked.version;
+    match ended {
+        Ended::Answer(response) => {
+            let status = response.status().as_u16();
+            let stage = if kind.ends_with("stream") { "head" } else { "whole" };
+            gateway.metrics.observe(kind, stage, elapsed);
+            if stage == "whole" {
+                gateway.metrics.count_request(kind, "answered");
+            }
+            log::info!(request, route, service, version, status, elapsed_ms; "answered");
+            response
+        }
+        Ended::Refused(refusal) => {
+            let remaining = checked.facts.as_ref().and_then(|facts| facts.patience);
+            let remaining = remaining.unwrap_or_default().saturating_sub(elapsed);
+            let is_not_run = refusal.status() == actix_http::StatusCode::SERVICE_UNAVAILABLE;
+            let retry_after = match &checked.route {
+                Some(route) if is_not_run => Some(gateway.retry_after(route, remaining)),
+                None if is_not_run => Some(remaining.mul_f64(0.3)),
+                _ => None,
+            };
+            let status = refusal.status().as_u16();
+            gateway.metrics.count_request(kind, "refused");
+            gateway.metrics.count_refusal(refusal);
+            let retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64);
+            log::info!(request, route, service, version, status, reason:% = refusal, elapsed_ms, retry_after_ms:?; "refused");
+            let mut response = refusal.response(retry_after);
+            gateway.dialect.write_refusal(response.headers_mut(), request);
+            response
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -0,0 +1,301 @@
+//! What one instance knows and shares between its requests.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{Clock, ServerKey};
+use magnoliaspar_retry::RetryBudget;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::dialect::Dialect;
+use crate::directory::{Directory, RecordChange, ServerRecord};
+use crate::feed::{Batch, FeedError, Follower};
+use crate::metrics::Metrics;
+use crate::place::Candidate;
+use crate::pool::Pool;
+use crate::route::{Route, Routing, ServiceName};
+use crate::settings::GatewaySettings;
+
+/// How long a server whose entry vanished while the source was away is used on.
+///
+/// The source gives a living server about two seconds to come back.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// The state of one instance.
+pub struct Gateway {
+    /// The settings, which may be replaced while the instance runs.
+    pub settings: RefCell<Rc<GatewaySettings>>,
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// What headers mean.
+    pub dialect: Rc<dyn Dialect>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The known servers.
+    pub directory: RefCell<Directory>,
+    /// Idle connections to them.
+    pub pool: RefCell<Pool>,
+    routing: RefCell<Option<Rc<Routing>>>,
+    budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    rng: RefCell<StdRng>,
+    in_flight: Cell<usize>,
+    is_stopping: Cell<bool>,
+    knows_servers: Cell<bool>,
+    servers_regained_at: Cell<Option<Instant>>,
+    vanished: RefCell<BTreeMap<Box<str>, Instant>>,
+}
+
+impl Gateway {
+    /// Creates an instance that knows no configuration and no server.
+    pub fn new(settings: GatewaySettings, clock: Rc<dyn Clock>, dialect: Rc<dyn Dialect>) -> Self {
+        Self {
+            settings: RefCell::new(Rc::new(settings)),
+            clock,
+            dialect,
+            metrics: Metrics::new(),
+            directory: RefCell::default(),
+            pool: RefCell::default(),
+            routing: RefCell::default(),
+            budgets: RefCell::default(),
+            rng: RefCell::new(StdRng::from_os_rng()),
+            in_flight: Cell::new(0),
+            is_stopping: Cell::new(false),
+            knows_servers: Cell::new(false),
+            servers_regained_at: Cell::new(None),
+            vanished: RefCell::default(),
+        }
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Returns the routes in force, if any are known.
+    pub fn routing(&self) -> Option<Rc<Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        self.routing.borrow().is_some() && self.knows_servers.get() && !self.is_stopping.get()
+    }
+
+    /// Whether the instance has been told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Takes in that the instance has been told to stop.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+    }
+
+    /// Returns the number of requests that wait for their answer.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Counts a request as waiting until the guard is dropped.
+    pub fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.metrics.in_flight.inc();
+        InFlight(self.clone())
+    }
+
+    /// Draws a number from `0.0..1.0`.
+    pub fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Runs `choose` with the instance's random numbers.
+    pub fn with_rng<T>(&self, choose: impl FnOnce(&mut dyn rand::RngCore) -> T) -> T {
+        choose(&mut *self.rng.borrow_mut())
+    }
+
+    /// Returns the servers of a service that take requests, without those in `tried`.
+    pub fn candidates(&self, service: &str, tried: &[ServerKey]) -> Vec<Candidate> {
+        let now = self.clock.now();
+        let settings = self.settings();
+        let directory = self.directory.borrow();
+        let mut candidates = Vec::new();
+        for (key, server) in directory.iter() {
+            let record = &server.record;
+            if &*record.service != service || record.is_draining || tried.contains(&key) {
+                continue;
+            }
+            candidates.push(Candidate {
+                key,
+                is_local: record.zone == settings.zone,
+                is_avoided: server.is_avoided(now),
+                in_flight: server.in_flight,
+                slots: record.slots,
+                unread_tokens: server.unread_tokens,
+                role: record.role,
+            });
+        }
+        candidates
+    }
+
+    /// Counts a request towards the retry budget of its service.
+    pub fn earn_budget(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, _| budget.succeeded());
+    }
+
+    /// Takes one retry out of the budget of a service, if there is one.
+    pub fn take_budget(&self, service: &ServiceName) -> bool {
+        let is_taken = self.with_budget(service, RetryBudget::take);
+        if !is_taken {
+            self.metrics.budget_exhausted.inc();
+        }
+        is_taken
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        run: impl FnOnce(&mut RetryBudget, Instant) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let cfg = self.settings().budget;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
+        run(budget, now)
+    }
+
+    /// Returns after which time a caller that was refused should come back.
+    pub fn retry_after(&self, route: &Route, remaining: Duration) -> Duration {
+        // A caller comes back early enough to be served, and not together with others.
+        let longest = remaining.mul_f64(0.3).min(route.target_latency);
+        longest.mul_f64(0.5 + 0.5 * self.draw())
+    }
+
+    /// Closes connections that cannot be used, and forgets servers that did not come back.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        let directory = self.directory.borrow();
+        self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
+        drop(directory);
+        let mut gone = Vec::new();
+        self.vanished.borrow_mut().retain(|id, until| {
+            if now < *until {
+                return true;
+            }
+            gone.push(id.clone());
+            false
+        });
+        for id in gone {
+            self.forget(&id, "not_back_in_time");
+        }
+    }
+
+    fn forget(&self, id: &str, cause: &'static str) {
+        if self.directory.borrow_mut().remove(id) {
+            log::info!(server = id, cause; "server_gone");
+        }
+    }
+
+    fn vanish(&self, id: &str) {
+        let now = self.clock.now();
+        let is_draining =
+            self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
+        let until = self.servers_regained_at.get().map(|at| at + RETURN_GRACE);
+        match until {
+            Some(until) if now < until && !is_draining => {
+                if self.directory.borrow().find(id).is_some() {
+                    log::info!(server = id; "server_vanished_during_outage");
+                    self.vanished.borrow_mut().entry(id.into()).or_insert(until);
+                }
+            }
+            _ => self.forget(id, "removed"),
+        }
+    }
+
+    fn put_server(&self, record: ServerRecord) {
+        self.vanished.borrow_mut().remove(&record.id);
+        let id = record.id.clone();
+        let address = record.address;
+        let service = record.service.clone();
+        let zone = record.zone.clone();
+        let change = self.directory.borrow_mut().put(record);
+        if change != RecordChange::Updated {
+            log::info!(server = id, service, zone, address:%, change:?; "server_changed");
+        }
+    }
+}
+
+impl Follower<ServerRecord> for Gateway {
+    fn take(&self, batch: Batch<ServerRecord>, is_complete: bool) {
+        let mut known = std::collections::BTreeSet::new();
+        for (id, record) in batch.rows {
+            match record {
+                Some(record) => {
+                    known.insert(id);
+                    self.put_server(record);
+                }
+                None => self.vanish(&id),
+            }
+        }
+        if is_complete {
+            let ids = self.directory.borrow().ids();
+            for id in ids {
+                if !known.contains(&id) {
+                    self.vanish(&id);
+                }
+            }
+            if !self.knows_servers.replace(true) {
+                log::info!(servers = self.directory.borrow().len(); "servers_known");
+            }
+        }
+        self.metrics.servers.set(self.directory.borrow().len() as i64);
+        self.metrics.count_feed("servers", "ok");
+    }
+
+    fn lost(&self, _: &FeedError) {
+        self.metrics.count_feed("servers", "failed");
+    }
+
+    fn regained(&self) {
+        self.servers_regained_at.set(Some(self.clock.now()));
+    }
+}
+
+/// Takes in the configuration; a version that is not newer than the one in force is dropped.
+pub struct RoutingFollower(pub Rc<Gateway>);
+
+impl Follower<Routing> for RoutingFollower {
+    fn take(&self, batch: Batch<Routing>, _: bool) {
+        self.0.metrics.count_feed("configuration", "ok");
+        for (_, routing) in batch.rows {
+            let Some(routing) = routing else { continue };
+            let current = self.0.routing().map(|routing| routing.version);
+            let version = routing.version;
+            if current.is_some_and(|current| version <= current) {
+                log::debug!(version, current:?; "configuration_not_newer");
+                continue;
+            }
+            log::info!(version, previous:? = current, routes = routing.len(); "configuration_taken");
+            self.0.metrics.configuration_version.set(version as i64);
+            self.0.routing.replace(Some(Rc::new(routing)));
+        }
+    }
+
+    fn lost(&self, _: &FeedError) {
+        self.0.metrics.count_feed("configuration", "failed");
+    }
+
+    fn regained(&self) {}
+}
+
+/// A request that waits for its answer.
+pub struct InFlight(Rc<Gateway>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -0,0 +1,136 @@
+//! Counters and latency histograms in the format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+use crate::refusal::Refusal;
+
+/// The bounds of latency histograms, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 15.0];
+
+/// The metrics of one gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    calls: IntCounterVec,
+    latency: HistogramVec,
+    feeds: IntCounterVec,
+    /// Requests that wait for their answer.
+    pub in_flight: IntGauge,
+    /// The version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Known servers.
+    pub servers: IntGauge,
+    /// Streams that went on at another engine.
+    pub resumptions: IntCounter,
+    /// Retries that the budget did not allow.
+    pub budget_exhausted: IntCounter,
+    /// Connections that were opened to servers.
+    pub connections: IntCounter,
+}
+
+impl Metrics {
+    /// Creates metrics that stand at zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let vec = |name: &str, help: &str, labels: &[&str]| {
+            let opts = Opts::new(name, help).namespace("magnoliaspar");
+            let counters = IntCounterVec::new(opts, labels).expect("the names are valid");
+            registry.register(Box::new(counters.clone())).expect("the name is used once");
+            counters
+        };
+        let counter = |name: &str, help: &str| {
+            let opts = Opts::new(name, help).namespace("magnoliaspar");
+            let counter = IntCounter::with_opts(opts).expect("the name is valid");
+            registry.register(Box::new(counter.clone())).expect("the name is used once");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let opts = Opts::new(name, help).namespace("magnoliaspar");
+            let gauge = IntGauge::with_opts(opts).expect("the name is valid");
+            registry.register(Box::new(gauge.clone())).expect("the name is used once");
+            gauge
+        };
+        let opts = HistogramOpts::new("latency_seconds", "Time since the request by stage.")
+            .namespace("magnoliaspar")
+            .buckets(BUCKETS.to_vec());
+        let latency = HistogramVec::new(opts, &["kind", "stage"]).expect("the names are valid");
+        registry.register(Box::new(latency.clone())).expect("the name is used once");
+        Self {
+            requests: vec(
+                "gateway_requests_total",
+                "Requests by kind and outcome.",
+                &["kind", "outcome"],
+            ),
+            refusals: vec(
+                "gateway_refusals_total",
+                "Answers of the gateway's own by reason.",
+                &["reason"],
+            ),
+            calls: vec("gateway_calls_total", "Calls to servers by result.", &["result"]),
+            feeds: vec(
+                "gateway_feed_calls_total",
+                "Calls to the store by feed and result.",
+                &["feed", "result"],
+            ),
+            in_flight: gauge("gateway_in_flight", "Requests that wait for their answer."),
+            configuration_version: gauge("gateway_configuration_version", "The version in force."),
+            servers: gauge("gateway_servers", "Known backend servers."),
+            resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
+            budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
+            connections: counter("gateway_connections_total", "Connections opened to servers."),
+            latency,
+            registry,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, kind: &str, outcome: &str) {
+        self.requests.with_label_values(&[kind, outcome]).inc();
+    }
+
+    /// Counts an answer of the gateway's own.
+    pub fn count_refusal(&self, refusal: Refusal) {
+        self.refusals.with_label_values(&[refusal.to_string().as_str()]).inc();
+    }
+
+    /// Counts a call to a server.
+    pub fn count_call(&self, result: &str) {
+        self.calls.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn count_feed(&self, feed: &str, result: &str) {
+        self.feeds.with_label_values(&[feed, result]).inc();
+    }
+
+    /// Takes in how long a stage of a request took.
+    pub fn observe(&self, kind: &str, stage: &str, latency: Duration) {
+        self.stage(kind, stage).observe(latency.as_secs_f64());
+    }
+
+    fn stage(&self, kind: &str, stage: &str) -> Histogram {
+        self.latency.with_label_values(&[kind, stage])
+    }
+
+    /// Returns all metrics as text.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .expect("metrics are written to memory");
+        buf
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -0,0 +1,65 @@
+//! Answers of the gateway's own.
+
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::{Response, StatusCode};
+use displaydoc::Display;
+
+/// Why a request has no answer of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
+pub enum Refusal {
+    /// no_identifier
+    NoIdentifier,
+    /// no_route
+    NoRoute,
+    /// body_too_large
+    BodyTooLarge,
+    /// body_incomplete
+    BodyIncomplete,
+    /// no_configuration
+    NoConfiguration,
+    /// no_server
+    NoServer,
+    /// no_capacity
+    NoCapacity,
+    /// quarantined
+    Quarantined,
+    /// deadline_before_start
+    DeadlineBeforeStart,
+    /// may_have_run
+    MayHaveRun,
+    /// deadline
+    Deadline,
+}
+
+impl Refusal {
+    /// Returns the status; 503 says that the request has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoIdentifier | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoConfiguration
+            | Self::NoServer
+            | Self::NoCapacity
+            | Self::Quarantined
+            | Self::DeadlineBeforeStart => StatusCode::SERVICE_UNAVAILABLE,
+            Self::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Builds the answer, with the time after which the caller may come back if it may.
+    pub fn response(self, retry_after: Option<Duration>) -> Response<BoxBody> {
+        let mut response = Response::new(self.status());
+        if let Some(wait) = retry_after {
+            let text = format!("{:.2}", wait.as_secs_f64());
+            let value = HeaderValue::try_from(text).expect("a number is a header value");
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -0,0 +1,140 @@
+//! The life of one instance: listeners, followers, and the end.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{Request, Response, StatusCode};
+use magnoliaspar_http::{ConnectionLimits, Handler, Server, ServerError};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::directory::ServerRecord;
+use crate::feed::{Feed, follow};
+use crate::front;
+use crate::gateway::{Gateway, RoutingFollower};
+use crate::route::{CallerLimits, Routing};
+
+/// How often idle connections and vanished servers are looked through.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How much longer than callers may be idle their connections are kept, so that no request meets a
+/// close.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(5);
+
+/// How long an instance that stops takes new connections, until the balancer has noticed.
+///
+/// The balancer asks once a second and turns away after two misses.
+const LINGER: Duration = Duration::from_millis(3_200);
+
+/// How long before the end of the grace period the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+
+/// How often a stopping instance looks whether all requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Where the configuration and the list of servers come from.
+pub struct Feeds {
+    /// The configuration.
+    pub routing: Rc<dyn Feed<Routing>>,
+    /// The list of servers.
+    pub servers: Rc<dyn Feed<ServerRecord>>,
+}
+
+/// Reads the settings again; logs what it finds.
+pub type Reload = Rc<dyn Fn(&Gateway)>;
+
+/// Runs an instance until it is told to stop and its requests have ended.
+pub async fn run(gateway: Rc<Gateway>, feeds: Feeds, reload: Reload) -> Result<(), ServerError> {
+    let settings = gateway.settings();
+    let limits = Rc::new(Cell::new(connection_limits(&CallerLimits::default())));
+    let requests = Server::bind(settings.requests, request_handler(&gateway)).await?;
+    let requests = requests.with_limits(limits.clone());
+    let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
+    let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
+    let front_stop = requests.stop_handle();
+    actix_rt::spawn(requests.run());
+    actix_rt::spawn(readiness.run());
+    actix_rt::spawn(metrics.run());
+    let routing = Rc::new(RoutingFollower(gateway.clone()));
+    actix_rt::spawn(follow("configuration", feeds.routing, routing));
+    actix_rt::spawn(follow("servers", feeds.servers, gateway.clone()));
+    actix_rt::spawn(watch_hangup(gateway.clone(), reload.clone()));
+    let instance = &*settings.instance;
+    log::info!(instance, zone = &*settings.zone, requests:% = settings.requests; "started");
+    let mut term = signal(SignalKind::terminate()).expect("the runtime handles signals");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("the runtime handles signals");
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = sweep.tick() => {
+                gateway.sweep();
+                reload(&gateway);
+                if let Some(routing) = gateway.routing() {
+                    limits.set(connection_limits(&routing.limits));
+                }
+            }
+        }
+    }
+    log::info!(instance, in_flight = gateway.in_flight(); "stopping");
+    gateway.stop();
+    drain(&gateway, &front_stop, settings.grace).await;
+    log::info!(instance, in_flight = gateway.in_flight(); "stopped");
+    Ok(())
+}
+
+/// Takes connections until callers are sent elsewhere, then waits for the last request.
+async fn drain(gateway: &Gateway, front: &magnoliaspar_http::StopHandle, grace: Duration) {
+    let start = gateway.clock.now();
+    let limit = grace.saturating_sub(GRACE_MARGIN);
+    tokio::time::sleep(LINGER.min(limit)).await;
+    front.stop();
+    while gateway.in_flight() > 0 && gateway.clock.now() - start < limit {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+fn connection_limits(limits: &CallerLimits) -> ConnectionLimits {
+    ConnectionLimits {
+        keep_alive: limits.idle_timeout + KEEP_ALIVE_MARGIN,
+        head_timeout: limits.head_timeout,
+        allow_half_closed: false,
+    }
+}
+
+async fn watch_hangup(gateway: Rc<Gateway>, reload: Reload) {
+    let mut hangup = signal(SignalKind::hangup()).expect("the runtime handles signals");
+    while hangup.recv().await.is_some() {
+        reload(&gateway);
+    }
+}
+
+type Answer = Pin<Box<dyn Future<Output = Response<BoxBody>>>>;
+
+fn request_handler(gateway: &Rc<Gateway>) -> Handler {
+    let gateway = gateway.clone();
+    Rc::new(move |req: Request| -> Answer { Box::pin(front::serve(gateway.clone(), req)) })
+}
+
+fn readiness_handler(gateway: &Rc<Gateway>) -> Handler {
+    let gateway = gateway.clone();
+    Rc::new(move |_: Request| -> Answer {
+        let status = match gateway.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Box::pin(async move { Response::new(status) })
+    })
+}
+
+fn metrics_handler(gateway: &Rc<Gateway>) -> Handler {
+    let gateway = gateway.clone();
+    Rc::new(move |_: Request| -> Answer {
+        let text = gateway.metrics.encode();
+        Box::pin(async move { Response::new(StatusCode::OK).set_body(text.boxed()) })
+    })
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -0,0 +1,114 @@
+//! The checked settings of one gateway.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use magnoliaspar_core::Findings;
+use magnoliaspar_json::{Cursor, Source, read_value};
+use magnoliaspar_retry::RetryBudgetConfig;
+
+/// The log filter of an instance whose settings give none.
+const DEFAULT_LOG_FILTER: &str = "info";
+
+/// The shares of retries that may be set.
+const RETRY_SHARES: RangeInclusive<f64> = 0.0..=10.0;
+
+/// The numbers of retries that may be set.
+const RETRY_COUNTS: RangeInclusive<f64> = 0.0..=1e6;
+
+/// The durations that may be set, in seconds.
+const SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
+
+/// The part of the shared retry budget that instances together use by their own requests.
+///
+/// The rest covers the delay with which the window of the budget is counted elsewhere.
+const BUDGET_SHARE: f64 = 0.8;
+
+/// The number of instances among which the fixed part of the retry budget is shared out.
+///
+/// It is above the 6 to 9 instances of today's deployments, since a share that is too large breaks
+/// the budget and one that is too small costs a few retries.
+const BUDGET_INSTANCES: f64 = 16.0;
+
+/// The settings of one gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The name of the instance.
+    pub instance: Box<str>,
+    /// The availability zone of the instance.
+    pub zone: Box<str>,
+    /// Where callers connect.
+    pub requests: SocketAddr,
+    /// Where the balancer asks whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Where the store is that holds the configuration and the list of servers.
+    pub store: SocketAddr,
+    /// The retries of this instance for each service.
+    pub budget: RetryBudgetConfig,
+    /// How long the process may go on after it was told to stop.
+    pub grace: Duration,
+    /// The log filter.
+    pub log: Box<str>,
+}
+
+impl GatewaySettings {
+    /// Reads settings from the text of a JSON file, or returns all findings with their places.
+    pub fn read(text: &str, file: &str) -> Result<Self, Findings> {
+        let source = Source::parse(text, file)?;
+        read_value(source.value(), read_settings).map_err(|findings| source.locate(findings))
+    }
+}
+
+fn read_settings(cursor: &Cursor) -> Option<GatewaySettings> {
+    let object = cursor.object()?;
+    let instance = object.required("instance").and_then(|field| field.filled_text());
+    let zone = object.required("zone").and_then(|field| field.filled_text());
+    let requests = object.required("requests").and_then(|field| read_address(&field));
+    let readiness = object.required("readiness").and_then(|field| read_address(&field));
+    let metrics = object.required("metrics").and_then(|field| read_address(&field));
+    let store = object.required("store").and_then(|field| read_address(&field));
+    let budget = object.required("retries").and_then(|field| read_budget(&field));
+    let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
+    let log = object.with_default("log", DEFAULT_LOG_FILTER, |field| field.filled_text());
+    object.finish();
+    Some(GatewaySettings {
+        instance: instance?.into(),
+        zone: zone?.into(),
+        requests: requests?,
+        readiness: readiness?,
+        metrics: metrics?,
+        store: store?,
+        budget: budget?,
+        grace: Duration::from_secs_f64(grace?),
+        log: log?.into(),
+    })
+}
+
+fn read_address(cursor: &Cursor) -> Option<SocketAddr> {
+    let text = cursor.text()?;
+    let Ok(address) = text.parse() else {
+        let hint = "write an IP address and a port, such as \"10.0.0.5:8080\"";
+        cursor.report_with_hint(format!("{text:?} is not a socket address"), hint);
+        return None;
+    };
+    Some(address)
+}
+
+fn read_budget(cursor: &Cursor) -> Option<RetryBudgetConfig> {
+    let object = cursor.object()?;
+    let ratio = object.required("ratio").and_then(|field| field.number(RETRY_SHARES));
+    let extra = object.required("extra").and_then(|field| field.number(RETRY_COUNTS));
+    let window = object.required("window_s").and_then(|field| field.number(SECONDS));
+    object.finish();
+    let (ratio, extra, window) = (ratio?, extra?, window?);
+    let extra = extra / BUDGET_INSTANCES;
+    Some(RetryBudgetConfig {
+        share: ratio * BUDGET_SHARE,
+        // Half of the fixed part is saved up for a burst, the other half comes evenly.
+        per_second: extra / 2.0 / window,
+        burst: (extra / 2.0).max(1.0),
+    })
+}
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -0,0 +1,356 @@
+//! Completions, whose answers are streams of events.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::Response;
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use bytes::Bytes;
+use displaydoc::Display;
+use futures_util::stream::unfold;
+use magnoliaspar_core::ServerKey;
+
+use crate::call::{CallSpec, Incoming, Reply, call, keep_connection, release_kv_cache};
+use crate::events::EventBuffer;
+use crate::exchange::CallError;
+use crate::gateway::{Gateway, InFlight};
+use crate::place::{DEFAULT_READING_SPEED, Plan, Prompt, choose_engines};
+use crate::plain::{Ended, copy_head};
+use crate::refusal::Refusal;
+
+/// How many times the longest pause that is on time a resumable stream may be silent before it
+/// goes on at another engine.
+const STALL_GAPS: u32 = 4;
+
+/// The share of the deadline within which a resumable stream must have its first event, or it is
+/// started at another engine.
+const FIRST_EVENT_SHARE: f64 = 0.25;
+
+/// The longest time that the reading of a prompt by a prefill engine may take.
+const PREFILL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs a completion and returns its stream once its engine has begun to answer.
+pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>, guard: InFlight) -> Ended {
+    let mut progress = Progress::default();
+    match progress.start(gateway, &req, req.facts.resume_after).await {
+        Ok(reply) if reply.is_genuine_success() => {
+            let response = copy_head(&reply.head);
+            let relay = Relay {
+                gateway: gateway.clone(),
+                events: EventBuffer::after(req.facts.resume_after),
+                req,
+                progress,
+                current: Some(reply),
+                has_event: false,
+                _guard: guard,
+            };
+            Ended::Answer(relay.into_response(response))
+        }
+        Ok(mut reply) => match reply.read_body(MAX_FAILURE).await {
+            Ok(body) if !reply.head.status.is_success() => {
+                let response = copy_head(&reply.head).set_body(body.boxed());
+                reply.finish();
+                Ended::Answer(response)
+            }
+            _ => Ended::Refused(Refusal::MayHaveRun),
+        },
+        Err(refusal) => Ended::Refused(refusal),
+    }
+}
+
+/// The longest failure that a server may explain, in bytes.
+const MAX_FAILURE: usize = 1 << 20;
+
+/// How far the tries of a completion have come.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Vec<ServerKey>,
+    arrivals: u32,
+    runs: u32,
+}
+
+impl Progress {
+    /// Starts the completion at an engine, or goes on with it after an event.
+    async fn start(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        req: &Incoming,
+        resume_after: Option<u64>,
+    ) -> Result<Reply, Refusal> {
+        let may_repeat = req.route.kind.may_repeat();
+        loop {
+            let remaining = req.remaining(gateway.clock.now());
+            if remaining.is_zero() {
+                return Err(self.refuse(Refusal::DeadlineBeforeStart, Refusal::Deadline));
+            }
+            let mut candidates = gateway.candidates(&req.service, &self.tried);
+            if candidates.is_empty() && self.runs > 0 {
+                // An engine that failed may be the only one left.
+                candidates = gateway.candidates(&req.service, &[]);
+            }
+            let prompt = Prompt {
+                tokens: req.facts.prompt_tokens,
+                target: req.route.target_latency,
+                reading_speed: DEFAULT_READING_SPEED,
+            };
+            let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng));
+            let Some(plan) = plan else {
+                let without = match self.tried.is_empty() {
+                    true => Refusal::NoServer,
+                    false => Refusal::NoCapacity,
+                };
+                return Err(self.refuse(without, Refusal::MayHaveRun));
+            };
+            if self.arrivals > 0 && !gateway.take_budget(&req.service) {
+                return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
+            }
+            let can_go_on = may_repeat && self.runs + 1 < req.route.max_attempts;
+            let patience = match can_go_on {
+                true => remaining.mul_f64(FIRST_EVENT_SHARE).max(req.route.target_latency),
+                false => remaining,
+            };
+            match self.attempt(gateway, req, plan, resume_after, patience.min(remaining)).await {
+                Ok(reply) if reply.facts.is_not_run => {
+                    self.arrivals += 1;
+                    reply.finish();
+                }
+                Ok(reply) => {
+                    self.arrivals += 1;
+                    self.runs += 1;
+                    return Ok(reply);
+                }
+                Err(error) if error.is_never_sent() => {}
+                Err(error) => {
+                    self.arrivals += 1;
+                    self.runs += 1;
+                    let is_over = !may_repeat || self.runs >= req.route.max_attempts;
+                    match (is_over, error) {
+                        (false, _) => {}
+                        (true, CallError::TimedOut) => return Err(Refusal::Deadline),
+                        (true, _) => return Err(Refusal::MayHaveRun),
+                    }
+                }
+            }
+        }
+    }
+
+    fn refuse(&self, not_run: Refusal, may_have_run: Refusal) -> Refusal {
+        if self.runs == 0 { not_run } else { may_have_run }
+    }
+
+    async fn attempt(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        req: &Incoming,
+        plan: Plan,
+        resume_after: Option<u64>,
+        patience: Duration,
+    ) -> Result<Reply, CallError> {
+        let mut spec = CallSpec {
+            resume_after,
+            unread_tokens: req.facts.prompt_tokens,
+            ..CallSpec::default()
+        };
+        let decode = match plan {
+            Plan::Decode(decode) => decode,
+            Plan::Split { prefill, decode } => {
+                spec.kv_cache = self.prefill(gateway, req, prefill, patience).await;
+                decode
+            }
+        };
+        self.tried.push(decode);
+        if spec.kv_cache.is_some() {
+            spec.unread_tokens = 0;
+        }
+        let handle = spec.kv_cache.clone();
+        let release = ReleaseGuard { gateway: gateway.clone(), handle };
+        let reply = call(gateway, req, decode, &spec, patience).await?;
+        if reply.facts.is_not_run {
+            // The cache may have been fetched or not; freeing it twice does no harm.
+            return Ok(reply);
+        }
+        release.taken();
+        Ok(reply)
+    }
+
+    /// Has the prompt read; none if the decode engine has to read it itself.
+    async fn prefill(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        req: &Incoming,
+        prefill: ServerKey,
+        patience: Duration,
+    ) -> Option<(ServerKey, Box<str>)> {
+        let spec = CallSpec {
+            is_prefill: true,
+            unread_tokens: req.facts.prompt_tokens,
+            ..CallSpec::default()
+        };
+        let patience = patience.min(PREFILL_TIMEOUT);
+        let mut reply = call(gateway, req, prefill, &spec, patience).await.ok()?;
+        let body = match tokio::time::timeout(patience, reply.read_body(MAX_FAILURE)).await {
+            Ok(Ok(body)) => body,
+            _ => return None,
+        };
+        let is_success = reply.head.status.is_success();
+        reply.finish();
+        if !is_success {
+            return None;
+        }
+        let prefilled = gateway.dialect.read_prefill(&body);
+        if prefilled.is_none() {
+            log::warn!(request = &*req.facts.id; "prefill_unreadable");
+        }
+        Some((prefill, prefilled?.handle))
+    }
+}
+
+/// Frees a KV cache unless it was taken, also when the caller leaves.
+struct ReleaseGuard {
+    gateway: Rc<Gateway>,
+    handle: Option<(ServerKey, Box<str>)>,
+}
+
+impl ReleaseGuard {
+    fn taken(mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for ReleaseGuard {
+    fn drop(&mut self) {
+        let Some((server, handle)) = self.handle.take() else { return };
+        release_kv_cache(&self.gateway, server, &handle);
+    }
+}
+
+/// Why a stream ends before its last event.
+#[derive(Debug, Clone, Copy)]
+#[derive(Display)]
+enum RelayError {
+    /// the stream broke off
+    Broken,
+}
+
+impl std::error::Error for RelayError {}
+
+/// A stream on its way to the caller.
+struct Relay {
+    gateway: Rc<Gateway>,
+    req: Rc<Incoming>,
+    progress: Progress,
+    events: EventBuffer,
+    current: Option<Reply>,
+    has_event: bool,
+    _guard: InFlight,
+}
+
+impl Relay {
+    fn into_response(self, response: Response<BoxBody>) -> Response<BoxBody> {
+        let body = unfold(Some(self), |relay| async {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        response.set_body(BodyStream::new(Box::pin(body)).boxed())
+    }
+
+    /// Returns the next whole events, or none after the last one.
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            let Some(reply) = &mut self.current else { return Ok(None) };
+            let now = self.gateway.clock.now();
+            let limit = stall_limit(&self.req, &self.progress);
+            let limit = limit.min(self.req.remaining(now));
+            let error = match tokio::time::timeout(limit, reply.body.chunk()).await {
+                Ok(Ok(Some(chunk))) => {
+                    let Some(events) = self.events.push(&chunk) else { continue };
+                    self.first_event();
+                    return Ok(Some(events));
+                }
+                Ok(Ok(None)) => return Ok(self.finish(now)),
+                Ok(Err(error)) => error,
+                Err(_) => CallError::TimedOut,
+            };
+            self.resume(error).await?;
+        }
+    }
+
+    fn first_event(&mut self) {
+        if self.has_event {
+            return;
+        }
+        self.has_event = true;
+        if let Some(reply) = &mut self.current {
+            reply.lease.prompt_read();
+        }
+        let elapsed = self.gateway.clock.now() - self.req.received;
+        self.gateway.metrics.observe(self.req.route.kind.as_str(), "first_event", elapsed);
+    }
+
+    fn finish(&mut self, now: Instant) -> Option<Bytes> {
+        let reply = self.current.take()?;
+        let kind = self.req.route.kind.as_str();
+        self.gateway.metrics.observe(kind, "whole", now - self.req.received);
+        self.gateway.metrics.count_request(kind, "answered");
+        let elapsed_ms = (now - self.req.received).as_millis() as u64;
+        let last_event = self.events.last_id();
+        log::info!(request = &*self.req.facts.id, elapsed_ms, last_event:?, runs = self.progress.runs; "stream_ended");
+        let idle_timeout = reply.facts.idle_timeout;
+        let server = reply.lease.server;
+        keep_connection(&self.gateway, server, reply.body, idle_timeout);
+        let rest = self.events.take_rest();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Goes on at another engine, if the stream may.
+    async fn resume(&mut self, error: CallError) -> Result<(), RelayError> {
+        let request = &*self.req.facts.id;
+        let last_event = self.events.last_id();
+        let Some(failed) = self.current.take() else { return Err(RelayError::Broken) };
+        let server = failed.lease.server;
+        self.gateway.directory.borrow_mut().failed(server, self.gateway.clock.now());
+        drop(failed);
+        let remaining = self.req.remaining(self.gateway.clock.now());
+        let runs = self.progress.runs;
+        let is_allowed = self.req.route.kind.may_repeat() && runs < self.req.route.max_attempts;
+        log::info!(request, reason:% = error, last_event:?, runs, is_allowed; "stream_broke");
+        let kind = self.req.route.kind.as_str();
+        if !is_allowed || remaining.is_zero() {
+            self.gateway.metrics.count_request(kind, "broken");
+            return Err(RelayError::Broken);
+        }
+        self.events.drop_rest();
+        match self.progress.start(&self.gateway, &self.req, last_event).await {
+            Ok(reply) if reply.is_genuine_success() => {
+                self.gateway.metrics.resumptions.inc();
+                log::info!(request, last_event:?; "stream_resumed");
+                self.current = Some(reply);
+                Ok(())
+            }
+            Ok(reply) => {
+                let status = reply.head.status.as_u16();
+                log::info!(request, status; "stream_not_resumed");
+                self.gateway.metrics.count_request(kind, "broken");
+                Err(RelayError::Broken)
+            }
+            Err(refusal) => {
+                log::info!(request, reason:% = refusal; "stream_not_resumed");
+                self.gateway.metrics.count_request(kind, "broken");
+                Err(RelayError::Broken)
+            }
+        }
+    }
+}
+
+/// Returns how long the stream may be silent before it goes on elsewhere.
+fn stall_limit(req: &Incoming, progress: &Progress) -> Duration {
+    let can_go_on = req.route.kind.may_repeat() && progress.runs < req.route.max_attempts;
+    match can_go_on {
+        true => (req.route.max_gap * STALL_GAPS).max(req.route.target_latency),
+        false => Duration::MAX,
+    }
+}
--- a/crates/magnoliaspar-http/src/lib.rs
+++ b/crates/magnoliaspar-http/src/lib.rs
@@ -5,4 +5,4 @@
 mod server;
 
 pub use self::sent::is_never_sent;
-pub use self::server::{Handler, Server, ServerError, StopHandle};
+pub use self::server::{ConnectionLimits, Handler, Server, ServerError, StopHandle};
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -17,17 +17,36 @@
 pub type Handler =
     Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Response<BoxBody>>>> + 'static>;
 
-/// How long a connection may stay open between two requests.
+/// How long a connection may stay open between two requests, unless it is set.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// How long a caller may take to send the head of a request.
+/// How long a caller may take to send the head of a request, unless it is set.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What a listener asks of its connections; a change applies to new connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// How long a connection may stay open between two requests.
+    pub keep_alive: Duration,
+    /// How long a caller may take to send the head of a request.
+    pub head_timeout: Duration,
+    /// Whether a caller that closes its sending side still gets its answer; if not, the handler's
+    /// future is dropped.
+    pub allow_half_closed: bool,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self { keep_alive: KEEP_ALIVE, head_timeout: HEAD_TIMEOUT, allow_half_closed: true }
+    }
+}
+
 /// A listener and the handler for its requests.
 pub struct Server {
     listener: TcpListener,
     handler: Handler,
     stop: StopHandle,
+    limits: Rc<Cell<ConnectionLimits>>,
 }
 
 impl Server {
@@ -41,7 +60,14 @@
 
     /// Serves the connections of a listener that is bound already.
     pub fn from_listener(listener: TcpListener, handler: Handler) -> Self {
-        Self { listener, handler, stop: StopHandle::default() }
+        let limits = Rc::new(Cell::new(ConnectionLimits::default()));
+        Self { listener, handler, stop: StopHandle::default(), limits }
+    }
+
+    /// Takes the limits of connections from a cell, which may change while the server runs.
+    pub fn with_limits(mut self, limits: Rc<Cell<ConnectionLimits>>) -> Self {
+        self.limits = limits;
+        self
     }
 
     /// Returns the address on which the server listens.
@@ -56,17 +82,8 @@
 
     /// Accepts connections until the server is stopped, and serves each as a task of its own.
     pub async fn run(self) {
-        let handler = self.handler;
-        let service = HttpService::build()
-            .keep_alive(KEEP_ALIVE)
-            .client_request_timeout(HEAD_TIMEOUT)
-            .finish(fn_service(move |req: Request| {
-                let answer = handler(req);
-                async move { Ok::<_, Infallible>(answer.await) }
-            }))
-            .tcp();
-        let Ok(service) = service.new_service(()).await else { return };
-        let service = Rc::new(service);
+        let mut limits = self.limits.get();
+        let Some(mut service) = build_service(&self.handler, limits).await else { return };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -77,11 +94,35 @@
                 actix_rt::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
+            if limits != self.limits.get() {
+                limits = self.limits.get();
+                service = match build_service(&self.handler, limits).await {
+                    Some(service) => service,
+                    None => return,
+                };
+            }
             spawn_connection(service.clone(), self.stop.clone(), stream);
         }
     }
 }
 
+async fn build_service(
+    handler: &Handler,
+    limits: ConnectionLimits,
+) -> Option<Rc<impl Service<TcpStream> + 'static>> {
+    let handler = handler.clone();
+    let service = HttpService::build()
+        .keep_alive(limits.keep_alive)
+        .client_request_timeout(limits.head_timeout)
+        .h1_allow_half_closed(limits.allow_half_closed)
+        .finish(fn_service(move |req: Request| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }))
+        .tcp();
+    service.new_service(()).await.ok().map(Rc::new)
+}
+
 fn spawn_connection<S>(service: Rc<S>, stop: StopHandle, stream: TcpStream)
 where
     S: Service<TcpStream> + 'static,
--- a/crates/magnoliaspar-membership/src/membership.rs
+++ b/crates/magnoliaspar-membership/src/membership.rs
@@ -4,7 +4,7 @@
 
 use displaydoc::Display;
 use magnoliaspar_core::{InstanceName, ServerName, ZoneName};
-use magnoliaspar_platform::{ListEntry, ListState, ListedKind};
+use magnoliaspar_store::{ListEntry, ListState, ListedKind};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
--- a/crates/magnoliaspar-membership/src/message.rs
+++ b/crates/magnoliaspar-membership/src/message.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use magnoliaspar_core::{Incarnation, InstanceName, PoolName, ZoneName};
-use magnoliaspar_platform::ListedKind;
+use magnoliaspar_store::ListedKind;
 use serde::{Deserialize, Serialize};
 
 use crate::{MemberId, ShardDigests, Standing};
--- a/crates/magnoliaspar-membership/src/send.rs
+++ b/crates/magnoliaspar-membership/src/send.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{InstanceName, ServerName};
-use magnoliaspar_platform::ListedKind;
+use magnoliaspar_store::ListedKind;
 use rand::Rng;
 
 use crate::digest::shard_of;
--- a/crates/magnoliaspar-membership/src/view.rs
+++ b/crates/magnoliaspar-membership/src/view.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{InstanceName, PoolName, ServerName, ZoneName};
-use magnoliaspar_platform::ListedKind;
+use magnoliaspar_store::ListedKind;
 
 use crate::ring::rendezvous;
 use crate::{
--- a/crates/magnoliaspar-membership/tests/common/mod.rs
+++ b/crates/magnoliaspar-membership/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use magnoliaspar_membership::{
     Gossip, ListScope, MemberId, MemberState, Membership, MembershipConfig,
 };
-use magnoliaspar_platform::{ListEntry, ListState, ListedKind, ServerRole};
+use magnoliaspar_store::{ListEntry, ListState, ListedKind, ServerRole};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/magnoliaspar-membership/tests/forward.rs
+++ b/crates/magnoliaspar-membership/tests/forward.rs
@@ -8,7 +8,7 @@
 use common::{Cluster, instance, server, server_id};
 use magnoliaspar_core::{Incarnation, InstanceName};
 use magnoliaspar_membership::{ListScope, MemberId, MemberState, Membership};
-use magnoliaspar_platform::{ListEntry, ListState};
+use magnoliaspar_store::{ListEntry, ListState};
 use proptest::prelude::{ProptestConfig, Strategy, any, prop_oneof, proptest};
 use proptest::test_runner::RngSeed;
 
--- a/crates/magnoliaspar-membership/tests/zone.rs
+++ b/crates/magnoliaspar-membership/tests/zone.rs
@@ -7,7 +7,7 @@
 use common::{Cluster, instance, instance_id, server_id};
 use magnoliaspar_core::{InstanceName, ZoneName};
 use magnoliaspar_membership::{MemberId, MemberState, Membership};
-use magnoliaspar_platform::ListState;
+use magnoliaspar_store::ListState;
 use proptest::prelude::{ProptestConfig, any, proptest};
 use proptest::test_runner::RngSeed;
 
--- a/crates/magnoliaspar-order/src/controller.rs
+++ b/crates/magnoliaspar-order/src/controller.rs
@@ -6,7 +6,7 @@
 use futures_util::future::{Either, join_all, select};
 use magnoliaspar_core::ServerName;
 use magnoliaspar_engine::{Engine, EngineError, EngineStatus, Order, OrderKind};
-use magnoliaspar_platform::{PlatformError, RowVersion, Sleep, WeightStore};
+use magnoliaspar_store::{PlatformError, RowVersion, Sleep, WeightStore};
 
 use crate::loads::{LoadLimiter, LoadPermit, LoadRefusal};
 use crate::{DesiredState, DesiredTable, LeaseController, LeaseError};
--- a/crates/magnoliaspar-order/src/desired.rs
+++ b/crates/magnoliaspar-order/src/desired.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use magnoliaspar_core::{ModelName, ServerName, ZoneName};
 use magnoliaspar_engine::EngineStatus;
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, Condition, PlatformError, Row, RowKey, RowVersion, Settled, TableService, Transaction,
     Write, WriteToken, commit_settled,
 };
--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -4,7 +4,7 @@
 
 use displaydoc::Display;
 use magnoliaspar_core::{Clock, Incarnation, InstanceName};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, Condition, PlatformError, Row, RowKey, RowVersion, Settled, TableService, Transaction,
     Write, WriteToken, commit_settled,
 };
--- a/crates/magnoliaspar-order/src/loads.rs
+++ b/crates/magnoliaspar-order/src/loads.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use magnoliaspar_core::ServerName;
-use magnoliaspar_platform::{PlatformError, WeightStore};
+use magnoliaspar_store::{PlatformError, WeightStore};
 
 use crate::DesiredState;
 
--- a/crates/magnoliaspar-order/tests/orders/common.rs
+++ b/crates/magnoliaspar-order/tests/orders/common.rs
@@ -12,7 +12,7 @@
     OrderKind, PrefillCall, Prefilled, StreamId, TokenStream,
 };
 use magnoliaspar_order::{DesiredRole, DesiredState};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, PlatformError, Row, RowKey, Sleep, TableService, Transaction, WriteOutcome,
 };
 use rand::rngs::StdRng;
--- a/crates/magnoliaspar-order/tests/orders/leases.rs
+++ b/crates/magnoliaspar-order/tests/orders/leases.rs
@@ -6,7 +6,7 @@
 use magnoliaspar_core::{Clock, Incarnation, ManualClock};
 use magnoliaspar_fake::{Fault, MemoryTable};
 use magnoliaspar_order::{LeaseController, LeaseError, LeaseSettings};
-use magnoliaspar_platform::{PlatformError, Row, RowKey, TableService, Transaction, WriteOutcome};
+use magnoliaspar_store::{PlatformError, Row, RowKey, TableService, Transaction, WriteOutcome};
 
 use crate::common::{Gate, SkewedClock, backoff, pass_time};
 
--- a/crates/magnoliaspar-order/tests/orders/old_leases.rs
+++ b/crates/magnoliaspar-order/tests/orders/old_leases.rs
@@ -20,7 +20,7 @@
     DesiredError, DesiredTable, LeaseController, LeaseSettings, OperatorName, OrderController,
     OrderSettings, OrderTarget,
 };
-use magnoliaspar_platform::Sleep;
+use magnoliaspar_store::Sleep;
 use proptest::prelude::{ProptestConfig, Strategy, any, prop_oneof, proptest};
 use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
--- a/crates/magnoliaspar-serve/src/cluster/configuration.rs
+++ b/crates/magnoliaspar-serve/src/cluster/configuration.rs
@@ -6,7 +6,7 @@
 use magnoliaspar_configuration::{Acceptance, CatchUpError, Proposal};
 use magnoliaspar_core::RequestId;
 use magnoliaspar_declaration::DocumentDelta;
-use magnoliaspar_platform::WriteToken;
+use magnoliaspar_store::WriteToken;
 
 use super::state::ClusterState;
 
--- a/crates/magnoliaspar-serve/src/cluster/convert.rs
+++ b/crates/magnoliaspar-serve/src/cluster/convert.rs
@@ -9,8 +9,8 @@
     Gossip, Health, MemberDelta, MemberEntry, MemberId, ShardDigests, Standing, ZoneContact,
     ZoneSummary,
 };
-use magnoliaspar_platform::{ListedKind, ServerRole};
 use magnoliaspar_retry::{Fingerprint, QuarantineDelta};
+use magnoliaspar_store::{ListedKind, ServerRole};
 use magnoliaspar_wire::peer;
 use magnoliaspar_wire::peer::member_entry::Kind;
 
@@ -235,7 +235,7 @@
 mod tests {
     use magnoliaspar_core::{Incarnation, InstanceName};
     use magnoliaspar_membership::{Gossip, Membership, MembershipConfig};
-    use magnoliaspar_platform::{ListEntry, ListState, ListedKind};
+    use magnoliaspar_store::{ListEntry, ListState, ListedKind};
 
     use super::{from_gossip, to_membership};
 
--- a/crates/magnoliaspar-serve/src/cluster/list.rs
+++ b/crates/magnoliaspar-serve/src/cluster/list.rs
@@ -5,7 +5,7 @@
 use log::warn;
 use magnoliaspar_core::InstanceName;
 use magnoliaspar_membership::ListScope;
-use magnoliaspar_platform::{ListEntry, ListedKind};
+use magnoliaspar_store::{ListEntry, ListedKind};
 
 use super::state::ClusterState;
 
--- a/crates/magnoliaspar-serve/src/cluster/probe.rs
+++ b/crates/magnoliaspar-serve/src/cluster/probe.rs
@@ -4,7 +4,7 @@
 use magnoliaspar_core::ServerName;
 use magnoliaspar_engine::EngineConnector;
 use magnoliaspar_membership::MemberId;
-use magnoliaspar_platform::{ListedKind, ServerRole};
+use magnoliaspar_store::{ListedKind, ServerRole};
 use tokio::net::TcpStream;
 
 use super::state::ClusterState;
--- a/crates/magnoliaspar-serve/src/cluster/state.rs
+++ b/crates/magnoliaspar-serve/src/cluster/state.rs
@@ -14,7 +14,7 @@
 use magnoliaspar_membership::{
     Change, Gossip, Member, MemberId, MemberState, Membership, MembershipConfig,
 };
-use magnoliaspar_platform::{BudgetedTable, InstanceList, ListEntry, ListedKind, ServerRole};
+use magnoliaspar_store::{BudgetedTable, InstanceList, ListEntry, ListedKind, ServerRole};
 use tokio::sync::Notify;
 
 use crate::directory::{Directory, KnownServer};
--- a/crates/magnoliaspar-serve/src/directory.rs
+++ b/crates/magnoliaspar-serve/src/directory.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use magnoliaspar_core::{Incarnation, PoolName, ServerName};
-use magnoliaspar_platform::ServerRole;
+use magnoliaspar_store::ServerRole;
 
 /// Backend servers by pool.
 #[derive(Debug, Default)]
--- a/crates/magnoliaspar-serve/src/engines.rs
+++ b/crates/magnoliaspar-serve/src/engines.rs
@@ -6,8 +6,8 @@
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{CompletionRoute, RouteTarget};
 use magnoliaspar_engine::{EngineConnector, EngineStatus};
-use magnoliaspar_platform::ServerRole;
 use magnoliaspar_policy::{LoadReport, Role, ServerSpec};
+use magnoliaspar_store::ServerRole;
 
 use crate::directory::KnownServer;
 use crate::instance::Instance;
--- a/crates/magnoliaspar-serve/src/instance.rs
+++ b/crates/magnoliaspar-serve/src/instance.rs
@@ -10,9 +10,9 @@
 use magnoliaspar_core::Clock;
 use magnoliaspar_declaration::{Declarations, Document};
 use magnoliaspar_event::{EventKind, Listener};
-use magnoliaspar_platform::{BudgetedTable, RateBudget};
 use magnoliaspar_reaper::Reaper;
 use magnoliaspar_settings::Settings;
+use magnoliaspar_store::{BudgetedTable, RateBudget};
 
 use crate::caller::{ServiceGuard, ServiceLoad};
 use crate::cluster::ClusterState;
--- a/crates/magnoliaspar-serve/src/operator/ask.rs
+++ b/crates/magnoliaspar-serve/src/operator/ask.rs
@@ -4,9 +4,9 @@
 use futures_util::future::join_all;
 use magnoliaspar_core::InstanceName;
 use magnoliaspar_event::{EventFilter, EventPart};
-use magnoliaspar_platform::ListedKind;
 use magnoliaspar_query::api::{ErrorCode, ErrorResponse, StatusResponse};
 use magnoliaspar_query::{Answer, AnswerGap, Query, Statement, Subject};
+use magnoliaspar_store::ListedKind;
 
 use tokio::time::timeout;
 
--- a/crates/magnoliaspar-serve/src/operator/drain.rs
+++ b/crates/magnoliaspar-serve/src/operator/drain.rs
@@ -6,12 +6,12 @@
 use magnoliaspar_core::{Incarnation, InstanceName, ServerName};
 use magnoliaspar_event::{EventKind, Stamp};
 use magnoliaspar_membership::MemberId;
-use magnoliaspar_platform::{
+use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
+use magnoliaspar_query::{Answer, Cell, Command, CommandResult, Winner};
+use magnoliaspar_store::{
     Backoff, Condition, PlatformError, Row, RowKey, RowVersion, Settled, TableService, TimerSleep,
     Transaction, Write, WriteToken, commit_settled,
 };
-use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
-use magnoliaspar_query::{Answer, Cell, Command, CommandResult, Winner};
 use serde::{Deserialize, Serialize};
 
 use super::apply::record_command;
--- a/crates/magnoliaspar-serve/src/operator/load.rs
+++ b/crates/magnoliaspar-serve/src/operator/load.rs
@@ -3,9 +3,9 @@
 use magnoliaspar_core::{ModelName, PoolName, ServerName, ZoneName};
 use magnoliaspar_declaration::PoolKind;
 use magnoliaspar_order::{DesiredError, DesiredRole, DesiredState, OperatorName};
-use magnoliaspar_platform::{PlatformError, RowVersion};
 use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
 use magnoliaspar_query::{Answer, Cell, Command, CommandResult, LoadTarget, Subject, Winner};
+use magnoliaspar_store::{PlatformError, RowVersion};
 
 use super::apply::record_command;
 use super::orders::desired_table;
--- a/crates/magnoliaspar-serve/src/operator/orders.rs
+++ b/crates/magnoliaspar-serve/src/operator/orders.rs
@@ -12,10 +12,10 @@
     DesiredTable, LeaseController, LeaseSettings, OrderController, OrderReport, OrderSettings,
     OrderStep, OrderTarget,
 };
-use magnoliaspar_platform::{
+use magnoliaspar_policy::rank_by_rendezvous;
+use magnoliaspar_store::{
     Backoff, HttpTimeouts, HttpWeightStore, ListedKind, ServerRole, TableService, TimerSleep,
 };
-use magnoliaspar_policy::rank_by_rendezvous;
 
 use crate::instance::Instance;
 
--- a/crates/magnoliaspar-serve/src/operator/rows/stored.rs
+++ b/crates/magnoliaspar-serve/src/operator/rows/stored.rs
@@ -2,9 +2,9 @@
 
 use magnoliaspar_claim::ClaimOwner;
 use magnoliaspar_order::{DesiredRow, OrderStep};
-use magnoliaspar_platform::{PlatformError, Row, TableService};
 use magnoliaspar_query::api::{ErrorCode, ErrorResponse};
 use magnoliaspar_query::{Answer, Cell, Subject};
+use magnoliaspar_store::{PlatformError, Row, TableService};
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/crates/magnoliaspar-serve/src/serve.rs
+++ b/crates/magnoliaspar-serve/src/serve.rs
@@ -12,12 +12,12 @@
 use magnoliaspar_core::{Clock, Incarnation, SystemClock};
 use magnoliaspar_engine::HttpConnector;
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
-use magnoliaspar_platform::{
+use magnoliaspar_reaper::ReaperId;
+use magnoliaspar_settings::Settings;
+use magnoliaspar_store::{
     Backoff, BudgetedTable, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts,
     InstanceBudget, ListEntry, ListState, ListedKind, RateBudget, TimerSleep,
 };
-use magnoliaspar_reaper::ReaperId;
-use magnoliaspar_settings::Settings;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/magnoliaspar-standin/src/deployment.rs
+++ b/crates/magnoliaspar-standin/src/deployment.rs
@@ -9,13 +9,13 @@
 use magnoliaspar_core::{Incarnation, InstanceName, ModelName, PoolName, ZoneName};
 use magnoliaspar_declaration::{DeclarationFiles, Document};
 use magnoliaspar_http::ServerError;
-use magnoliaspar_platform::{
-    Backoff, ListEntry, ListState, ListedKind, ServerRole, TimerSleep, WriteToken,
-};
 use magnoliaspar_serve::Addresses;
 use magnoliaspar_settings::{
     LogSettings, OperatorKey, OperatorRights, PeerKeys, PlatformSettings, Secret, Settings,
 };
+use magnoliaspar_store::{
+    Backoff, ListEntry, ListState, ListedKind, ServerRole, TimerSleep, WriteToken,
+};
 use serde_json::json;
 
 use crate::{
--- a/crates/magnoliaspar-standin/src/platform.rs
+++ b/crates/magnoliaspar-standin/src/platform.rs
@@ -12,11 +12,11 @@
 use magnoliaspar_core::{Clock, SystemClock, ZoneName};
 use magnoliaspar_fake::{MemoryInstances, MemoryObjects, MemoryTable, MemoryWeights};
 use magnoliaspar_http::{Handler, Server, ServerError, StopHandle};
-use magnoliaspar_platform::protocol::{
+use magnoliaspar_store::protocol::{
     AcquireRequest, INSTANCES_PATH, OBJECTS_PATH, RETRY_AFTER_HEADER, ReadRequest, ScanRequest,
     TABLE_COMMIT_PATH, TABLE_READ_PATH, TABLE_SCAN_PATH, WEIGHTS_PATH,
 };
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     InstanceList, ObjectStore, PlatformError, TableService, Transaction, WeightStore,
 };
 use serde_json::json;
--- a/crates/magnoliaspar-platform/tests/http.rs
+++ b/crates/magnoliaspar-store/tests/http.rs
@@ -12,10 +12,8 @@
 use magnoliaspar_core::{Incarnation, ManualClock, ZoneName};
 use magnoliaspar_fake::MemoryTable;
 use magnoliaspar_http::{Handler, Server};
-use magnoliaspar_platform::protocol::{
-    AcquireRequest, RETRY_AFTER_HEADER, ReadRequest, ScanRequest,
-};
-use magnoliaspar_platform::{
+use magnoliaspar_store::protocol::{AcquireRequest, RETRY_AFTER_HEADER, ReadRequest, ScanRequest};
+use magnoliaspar_store::{
     Condition, HttpInstanceList, HttpObjectStore, HttpTableService, HttpTimeouts, HttpWeightStore,
     InstanceList, ListEntry, ListState, ListedKind, ObjectStore, PlatformError, RowKey, ServerRole,
     TableService, Transaction, WeightStore, Write, WriteOutcome,
--- a/crates/magnoliaspar-platform/tests/settle.rs
+++ b/crates/magnoliaspar-store/tests/settle.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::{Chances, MemoryTable};
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     Backoff, Condition, RowKey, Settled, Sleep, TableService, Transaction, Write, WriteToken,
     commit_settled,
 };
--- a/crates/magnoliaspar-platform/tests/share.rs
+++ b/crates/magnoliaspar-store/tests/share.rs
@@ -5,7 +5,7 @@
 
 use magnoliaspar_core::ManualClock;
 use magnoliaspar_fake::MemoryTable;
-use magnoliaspar_platform::{
+use magnoliaspar_store::{
     BudgetedTable, Condition, InstanceBudget, RowKey, TableService, Transaction, Write,
 };
 use serde_json::json;
