Book engine memory across instances and read prompts on prefill engines

A decode engine that reads prompts delays the tokens of all its requests, and its memory overran: a completion holds its prompt and all tokens it produces, some 10,000, so that seven fill an engine; overrun memory preempts a request. Change: a ledger of bookings predicts the peak of each engine's memory, peers tell each other bookings by datagrams, a completion starts only where it will fit, others wait, newest first while they can be on time; prompts go to prefill engines. Ruled out: asking engines for their load, which lags by some hundred ms and is charged; choosing by own load only, which overbooks from several instances.

--- a/crates/magnoliaspar-cli/src/gateway.rs
+++ b/crates/magnoliaspar-cli/src/gateway.rs
@@ -24,8 +24,7 @@
     let feeds = feeds(settings.store);
     let reload = reload(file.clone(), text.into());
     block_on(async {
-        let gateway =
-            Rc::new(Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders)));
+        let gateway = Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders));
         magnoliaspar_gateway::run(gateway, feeds, reload).await
     })
     .map_err(|err| Failure::Incomplete(err.to_string().into()))
@@ -58,6 +57,9 @@
         match read_settings(&text, &file) {
             Ok(settings) => {
                 log::info!(file = &*file; "settings_reloaded");
+                if let Some(peers) = gateway.peers() {
+                    peers.set_seeds(settings.seeds.clone());
+                }
                 gateway.settings.replace(Rc::new(settings));
             }
             Err(failure) => {
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -73,8 +73,6 @@
     pub kv_cache: Option<(ServerKey, Box<str>)>,
     /// The id of the last event that was delivered.
     pub resume_after: Option<u64>,
-    /// Tokens of the prompt that the server has to read.
-    pub unread_tokens: u64,
 }
 
 /// An answer whose head was read.
@@ -137,30 +135,19 @@
     gateway: Rc<Gateway>,
     /// The server.
     pub server: ServerKey,
-    unread_tokens: u64,
 }
 
 impl ServerLease {
-    fn new(gateway: &Rc<Gateway>, server: ServerKey, unread_tokens: u64) -> Self {
+    fn new(gateway: &Rc<Gateway>, server: ServerKey) -> Self {
         if let Some(server) = gateway.directory.borrow_mut().get_mut(server) {
             server.in_flight += 1;
-            server.unread_tokens += unread_tokens;
-        }
-        Self { gateway: gateway.clone(), server, unread_tokens }
-    }
-
-    /// Takes in that the prompt was read.
-    pub fn prompt_read(&mut self) {
-        let tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(server) = self.gateway.directory.borrow_mut().get_mut(self.server) {
-            server.unread_tokens -= tokens;
         }
+        Self { gateway: gateway.clone(), server }
     }
 }
 
 impl Drop for ServerLease {
     fn drop(&mut self) {
-        self.prompt_read();
         if let Some(server) = self.gateway.directory.borrow_mut().get_mut(self.server) {
             server.in_flight -= 1;
         }
@@ -176,7 +163,7 @@
     patience: Duration,
 ) -> Result<Reply, CallError> {
     let started = gateway.clock.now();
-    let lease = ServerLease::new(gateway, server, spec.unread_tokens);
+    let lease = ServerLease::new(gateway, server);
     let result = tokio::time::timeout(patience, exchange(gateway, req, server, spec, lease)).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
     let elapsed = gateway.clock.now() - started;
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -36,6 +36,8 @@
     pub patience: Option<Duration>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u64,
+    /// The number of tokens that the caller expects to be produced.
+    pub expected_tokens: u64,
     /// The id of the last event that the caller has.
     pub resume_after: Option<u64>,
 }
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -62,8 +62,6 @@
     pub record: ServerRecord,
     /// Requests of this instance that it runs.
     pub in_flight: u32,
-    /// Tokens of prompts of this instance that it has still to read.
-    pub unread_tokens: u64,
     failures_in_a_row: u32,
     avoided_until: Option<Instant>,
     full_until: Option<Instant>,
@@ -115,7 +113,6 @@
         let key = self.servers.insert(Server {
             record,
             in_flight: 0,
-            unread_tokens: 0,
             failures_in_a_row: 0,
             avoided_until: None,
             full_until: None,
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, ServerKey};
@@ -10,13 +10,16 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::dialect::Dialect;
-use crate::directory::{Directory, RecordChange, ServerRecord};
+use crate::admission::{Waiting, dispatch_soon};
+use crate::dialect::{Dialect, RequestFacts};
+use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
 use crate::feed::{Batch, FeedError, Follower};
+use crate::ledger::{BookingId, Ledger};
 use crate::metrics::Metrics;
+use crate::peers::{News, Peers};
 use crate::place::Candidate;
 use crate::pool::Pool;
-use crate::route::{Route, Routing, ServiceName};
+use crate::route::{EngineSpec, Route, Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
 /// How long a server whose entry vanished while the source was away is used on.
@@ -38,6 +41,15 @@
     pub directory: RefCell<Directory>,
     /// Idle connections to them.
     pub pool: RefCell<Pool>,
+    /// The engine memory that all instances have booked.
+    pub ledger: RefCell<Ledger>,
+    /// Completions that wait for engine memory.
+    pub waiting: Waiting,
+    /// Whether those that wait are about to be tried.
+    pub is_dispatching: Cell<bool>,
+    peers: RefCell<Option<Rc<Peers>>>,
+    next_booking: Cell<BookingId>,
+    this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     rng: RefCell<StdRng>,
@@ -50,8 +62,12 @@
 
 impl Gateway {
     /// Creates an instance that knows no configuration and no server.
-    pub fn new(settings: GatewaySettings, clock: Rc<dyn Clock>, dialect: Rc<dyn Dialect>) -> Self {
-        Self {
+    pub fn new(
+        settings: GatewaySettings,
+        clock: Rc<dyn Clock>,
+        dialect: Rc<dyn Dialect>,
+    ) -> Rc<Self> {
+        Rc::new_cyclic(|this| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock,
             dialect,
@@ -66,6 +82,47 @@
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
             vanished: RefCell::default(),
+            ledger: RefCell::default(),
+            waiting: Waiting::default(),
+            is_dispatching: Cell::new(false),
+            peers: RefCell::default(),
+            next_booking: Cell::new(0),
+            this: this.clone(),
+        })
+    }
+
+    /// Takes the link to the other instances.
+    pub fn set_peers(&self, peers: Rc<Peers>) {
+        self.peers.replace(Some(peers));
+    }
+
+    /// Returns the link to the other instances, if there is one.
+    pub fn peers(&self) -> Option<Rc<Peers>> {
+        self.peers.borrow().clone()
+    }
+
+    /// Tells the other instances.
+    pub fn tell_peers(&self, news: News) {
+        if let Some(peers) = &*self.peers.borrow() {
+            peers.announce(news);
+        }
+    }
+
+    /// Returns the number of instances that live, this one included.
+    pub fn live_instances(&self) -> usize {
+        self.ledger.borrow().peers() + 1
+    }
+
+    /// Returns the number of a new booking.
+    pub fn next_booking(&self) -> BookingId {
+        self.next_booking.set(self.next_booking.get() + 1);
+        self.next_booking.get()
+    }
+
+    /// Takes in that engine memory became free somewhere.
+    pub fn memory_freed(&self) {
+        if let Some(this) = self.this.upgrade() {
+            dispatch_soon(this);
         }
     }
 
@@ -133,13 +190,46 @@
                 is_avoided: server.is_avoided(now),
                 in_flight: server.in_flight,
                 slots: record.slots,
-                unread_tokens: server.unread_tokens,
+                unread_tokens: 0,
+                fill: 0.0,
                 role: record.role,
             });
         }
         candidates
     }
 
+    /// Returns the engines of a service that could take a completion, with what is booked there.
+    pub fn engines(
+        &self,
+        service: &str,
+        tried: &[ServerKey],
+        facts: &RequestFacts,
+    ) -> Vec<Candidate> {
+        let now = self.clock.now();
+        let capacity = self.engine_spec(service).map_or(0, |engine| engine.kv_capacity);
+        let mut candidates = self.candidates(service, tried);
+        let directory = self.directory.borrow();
+        let ledger = self.ledger.borrow();
+        for candidate in &mut candidates {
+            let Some(server) = directory.get(candidate.key) else { continue };
+            let id = &server.record.id;
+            let load = ledger.load(id);
+            candidate.in_flight = load.running;
+            candidate.unread_tokens = load.unread_tokens;
+            // An engine that runs nothing has to take what is larger than its memory, to refuse it.
+            if candidate.role == Some(EngineRole::Decode) && load.running > 0 {
+                let (prompt, expected) = (facts.prompt_tokens, facts.expected_tokens);
+                candidate.fill = ledger.predicted_fill(id, capacity, prompt, expected, now);
+            }
+        }
+        candidates
+    }
+
+    /// Returns what the engines of a service have in common.
+    pub fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
+        self.routing.borrow().as_ref()?.services.get(service)?.engine
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn earn_budget(&self, service: &ServiceName) {
         self.with_budget(service, |budget, _| budget.succeeded());
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/ledger.rs
@@ -0,0 +1,285 @@
+//! The bookings of engine memory by all instances, and what they predict.
+//!
+//! An engine that runs out of memory preempts a request, whose prompt is then read again. Each
+//! instance therefore books the memory of a completion before it starts, and tells the others.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// How long the bookings of an instance hold that has not been heard of.
+const PEER_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// The part of the memory that bookings may fill; the rest covers lengths that are underestimated
+/// and bookings that cross on the way.
+const FILL_LIMIT: f64 = 0.95;
+
+/// The least part of what was produced that is still expected to come.
+const LEAST_REMAINING_SHARE: f64 = 0.2;
+
+/// Tokens that a decode engine produces for one request in a millisecond, until events tell better.
+const DEFAULT_SPEED: f64 = 1.3;
+
+/// How much a new measurement of the speed counts.
+const SPEED_GAIN: f64 = 0.05;
+
+/// How long finished completions count towards the rate at which memory becomes free.
+const RATE_WINDOW: Duration = Duration::from_secs(3);
+
+/// An instance as it is named in the ledger.
+pub type InstanceId = Box<str>;
+
+/// The number of a booking, unique in its instance.
+pub type BookingId = u64;
+
+/// Memory that a completion takes at an engine, and the reading of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Booking {
+    /// The engine that produces the tokens.
+    pub decode: Box<str>,
+    /// The engine that reads the prompt, until it has been read.
+    pub prefill: Option<Box<str>>,
+    /// The tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The tokens that are expected to be produced.
+    pub expected_tokens: u64,
+    /// When the first token is produced, or is expected to be.
+    pub starts_at: Instant,
+}
+
+/// The bookings of all instances.
+#[derive(Debug)]
+pub struct Ledger {
+    bookings: BTreeMap<(InstanceId, BookingId), Booking>,
+    heard: BTreeMap<InstanceId, Instant>,
+    freed: Vec<Instant>,
+    speed: f64,
+}
+
+/// What bookings say of one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Completions that run there or are about to.
+    pub running: u32,
+    /// Tokens of prompts that it has still to read.
+    pub unread_tokens: u64,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            bookings: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            freed: Vec::new(),
+            speed: DEFAULT_SPEED,
+        }
+    }
+}
+
+impl Ledger {
+    /// Takes in a booking.
+    pub fn book(&mut self, instance: &str, id: BookingId, booking: Booking) {
+        self.bookings.insert((instance.into(), id), booking);
+    }
+
+    /// Takes in that a prompt was read, and when its first token comes.
+    pub fn prompt_read(&mut self, instance: &str, id: BookingId, now: Instant) {
+        if let Some(booking) = self.bookings.get_mut(&(instance.into(), id)) {
+            booking.prefill = None;
+            booking.starts_at = now;
+        }
+    }
+
+    /// Takes in that a completion has ended; returns whether it was booked.
+    pub fn free(&mut self, instance: &str, id: BookingId, now: Instant) -> bool {
+        let is_freed = self.bookings.remove(&(instance.into(), id)).is_some();
+        if is_freed {
+            self.freed.push(now);
+        }
+        is_freed
+    }
+
+    /// Takes in all bookings of another instance.
+    pub fn replace(&mut self, instance: &str, bookings: Vec<(BookingId, Booking)>, now: Instant) {
+        self.bookings.retain(|(owner, _), _| &**owner != instance);
+        for (id, booking) in bookings {
+            self.book(instance, id, booking);
+        }
+        self.heard_of(instance, now);
+    }
+
+    /// Takes in that another instance lives; returns whether it is new.
+    pub fn heard_of(&mut self, instance: &str, now: Instant) -> bool {
+        self.heard.insert(instance.into(), now).is_none()
+    }
+
+    /// Forgets instances that have not been heard of, and returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+        let mut gone = Vec::new();
+        self.heard.retain(|instance, heard| {
+            let is_live = now.saturating_duration_since(*heard) < PEER_TIMEOUT;
+            if !is_live {
+                gone.push(instance.clone());
+            }
+            is_live
+        });
+        for instance in &gone {
+            self.bookings.retain(|(owner, _), _| owner != instance);
+        }
+        self.freed.retain(|freed| now.saturating_duration_since(*freed) < RATE_WINDOW);
+        gone
+    }
+
+    /// Returns the number of other instances that live.
+    pub fn peers(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// Iterates over the bookings of one instance.
+    pub fn of_instance<'a>(
+        &'a self,
+        instance: &'a str,
+    ) -> impl Iterator<Item = (BookingId, &'a Booking)> {
+        let bookings = self.bookings.iter().filter(move |((owner, _), _)| &**owner == instance);
+        bookings.map(|((_, id), booking)| (*id, booking))
+    }
+
+    /// Takes in that `tokens` were produced in `elapsed`.
+    pub fn measure_speed(&mut self, tokens: u64, elapsed: Duration) {
+        let millis = elapsed.as_secs_f64() * 1_000.0;
+        if tokens == 0 || millis <= 0.0 {
+            return;
+        }
+        self.speed += SPEED_GAIN * (tokens as f64 / millis - self.speed);
+    }
+
+    /// Returns how many completions end in a second.
+    pub fn freeing_rate(&self, now: Instant) -> f64 {
+        let is_recent = |freed: &&Instant| now.saturating_duration_since(**freed) < RATE_WINDOW;
+        self.freed.iter().filter(is_recent).count() as f64 / RATE_WINDOW.as_secs_f64()
+    }
+
+    /// Returns what is booked at an engine.
+    pub fn load(&self, engine: &str) -> EngineLoad {
+        let mut load = EngineLoad::default();
+        for booking in self.bookings.values() {
+            if &*booking.decode == engine {
+                load.running += 1;
+            }
+            if booking.prefill.as_deref() == Some(engine) {
+                load.unread_tokens += booking.prompt_tokens;
+            }
+        }
+        load
+    }
+
+    /// Returns the part of an engine's memory that it would need at most, with one more completion.
+    pub fn predicted_fill(
+        &self,
+        engine: &str,
+        capacity: u64,
+        prompt_tokens: u64,
+        expected_tokens: u64,
+        now: Instant,
+    ) -> f64 {
+        let mut running = vec![Growth { held: prompt_tokens, remaining: expected_tokens }];
+        for booking in self.bookings.values() {
+            if &*booking.decode == engine {
+                running.push(self.growth(booking, now));
+            }
+        }
+        peak(&mut running) as f64 / capacity.max(1) as f64
+    }
+
+    /// Whether a completion fits without a preemption, by its predicted fill.
+    pub fn fits(fill: f64) -> bool {
+        fill <= FILL_LIMIT
+    }
+
+    fn growth(&self, booking: &Booking, now: Instant) -> Growth {
+        let elapsed = now.saturating_duration_since(booking.starts_at);
+        let produced = (elapsed.as_secs_f64() * 1_000.0 * self.speed) as u64;
+        let least = (produced as f64 * LEAST_REMAINING_SHARE) as u64;
+        Growth {
+            held: booking.prompt_tokens + produced,
+            remaining: booking.expected_tokens.saturating_sub(produced).max(least),
+        }
+    }
+}
+
+/// How the memory of one completion grows.
+#[derive(Debug, Clone, Copy)]
+struct Growth {
+    held: u64,
+    remaining: u64,
+}
+
+/// Returns the most memory that completions hold together while they grow evenly and end.
+fn peak(running: &mut [Growth]) -> u64 {
+    running.sort_by_key(|growth| growth.remaining);
+    let mut held: u64 = running.iter().map(|growth| growth.held).sum();
+    let mut most = held;
+    for (index, growth) in running.iter().enumerate() {
+        // Just before this one ends, all that end later have grown as much.
+        let alive = (running.len() - index) as u64;
+        most = most.max(held + alive * growth.remaining);
+        held -= growth.held;
+    }
+    most
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use super::{Booking, Growth, Ledger, peak};
+
+    fn booking(engine: &str, starts_at: Instant) -> Booking {
+        Booking {
+            decode: engine.into(),
+            prefill: None,
+            prompt_tokens: 5_000,
+            expected_tokens: 4_000,
+            starts_at,
+        }
+    }
+
+    #[test]
+    fn the_peak_counts_only_what_runs_together() {
+        let mut running =
+            [Growth { held: 9_000, remaining: 100 }, Growth { held: 5_000, remaining: 4_000 }];
+        // Just before the first ends, both have grown by 100; then the second grows alone.
+        assert_eq!(peak(&mut running), 14_200);
+        let mut alone = [Growth { held: 5_000, remaining: 4_000 }];
+        assert_eq!(peak(&mut alone), 9_000);
+    }
+
+    #[test]
+    fn an_engine_is_full_before_its_requests_grow_over_its_memory() {
+        let now = Instant::now();
+        let mut ledger = Ledger::default();
+        let mut admitted = 0;
+        for id in 0..20 {
+            let fill = ledger.predicted_fill("a", 73_808, 5_000, 4_000, now);
+            if !Ledger::fits(fill) {
+                break;
+            }
+            ledger.book("one", id, booking("a", now));
+            admitted += 1;
+        }
+        assert_eq!(admitted, 7);
+        // Requests that end at different times leave room for more.
+        let later = now + Duration::from_millis(2_500);
+        assert!(Ledger::fits(ledger.predicted_fill("a", 90_000, 5_000, 4_000, later)));
+    }
+
+    #[test]
+    fn bookings_of_an_instance_that_is_not_heard_of_lapse() {
+        let now = Instant::now();
+        let mut ledger = Ledger::default();
+        ledger.replace("two", vec![(1, booking("a", now))], now);
+        assert_eq!(ledger.load("a").running, 1);
+        assert!(ledger.expire(now + Duration::from_secs(2)).is_empty());
+        assert_eq!(ledger.expire(now + Duration::from_secs(4)), [Box::from("two")]);
+        assert_eq!(ledger.load("a").running, 0);
+    }
+}
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! send it on; [`place`] holds the decisions, which need no network. Where headers, configuration
 //! and servers come from is behind the traits [`Dialect`] and [`Feed`].
 
+mod admission;
 pub mod call;
 pub mod dialect;
 pub mod directory;
@@ -13,7 +14,9 @@
 pub mod feed;
 pub mod front;
 mod gateway;
+pub mod ledger;
 pub mod metrics;
+pub mod peers;
 pub mod place;
 pub mod plain;
 mod pool;
--- a/crates/magnoliaspar-gateway/src/place.rs
+++ b/crates/magnoliaspar-gateway/src/place.rs
@@ -6,23 +6,24 @@
 use rand::Rng;
 
 use crate::directory::EngineRole;
+use crate::ledger::Ledger;
 
-/// Tokens of a prompt that a decode engine reads in a millisecond, until answers tell better.
-pub const DEFAULT_READING_SPEED: f64 = 25.0;
+/// Tokens of a prompt that a prefill engine reads in a millisecond, until answers tell better.
+pub const DEFAULT_READING_SPEED: f64 = 50.0;
 
-/// How much faster a prefill engine reads than a decode engine, by the engines' interface.
-const PREFILL_SPEED_UP: f64 = 2.0;
+/// How much slower a decode engine reads a prompt, by the engines' interface.
+const SELF_READING_SLOWDOWN: f64 = 2.0;
 
-/// The share of the latency target up to which a decode engine may take to read a prompt itself.
-///
-/// Reading it there saves the transfer of the KV cache, which is charged and may fail.
-const SELF_READING_SHARE: f64 = 0.4;
+/// The share of the latency target that a prompt may wait for a prefill engine before a decode
+/// engine reads it, which delays the tokens of all requests there.
+const PREFILL_WAIT_SHARE: f64 = 0.6;
 
-/// What a request that is producing tokens counts, in tokens of a prompt to read.
-const RUNNING_WEIGHT: u64 = 400;
+/// What an engine of another availability zone must be emptier to be preferred, as a part of its
+/// memory; a transfer between zones takes longer and is lost when the zone is cut off.
+const ZONE_FILL: f64 = 0.06;
 
-/// What a server of another availability zone must save to be preferred, in tokens to read.
-const ZONE_WEIGHT: u64 = 2_500;
+/// What a prefill engine of another availability zone must save to be preferred, in tokens.
+const ZONE_TOKENS: u64 = 2_500;
 
 /// A server that could take a request.
 #[derive(Debug, Clone, Copy)]
@@ -33,12 +34,14 @@
     pub is_local: bool,
     /// Whether its last calls failed.
     pub is_avoided: bool,
-    /// Requests of this instance that it runs.
+    /// Requests that it runs, as far as this instance knows.
     pub in_flight: u32,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// Tokens of prompts of this instance that it has still to read.
+    /// Tokens of prompts that it has still to read.
     pub unread_tokens: u64,
+    /// The part of its memory that it would need with the request, for decode engines.
+    pub fill: f64,
     /// Which part of a completion it runs.
     pub role: Option<EngineRole>,
 }
@@ -68,6 +71,24 @@
     },
 }
 
+impl Plan {
+    /// Returns the engine that produces the tokens.
+    pub fn decode(self) -> ServerKey {
+        match self {
+            Self::Decode(decode) | Self::Split { decode, .. } => decode,
+        }
+    }
+}
+
+/// Why no engine was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlan {
+    /// There is no engine that produces tokens.
+    NoEngine,
+    /// There is one, but its memory is booked.
+    NoRoom,
+}
+
 /// A prompt that is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Prompt {
@@ -75,53 +96,61 @@
     pub tokens: u64,
     /// The time within which the first event is on time.
     pub target: Duration,
-    /// Tokens that a decode engine reads in a millisecond.
+    /// Tokens that a prefill engine reads in a millisecond.
     pub reading_speed: f64,
 }
 
 /// Chooses engines for a completion.
 ///
-/// Answers bursts of long prompts: while decode engines can read the prompt well within the target
-/// they do, and beyond that prefill engines take over what they finish sooner.
+/// Answers bursts in which decode memory runs out first: a completion starts only where its tokens
+/// will fit beside those that run, and prompts go to prefill engines, so that the tokens of others
+/// are not delayed by the reading.
 pub fn choose_engines(
     candidates: &[Candidate],
     prompt: Prompt,
     rng: &mut dyn rand::RngCore,
-) -> Option<Plan> {
-    let of_role = |role: EngineRole| -> Vec<Candidate> {
-        candidates.iter().copied().filter(|candidate| candidate.role == Some(role)).collect()
-    };
-    let decodes = of_role(EngineRole::Decode);
-    let decode = least(&decodes, rng, engine_load)?;
-    let prefills = of_role(EngineRole::Prefill);
-    let Some(prefill) = least(&prefills, rng, engine_load) else {
-        return Some(Plan::Decode(decode));
-    };
-    let unread = |key: ServerKey| {
-        let candidate = candidates.iter().find(|candidate| candidate.key == key);
-        candidate.map_or((true, 0), |candidate| (candidate.is_avoided, candidate.unread_tokens))
+) -> Result<Plan, NoPlan> {
+    let mut decodes = Vec::new();
+    let mut prefills = Vec::new();
+    for candidate in candidates {
+        match candidate.role {
+            Some(EngineRole::Decode) => decodes.push(*candidate),
+            Some(EngineRole::Prefill) => prefills.push(*candidate),
+            None => {}
+        }
+    }
+    if decodes.is_empty() {
+        return Err(NoPlan::NoEngine);
+    }
+    decodes.retain(|candidate| Ledger::fits(candidate.fill));
+    let decode = least(&decodes, rng, |candidate| {
+        let distance = if candidate.is_local { 0.0 } else { ZONE_FILL };
+        (candidate.is_avoided, thousandths(candidate.fill + distance))
+    });
+    let decode = decode.ok_or(NoPlan::NoRoom)?;
+    let prefill = least(&prefills, rng, |candidate| {
+        let distance = if candidate.is_local { 0 } else { ZONE_TOKENS };
+        (candidate.is_avoided, candidate.unread_tokens + distance)
+    });
+    let Some(prefill) = prefill.and_then(|key| prefills.iter().find(|found| found.key == key))
+    else {
+        return Ok(Plan::Decode(decode));
     };
-    let (_, decode_backlog) = unread(decode);
-    let (is_prefill_avoided, prefill_backlog) = unread(prefill);
-    let alone = reading_ms(decode_backlog + prompt.tokens, prompt.reading_speed);
-    let split =
-        reading_ms(prefill_backlog + prompt.tokens, prompt.reading_speed * PREFILL_SPEED_UP);
-    let is_soon = alone <= prompt.target.as_secs_f64() * 1_000.0 * SELF_READING_SHARE;
-    if is_soon || is_prefill_avoided || alone <= split {
-        return Some(Plan::Decode(decode));
+    let split = reading_ms(prefill.unread_tokens + prompt.tokens, prompt.reading_speed);
+    let alone = reading_ms(prompt.tokens, prompt.reading_speed / SELF_READING_SLOWDOWN);
+    let limit = prompt.target.as_secs_f64() * 1_000.0 * PREFILL_WAIT_SHARE;
+    if prefill.is_avoided || (split > limit && alone < split) {
+        return Ok(Plan::Decode(decode));
     }
-    Some(Plan::Split { prefill, decode })
+    Ok(Plan::Split { prefill: prefill.key, decode })
 }
 
 fn reading_ms(tokens: u64, speed: f64) -> f64 {
     tokens as f64 / speed.max(0.1)
 }
 
-fn engine_load(candidate: &Candidate) -> (bool, bool, u64, u64) {
-    let is_full = candidate.in_flight >= candidate.slots;
-    let distance = if candidate.is_local { 0 } else { ZONE_WEIGHT };
-    let running = u64::from(candidate.in_flight) * RUNNING_WEIGHT;
-    (candidate.is_avoided, is_full, candidate.unread_tokens + running + distance, 0)
+fn thousandths(fill: f64) -> u64 {
+    (fill * 1_000.0) as u64
 }
 
 /// Returns the candidate with the least rank; equal ones are equally likely.
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -152,6 +152,8 @@
     pub slots: u32,
     /// The memory for KV cache, in tokens.
     pub kv_capacity: u64,
+    /// How many tokens one event of a stream holds.
+    pub tokens_per_event: u64,
 }
 
 /// What callers may send and how long they may take.
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -15,7 +15,9 @@
 use crate::feed::{Feed, follow};
 use crate::front;
 use crate::gateway::{Gateway, RoutingFollower};
+use crate::peers::{self, News, Peers};
 use crate::route::{CallerLimits, Routing};
+use crate::settings::GatewaySettings;
 
 /// How often idle connections and vanished servers are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -54,6 +56,8 @@
     let requests = requests.with_limits(limits.clone());
     let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
     let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
+    let peers = bind_peers(&settings).await?;
+    gateway.set_peers(peers.clone());
     let front_stop = requests.stop_handle();
     actix_rt::spawn(requests.run());
     actix_rt::spawn(readiness.run());
@@ -61,6 +65,8 @@
     let routing = Rc::new(RoutingFollower(gateway.clone()));
     actix_rt::spawn(follow("configuration", feeds.routing, routing));
     actix_rt::spawn(follow("servers", feeds.servers, gateway.clone()));
+    actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
+    actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
     actix_rt::spawn(watch_hangup(gateway.clone(), reload.clone()));
     let instance = &*settings.instance;
     log::info!(instance, zone = &*settings.zone, requests:% = settings.requests; "started");
@@ -83,10 +89,19 @@
     log::info!(instance, in_flight = gateway.in_flight(); "stopping");
     gateway.stop();
     drain(&gateway, &front_stop, settings.grace).await;
+    gateway.tell_peers(News::Leaving);
     log::info!(instance, in_flight = gateway.in_flight(); "stopped");
     Ok(())
 }
 
+async fn bind_peers(settings: &GatewaySettings) -> Result<Rc<Peers>, ServerError> {
+    let address = settings.peers;
+    let bound = Peers::bind(address, settings.instance.clone(), settings.seeds.clone()).await;
+    let peers =
+        bound.map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
+    Ok(Rc::new(peers))
+}
+
 /// Takes connections until callers are sent elsewhere, then waits for the last request.
 async fn drain(gateway: &Gateway, front: &magnoliaspar_http::StopHandle, grace: Duration) {
     let start = gateway.clock.now();
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -44,6 +44,10 @@
     pub readiness: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Where the other instances send their messages.
+    pub peers: SocketAddr,
+    /// The addresses of some other instances, which may be down.
+    pub seeds: Box<[SocketAddr]>,
     /// Where the store is that holds the configuration and the list of servers.
     pub store: SocketAddr,
     /// The retries of this instance for each service.
@@ -69,6 +73,8 @@
     let requests = object.required("requests").and_then(|field| read_address(&field));
     let readiness = object.required("readiness").and_then(|field| read_address(&field));
     let metrics = object.required("metrics").and_then(|field| read_address(&field));
+    let peers = object.required("peers").and_then(|field| read_address(&field));
+    let seeds = object.with_default("seeds", [].into(), |field| field.list(read_address));
     let store = object.required("store").and_then(|field| read_address(&field));
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
@@ -80,6 +86,8 @@
         requests: requests?,
         readiness: readiness?,
         metrics: metrics?,
+        peers: peers?,
+        seeds: seeds?,
         store: store?,
         budget: budget?,
         grace: Duration::from_secs_f64(grace?),
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -10,11 +10,12 @@
 use futures_util::stream::unfold;
 use magnoliaspar_core::ServerKey;
 
+use crate::admission::{Placement, admit};
 use crate::call::{CallSpec, Incoming, Reply, call, keep_connection, release_kv_cache};
 use crate::events::EventBuffer;
 use crate::exchange::CallError;
 use crate::gateway::{Gateway, InFlight};
-use crate::place::{DEFAULT_READING_SPEED, Plan, Prompt, choose_engines};
+use crate::place::Plan;
 use crate::plain::{Ended, copy_head};
 use crate::refusal::Refusal;
 
@@ -33,20 +34,20 @@
 pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>, guard: InFlight) -> Ended {
     let mut progress = Progress::default();
     match progress.start(gateway, &req, req.facts.resume_after).await {
-        Ok(reply) if reply.is_genuine_success() => {
+        Ok((reply, placement)) if reply.is_genuine_success() => {
             let response = copy_head(&reply.head);
             let relay = Relay {
                 gateway: gateway.clone(),
                 events: EventBuffer::after(req.facts.resume_after),
                 req,
                 progress,
-                current: Some(reply),
-                has_event: false,
+                current: Some((reply, placement)),
+                event_at: None,
                 _guard: guard,
             };
             Ended::Answer(relay.into_response(response))
         }
-        Ok(mut reply) => match reply.read_body(MAX_FAILURE).await {
+        Ok((mut reply, _)) => match reply.read_body(MAX_FAILURE).await {
             Ok(body) if !reply.head.status.is_success() => {
                 let response = copy_head(&reply.head).set_body(body.boxed());
                 reply.finish();
@@ -74,33 +75,20 @@
     async fn start(
         &mut self,
         gateway: &Rc<Gateway>,
-        req: &Incoming,
+        req: &Rc<Incoming>,
         resume_after: Option<u64>,
-    ) -> Result<Reply, Refusal> {
+    ) -> Result<(Reply, Placement), Refusal> {
         let may_repeat = req.route.kind.may_repeat();
         loop {
+            let is_resumption = resume_after != req.facts.resume_after;
+            let placement = match admit(gateway, req, &self.tried, is_resumption).await {
+                Ok(placement) => placement,
+                Err(refusal) => return Err(self.refuse(refusal, Refusal::MayHaveRun)),
+            };
             let remaining = req.remaining(gateway.clock.now());
             if remaining.is_zero() {
                 return Err(self.refuse(Refusal::DeadlineBeforeStart, Refusal::Deadline));
             }
-            let mut candidates = gateway.candidates(&req.service, &self.tried);
-            if candidates.is_empty() && self.runs > 0 {
-                // An engine that failed may be the only one left.
-                candidates = gateway.candidates(&req.service, &[]);
-            }
-            let prompt = Prompt {
-                tokens: req.facts.prompt_tokens,
-                target: req.route.target_latency,
-                reading_speed: DEFAULT_READING_SPEED,
-            };
-            let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng));
-            let Some(plan) = plan else {
-                let without = match self.tried.is_empty() {
-                    true => Refusal::NoServer,
-                    false => Refusal::NoCapacity,
-                };
-                return Err(self.refuse(without, Refusal::MayHaveRun));
-            };
             if self.arrivals > 0 && !gateway.take_budget(&req.service) {
                 return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
             }
@@ -109,7 +97,8 @@
                 true => remaining.mul_f64(FIRST_EVENT_SHARE).max(req.route.target_latency),
                 false => remaining,
             };
-            match self.attempt(gateway, req, plan, resume_after, patience.min(remaining)).await {
+            let patience = patience.min(remaining);
+            match self.attempt(gateway, req, &placement, resume_after, patience).await {
                 Ok(reply) if reply.facts.is_not_run => {
                     self.arrivals += 1;
                     reply.finish();
@@ -117,7 +106,7 @@
                 Ok(reply) => {
                     self.arrivals += 1;
                     self.runs += 1;
-                    return Ok(reply);
+                    return Ok((reply, placement));
                 }
                 Err(error) if error.is_never_sent() => {}
                 Err(error) => {
@@ -142,26 +131,20 @@
         &mut self,
         gateway: &Rc<Gateway>,
         req: &Incoming,
-        plan: Plan,
+        placement: &Placement,
         resume_after: Option<u64>,
         patience: Duration,
     ) -> Result<Reply, CallError> {
-        let mut spec = CallSpec {
-            resume_after,
-            unread_tokens: req.facts.prompt_tokens,
-            ..CallSpec::default()
-        };
-        let decode = match plan {
+        let mut spec = CallSpec { resume_after, ..CallSpec::default() };
+        let decode = match placement.plan {
             Plan::Decode(decode) => decode,
             Plan::Split { prefill, decode } => {
                 spec.kv_cache = self.prefill(gateway, req, prefill, patience).await;
+                placement.prompt_read();
                 decode
             }
         };
         self.tried.push(decode);
-        if spec.kv_cache.is_some() {
-            spec.unread_tokens = 0;
-        }
         let handle = spec.kv_cache.clone();
         let release = ReleaseGuard { gateway: gateway.clone(), handle };
         let reply = call(gateway, req, decode, &spec, patience).await?;
@@ -181,11 +164,7 @@
         prefill: ServerKey,
         patience: Duration,
     ) -> Option<(ServerKey, Box<str>)> {
-        let spec = CallSpec {
-            is_prefill: true,
-            unread_tokens: req.facts.prompt_tokens,
-            ..CallSpec::default()
-        };
+        let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
         let patience = patience.min(PREFILL_TIMEOUT);
         let mut reply = call(gateway, req, prefill, &spec, patience).await.ok()?;
         let body = match tokio::time::timeout(patience, reply.read_body(MAX_FAILURE)).await {
@@ -240,8 +219,8 @@
     req: Rc<Incoming>,
     progress: Progress,
     events: EventBuffer,
-    current: Option<Reply>,
-    has_event: bool,
+    current: Option<(Reply, Placement)>,
+    event_at: Option<(Instant, u64)>,
     _guard: InFlight,
 }
 
@@ -261,14 +240,14 @@
     /// Returns the next whole events, or none after the last one.
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
-            let Some(reply) = &mut self.current else { return Ok(None) };
+            let Some((reply, _)) = &mut self.current else { return Ok(None) };
             let now = self.gateway.clock.now();
             let limit = stall_limit(&self.req, &self.progress);
             let limit = limit.min(self.req.remaining(now));
             let error = match tokio::time::timeout(limit, reply.body.chunk()).await {
                 Ok(Ok(Some(chunk))) => {
                     let Some(events) = self.events.push(&chunk) else { continue };
-                    self.first_event();
+                    self.took_events();
                     return Ok(Some(events));
                 }
                 Ok(Ok(None)) => return Ok(self.finish(now)),
@@ -279,20 +258,29 @@
         }
     }
 
-    fn first_event(&mut self) {
-        if self.has_event {
-            return;
-        }
-        self.has_event = true;
-        if let Some(reply) = &mut self.current {
-            reply.lease.prompt_read();
+    /// Takes in that events came, and measures how fast the engine produces tokens.
+    fn took_events(&mut self) {
+        let now = self.gateway.clock.now();
+        let last = self.events.last_id().unwrap_or(0);
+        match self.event_at.replace((now, last)) {
+            Some((before, id)) => {
+                let spec = self.gateway.engine_spec(&self.req.service);
+                let tokens = last.saturating_sub(id) * spec.map_or(1, |spec| spec.tokens_per_event);
+                self.gateway.ledger.borrow_mut().measure_speed(tokens, now - before);
+            }
+            None => {
+                if let Some((_, placement)) = &self.current {
+                    placement.prompt_read();
+                }
+                let kind = self.req.route.kind.as_str();
+                let elapsed = now - self.req.received;
+                self.gateway.metrics.observe(kind, "first_event", elapsed);
+            }
         }
-        let elapsed = self.gateway.clock.now() - self.req.received;
-        self.gateway.metrics.observe(self.req.route.kind.as_str(), "first_event", elapsed);
     }
 
     fn finish(&mut self, now: Instant) -> Option<Bytes> {
-        let reply = self.current.take()?;
+        let (reply, _placement) = self.current.take()?;
         let kind = self.req.route.kind.as_str();
         self.gateway.metrics.observe(kind, "whole", now - self.req.received);
         self.gateway.metrics.count_request(kind, "answered");
@@ -311,7 +299,7 @@
         let request = &*self.req.facts.id;
         let last_event = self.events.last_id();
         let Some(failed) = self.current.take() else { return Err(RelayError::Broken) };
-        let server = failed.lease.server;
+        let server = failed.0.lease.server;
         self.gateway.directory.borrow_mut().failed(server, self.gateway.clock.now());
         drop(failed);
         let remaining = self.req.remaining(self.gateway.clock.now());
@@ -325,13 +313,14 @@
         }
         self.events.drop_rest();
         match self.progress.start(&self.gateway, &self.req, last_event).await {
-            Ok(reply) if reply.is_genuine_success() => {
+            Ok((reply, placement)) if reply.is_genuine_success() => {
                 self.gateway.metrics.resumptions.inc();
                 log::info!(request, last_event:?; "stream_resumed");
-                self.current = Some(reply);
+                self.event_at = None;
+                self.current = Some((reply, placement));
                 Ok(())
             }
-            Ok(reply) => {
+            Ok((reply, _)) => {
                 let status = reply.head.status.as_u16();
                 log::info!(request, status; "stream_not_resumed");
                 self.gateway.metrics.count_request(kind, "broken");
