--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -237,6 +237,7 @@
         prefill,
         prompt_tokens: req.facts.prompt_tokens,
         expected_tokens: req.facts.expected_tokens,
+        most_tokens: req.facts.most_tokens,
         starts_at: now + START_TIME,
     };
     let id = gateway.next_booking();
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -240,7 +240,10 @@
     let prefill = spec.is_prefill;
     match result {
         Ok(reply) if reply.facts.is_not_run => {
-            directory.was_full(server, now);
+            match reply.facts.is_other_server {
+                true => drop(directory.failed(server, now)),
+                false => directory.was_full(server, now),
+            }
             gateway.metrics.count_call("not_run");
             let status = reply.head.status.as_u16();
             log::info!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -38,6 +38,8 @@
     pub prompt_tokens: u64,
     /// The number of tokens that the caller expects to be produced.
     pub expected_tokens: u64,
+    /// The most tokens that may be produced.
+    pub most_tokens: u64,
     /// The id of the last event that the caller has.
     pub resume_after: Option<u64>,
 }
@@ -64,6 +66,8 @@
     pub request_id: Option<Box<str>>,
     /// Whether the server says that it has not run the request.
     pub is_not_run: bool,
+    /// Whether another server answers at the address than the one that was meant.
+    pub is_other_server: bool,
     /// Whether the answer bears the mark that each genuine one has.
     pub is_sealed: bool,
     /// How long the server keeps the connection when it is idle.
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -198,10 +198,18 @@
 /// The rest of an answer on its connection.
 pub struct AnswerBody {
     connection: Connection,
-    codec: Option<ClientPayloadCodec>,
-    is_delimited: bool,
+    framing: Framing,
     is_reusable: bool,
-    is_complete: bool,
+}
+
+/// How the end of an answer is found.
+enum Framing {
+    /// By a length or by chunks.
+    Delimited(Box<ClientPayloadCodec>),
+    /// By the end of the connection. The library takes such an answer for an empty one.
+    UntilClose,
+    /// The answer has come to its end.
+    Complete,
 }
 
 impl AnswerBody {
@@ -212,50 +220,56 @@
         is_head: bool,
         was_sent: bool,
     ) -> Self {
-        let kind = if is_head { MessageType::None } else { codec.message_type() };
-        let is_delimited = !matches!(kind, MessageType::Stream);
+        let has_no_body = is_head
+            || head.status == StatusCode::NO_CONTENT
+            || head.status == StatusCode::NOT_MODIFIED;
+        let is_delimited = has_no_body
+            || head.headers().contains_key(header::CONTENT_LENGTH)
+            || head.headers().contains_key(header::TRANSFER_ENCODING);
+        let is_empty = has_no_body || matches!(codec.message_type(), MessageType::None);
+        let framing = match (is_delimited, is_empty) {
+            (false, _) => Framing::UntilClose,
+            (true, true) => Framing::Complete,
+            (true, false) => Framing::Delimited(Box::new(codec.into_payload_codec())),
+        };
         let is_reusable = was_sent && is_delimited && !is_closing(head.headers());
-        let is_complete = matches!(kind, MessageType::None);
-        let codec = (!is_complete).then(|| codec.into_payload_codec());
-        Self { connection, codec, is_delimited, is_reusable, is_complete }
+        Self { connection, framing, is_reusable }
     }
 
     /// Returns the next bytes, or none after the last ones.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallError> {
-        let Some(codec) = &mut self.codec else { return Ok(None) };
         loop {
-            match codec.decode(&mut self.connection.buf) {
-                Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                Ok(Some(None)) => {
-                    self.is_complete = true;
-                    self.codec = None;
-                    return Ok(None);
-                }
-                Ok(None) => {}
-                Err(error) => return Err(CallError::Garbled(error.to_string().into())),
+            match &mut self.framing {
+                Framing::Complete => return Ok(None),
+                Framing::UntilClose if self.connection.buf.is_empty() => {}
+                Framing::UntilClose => return Ok(Some(self.connection.buf.split().freeze())),
+                Framing::Delimited(codec) => match codec.decode(&mut self.connection.buf) {
+                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
+                    Ok(Some(None)) => {
+                        self.framing = Framing::Complete;
+                        return Ok(None);
+                    }
+                    Ok(None) => {}
+                    Err(error) => return Err(CallError::Garbled(error.to_string().into())),
+                },
             }
             let (mut reader, _) = self.connection.stream.split();
             if read_some(&mut reader, &mut self.connection.buf).await? > 0 {
                 continue;
             }
-            if self.is_delimited {
+            if !matches!(self.framing, Framing::UntilClose) {
                 return Err(CallError::Broken(END_OF_STREAM.into()));
             }
-            // An answer without a length ends with its connection; a reset is an error above.
-            self.is_complete = true;
-            self.codec = None;
+            // A reset is an error above, so that the connection ended in order.
+            self.framing = Framing::Complete;
             return Ok(None);
         }
     }
 
-    /// Whether the answer has come to its end.
-    pub fn is_complete(&self) -> bool {
-        self.is_complete
-    }
-
     /// Returns the connection for another request, if the server keeps it.
     pub fn into_connection(self) -> Option<Connection> {
-        let is_clean = self.is_complete && self.is_reusable && self.connection.buf.is_empty();
+        let is_complete = matches!(self.framing, Framing::Complete);
+        let is_clean = is_complete && self.is_reusable && self.connection.buf.is_empty();
         is_clean.then_some(self.connection)
     }
 }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -27,6 +27,11 @@
 /// The source gives a living server about two seconds to come back.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// The least number of instances among which the retry budget is shared out.
+///
+/// An instance that has just started has not heard of the others yet.
+const MIN_BUDGET_INSTANCES: usize = 6;
+
 /// The state of one instance.
 pub struct Gateway {
     /// The settings, which may be replaced while the instance runs.
@@ -49,6 +54,7 @@
     pub is_dispatching: Cell<bool>,
     peers: RefCell<Option<Rc<Peers>>>,
     next_booking: Cell<BookingId>,
+    most_instances: Cell<usize>,
     this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
@@ -87,6 +93,7 @@
             is_dispatching: Cell::new(false),
             peers: RefCell::default(),
             next_booking: Cell::new(0),
+            most_instances: Cell::new(1),
             this: this.clone(),
         })
     }
@@ -250,12 +257,20 @@
         run: impl FnOnce(&mut RetryBudget, Instant) -> T,
     ) -> T {
         let now = self.clock.now();
-        let cfg = self.settings().budget;
+        let cfg = self.settings().budget.share(self.budget_instances());
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
         run(budget, now)
     }
 
+    /// Returns among how many instances the retry budget is shared out.
+    ///
+    /// Instances that are cut off from here still use their share, so the most that were heard of
+    /// count for a while.
+    fn budget_instances(&self) -> usize {
+        self.most_instances.get().max(MIN_BUDGET_INSTANCES)
+    }
+
     /// Returns after which time a caller that was refused should come back.
     pub fn retry_after(&self, route: &Route, remaining: Duration) -> Duration {
         // A caller comes back early enough to be served, and not together with others.
@@ -266,6 +281,7 @@
     /// Closes connections that cannot be used, and forgets servers that did not come back.
     pub fn sweep(&self) {
         let now = self.clock.now();
+        self.most_instances.set(self.most_instances.get().max(self.live_instances()));
         let directory = self.directory.borrow();
         self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
         drop(directory);
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -71,6 +71,7 @@
     prefill: Option<Box<str>>,
     prompt_tokens: u64,
     expected_tokens: u64,
+    most_tokens: u64,
     /// How long the completion has produced tokens, in milliseconds; negative until it does.
     running_ms: i64,
 }
@@ -87,6 +88,7 @@
             prefill: booking.prefill.clone(),
             prompt_tokens: booking.prompt_tokens,
             expected_tokens: booking.expected_tokens,
+            most_tokens: booking.most_tokens,
             running_ms,
         }
     }
@@ -103,6 +105,7 @@
             prefill: self.prefill,
             prompt_tokens: self.prompt_tokens,
             expected_tokens: self.expected_tokens,
+            most_tokens: self.most_tokens,
             starts_at,
         }
     }
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -25,12 +25,6 @@
 /// The rest covers the delay with which the window of the budget is counted elsewhere.
 const BUDGET_SHARE: f64 = 0.8;
 
-/// The number of instances among which the fixed part of the retry budget is shared out.
-///
-/// It is above the 6 to 9 instances of today's deployments, since a share that is too large breaks
-/// the budget and one that is too small costs a few retries.
-const BUDGET_INSTANCES: f64 = 16.0;
-
 /// The settings of one gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -50,14 +44,38 @@
     pub seeds: Box<[SocketAddr]>,
     /// Where the store is that holds the configuration and the list of servers.
     pub store: SocketAddr,
-    /// The retries of this instance for each service.
-    pub budget: RetryBudgetConfig,
+    /// The retries of all instances together for each service.
+    pub budget: SharedBudget,
     /// How long the process may go on after it was told to stop.
     pub grace: Duration,
     /// The log filter.
     pub log: Box<str>,
 }
 
+/// The retries that all instances together may make for one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedBudget {
+    /// How many retries each request allows.
+    pub ratio: f64,
+    /// How many more there may be in a window.
+    pub extra: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+impl SharedBudget {
+    /// Returns the budget of one of `instances`.
+    pub fn share(&self, instances: usize) -> RetryBudgetConfig {
+        let extra = self.extra * BUDGET_SHARE / instances.max(1) as f64;
+        RetryBudgetConfig {
+            share: self.ratio * BUDGET_SHARE,
+            // Half of the fixed part is saved up for a burst, the other half comes evenly.
+            per_second: extra / 2.0 / self.window.as_secs_f64(),
+            burst: (extra / 2.0).max(1.0),
+        }
+    }
+}
+
 impl GatewaySettings {
     /// Reads settings from the text of a JSON file, or returns all findings with their places.
     pub fn read(text: &str, file: &str) -> Result<Self, Findings> {
@@ -105,18 +123,12 @@
     Some(address)
 }
 
-fn read_budget(cursor: &Cursor) -> Option<RetryBudgetConfig> {
+fn read_budget(cursor: &Cursor) -> Option<SharedBudget> {
     let object = cursor.object()?;
     let ratio = object.required("ratio").and_then(|field| field.number(RETRY_SHARES));
     let extra = object.required("extra").and_then(|field| field.number(RETRY_COUNTS));
     let window = object.required("window_s").and_then(|field| field.number(SECONDS));
     object.finish();
     let (ratio, extra, window) = (ratio?, extra?, window?);
-    let extra = extra / BUDGET_INSTANCES;
-    Some(RetryBudgetConfig {
-        share: ratio * BUDGET_SHARE,
-        // Half of the fixed part is saved up for a burst, the other half comes evenly.
-        per_second: extra / 2.0 / window,
-        burst: (extra / 2.0).max(1.0),
-    })
+    Some(SharedBudget { ratio, extra, window: Duration::from_secs_f64(window) })
 }
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -66,7 +66,10 @@
 #[derive(Debug, Default)]
 struct Progress {
     tried: Vec<ServerKey>,
+    /// Arrivals at servers, those at which only the prompt was read excluded.
     arrivals: u32,
+    /// Arrivals at which the prompt was to be read; the first is not charged.
+    prefills: u32,
     runs: u32,
 }
 
@@ -139,7 +142,10 @@
         let decode = match placement.plan {
             Plan::Decode(decode) => decode,
             Plan::Split { prefill, decode } => {
-                spec.kv_cache = self.prefill(gateway, req, prefill, patience).await;
+                // A second reading is charged as a retry, so a decode engine reads the prompt then.
+                if self.prefills == 0 {
+                    spec.kv_cache = self.prefill(gateway, req, prefill, patience).await;
+                }
                 placement.prompt_read();
                 decode
             }
@@ -166,7 +172,15 @@
     ) -> Option<(ServerKey, Box<str>)> {
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
         let patience = patience.min(PREFILL_TIMEOUT);
-        let mut reply = call(gateway, req, prefill, &spec, patience).await.ok()?;
+        let called = call(gateway, req, prefill, &spec, patience).await;
+        if !matches!(&called, Err(error) if error.is_never_sent()) {
+            self.prefills += 1;
+        }
+        let mut reply = called.ok()?;
+        if reply.facts.is_not_run {
+            // A reading that is refused is charged as a retry.
+            gateway.take_budget(&req.service);
+        }
         let body = match tokio::time::timeout(patience, reply.read_body(MAX_FAILURE)).await {
             Ok(Ok(body)) => body,
             _ => return None,
--- a/crates/magnoliaspar-retry/src/budget.rs
+++ b/crates/magnoliaspar-retry/src/budget.rs
@@ -17,6 +17,12 @@
         Self { cfg, tokens: cfg.burst, refilled_at: now }
     }
 
+    /// Replaces what the route may make, without giving it more than is saved up now.
+    pub fn set_config(&mut self, cfg: RetryBudgetConfig) {
+        self.cfg = cfg;
+        self.tokens = self.tokens.min(cfg.burst);
+    }
+
     /// Takes in that a first try or a retry succeeded.
     pub fn succeeded(&mut self) {
         self.add(self.cfg.share);
