Read no prompt for engines that cannot be reached, and reuse its KV cache

Change: the connection to the decode engine is taken before the prompt is read; a server to which no connection opens is out of use until a probe opens one; engines that fail are passed over while others work; a cache that was not fetched is offered to the next engine while it is kept. Ruled out: a longer time of avoidance, which keeps engines that are back out of use and still sends each caller after it into the same wait.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -154,17 +154,82 @@
     }
 }
 
+/// Takes an idle connection to a server, or opens one.
+pub async fn acquire(gateway: &Rc<Gateway>, server: ServerKey) -> Result<Connection, CallError> {
+    let gone = || CallError::NotSent("the server is gone".into());
+    let address = gateway.directory.borrow().get(server).ok_or_else(gone)?.record.address;
+    let pooled = gateway.pool.borrow_mut().take(server, gateway.clock.now());
+    if let Some(connection) = pooled {
+        return Ok(connection);
+    }
+    gateway.metrics.connections.inc();
+    let opened = Connection::open(address, CONNECT_TIMEOUT).await;
+    if let Err(error) = &opened {
+        log::info!(server = gateway.server_name(server), address:%, reason:% = error; "server_unreachable");
+        gateway.metrics.count_call("not_sent");
+        probe(gateway, server);
+    }
+    opened
+}
+
+/// Keeps a server out of use until a connection to it can be opened.
+pub fn probe(gateway: &Rc<Gateway>, server: ServerKey) {
+    {
+        let mut directory = gateway.directory.borrow_mut();
+        let Some(server) = directory.get_mut(server) else { return };
+        if std::mem::replace(&mut server.is_unreachable, true) {
+            return;
+        }
+    }
+    actix_rt::spawn(probe_until_open(gateway.clone(), server));
+}
+
+async fn probe_until_open(gateway: Rc<Gateway>, server: ServerKey) {
+    let started = gateway.clock.now();
+    let mut wait = FIRST_PROBE_WAIT;
+    loop {
+        let Some(address) = gateway.directory.borrow().get(server).map(|it| it.record.address)
+        else {
+            return;
+        };
+        gateway.metrics.connections.inc();
+        if let Ok(connection) = Connection::open(address, CONNECT_TIMEOUT).await {
+            let now = gateway.clock.now();
+            let unreachable_ms = (now - started).as_millis() as u64;
+            log::info!(server = gateway.server_name(server), unreachable_ms; "server_reachable");
+            if let Some(server) = gateway.directory.borrow_mut().get_mut(server) {
+                server.is_unreachable = false;
+            }
+            gateway.pool.borrow_mut().put(server, connection, now, None);
+            gateway.memory_freed();
+            return;
+        }
+        tokio::time::sleep(wait).await;
+        wait = (wait * 2).min(LONGEST_PROBE_WAIT);
+    }
+}
+
+/// The wait between the first two probes of a server; it doubles with each further one.
+const FIRST_PROBE_WAIT: Duration = Duration::from_millis(100);
+
+/// The longest wait between two probes of a server.
+const LONGEST_PROBE_WAIT: Duration = Duration::from_millis(800);
+
 /// Sends a request to a server and returns its answer once the head is there.
+///
+/// `connection` is one that was taken for the call; without it the call takes or opens one.
 pub async fn call(
     gateway: &Rc<Gateway>,
     req: &Incoming,
     server: ServerKey,
     spec: &CallSpec,
     patience: Duration,
+    connection: Option<Connection>,
 ) -> Result<Reply, CallError> {
     let started = gateway.clock.now();
     let lease = ServerLease::new(gateway, server);
-    let result = tokio::time::timeout(patience, exchange(gateway, req, server, spec, lease)).await;
+    let exchange = exchange(gateway, req, server, spec, lease, connection);
+    let result = tokio::time::timeout(patience, exchange).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
     let elapsed = gateway.clock.now() - started;
     report(gateway, req, server, spec, &result, elapsed);
@@ -177,12 +242,12 @@
     server: ServerKey,
     spec: &CallSpec,
     lease: ServerLease,
+    connection: Option<Connection>,
 ) -> Result<Reply, CallError> {
     let gone = || CallError::NotSent("the server is gone".into());
-    let (address, id) = {
+    let id = {
         let directory = gateway.directory.borrow();
-        let record = &directory.get(server).ok_or_else(gone)?.record;
-        (record.address, record.id.clone())
+        directory.get(server).ok_or_else(gone)?.record.id.clone()
     };
     let holder = match &spec.kv_cache {
         Some((holder, handle)) => {
@@ -192,14 +257,9 @@
         }
         None => None,
     };
-    let now = gateway.clock.now();
-    let pooled = gateway.pool.borrow_mut().take(server, now);
-    let connection = match pooled {
+    let connection = match connection {
         Some(connection) => connection,
-        None => {
-            gateway.metrics.connections.inc();
-            Connection::open(address, CONNECT_TIMEOUT).await?
-        }
+        None => acquire(gateway, server).await?,
     };
     let mut head = RequestHead::default();
     head.method = req.head.method.clone();
@@ -224,7 +284,7 @@
 
 /// Takes in and logs what became of a call.
 fn report(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     req: &Incoming,
     server: ServerKey,
     spec: &CallSpec,
@@ -232,9 +292,8 @@
     elapsed: Duration,
 ) {
     let now = gateway.clock.now();
+    let name = gateway.server_name(server);
     let mut directory = gateway.directory.borrow_mut();
-    let name: Box<str> =
-        directory.get(server).map_or("gone".into(), |server| server.record.id.clone());
     let elapsed_ms = elapsed.as_millis() as u64;
     let request = &*req.facts.id;
     let prefill = spec.is_prefill;
@@ -254,8 +313,12 @@
             let status = reply.head.status.as_u16();
             log::debug!(request, server = name, prefill, status, elapsed_ms; "call_answered");
         }
+        Err(CallError::NotSent(reason)) => {
+            log::info!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
+        }
         Err(error) => {
             let avoided = directory.failed(server, now);
+            drop(directory);
             gateway.metrics.count_call(match error {
                 CallError::NotSent(_) => "not_sent",
                 CallError::Broken(_) => "broken",
@@ -265,6 +328,7 @@
             let avoided_ms = avoided.map_or(0, |avoided| avoided.as_millis() as u64);
             log::info!(request, server = name, prefill, reason:% = error, elapsed_ms, avoided_ms; "call_failed");
             gateway.pool.borrow_mut().drop_server(server);
+            probe(gateway, server);
         }
     }
 }
@@ -287,14 +351,14 @@
     });
 }
 
-async fn send_release(gateway: &Gateway, server: ServerKey, path: &str) -> Result<(), CallError> {
+async fn send_release(
+    gateway: &Rc<Gateway>,
+    server: ServerKey,
+    path: &str,
+) -> Result<(), CallError> {
     let gone = || CallError::NotSent("the server is gone".into());
     let address = gateway.directory.borrow().get(server).ok_or_else(gone)?.record.address;
-    let pooled = gateway.pool.borrow_mut().take(server, gateway.clock.now());
-    let connection = match pooled {
-        Some(connection) => connection,
-        None => Connection::open(address, CONNECT_TIMEOUT).await?,
-    };
+    let connection = acquire(gateway, server).await?;
     let mut head = RequestHead::default();
     head.method = Method::DELETE;
     head.uri = Uri::try_from(path).map_err(|error| CallError::NotSent(error.to_string().into()))?;
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -62,6 +62,8 @@
     pub record: ServerRecord,
     /// Requests of this instance that it runs.
     pub in_flight: u32,
+    /// Whether no connection could be opened lately; a probe finds out when one can.
+    pub is_unreachable: bool,
     failures_in_a_row: u32,
     avoided_until: Option<Instant>,
     full_until: Option<Instant>,
@@ -113,6 +115,7 @@
         let key = self.servers.insert(Server {
             record,
             in_flight: 0,
+            is_unreachable: false,
             failures_in_a_row: 0,
             avoided_until: None,
             full_until: None,
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -188,7 +188,8 @@
         let mut candidates = Vec::new();
         for (key, server) in directory.iter() {
             let record = &server.record;
-            if &*record.service != service || record.is_draining || tried.contains(&key) {
+            let is_usable = !record.is_draining && !server.is_unreachable;
+            if &*record.service != service || !is_usable || tried.contains(&key) {
                 continue;
             }
             candidates.push(Candidate {
@@ -232,6 +233,12 @@
         candidates
     }
 
+    /// Returns the identifier of a server for logs.
+    pub fn server_name(&self, server: ServerKey) -> Box<str> {
+        let directory = self.directory.borrow();
+        directory.get(server).map_or("gone".into(), |server| server.record.id.clone())
+    }
+
     /// Returns what the engines of a service have in common.
     pub fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
         self.routing.borrow().as_ref()?.services.get(service)?.engine
--- a/crates/magnoliaspar-gateway/src/place.rs
+++ b/crates/magnoliaspar-gateway/src/place.rs
@@ -122,6 +122,10 @@
     if decodes.is_empty() {
         return Err(NoPlan::NoEngine);
     }
+    // An engine that fails looks empty; it must not take what the others have no room for.
+    if decodes.iter().any(|candidate| !candidate.is_avoided) {
+        decodes.retain(|candidate| !candidate.is_avoided);
+    }
     decodes.retain(|candidate| Ledger::fits(candidate.fill));
     let decode = least(&decodes, rng, |candidate| {
         let distance = if candidate.is_local { 0.0 } else { ZONE_FILL };
--- a/crates/magnoliaspar-gateway/src/plain.rs
+++ b/crates/magnoliaspar-gateway/src/plain.rs
@@ -104,7 +104,7 @@
     patience: Duration,
 ) -> Result<Attempt, CallError> {
     let deadline = gateway.clock.now() + patience;
-    let mut reply = call(gateway, req, server, &CallSpec::default(), patience).await?;
+    let mut reply = call(gateway, req, server, &CallSpec::default(), patience, None).await?;
     let rest = deadline.saturating_duration_since(gateway.clock.now());
     let read = tokio::time::timeout(rest, reply.read_body(MAX_ANSWER)).await;
     let body = read.unwrap_or(Err(CallError::TimedOut)).inspect_err(|error| {
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use magnoliaspar_core::ServerKey;
 
 use crate::admission::{Placement, admit};
-use crate::call::{CallSpec, Incoming, Reply, call, keep_connection, release_kv_cache};
+use crate::call::{CallSpec, Incoming, Reply, acquire, call, keep_connection, release_kv_cache};
 use crate::events::EventBuffer;
 use crate::exchange::CallError;
 use crate::gateway::{Gateway, InFlight};
@@ -23,9 +23,9 @@
 /// goes on at another engine.
 const STALL_GAPS: u32 = 4;
 
-/// The share of the deadline within which a resumable stream must have its first event, or it is
-/// started at another engine.
-const FIRST_EVENT_SHARE: f64 = 0.25;
+/// The share of the latency target within which an engine must begin to answer for a resumable
+/// stream, or it is started at another one, which can then still be on time.
+const START_SHARE: f64 = 0.5;
 
 /// The longest time that the reading of a prompt by a prefill engine may take.
 const PREFILL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -63,7 +63,7 @@
 const MAX_FAILURE: usize = 1 << 20;
 
 /// How far the tries of a completion have come.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Progress {
     tried: Vec<ServerKey>,
     /// Arrivals at servers, those at which only the prompt was read excluded.
@@ -71,6 +71,9 @@
     /// Arrivals at which the prompt was to be read; the first is not charged.
     prefills: u32,
     runs: u32,
+    /// The KV cache of the prompt, until an engine has fetched it.
+    cache: Option<HeldCache>,
+    refusals_of_cache: u32,
 }
 
 impl Progress {
@@ -97,7 +100,7 @@
             }
             let can_go_on = may_repeat && self.runs + 1 < req.route.max_attempts;
             let patience = match can_go_on {
-                true => remaining.mul_f64(FIRST_EVENT_SHARE).max(req.route.target_latency),
+                true => req.route.target_latency.mul_f64(START_SHARE),
                 false => remaining,
             };
             let patience = patience.min(remaining);
@@ -138,28 +141,35 @@
         resume_after: Option<u64>,
         patience: Duration,
     ) -> Result<Reply, CallError> {
+        let decode = placement.plan.decode();
+        self.tried.push(decode);
+        // The connection comes first, so that no prompt is read for an engine that is gone.
+        let connection = acquire(gateway, decode).await?;
         let mut spec = CallSpec { resume_after, ..CallSpec::default() };
-        let decode = match placement.plan {
-            Plan::Decode(decode) => decode,
-            Plan::Split { prefill, decode } => {
-                // A second reading is charged as a retry, so a decode engine reads the prompt then.
-                if self.prefills == 0 {
-                    spec.kv_cache = self.prefill(gateway, req, prefill, patience).await;
+        if let Plan::Split { prefill, .. } = placement.plan {
+            // A second reading is charged as a retry, so a decode engine reads the prompt then.
+            if self.prefills == 0 {
+                self.cache = self.prefill(gateway, req, prefill, patience).await;
+            }
+            placement.prompt_read();
+        }
+        self.cache.take_if(|cache| !cache.is_kept(gateway.clock.now()));
+        spec.kv_cache = self.cache.as_ref().map(|cache| (cache.server, cache.handle.clone()));
+        let reply = call(gateway, req, decode, &spec, patience, Some(connection)).await;
+        match &reply {
+            // The cache is still there for another engine.
+            Err(CallError::NotSent(_)) => {}
+            Ok(reply) if reply.facts.is_not_run => self.refusals_of_cache += 1,
+            Ok(_) | Err(_) => {
+                if let Some(cache) = self.cache.take() {
+                    cache.taken();
                 }
-                placement.prompt_read();
-                decode
             }
-        };
-        self.tried.push(decode);
-        let handle = spec.kv_cache.clone();
-        let release = ReleaseGuard { gateway: gateway.clone(), handle };
-        let reply = call(gateway, req, decode, &spec, patience).await?;
-        if reply.facts.is_not_run {
-            // The cache may have been fetched or not; freeing it twice does no harm.
-            return Ok(reply);
         }
-        release.taken();
-        Ok(reply)
+        if self.refusals_of_cache > 1 {
+            self.cache = None;
+        }
+        reply
     }
 
     /// Has the prompt read; none if the decode engine has to read it itself.
@@ -169,10 +179,10 @@
         req: &Incoming,
         prefill: ServerKey,
         patience: Duration,
-    ) -> Option<(ServerKey, Box<str>)> {
+    ) -> Option<HeldCache> {
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
         let patience = patience.min(PREFILL_TIMEOUT);
-        let called = call(gateway, req, prefill, &spec, patience).await;
+        let called = call(gateway, req, prefill, &spec, patience, None).await;
         if !matches!(&called, Err(error) if error.is_never_sent()) {
             self.prefills += 1;
         }
@@ -194,26 +204,39 @@
         if prefilled.is_none() {
             log::warn!(request = &*req.facts.id; "prefill_unreadable");
         }
-        Some((prefill, prefilled?.handle))
+        let kept_until = gateway.clock.now() + CACHE_KEPT;
+        let handle = prefilled?.handle;
+        Some(HeldCache { gateway: gateway.clone(), server: prefill, handle, kept_until })
     }
 }
 
-/// Frees a KV cache unless it was taken, also when the caller leaves.
-struct ReleaseGuard {
+/// How long a KV cache is taken to be kept; engines keep it for half a second or more.
+const CACHE_KEPT: Duration = Duration::from_millis(450);
+
+/// A KV cache that a prefill engine keeps, and that is freed unless it is taken.
+struct HeldCache {
     gateway: Rc<Gateway>,
-    handle: Option<(ServerKey, Box<str>)>,
+    server: ServerKey,
+    handle: Box<str>,
+    kept_until: Instant,
 }
 
-impl ReleaseGuard {
+impl HeldCache {
+    fn is_kept(&self, now: Instant) -> bool {
+        now < self.kept_until
+    }
+
+    /// Takes in that a decode engine has fetched the cache.
     fn taken(mut self) {
-        self.handle = None;
+        self.handle = "".into();
     }
 }
 
-impl Drop for ReleaseGuard {
+impl Drop for HeldCache {
     fn drop(&mut self) {
-        let Some((server, handle)) = self.handle.take() else { return };
-        release_kv_cache(&self.gateway, server, &handle);
+        if !self.handle.is_empty() {
+            release_kv_cache(&self.gateway, self.server, &self.handle);
+        }
     }
 }
 
