Place waiting completions one at a time and give prompts time by their backlog

Change: an instance places one waiting completion at a time and hears of the others' bookings in between; a prompt has time by what is booked before it; a second reading by a prefill engine is paid from the retry budget; a silent stream asks whether its server still opens connections; calls that fail together count as one failure. Ruled out: one owner for each engine's memory, which would need another hop and a take-over when it dies.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -23,8 +23,15 @@
 /// Callers leave a stream whose first event has not come after four times the target.
 const LONGEST_WAIT_TARGETS: f64 = 3.3;
 
-/// The longest spread of instances that try for the same freed memory.
-const DISPATCH_JITTER: Duration = Duration::from_millis(3);
+/// How much each live instance adds to the time over which instances spread their tries for freed
+/// memory; about the time that a booking takes to reach the others.
+const DISPATCH_SPREAD: Duration = Duration::from_millis(3);
+
+/// How much later than expected a prompt may be read before its engine counts as failed.
+const PREFILL_CAUTION: f64 = 2.5;
+
+/// The least time that a prefill engine has for a prompt.
+const MIN_PREFILL_TIME: Duration = Duration::from_millis(300);
 
 /// A completion that may start, and its booking.
 pub struct Placement {
@@ -32,6 +39,8 @@
     id: BookingId,
     /// Which engines run it.
     pub plan: Plan,
+    /// How long the prefill engine may take.
+    pub prefill_patience: Duration,
 }
 
 impl Placement {
@@ -165,42 +174,47 @@
     }
 }
 
-/// Tries to place those that wait, a moment later, so that instances do not all try at once.
+/// Tries to place one that waits, a moment later, and goes on for as long as there is room.
+///
+/// Instances that all filled the same engine at once would book it several times over, so each
+/// places one at a time and hears of the others' bookings in between.
 pub fn dispatch_soon(gateway: Rc<Gateway>) {
     if gateway.waiting.is_empty() || gateway.is_dispatching.replace(true) {
         return;
     }
     actix_rt::spawn(async move {
-        let jitter = match gateway.live_instances() {
-            1 => Duration::ZERO,
-            _ => DISPATCH_JITTER.mul_f64(gateway.draw()),
-        };
-        tokio::time::sleep(jitter).await;
+        loop {
+            let others = gateway.live_instances() - 1;
+            let spread = DISPATCH_SPREAD * u32::try_from(others).unwrap_or(u32::MAX);
+            tokio::time::sleep(spread.mul_f64(gateway.draw())).await;
+            if !dispatch_one(&gateway) {
+                break;
+            }
+        }
         gateway.is_dispatching.set(false);
-        dispatch(&gateway);
     });
 }
 
-fn dispatch(gateway: &Rc<Gateway>) {
-    loop {
-        let Some(id) = gateway.waiting.first(gateway.clock.now()) else { return };
-        let (req, tried) = {
-            let waiters = gateway.waiting.waiters.borrow();
-            let Some(waiter) = waiters.get(&id) else { return };
-            (waiter.req.clone(), waiter.tried.clone())
-        };
-        let placed = match place(gateway, &req, &tried) {
-            Ok(placement) => Ok(placement),
-            Err(NoPlan::NoRoom) => return,
-            Err(NoPlan::NoEngine) => Err(Refusal::NoServer),
-        };
-        let waiter = gateway.waiting.waiters.borrow_mut().remove(&id);
-        let Some(waiter) = waiter else { return };
-        let waited_ms = (gateway.clock.now() - req.received).as_millis() as u64;
-        log::info!(request = &*req.facts.id, waited_ms; "admitted_after_wait");
-        // A caller that has just left drops the placement, which frees its booking.
-        drop(waiter.placed.send(placed));
-    }
+/// Places the one that goes first; returns whether another one could be tried.
+fn dispatch_one(gateway: &Rc<Gateway>) -> bool {
+    let Some(id) = gateway.waiting.first(gateway.clock.now()) else { return false };
+    let (req, tried) = {
+        let waiters = gateway.waiting.waiters.borrow();
+        let Some(waiter) = waiters.get(&id) else { return false };
+        (waiter.req.clone(), waiter.tried.clone())
+    };
+    let placed = match place(gateway, &req, &tried) {
+        Ok(placement) => Ok(placement),
+        Err(NoPlan::NoRoom) => return false,
+        Err(NoPlan::NoEngine) => Err(Refusal::NoServer),
+    };
+    let waiter = gateway.waiting.waiters.borrow_mut().remove(&id);
+    let Some(waiter) = waiter else { return false };
+    let waited_ms = (gateway.clock.now() - req.received).as_millis() as u64;
+    log::info!(request = &*req.facts.id, waited_ms; "admitted_after_wait");
+    // A caller that has just left drops the placement, which frees its booking.
+    drop(waiter.placed.send(placed));
+    true
 }
 
 fn place(gateway: &Rc<Gateway>, req: &Incoming, tried: &[ServerKey]) -> Result<Placement, NoPlan> {
@@ -244,5 +258,7 @@
     gateway.tell_peers(News::Booked(id, BookingEntry::new(&booking, now)));
     let instance = gateway.settings().instance.clone();
     gateway.ledger.borrow_mut().book(&instance, id, booking);
-    Ok(Placement { gateway: gateway.clone(), id, plan })
+    let reading = (unread + req.facts.prompt_tokens) as f64 / DEFAULT_READING_SPEED / 1_000.0;
+    let prefill_patience = MIN_PREFILL_TIME + Duration::from_secs_f64(reading * PREFILL_CAUTION);
+    Ok(Placement { gateway: gateway.clone(), id, plan, prefill_patience })
 }
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -172,6 +172,25 @@
     opened
 }
 
+/// Whether a new connection to a server opens, which is kept; if not, the server goes out of use.
+pub async fn opens(gateway: &Rc<Gateway>, server: ServerKey) -> bool {
+    let Some(address) = gateway.directory.borrow().get(server).map(|it| it.record.address) else {
+        return false;
+    };
+    gateway.metrics.connections.inc();
+    match Connection::open(address, CONNECT_TIMEOUT).await {
+        Ok(connection) => {
+            gateway.pool.borrow_mut().put(server, connection, gateway.clock.now(), None);
+            true
+        }
+        Err(error) => {
+            log::info!(server = gateway.server_name(server), reason:% = error; "server_lost");
+            probe(gateway, server);
+            false
+        }
+    }
+}
+
 /// Keeps a server out of use until a connection to it can be opened.
 pub fn probe(gateway: &Rc<Gateway>, server: ServerKey) {
     {
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -175,6 +175,12 @@
     /// Takes in that a call to a server failed; returns how long the server is avoided.
     pub fn failed(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
         let server = self.servers.get_mut(key)?;
+        // Calls that were under way together fail together, which is one failure.
+        if let Some(until) = server.avoided_until
+            && now < until
+        {
+            return Some(until - now);
+        }
         let doublings = server.failures_in_a_row.min(8);
         server.failures_in_a_row += 1;
         let avoidance = FIRST_AVOIDANCE.saturating_mul(1 << doublings).min(LONGEST_AVOIDANCE);
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -11,7 +11,9 @@
 use magnoliaspar_core::ServerKey;
 
 use crate::admission::{Placement, admit};
-use crate::call::{CallSpec, Incoming, Reply, acquire, call, keep_connection, release_kv_cache};
+use crate::call::{
+    CallSpec, Incoming, Reply, acquire, call, keep_connection, opens, release_kv_cache,
+};
 use crate::events::EventBuffer;
 use crate::exchange::CallError;
 use crate::gateway::{Gateway, InFlight};
@@ -27,9 +29,6 @@
 /// stream, or it is started at another one, which can then still be on time.
 const START_SHARE: f64 = 0.5;
 
-/// The longest time that the reading of a prompt by a prefill engine may take.
-const PREFILL_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Runs a completion and returns its stream once its engine has begun to answer.
 pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>, guard: InFlight) -> Ended {
     let mut progress = Progress::default();
@@ -147,8 +146,11 @@
         let connection = acquire(gateway, decode).await?;
         let mut spec = CallSpec { resume_after, ..CallSpec::default() };
         if let Plan::Split { prefill, .. } = placement.plan {
-            // A second reading is charged as a retry, so a decode engine reads the prompt then.
-            if self.prefills == 0 {
+            // A second reading is charged as a retry; a decode engine can read the prompt instead.
+            let now = gateway.clock.now();
+            let is_needed = self.cache.as_ref().is_none_or(|cache| !cache.is_kept(now));
+            if is_needed && (self.prefills == 0 || gateway.take_budget(&req.service)) {
+                let patience = placement.prefill_patience.min(req.remaining(now));
                 self.cache = self.prefill(gateway, req, prefill, patience).await;
             }
             placement.prompt_read();
@@ -181,7 +183,6 @@
         patience: Duration,
     ) -> Option<HeldCache> {
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
-        let patience = patience.min(PREFILL_TIMEOUT);
         let called = call(gateway, req, prefill, &spec, patience, None).await;
         if !matches!(&called, Err(error) if error.is_never_sent()) {
             self.prefills += 1;
@@ -276,23 +277,44 @@
 
     /// Returns the next whole events, or none after the last one.
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let mut silent_since = self.gateway.clock.now();
         loop {
             let Some((reply, _)) = &mut self.current else { return Ok(None) };
             let now = self.gateway.clock.now();
-            let limit = stall_limit(&self.req, &self.progress);
-            let limit = limit.min(self.req.remaining(now));
+            let limit = self.req.route.max_gap.min(self.req.remaining(now));
             let error = match tokio::time::timeout(limit, reply.body.chunk()).await {
                 Ok(Ok(Some(chunk))) => {
+                    silent_since = self.gateway.clock.now();
                     let Some(events) = self.events.push(&chunk) else { continue };
                     self.took_events();
                     return Ok(Some(events));
                 }
                 Ok(Ok(None)) => return Ok(self.finish(now)),
                 Ok(Err(error)) => error,
-                Err(_) => CallError::TimedOut,
+                Err(_) if self.is_given_up(silent_since).await => CallError::TimedOut,
+                Err(_) => continue,
             };
             self.resume(error).await?;
+            silent_since = self.gateway.clock.now();
+        }
+    }
+
+    /// Whether a silent stream has reached its deadline or has to go on elsewhere.
+    async fn is_given_up(&self, silent_since: Instant) -> bool {
+        let now = self.gateway.clock.now();
+        if self.req.remaining(now).is_zero() {
+            return true;
+        }
+        let route = &self.req.route;
+        if !route.kind.may_repeat() || self.progress.runs >= route.max_attempts {
+            return false;
         }
+        let limit = (route.max_gap * STALL_GAPS).max(route.target_latency);
+        if now - silent_since >= limit {
+            return true;
+        }
+        let Some((reply, _)) = &self.current else { return false };
+        is_lost(&self.gateway, reply.lease.server).await
     }
 
     /// Takes in that events came, and measures how fast the engine produces tokens.
@@ -372,11 +394,11 @@
     }
 }
 
-/// Returns how long the stream may be silent before it goes on elsewhere.
-fn stall_limit(req: &Incoming, progress: &Progress) -> Duration {
-    let can_go_on = req.route.kind.may_repeat() && progress.runs < req.route.max_attempts;
-    match can_go_on {
-        true => (req.route.max_gap * STALL_GAPS).max(req.route.target_latency),
-        false => Duration::MAX,
-    }
+/// Whether a silent server is gone, or no connection to it opens.
+async fn is_lost(gateway: &Rc<Gateway>, server: ServerKey) -> bool {
+    let is_known_lost = {
+        let directory = gateway.directory.borrow();
+        directory.get(server).is_none_or(|server| server.is_unreachable)
+    };
+    is_known_lost || !opens(gateway, server).await
 }
