--- a/crates/magnoliaspar-cli/src/gateway.rs
+++ b/crates/magnoliaspar-cli/src/gateway.rs
@@ -3,7 +3,8 @@
 
 use magnoliaspar_adapter::{PlatformHeaders, feeds};
 use magnoliaspar_core::{Finding, SystemClock};
-use magnoliaspar_gateway::{Gateway, GatewaySettings, Reload};
+use magnoliaspar_gateway::{Gateway, GatewaySettings, Instance, Reload, stop_signal};
+use magnoliaspar_http::ServerError;
 use magnoliaspar_json::Source;
 
 use crate::args::GatewayArgs;
@@ -25,7 +26,10 @@
     let reload = reload(file.clone(), text.into());
     block_on(async {
         let gateway = Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders));
-        magnoliaspar_gateway::run(gateway, feeds, reload).await
+        let instance = Instance::bind(gateway.clone()).await?;
+        let stop = stop_signal(gateway, reload.clone());
+        instance.run(feeds, reload, stop).await;
+        Ok::<_, ServerError>(())
     })
     .map_err(|err| Failure::Incomplete(err.to_string().into()))
 }
--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -1,31 +1,32 @@
-//! Admits completions where engine memory is free, and keeps the others waiting.
+//! Asks the home of completions for engines, and waits for them.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 
 use crate::call::Incoming;
 use crate::gateway::Gateway;
+use crate::home::{Grant, START_TIME, Verdict, Want, decide};
 use crate::ledger::{Booking, BookingId};
-use crate::peers::{BookingEntry, News};
-use crate::place::{DEFAULT_READING_SPEED, NoPlan, Plan, Prompt, choose_engines};
+use crate::peers::{BookingEntry, Home, News};
+use crate::place::{DEFAULT_READING_SPEED, Plan};
 use crate::refusal::Refusal;
 
-/// How long the first event takes once a completion is admitted, until it is measured.
-const START_TIME: Duration = Duration::from_millis(250);
-
 /// The longest wait of a completion, as a multiple of its latency target.
 ///
 /// Callers leave a stream whose first event has not come after four times the target.
 const LONGEST_WAIT_TARGETS: f64 = 3.3;
 
-/// How much each live instance adds to the time over which instances spread their tries for freed
-/// memory; about the time that a booking takes to reach the others.
-const DISPATCH_SPREAD: Duration = Duration::from_millis(3);
+/// How long the home may take to answer; some ten times the way there and back.
+const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// How often a home is asked that does not answer, before the next one is.
+const ASK_TRIES: u32 = 2;
+
+/// How often a home is asked again that has said that the completion waits.
+const REASK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How much later than expected a prompt may be read before its engine counts as failed.
 const PREFILL_CAUTION: f64 = 2.5;
@@ -46,219 +47,192 @@
 impl Placement {
     /// Takes in that the prompt was read.
     pub fn prompt_read(&self) {
-        let now = self.gateway.clock.now();
-        let instance = self.gateway.settings().instance.clone();
-        self.gateway.ledger.borrow_mut().prompt_read(&instance, self.id, now);
-        self.gateway.tell_peers(News::PromptRead(self.id));
+        self.gateway.tell_homes(News::PromptRead(self.id));
     }
 }
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        let now = self.gateway.clock.now();
-        let instance = self.gateway.settings().instance.clone();
-        self.gateway.ledger.borrow_mut().free(&instance, self.id, now);
-        self.gateway.tell_peers(News::Freed(self.id));
-        self.gateway.memory_freed();
+        self.gateway.tell_homes(News::Freed(self.id));
     }
 }
 
-/// Completions that wait for engine memory.
-#[derive(Default)]
-pub struct Waiting {
-    waiters: RefCell<BTreeMap<u64, Waiter>>,
-    next: RefCell<u64>,
-}
-
-struct Waiter {
-    req: Rc<Incoming>,
-    tried: Vec<ServerKey>,
-    is_resumption: bool,
-    placed: oneshot::Sender<Result<Placement, Refusal>>,
-}
-
-impl Waiting {
-    /// Returns the number of completions that wait.
-    pub fn len(&self) -> usize {
-        self.waiters.borrow().len()
-    }
-
-    /// Whether none waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiters.borrow().is_empty()
-    }
-
-    fn add(&self, waiter: Waiter) -> u64 {
-        let mut next = self.next.borrow_mut();
-        *next += 1;
-        self.waiters.borrow_mut().insert(*next, waiter);
-        *next
-    }
-
-    /// Returns who goes first: resumptions, then the newest that can still be on time, then the
-    /// oldest of the others.
-    ///
-    /// Answers bursts: served in order of arrival, all would wait until none is on time.
-    fn first(&self, now: Instant) -> Option<u64> {
-        let waiters = self.waiters.borrow();
-        let mut best: Option<((u8, i128), u64)> = None;
-        for (id, waiter) in waiters.iter() {
-            if waiter.placed.is_closed() {
-                continue;
-            }
-            let rank = rank(waiter, now);
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, *id));
-            }
-        }
-        best.map(|(_, id)| id)
-    }
-}
-
-fn rank(waiter: &Waiter, now: Instant) -> (u8, i128) {
-    let waited = now.saturating_duration_since(waiter.req.received);
-    let waited_us = waited.as_micros() as i128;
-    if waiter.is_resumption {
-        return (0, -waited_us);
-    }
-    match waited + START_TIME <= waiter.req.route.target_latency {
-        true => (1, waited_us),
-        false => (2, -waited_us),
-    }
-}
-
-/// Books engines for a completion, and waits for memory if there is none.
+/// Gets engines for a completion, and waits for memory if there is none.
 pub async fn admit(
     gateway: &Rc<Gateway>,
-    req: &Rc<Incoming>,
+    req: &Incoming,
     tried: &[ServerKey],
     is_resumption: bool,
 ) -> Result<Placement, Refusal> {
-    match place(gateway, req, tried) {
-        Ok(placement) => return Ok(placement),
-        Err(NoPlan::NoEngine) => return Err(Refusal::NoServer),
-        Err(NoPlan::NoRoom) => {}
-    }
-    let now = gateway.clock.now();
     let longest = req.route.target_latency.mul_f64(LONGEST_WAIT_TARGETS);
-    let limit = (req.received + longest).min(req.deadline).saturating_duration_since(now);
-    let waiting = gateway.waiting.len();
-    let rate = gateway.ledger.borrow().freeing_rate(now) / gateway.live_instances() as f64;
-    let is_hopeless = waiting as f64 > rate * limit.as_secs_f64();
+    let start = if is_resumption { gateway.clock.now() } else { req.received };
+    let until = (start + longest).min(req.deadline);
+    let mut ask = Ask::new(gateway, req, tried, is_resumption, until);
+    let verdict = ask.wait_for_verdict().await;
     let request = &*req.facts.id;
-    let wait_limit_ms = limit.as_millis() as u64;
-    if is_hopeless && !is_resumption {
-        log::info!(request, waiting, rate, wait_limit_ms; "not_admitted");
-        return Err(Refusal::NoCapacity);
-    }
-    log::info!(request, waiting, rate, wait_limit_ms; "waits_for_memory");
-    let (tx, rx) = oneshot::channel();
-    let waiter = Waiter { req: req.clone(), tried: tried.to_vec(), is_resumption, placed: tx };
-    let id = gateway.waiting.add(waiter);
-    let _guard = WaiterGuard { gateway: gateway.clone(), id };
-    match tokio::time::timeout(limit, rx).await {
-        Ok(Ok(placed)) => placed,
-        Ok(Err(_)) | Err(_) => Err(Refusal::NoCapacity),
+    let home = ask.home.as_ref().map_or("self", |home| &*home.instance);
+    let waited_ms = (gateway.clock.now() - req.received).as_millis() as u64;
+    match verdict {
+        Some(Verdict::Granted(grant)) => {
+            let Grant { decode, prefill, tokens_ahead } = &grant;
+            log::info!(request, home, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead; "placed");
+            ask.accept(grant, req)
+        }
+        Some(Verdict::NoEngine) => {
+            log::info!(request, home, waited_ms, reason = "no engine"; "not_placed");
+            Err(Refusal::NoServer)
+        }
+        Some(Verdict::Queued | Verdict::Hopeless) => {
+            log::info!(request, home, waited_ms, reason = "too many wait"; "not_placed");
+            Err(Refusal::NoCapacity)
+        }
+        None => {
+            log::info!(request, home, waited_ms, reason = "no memory in time"; "not_placed");
+            Err(Refusal::NoCapacity)
+        }
     }
 }
 
-/// Removes a waiter also when its caller leaves.
-struct WaiterGuard {
-    gateway: Rc<Gateway>,
-    id: u64,
+/// A question to the home, which is withdrawn unless it leads to a placement.
+struct Ask<'a> {
+    gateway: &'a Rc<Gateway>,
+    id: BookingId,
+    want: Want,
+    received: Instant,
+    until: Instant,
+    /// The home that was asked last; none for this instance.
+    home: Option<Home>,
+    verdicts: mpsc::UnboundedReceiver<Verdict>,
+    is_accepted: bool,
 }
 
-impl Drop for WaiterGuard {
-    fn drop(&mut self) {
-        self.gateway.waiting.waiters.borrow_mut().remove(&self.id);
+impl<'a> Ask<'a> {
+    fn new(
+        gateway: &'a Rc<Gateway>,
+        req: &Incoming,
+        tried: &[ServerKey],
+        is_resumption: bool,
+        until: Instant,
+    ) -> Self {
+        let id = gateway.next_booking();
+        let (tx, verdicts) = mpsc::unbounded_channel();
+        gateway.asks.borrow_mut().insert(id, tx);
+        let want = Want {
+            service: req.service.clone(),
+            zone: gateway.settings().zone.clone(),
+            prompt_tokens: req.facts.prompt_tokens,
+            expected_tokens: req.facts.expected_tokens,
+            most_tokens: req.facts.most_tokens,
+            is_resumption,
+            waited_ms: 0,
+            target_ms: req.route.target_latency.as_millis() as u64,
+            limit_ms: 0,
+            excluded: gateway.unusable(&req.service, tried),
+        };
+        let received = req.received;
+        Self { gateway, id, want, received, until, home: None, verdicts, is_accepted: false }
     }
-}
 
-/// Tries to place one that waits, a moment later, and goes on for as long as there is room.
-///
-/// Instances that all filled the same engine at once would book it several times over, so each
-/// places one at a time and hears of the others' bookings in between.
-pub fn dispatch_soon(gateway: Rc<Gateway>) {
-    if gateway.waiting.is_empty() || gateway.is_dispatching.replace(true) {
-        return;
+    /// Asks homes until one has decided; none if the time is up.
+    async fn wait_for_verdict(&mut self) -> Option<Verdict> {
+        let mut tries = 0;
+        let mut is_queued = false;
+        loop {
+            let now = self.gateway.clock.now();
+            if now >= self.until {
+                return None;
+            }
+            self.want.waited_ms = (now - self.received).as_millis() as u64;
+            self.want.limit_ms = (self.until - now).as_millis() as u64;
+            self.send();
+            let patience = if is_queued { REASK_INTERVAL } else { ASK_TIMEOUT };
+            match self.wait_for_answer(patience.min(self.until - now), &mut is_queued).await {
+                Some(verdict) => return Some(verdict),
+                None if is_queued => tries = 0,
+                None => tries += 1,
+            }
+            if tries < ASK_TRIES {
+                continue;
+            }
+            if let Some(home) = &self.home {
+                log::info!(home = &*home.instance, id = self.id; "home_silent");
+                self.gateway.suspect_home(&home.instance);
+            }
+            tries = 0;
+        }
     }
-    actix_rt::spawn(async move {
+
+    /// Waits for a decision; that the completion waits is noted.
+    async fn wait_for_answer(
+        &mut self,
+        patience: Duration,
+        is_queued: &mut bool,
+    ) -> Option<Verdict> {
+        *is_queued = false;
+        let mut rest = patience;
         loop {
-            let others = gateway.live_instances() - 1;
-            let spread = DISPATCH_SPREAD * u32::try_from(others).unwrap_or(u32::MAX);
-            tokio::time::sleep(spread.mul_f64(gateway.draw())).await;
-            if !dispatch_one(&gateway) {
-                break;
+            match tokio::time::timeout(rest, self.verdicts.recv()).await {
+                Ok(Some(Verdict::Queued)) => {
+                    *is_queued = true;
+                    rest = REASK_INTERVAL.min(self.until - self.gateway.clock.now());
+                }
+                Ok(verdict) => return verdict,
+                Err(_) => return None,
             }
         }
-        gateway.is_dispatching.set(false);
-    });
-}
+    }
 
-/// Places the one that goes first; returns whether another one could be tried.
-fn dispatch_one(gateway: &Rc<Gateway>) -> bool {
-    let Some(id) = gateway.waiting.first(gateway.clock.now()) else { return false };
-    let (req, tried) = {
-        let waiters = gateway.waiting.waiters.borrow();
-        let Some(waiter) = waiters.get(&id) else { return false };
-        (waiter.req.clone(), waiter.tried.clone())
-    };
-    let placed = match place(gateway, &req, &tried) {
-        Ok(placement) => Ok(placement),
-        Err(NoPlan::NoRoom) => return false,
-        Err(NoPlan::NoEngine) => Err(Refusal::NoServer),
-    };
-    let waiter = gateway.waiting.waiters.borrow_mut().remove(&id);
-    let Some(waiter) = waiter else { return false };
-    let waited_ms = (gateway.clock.now() - req.received).as_millis() as u64;
-    log::info!(request = &*req.facts.id, waited_ms; "admitted_after_wait");
-    // A caller that has just left drops the placement, which frees its booking.
-    drop(waiter.placed.send(placed));
-    true
-}
+    fn send(&mut self) {
+        self.home = self.gateway.home();
+        match &self.home {
+            Some(home) => {
+                let news = News::Ask(self.id, Box::new(self.want.clone()));
+                self.gateway.tell(home.address, news);
+            }
+            None => {
+                let instance = self.gateway.settings().instance.clone();
+                let verdict = decide(self.gateway, &instance, self.id, self.want.clone());
+                self.gateway.answer_ask(&instance, self.id, verdict);
+            }
+        }
+    }
 
-fn place(gateway: &Rc<Gateway>, req: &Incoming, tried: &[ServerKey]) -> Result<Placement, NoPlan> {
-    let now = gateway.clock.now();
-    let candidates = gateway.engines(&req.service, tried, &req.facts);
-    let prompt = Prompt {
-        tokens: req.facts.prompt_tokens,
-        target: req.route.target_latency,
-        reading_speed: DEFAULT_READING_SPEED,
-    };
-    let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng))?;
-    let (decode, prefill) = {
-        let directory = gateway.directory.borrow();
-        let id = |key| directory.get(key).map(|server| server.record.id.clone());
-        let prefill = match plan {
-            Plan::Split { prefill, .. } => id(prefill),
-            Plan::Decode(_) => None,
+    fn accept(&mut self, grant: Grant, req: &Incoming) -> Result<Placement, Refusal> {
+        let now = self.gateway.clock.now();
+        let directory = self.gateway.directory.borrow();
+        let decode = directory.key(&grant.decode).ok_or(Refusal::NoServer)?;
+        let prefill = grant.prefill.as_ref().and_then(|prefill| directory.key(prefill));
+        let plan = match prefill {
+            Some(prefill) => Plan::Split { prefill, decode },
+            None => Plan::Decode(decode),
         };
-        (id(plan.decode()).ok_or(NoPlan::NoEngine)?, prefill)
-    };
-    let mut fill = 0.0;
-    let mut unread = 0;
-    for candidate in &candidates {
-        if candidate.key == plan.decode() {
-            fill = candidate.fill;
-        }
-        if matches!(plan, Plan::Split { prefill, .. } if prefill == candidate.key) {
-            unread = candidate.unread_tokens;
+        let booking = Booking {
+            decode: grant.decode,
+            prefill: grant.prefill,
+            prompt_tokens: req.facts.prompt_tokens,
+            expected_tokens: req.facts.expected_tokens,
+            most_tokens: req.facts.most_tokens,
+            starts_at: now + START_TIME,
+            booked_at: now,
+        };
+        let news = News::Booked(self.id, BookingEntry::new(&booking, now));
+        let instance = self.gateway.settings().instance.clone();
+        self.gateway.ledger.borrow_mut().book(&instance, self.id, booking);
+        self.gateway.tell_other_homes(news, self.home.as_ref());
+        self.is_accepted = true;
+        let tokens = grant.tokens_ahead + req.facts.prompt_tokens;
+        let reading = Duration::from_secs_f64(tokens as f64 / DEFAULT_READING_SPEED / 1_000.0);
+        let prefill_patience = MIN_PREFILL_TIME + reading.mul_f64(PREFILL_CAUTION);
+        Ok(Placement { gateway: self.gateway.clone(), id: self.id, plan, prefill_patience })
+    }
+}
+
+impl Drop for Ask<'_> {
+    fn drop(&mut self) {
+        self.gateway.asks.borrow_mut().remove(&self.id);
+        if !self.is_accepted {
+            // The caller may have left while the home decided.
+            self.gateway.tell_homes(News::Freed(self.id));
         }
     }
-    log::info!(request = &*req.facts.id, decode = &*decode, prefill:? = prefill, fill, unread, candidates = candidates.len(), instances = gateway.live_instances(); "placed");
-    let booking = Booking {
-        decode,
-        prefill,
-        prompt_tokens: req.facts.prompt_tokens,
-        expected_tokens: req.facts.expected_tokens,
-        most_tokens: req.facts.most_tokens,
-        starts_at: now + START_TIME,
-    };
-    let id = gateway.next_booking();
-    gateway.tell_peers(News::Booked(id, BookingEntry::new(&booking, now)));
-    let instance = gateway.settings().instance.clone();
-    gateway.ledger.borrow_mut().book(&instance, id, booking);
-    let reading = (unread + req.facts.prompt_tokens) as f64 / DEFAULT_READING_SPEED / 1_000.0;
-    let prefill_patience = MIN_PREFILL_TIME + Duration::from_secs_f64(reading * PREFILL_CAUTION);
-    Ok(Placement { gateway: gateway.clone(), id, plan, prefill_patience })
 }
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -139,6 +139,11 @@
         self.servers.get_mut(key)
     }
 
+    /// Returns the key of the server with an identifier.
+    pub fn key(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Returns the server with an identifier.
     pub fn find(&self, id: &str) -> Option<&Server> {
         self.servers.get(*self.by_id.get(id)?)
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -137,7 +137,7 @@
                 return Err(CallError::Garbled("answers of other requests".into()));
             }
             while rest.chunk().await?.is_some() {}
-            let Some(connection) = rest.into_connection() else {
+            let Some(connection) = rest.into_next_answer() else {
                 return Err(CallError::Broken("closed after the answer of another request".into()));
             };
             self = connection;
@@ -266,11 +266,15 @@
         }
     }
 
+    /// Returns the connection to read the next answer from, which may have come already.
+    fn into_next_answer(self) -> Option<Connection> {
+        let is_complete = matches!(self.framing, Framing::Complete);
+        (is_complete && self.is_reusable).then_some(self.connection)
+    }
+
     /// Returns the connection for another request, if the server keeps it.
     pub fn into_connection(self) -> Option<Connection> {
-        let is_complete = matches!(self.framing, Framing::Complete);
-        let is_clean = is_complete && self.is_reusable && self.connection.buf.is_empty();
-        is_clean.then_some(self.connection)
+        self.into_next_answer().filter(|connection| connection.buf.is_empty())
     }
 }
 
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -9,14 +10,15 @@
 use magnoliaspar_retry::RetryBudget;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::mpsc;
 
-use crate::admission::{Waiting, dispatch_soon};
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
 use crate::feed::{Batch, FeedError, Follower};
+use crate::home::{Queue, Verdict, Want, serve_queue, take_news};
 use crate::ledger::{BookingId, Ledger};
 use crate::metrics::Metrics;
-use crate::peers::{News, Peers};
+use crate::peers::{Home, News, Peers};
 use crate::place::Candidate;
 use crate::pool::Pool;
 use crate::route::{EngineSpec, Route, Routing, ServiceName};
@@ -52,10 +54,12 @@
     pub pool: RefCell<Pool>,
     /// The engine memory that all instances have booked.
     pub ledger: RefCell<Ledger>,
-    /// Completions that wait for engine memory.
-    pub waiting: Waiting,
-    /// Whether those that wait are about to be tried.
-    pub is_dispatching: Cell<bool>,
+    /// Completions of all instances that wait here for engine memory.
+    pub queue: Queue,
+    /// Questions of this instance to the home that are not decided.
+    pub asks: RefCell<BTreeMap<BookingId, mpsc::UnboundedSender<Verdict>>>,
+    /// Whether the instance has stopped.
+    pub is_stopped: Cell<bool>,
     peers: RefCell<Option<Rc<Peers>>>,
     next_booking: Cell<BookingId>,
     most_instances: Cell<usize>,
@@ -79,7 +83,6 @@
         dialect: Rc<dyn Dialect>,
     ) -> Rc<Self> {
         Rc::new_cyclic(|this| Self {
-            settings: RefCell::new(Rc::new(settings)),
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -94,13 +97,15 @@
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
             vanished: RefCell::default(),
-            ledger: RefCell::default(),
-            waiting: Waiting::default(),
-            is_dispatching: Cell::new(false),
+            ledger: RefCell::new(Ledger::new(settings.instance.clone())),
+            queue: Queue::default(),
+            asks: RefCell::default(),
+            is_stopped: Cell::new(false),
             peers: RefCell::default(),
             next_booking: Cell::new(0),
             most_instances: Cell::new(1),
             this: this.clone(),
+            settings: RefCell::new(Rc::new(settings)),
         })
     }
 
@@ -114,16 +119,74 @@
         self.peers.borrow().clone()
     }
 
-    /// Tells the other instances.
-    pub fn tell_peers(&self, news: News) {
-        if let Some(peers) = &*self.peers.borrow() {
-            peers.announce(news);
+    /// Tells one of the other instances.
+    pub fn tell(&self, to: SocketAddr, news: News) {
+        if let Some(peers) = self.peers() {
+            peers.tell(to, news);
+        }
+    }
+
+    /// Tells the homes of a completion of this instance, and takes it in here.
+    pub fn tell_homes(&self, news: News) {
+        let instance = self.settings().instance.clone();
+        self.tell_other_homes(news.clone(), None);
+        if let Some(this) = self.this.upgrade() {
+            take_news(&this, &instance, &news);
+        }
+    }
+
+    /// Tells the homes but one.
+    pub fn tell_other_homes(&self, news: News, except: Option<&Home>) {
+        if let Some(peers) = self.peers() {
+            peers.tell_homes(&news, except, self.clock.now());
+        }
+    }
+
+    /// Tells all instances that this one stops, or that it is gone.
+    pub fn tell_end(&self, is_gone: bool) {
+        if let Some(peers) = self.peers() {
+            peers.tell_end(is_gone, self.clock.now());
+        }
+    }
+
+    /// Returns the home of completions; none if it is this instance.
+    pub fn home(&self) -> Option<Home> {
+        self.peers()?.home(self.clock.now())
+    }
+
+    /// Passes a home over that does not answer.
+    pub fn suspect_home(&self, instance: &str) {
+        if let Some(peers) = self.peers() {
+            peers.suspect(instance, self.clock.now());
+        }
+    }
+
+    /// Takes in what the home decided; a decision that nobody waits for is given back.
+    pub fn take_verdict(&self, id: BookingId, verdict: Verdict) {
+        let is_grant = matches!(verdict, Verdict::Granted(_));
+        let asker = self.asks.borrow().get(&id).cloned();
+        let is_taken = asker.is_some_and(|asker| asker.send(verdict).is_ok());
+        let instance = self.settings().instance.clone();
+        let is_booked = self.ledger.borrow().booking(&instance, id).is_some();
+        if is_grant && !is_taken && !is_booked {
+            self.tell_homes(News::Freed(id));
+        }
+    }
+
+    /// Answers a question of an instance.
+    pub fn answer_ask(&self, instance: &str, id: BookingId, verdict: Verdict) {
+        if instance == &*self.settings().instance {
+            self.take_verdict(id, verdict);
+            return;
+        }
+        if let Some(peers) = self.peers() {
+            peers.tell_instance(instance, News::Verdict(id, verdict));
         }
     }
 
     /// Returns the number of instances that live, this one included.
     pub fn live_instances(&self) -> usize {
-        self.ledger.borrow().peers() + 1
+        self.peers.borrow().as_ref().map_or(0, |peers| peers.len()) + 1
     }
 
     /// Returns the number of a new booking.
@@ -135,7 +198,7 @@
     /// Takes in that engine memory became free somewhere.
     pub fn memory_freed(&self) {
         if let Some(this) = self.this.upgrade() {
-            dispatch_soon(this);
+            serve_queue(&this);
         }
     }
 
@@ -220,33 +283,46 @@
         candidates
     }
 
-    /// Returns the engines of a service that could take a completion, with what is booked there.
-    pub fn engines(
-        &self,
-        service: &str,
-        tried: &[ServerKey],
-        facts: &RequestFacts,
-    ) -> Vec<Candidate> {
+    /// Returns the engines that could run a completion, with what is booked there.
+    pub fn engines(&self, want: &Want) -> Vec<Candidate> {
         let now = self.clock.now();
-        let capacity = self.engine_spec(service).map_or(0, |engine| engine.kv_capacity);
-        let mut candidates = self.candidates(service, tried);
+        let capacity = self.engine_spec(&want.service).map_or(0, |engine| engine.kv_capacity);
+        let mut candidates = self.candidates(&want.service, &[]);
         let directory = self.directory.borrow();
         let ledger = self.ledger.borrow();
-        for candidate in &mut candidates {
-            let Some(server) = directory.get(candidate.key) else { continue };
+        candidates.retain_mut(|candidate| {
+            let Some(server) = directory.get(candidate.key) else { return false };
             let id = &server.record.id;
+            if want.excluded.contains(id) {
+                return false;
+            }
             let load = ledger.load(id);
+            candidate.is_local = server.record.zone == want.zone;
             candidate.in_flight = load.running;
             candidate.unread_tokens = load.unread_tokens;
             // An engine that runs nothing has to take what is larger than its memory, to refuse it.
             if candidate.role == Some(EngineRole::Decode) && load.running > 0 {
-                let (prompt, expected) = (facts.prompt_tokens, facts.expected_tokens);
+                let (prompt, expected) = (want.prompt_tokens, want.expected_tokens);
                 candidate.fill = ledger.predicted_fill(id, capacity, prompt, expected, now);
             }
-        }
+            true
+        });
         candidates
     }
 
+    /// Returns the servers of a service that this instance has tried or cannot reach.
+    pub fn unusable(&self, service: &str, tried: &[ServerKey]) -> Vec<Box<str>> {
+        let now = self.clock.now();
+        let mut unusable = Vec::new();
+        for (key, server) in self.directory.borrow().iter() {
+            let is_failing = server.is_unreachable || server.is_avoided(now);
+            if &*server.record.service == service && (is_failing || tried.contains(&key)) {
+                unusable.push(server.record.id.clone());
+            }
+        }
+        unusable
+    }
+
     /// Returns the identifier of a server for logs.
     pub fn server_name(&self, server: ServerKey) -> Box<str> {
         let directory = self.directory.borrow();
--- a/crates/magnoliaspar-gateway/src/ledger.rs
+++ b/crates/magnoliaspar-gateway/src/ledger.rs
@@ -6,7 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// How long the bookings of an instance hold that has not been heard of.
+/// How long a grant may be under way to the instance that asked for it.
+const GRANT_DELAY: Duration = Duration::from_millis(1_500);
+
+/// How long the bookings of an instance hold that has not told them.
 const PEER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// The part of the memory that bookings may fill; the rest covers lengths that are underestimated
@@ -54,13 +57,16 @@
     pub most_tokens: u64,
     /// When the first token is produced, or is expected to be.
     pub starts_at: Instant,
+    /// When it was booked, or heard of.
+    pub booked_at: Instant,
 }
 
 /// The bookings of all instances.
 #[derive(Debug)]
 pub struct Ledger {
     bookings: BTreeMap<(InstanceId, BookingId), Booking>,
-    heard: BTreeMap<InstanceId, Instant>,
+    told: BTreeMap<InstanceId, Instant>,
+    own: InstanceId,
     freed: Vec<Instant>,
     speed: f64,
 }
@@ -74,18 +80,18 @@
     pub unread_tokens: u64,
 }
 
-impl Default for Ledger {
-    fn default() -> Self {
+impl Ledger {
+    /// Creates a ledger without bookings for the instance `own`.
+    pub fn new(own: InstanceId) -> Self {
         Self {
             bookings: BTreeMap::new(),
-            heard: BTreeMap::new(),
+            told: BTreeMap::new(),
+            own,
             freed: Vec::new(),
             speed: DEFAULT_SPEED,
         }
     }
-}
 
-impl Ledger {
     /// Takes in a booking.
     pub fn book(&mut self, instance: &str, id: BookingId, booking: Booking) {
         self.bookings.insert((instance.into(), id), booking);
@@ -109,39 +115,33 @@
     }
 
     /// Takes in all bookings of another instance.
+    ///
+    /// One that was just granted stays, since the instance may not have heard of it yet.
     pub fn replace(&mut self, instance: &str, bookings: Vec<(BookingId, Booking)>, now: Instant) {
-        self.bookings.retain(|(owner, _), _| &**owner != instance);
+        let is_fresh =
+            |booking: &Booking| now.saturating_duration_since(booking.booked_at) < GRANT_DELAY;
+        self.bookings.retain(|(owner, _), booking| &**owner != instance || is_fresh(booking));
         for (id, booking) in bookings {
             self.book(instance, id, booking);
         }
-        self.heard_of(instance, now);
+        self.told.insert(instance.into(), now);
     }
 
-    /// Takes in that another instance lives; returns whether it is new.
-    pub fn heard_of(&mut self, instance: &str, now: Instant) -> bool {
-        self.heard.insert(instance.into(), now).is_none()
-    }
-
-    /// Forgets instances that have not been heard of, and returns them.
-    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
-        let mut gone = Vec::new();
-        self.heard.retain(|instance, heard| {
-            let is_live = now.saturating_duration_since(*heard) < PEER_TIMEOUT;
-            if !is_live {
-                gone.push(instance.clone());
-            }
-            is_live
+    /// Forgets the bookings of instances that have not told theirs for a while.
+    pub fn expire(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= PEER_TIMEOUT;
+        self.told.retain(|_, told| !is_old(*told));
+        let told = &self.told;
+        let own = &self.own;
+        self.bookings.retain(|(owner, _), booking| {
+            owner == own || told.contains_key(owner) || !is_old(booking.booked_at)
         });
-        for instance in &gone {
-            self.bookings.retain(|(owner, _), _| owner != instance);
-        }
         self.freed.retain(|freed| now.saturating_duration_since(*freed) < RATE_WINDOW);
-        gone
     }
 
-    /// Returns the number of other instances that live.
-    pub fn peers(&self) -> usize {
-        self.heard.len()
+    /// Returns a booking.
+    pub fn booking(&self, instance: &str, id: BookingId) -> Option<&Booking> {
+        self.bookings.get(&(instance.into(), id))
     }
 
     /// Iterates over the bookings of one instance.
@@ -168,6 +168,18 @@
         Duration::from_secs_f64(millis / 1_000.0)
     }
 
+    /// Returns how many completions a second the engines end, if they go on as they are booked.
+    ///
+    /// Each takes `start` until its first token.
+    pub fn turnover(&self, start: Duration) -> f64 {
+        let mut rate = 0.0;
+        for booking in self.bookings.values() {
+            let duration = start + self.expected_duration(booking.expected_tokens);
+            rate += 1.0 / duration.as_secs_f64();
+        }
+        rate
+    }
+
     /// Returns how many completions end in a second.
     pub fn freeing_rate(&self, now: Instant) -> f64 {
         let is_recent = |freed: &&Instant| now.saturating_duration_since(**freed) < RATE_WINDOW;
@@ -260,6 +272,7 @@
             expected_tokens: 3_540,
             most_tokens: 9_000,
             starts_at,
+            booked_at: starts_at,
         }
     }
 
@@ -276,7 +289,7 @@
     #[test]
     fn an_engine_is_full_before_its_requests_grow_over_its_memory() {
         let now = Instant::now();
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger::new("one".into());
         let mut admitted = 0;
         for id in 0..20 {
             let fill = ledger.predicted_fill("a", 73_808, 5_000, 3_540, now);
@@ -295,11 +308,12 @@
     #[test]
     fn bookings_of_an_instance_that_is_not_heard_of_lapse() {
         let now = Instant::now();
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger::new("one".into());
         ledger.replace("two", vec![(1, booking("a", now))], now);
         assert_eq!(ledger.load("a").running, 1);
-        assert!(ledger.expire(now + Duration::from_secs(2)).is_empty());
-        assert_eq!(ledger.expire(now + Duration::from_secs(4)), [Box::from("two")]);
+        ledger.expire(now + Duration::from_secs(2));
+        assert_eq!(ledger.load("a").running, 1);
+        ledger.expire(now + Duration::from_secs(4));
         assert_eq!(ledger.load("a").running, 0);
     }
 }
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -1,9 +1,10 @@
-//! What instances tell each other: that they live, and which engine memory they have booked.
+//! What instances tell each other, as datagrams.
 //!
-//! Messages are datagrams. Each change is told at once; all bookings are told again at an interval,
-//! which heals what was lost and serves as the heartbeat.
+//! Each instance tells the first few homes that it lives and what it has booked; they answer whom
+//! they have heard of. What an instance sends thus does not grow with the number of instances, and
+//! what a home receives grows evenly with it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,8 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::Gateway;
+use crate::home::{Verdict, Want, decide, serve_queue, take_news};
 use crate::ledger::{Booking, BookingId, InstanceId};
 
 /// How often an instance tells all its bookings.
@@ -21,15 +24,24 @@
 /// How often an instance also tells its seeds, which may have been restarted or cut off.
 const SEED_REFRESHES: u32 = 4;
 
-/// How long an instance is remembered that has not been heard of.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// How long an instance counts as alive that has not been heard of.
+const PEER_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// How long a home is passed over that did not answer.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// How long an instance has to run before it is a home: until all have told it their bookings.
+const SETTLING_TIME: Duration = Duration::from_millis(2_000);
+
+/// How many instances of all, and how many of the own availability zone, are told as homes.
+///
+/// Two successors are ready when the home dies, and one of the own zone when the zone is cut off.
+const HOMES: usize = 3;
+const ZONE_HOMES: usize = 2;
 
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// The most peers that are named in one message.
-const MAX_NAMED: usize = 200;
-
 /// What one instance tells another.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -46,23 +58,43 @@
 pub enum News {
     /// The sender lives, and these are all its bookings.
     State {
-        /// Where the sender hears its peers.
-        address: SocketAddr,
+        /// What it says of itself.
+        member: Member,
         /// Its bookings.
         bookings: Vec<(BookingId, BookingEntry)>,
-        /// Instances that it has heard of lately.
-        peers: Vec<(InstanceId, SocketAddr)>,
     },
-    /// A completion was booked.
+    /// Instances that the sender has heard of, itself included.
+    Members(Vec<Member>),
+    /// The sender asks for engines.
+    Ask(BookingId, Box<Want>),
+    /// The sender decided on a question of the receiver.
+    Verdict(BookingId, Verdict),
+    /// Another home has granted engines to the sender.
     Booked(BookingId, BookingEntry),
     /// The prompt of a completion was read.
     PromptRead(BookingId),
-    /// A completion has ended.
+    /// A completion has ended, or does not wait any more.
     Freed(BookingId),
     /// The sender stops.
     Leaving,
 }
 
+/// One instance as others tell of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Whether it has run long enough to be a home.
+    pub is_settled: bool,
+    /// How long ago it was heard of, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A booking as it is told.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -107,23 +139,39 @@
             expected_tokens: self.expected_tokens,
             most_tokens: self.most_tokens,
             starts_at,
+            booked_at: now,
         }
     }
 }
 
+/// An instance that decides on completions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Home {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+}
+
 /// The link to the other instances.
 pub struct Peers {
     socket: UdpSocket,
     address: SocketAddr,
     instance: InstanceId,
+    zone: Box<str>,
+    started: Instant,
+    is_ending: Cell<bool>,
     seeds: RefCell<Box<[SocketAddr]>>,
     known: RefCell<BTreeMap<InstanceId, Peer>>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    zone: Box<str>,
+    is_settled: bool,
     heard: Instant,
+    suspected_until: Option<Instant>,
 }
 
 impl Peers {
@@ -131,12 +179,24 @@
     pub async fn bind(
         address: SocketAddr,
         instance: InstanceId,
+        zone: Box<str>,
         seeds: Box<[SocketAddr]>,
+        now: Instant,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let address = socket.local_addr()?;
         let known = RefCell::default();
-        Ok(Self { socket, address, instance, seeds: RefCell::new(seeds), known })
+        let seeds = RefCell::new(seeds);
+        Ok(Self {
+            socket,
+            address,
+            instance,
+            zone,
+            started: now,
+            is_ending: Cell::new(false),
+            seeds,
+            known,
+        })
     }
 
     /// Returns the address on which the instance hears its peers.
@@ -149,8 +209,23 @@
         self.seeds.replace(seeds);
     }
 
-    /// Tells all known instances.
-    pub fn announce(&self, news: News) {
+    /// Returns the number of other instances that live.
+    pub fn len(&self) -> usize {
+        self.known.borrow().len()
+    }
+
+    /// Whether no other instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.borrow().is_empty()
+    }
+
+    /// Tells all instances that this one is no home any more, or that it is gone.
+    pub fn tell_end(&self, is_gone: bool, now: Instant) {
+        self.is_ending.set(true);
+        let news = match is_gone {
+            true => News::Leaving,
+            false => News::Members(vec![self.member(now)]),
+        };
         let message = Message { from: self.instance.clone(), news };
         let Some(bytes) = encode(&message) else { return };
         for peer in self.known.borrow().values() {
@@ -158,21 +233,113 @@
         }
     }
 
+    /// Tells one instance.
+    pub fn tell(&self, to: SocketAddr, news: News) {
+        let message = Message { from: self.instance.clone(), news };
+        if let Some(bytes) = encode(&message) {
+            self.send(to, &bytes);
+        }
+    }
+
+    /// Tells an instance by its name, if it is known.
+    pub fn tell_instance(&self, instance: &str, news: News) {
+        let address = self.known.borrow().get(instance).map(|peer| peer.address);
+        if let Some(address) = address {
+            self.tell(address, news);
+        }
+    }
+
+    /// Tells all homes but `except`.
+    pub fn tell_homes(&self, news: &News, except: Option<&Home>, now: Instant) {
+        let message = Message { from: self.instance.clone(), news: news.clone() };
+        let Some(bytes) = encode(&message) else { return };
+        for home in self.homes(now) {
+            if except.is_none_or(|except| except.instance != home.instance) {
+                self.send(home.address, &bytes);
+            }
+        }
+    }
+
+    /// Passes a home over for a while.
+    pub fn suspect(&self, instance: &str, now: Instant) {
+        if let Some(peer) = self.known.borrow_mut().get_mut(instance) {
+            peer.suspected_until = Some(now + SUSPICION);
+        }
+    }
+
+    /// Returns the home; none if it is this instance.
+    pub fn home(&self, now: Instant) -> Option<Home> {
+        self.ranked(now).into_iter().next()?.1
+    }
+
+    /// Returns the homes that are told of bookings, without this instance.
+    fn homes(&self, now: Instant) -> Vec<Home> {
+        let ranked = self.ranked(now);
+        let mut homes = Vec::new();
+        let mut of_zone = 0;
+        for (index, (zone, home)) in ranked.into_iter().enumerate() {
+            let is_near = zone == self.zone;
+            of_zone += usize::from(is_near);
+            if index >= HOMES && (!is_near || of_zone > ZONE_HOMES) {
+                continue;
+            }
+            homes.extend(home);
+        }
+        homes
+    }
+
+    /// Returns all instances in the order in which they are homes, each with its zone; this instance
+    /// has no address.
+    fn ranked(&self, now: Instant) -> Vec<(Box<str>, Option<Home>)> {
+        let known = self.known.borrow();
+        let mut ranked = Vec::new();
+        for (instance, peer) in known.iter() {
+            let is_suspected = peer.suspected_until.is_some_and(|until| now < until);
+            let home = Home { instance: instance.clone(), address: peer.address };
+            let order = (is_suspected, !peer.is_settled, xxh3_64(instance.as_bytes()));
+            ranked.push((order, (peer.zone.clone(), Some(home))));
+        }
+        let order = (false, !self.is_settled(now), xxh3_64(self.instance.as_bytes()));
+        ranked.push((order, (self.zone.clone(), None)));
+        ranked.sort_by_key(|(order, _)| *order);
+        ranked.into_iter().map(|(_, entry)| entry).collect()
+    }
+
+    fn is_settled(&self, now: Instant) -> bool {
+        let is_old = now.saturating_duration_since(self.started) >= SETTLING_TIME;
+        is_old && !self.is_ending.get()
+    }
+
     fn send(&self, to: SocketAddr, bytes: &[u8]) {
         if let Err(error) = self.socket.try_send_to(bytes, to) {
-            // The next refresh tells the same.
+            // What matters is told again at an interval.
             log::debug!(peer:% = to, reason:% = error; "peer_not_told");
         }
     }
 
+    fn member(&self, now: Instant) -> Member {
+        Member {
+            instance: self.instance.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            is_settled: self.is_settled(now),
+            age_ms: 0,
+        }
+    }
+
+    /// Tells the homes all bookings.
     fn refresh(&self, gateway: &Gateway, to_seeds: bool) {
         let now = gateway.clock.now();
-        let mut known = self.known.borrow_mut();
-        known.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGET_AFTER);
-        let message = Message { from: self.instance.clone(), news: self.state(gateway, &known) };
+        let mut bookings = Vec::new();
+        for (id, booking) in gateway.ledger.borrow().of_instance(&self.instance) {
+            bookings.push((id, BookingEntry::new(booking, now)));
+        }
+        let news = News::State { member: self.member(now), bookings };
+        let message = Message { from: self.instance.clone(), news };
         let Some(bytes) = encode(&message) else { return };
-        let mut addresses: Vec<SocketAddr> = known.values().map(|peer| peer.address).collect();
-        if to_seeds {
+        let mut addresses: Vec<SocketAddr> =
+            self.homes(now).into_iter().map(|home| home.address).collect();
+        if to_seeds || addresses.is_empty() {
             addresses.extend(self.seeds.borrow().iter());
         }
         addresses.sort_unstable();
@@ -184,61 +351,94 @@
         }
     }
 
-    fn state(&self, gateway: &Gateway, known: &BTreeMap<InstanceId, Peer>) -> News {
-        let now = gateway.clock.now();
-        let ledger = gateway.ledger.borrow();
-        let mut bookings = Vec::new();
-        for (id, booking) in ledger.of_instance(&self.instance) {
-            bookings.push((id, BookingEntry::new(booking, now)));
+    fn members(&self, now: Instant) -> Vec<Member> {
+        let mut members = vec![self.member(now)];
+        for (instance, peer) in self.known.borrow().iter() {
+            members.push(Member {
+                instance: instance.clone(),
+                address: peer.address,
+                zone: peer.zone.clone(),
+                is_settled: peer.is_settled,
+                age_ms: now.saturating_duration_since(peer.heard).as_millis() as u64,
+            });
         }
-        let mut peers = Vec::new();
-        for (instance, peer) in known.iter().take(MAX_NAMED) {
-            peers.push((instance.clone(), peer.address));
+        members
+    }
+
+    /// Takes in that an instance lives, as itself or another one says.
+    fn meet(&self, member: Member, now: Instant) {
+        let age = Duration::from_millis(member.age_ms);
+        if member.instance == self.instance || age >= PEER_TIMEOUT {
+            return;
+        }
+        let heard = now.checked_sub(age).unwrap_or(now);
+        let mut known = self.known.borrow_mut();
+        let Member { instance, address, zone, is_settled, .. } = member;
+        match known.get_mut(&instance) {
+            Some(peer) if heard >= peer.heard => {
+                *peer = Peer { address, zone, is_settled, heard, ..peer.clone() };
+            }
+            Some(_) => {}
+            None => {
+                log::info!(peer = &*instance, address:%, zone = &*zone; "peer_joined");
+                let peer = Peer { address, zone, is_settled, heard, suspected_until: None };
+                known.insert(instance, peer);
+            }
         }
-        News::State { address: self.address, bookings, peers }
     }
 
-    /// Takes in a message; returns whether the sender is to be told the state at once.
-    fn take(&self, gateway: &Gateway, message: Message) -> Option<SocketAddr> {
+    /// Forgets instances that have not been heard of, and returns them.
+    fn expire(&self, now: Instant) -> Vec<InstanceId> {
+        let mut gone = Vec::new();
+        self.known.borrow_mut().retain(|instance, peer| {
+            let is_live = now.saturating_duration_since(peer.heard) < PEER_TIMEOUT;
+            if !is_live {
+                gone.push(instance.clone());
+            }
+            is_live
+        });
+        gone
+    }
+
+    fn take(&self, gateway: &Rc<Gateway>, from: SocketAddr, message: Message) {
         if message.from == self.instance {
-            return None;
+            return;
         }
         let now = gateway.clock.now();
-        let from = message.from;
-        let mut answer_to = None;
+        let sender = message.from;
         match message.news {
-            News::State { address, bookings, peers } => {
+            News::State { member, bookings } => {
+                let address = member.address;
+                self.meet(member, now);
                 let mut entries = Vec::new();
                 for (id, entry) in bookings {
                     entries.push((id, entry.into_booking(now)));
                 }
-                gateway.ledger.borrow_mut().replace(&from, entries, now);
-                let mut known = self.known.borrow_mut();
-                let peer = Peer { address, heard: now };
-                if known.insert(from.clone(), peer).is_none() {
-                    log::info!(peer = &*from, address:%; "peer_joined");
-                    answer_to = Some(address);
+                gateway.ledger.borrow_mut().replace(&sender, entries, now);
+                self.tell(address, News::Members(self.members(now)));
+            }
+            News::Members(members) => {
+                for member in members {
+                    self.meet(member, now);
                 }
-                for (instance, address) in peers {
-                    if instance != self.instance {
-                        known.entry(instance).or_insert(Peer { address, heard: now });
-                    }
+                if let Some(peer) = self.known.borrow_mut().get_mut(&sender) {
+                    peer.suspected_until = None;
                 }
             }
-            News::Booked(id, entry) => {
-                gateway.ledger.borrow_mut().book(&from, id, entry.into_booking(now));
+            News::Ask(id, want) => {
+                let verdict = decide(gateway, &sender, id, *want);
+                self.tell(from, News::Verdict(id, verdict));
             }
-            News::PromptRead(id) => gateway.ledger.borrow_mut().prompt_read(&from, id, now),
-            News::Freed(id) => {
-                gateway.ledger.borrow_mut().free(&from, id, now);
-                gateway.memory_freed();
+            News::Verdict(id, verdict) => gateway.take_verdict(id, verdict),
+            News::Booked(id, entry) => {
+                gateway.ledger.borrow_mut().book(&sender, id, entry.into_booking(now));
             }
             News::Leaving => {
-                log::info!(peer = &*from; "peer_leaving");
-                self.known.borrow_mut().remove(&from);
+                log::info!(peer = &*sender; "peer_leaving");
+                self.known.borrow_mut().remove(&sender);
             }
+            news @ (News::PromptRead(_) | News::Freed(_)) => take_news(gateway, &sender, &news),
         }
-        answer_to
     }
 }
 
@@ -269,28 +469,29 @@
             }
         };
         match serde_json::from_slice(&buf[..length]) {
-            Ok(message) => {
-                if peers.take(&gateway, message).is_some() {
-                    peers.refresh(&gateway, false);
-                }
-            }
+            Ok(message) => peers.take(&gateway, from, message),
             Err(error) => log::warn!(peer:% = from, reason:% = error; "peer_message_unreadable"),
         }
     }
 }
 
-/// Tells peers the state at an interval, for as long as the process runs.
+/// Tells homes the state at an interval, for as long as the process runs.
 pub async fn heartbeat(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let mut interval = tokio::time::interval(REFRESH_INTERVAL);
     let mut round = 0_u32;
     loop {
         interval.tick().await;
+        if gateway.is_stopped.get() {
+            return;
+        }
         peers.refresh(&gateway, round.is_multiple_of(SEED_REFRESHES));
         round = round.wrapping_add(1);
-        let gone = gateway.ledger.borrow_mut().expire(gateway.clock.now());
-        for instance in gone {
+        let now = gateway.clock.now();
+        for instance in peers.expire(now) {
             log::info!(peer = &*instance; "peer_lost");
-            gateway.memory_freed();
+            gateway.queue.remove_instance(&instance);
         }
+        gateway.ledger.borrow_mut().expire(now);
+        serve_queue(&gateway);
     }
 }
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,9 +16,8 @@
 use crate::feed::{Feed, follow};
 use crate::front;
 use crate::gateway::{Gateway, RoutingFollower};
-use crate::peers::{self, News, Peers};
+use crate::peers::{self, Peers};
 use crate::route::{CallerLimits, Routing};
-use crate::settings::GatewaySettings;
 
 /// How often idle connections and vanished servers are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -48,56 +48,116 @@
 /// Reads the settings again; logs what it finds.
 pub type Reload = Rc<dyn Fn(&Gateway)>;
 
-/// Runs an instance until it is told to stop and its requests have ended.
-pub async fn run(gateway: Rc<Gateway>, feeds: Feeds, reload: Reload) -> Result<(), ServerError> {
-    let settings = gateway.settings();
-    let limits = Rc::new(Cell::new(connection_limits(&CallerLimits::default())));
-    let requests = Server::bind(settings.requests, request_handler(&gateway)).await?;
-    let requests = requests.with_limits(limits.clone());
-    let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
-    let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
-    let peers = bind_peers(&settings).await?;
-    gateway.set_peers(peers.clone());
-    let front_stop = requests.stop_handle();
-    actix_rt::spawn(requests.run());
-    actix_rt::spawn(readiness.run());
-    actix_rt::spawn(metrics.run());
-    let routing = Rc::new(RoutingFollower(gateway.clone()));
-    actix_rt::spawn(follow("configuration", feeds.routing, routing));
-    actix_rt::spawn(follow("servers", feeds.servers, gateway.clone()));
-    actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
-    actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
-    actix_rt::spawn(watch_hangup(gateway.clone(), reload.clone()));
-    let instance = &*settings.instance;
-    log::info!(instance, zone = &*settings.zone, requests:% = settings.requests; "started");
+/// One instance with its listeners.
+pub struct Instance {
+    gateway: Rc<Gateway>,
+    requests: Server,
+    readiness: Server,
+    metrics: Server,
+    peers: Rc<Peers>,
+    limits: Rc<Cell<ConnectionLimits>>,
+}
+
+/// Where an instance listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub requests: SocketAddr,
+    /// For the question whether it is ready.
+    pub readiness: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+    /// For the other instances.
+    pub peers: SocketAddr,
+}
+
+impl Instance {
+    /// Opens the listeners that the settings name; port 0 takes a free port.
+    pub async fn bind(gateway: Rc<Gateway>) -> Result<Self, ServerError> {
+        let settings = gateway.settings();
+        let limits = Rc::new(Cell::new(connection_limits(&CallerLimits::default())));
+        let requests = Server::bind(settings.requests, request_handler(&gateway)).await?;
+        let requests = requests.with_limits(limits.clone());
+        let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
+        let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
+        let peers = bind_peers(&gateway).await?;
+        gateway.set_peers(peers.clone());
+        Ok(Self { gateway, requests, readiness, metrics, peers, limits })
+    }
+
+    /// Returns where the instance listens.
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            requests: self.requests.address(),
+            readiness: self.readiness.address(),
+            metrics: self.metrics.address(),
+            peers: self.peers.address(),
+        }
+    }
+
+    /// Runs until `stop` is ready and the requests have ended.
+    pub async fn run(self, feeds: Feeds, reload: Reload, stop: impl Future<Output = ()>) {
+        let Self { gateway, requests, readiness, metrics, peers, limits } = self;
+        let settings = gateway.settings();
+        let instance = &*settings.instance;
+        log::info!(instance, zone = &*settings.zone, requests:% = requests.address(); "started");
+        let front_stop = requests.stop_handle();
+        actix_rt::spawn(requests.run());
+        actix_rt::spawn(readiness.run());
+        actix_rt::spawn(metrics.run());
+        let routing = Rc::new(RoutingFollower(gateway.clone()));
+        actix_rt::spawn(follow("configuration", feeds.routing, routing));
+        actix_rt::spawn(follow("servers", feeds.servers, gateway.clone()));
+        actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
+        actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
+        tokio::select! {
+            () = stop => {}
+            () = maintain(&gateway, &limits, &reload) => {}
+        }
+        log::info!(instance, in_flight = gateway.in_flight(); "stopping");
+        let limit = settings.grace.saturating_sub(GRACE_MARGIN);
+        gateway.stop(gateway.clock.now() + limit);
+        gateway.tell_end(false);
+        drain(&gateway, &front_stop, limit).await;
+        gateway.is_stopped.set(true);
+        gateway.tell_end(true);
+        log::info!(instance, in_flight = gateway.in_flight(); "stopped");
+    }
+}
+
+/// Does what comes up at an interval: idle connections, vanished servers, changed settings.
+async fn maintain(gateway: &Gateway, limits: &Cell<ConnectionLimits>, reload: &Reload) {
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    loop {
+        sweep.tick().await;
+        gateway.sweep();
+        reload(gateway);
+        if let Some(routing) = gateway.routing() {
+            limits.set(connection_limits(&routing.limits));
+        }
+    }
+}
+
+/// Waits until the process is told to stop by SIGTERM or SIGINT; SIGHUP has settings read again.
+pub async fn stop_signal(gateway: Rc<Gateway>, reload: Reload) {
     let mut term = signal(SignalKind::terminate()).expect("the runtime handles signals");
     let mut interrupt = signal(SignalKind::interrupt()).expect("the runtime handles signals");
-    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    let mut hangup = signal(SignalKind::hangup()).expect("the runtime handles signals");
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = sweep.tick() => {
-                gateway.sweep();
-                reload(&gateway);
-                if let Some(routing) = gateway.routing() {
-                    limits.set(connection_limits(&routing.limits));
-                }
-            }
+            _ = term.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => reload(&gateway),
         }
     }
-    log::info!(instance, in_flight = gateway.in_flight(); "stopping");
-    let limit = settings.grace.saturating_sub(GRACE_MARGIN);
-    gateway.stop(gateway.clock.now() + limit);
-    drain(&gateway, &front_stop, limit).await;
-    gateway.tell_peers(News::Leaving);
-    log::info!(instance, in_flight = gateway.in_flight(); "stopped");
-    Ok(())
 }
 
-async fn bind_peers(settings: &GatewaySettings) -> Result<Rc<Peers>, ServerError> {
+async fn bind_peers(gateway: &Gateway) -> Result<Rc<Peers>, ServerError> {
+    let settings = gateway.settings();
     let address = settings.peers;
-    let bound = Peers::bind(address, settings.instance.clone(), settings.seeds.clone()).await;
+    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+    let bound =
+        Peers::bind(address, instance, zone, settings.seeds.clone(), gateway.clock.now()).await;
     let peers =
         bound.map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
     Ok(Rc::new(peers))
@@ -121,13 +181,6 @@
     }
 }
 
-async fn watch_hangup(gateway: Rc<Gateway>, reload: Reload) {
-    let mut hangup = signal(SignalKind::hangup()).expect("the runtime handles signals");
-    while hangup.recv().await.is_some() {
-        reload(&gateway);
-    }
-}
-
 type Answer = Pin<Box<dyn Future<Output = Response<BoxBody>>>>;
 
 fn request_handler(gateway: &Rc<Gateway>) -> Handler {
