Keep a home's link free, tell the progress of streams and follow the store less

Each home answered 107 heartbeats a second with a list of all 86 instances, some 8 Mbit/s on links of 10. Calls to the store cost a tenth of all credit, since each instance asked twice a second. Change: a home names the first homes and those of the asker's zone only, and the number of instances; a stream's progress and speed are told, so that slow engines are not taken for empty; three homes ask the store each second, the others wait 15 s in a call and hear from homes that they are behind; changes that come in series are read together. Ruled out: handing rows on between instances, which needs a second form of them and saves what is left of the calls only. Conclusion: messages of an instance no longer grow with their number.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -51,6 +51,15 @@
     }
 }
 
+impl Placement {
+    /// Takes in how many tokens have come.
+    pub fn took_tokens(&self, tokens: u64) {
+        let now = self.gateway.clock.now();
+        let instance = self.gateway.settings().instance.clone();
+        self.gateway.ledger.borrow_mut().took_tokens(&instance, self.id, tokens, now);
+    }
+}
+
 impl Drop for Placement {
     fn drop(&mut self) {
         self.gateway.tell_homes(News::Freed(self.id));
@@ -214,6 +223,7 @@
             most_tokens: req.facts.most_tokens,
             starts_at: now + START_TIME,
             booked_at: now,
+            progress: None,
         };
         let news = News::Booked(self.id, BookingEntry::new(&booking, now));
         let instance = self.gateway.settings().instance.clone();
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the list of servers at their source.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,19 +9,24 @@
 use magnoliaspar_retry::Backoff;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::sync::Notify;
 
 /// The backoff between two calls to a source that does not answer.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(100), longest: Duration::from_secs(1) };
 
+/// How long to wait after a change for those that follow it.
+const SERIES_WAIT: Duration = Duration::from_millis(200);
+
 /// Rows of one kind at their source, and what changes in them.
 #[async_trait(?Send)]
 pub trait Feed<T> {
     /// Reads all rows.
     async fn read(&self) -> Result<Batch<T>, FeedError>;
 
-    /// Waits for changes after a revision; an empty batch says that there were none for a while.
-    async fn changes(&self, after: u64) -> Result<Batch<T>, FeedError>;
+    /// Waits for changes after a revision, for `wait` at most; an empty batch says that there were
+    /// none.
+    async fn changes(&self, after: u64, wait: Duration) -> Result<Batch<T>, FeedError>;
 }
 
 /// Rows that were read together.
@@ -54,8 +60,66 @@
 
     /// Takes in that the source answers again.
     fn regained(&self);
+
+    /// Returns how long the next call may wait for changes.
+    fn patience(&self) -> Duration;
+
+    /// Returns how far the feed was followed.
+    fn mark(&self) -> &FeedMark;
+}
+
+/// How far a feed was followed, here and elsewhere.
+#[derive(Debug, Default)]
+pub struct FeedMark {
+    through: Cell<u64>,
+    changed: Cell<u64>,
+    hinted: Cell<u64>,
+    hint: Notify,
+}
+
+impl FeedMark {
+    /// Returns a revision by which the last change that was taken in had been made.
+    pub fn changed(&self) -> u64 {
+        self.changed.get()
+    }
+
+    /// Takes in that another instance has taken in a change that had been made by `revision`.
+    pub fn hint(&self, revision: u64) {
+        if revision > self.hinted.get() {
+            self.hinted.set(revision);
+            self.hint.notify_one();
+        }
+    }
+
+    fn reached(&self, revision: u64, has_changes: bool) {
+        self.through.set(revision);
+        if has_changes {
+            self.changed.set(revision);
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        self.hinted.get() > self.through.get()
+    }
+
+    /// Waits until another instance has had a change for a while that has not come here.
+    async fn wait_until_behind(&self) {
+        loop {
+            let hinted = self.hint.notified();
+            if !self.is_behind() {
+                hinted.await;
+            }
+            tokio::time::sleep(HINT_PATIENCE).await;
+            if self.is_behind() {
+                return;
+            }
+        }
+    }
 }
 
+/// How long a change may take that another instance has, before the source is asked for it.
+const HINT_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Follows a feed for as long as the process runs.
 pub async fn follow<T>(name: &'static str, feed: Rc<dyn Feed<T>>, follower: Rc<dyn Follower<T>>) {
     let mut rng = StdRng::from_os_rng();
@@ -64,7 +128,13 @@
     loop {
         let read = match revision {
             None => feed.read().await,
-            Some(after) => feed.changes(after).await,
+            Some(after) => tokio::select! {
+                read = feed.changes(after, follower.patience()) => read,
+                () = follower.mark().wait_until_behind() => {
+                    log::info!(feed = name, revision = after; "feed_behind");
+                    feed.changes(after, Duration::ZERO).await
+                }
+            },
         };
         match read {
             Ok(batch) => {
@@ -74,8 +144,14 @@
                 }
                 failures = 0;
                 let is_complete = revision.is_none();
+                let has_changes = !batch.rows.is_empty();
                 revision = Some(batch.revision);
+                follower.mark().reached(batch.revision, has_changes);
                 follower.take(batch, is_complete);
+                if has_changes && !is_complete {
+                    // Changes often come in series; one call brings those that follow soon.
+                    tokio::time::sleep(SERIES_WAIT).await;
+                }
             }
             Err(FeedError::Compacted) => {
                 log::info!(feed = name, revision:?; "feed_compacted");
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
-use crate::feed::{Batch, FeedError, Follower};
+use crate::feed::{Batch, FeedError, FeedMark, Follower};
 use crate::home::{Queue, Verdict, Want, serve_queue, take_news};
 use crate::ledger::{BookingId, Ledger};
 use crate::metrics::Metrics;
@@ -34,6 +34,13 @@
 /// An instance that has just started has not heard of the others yet.
 const MIN_BUDGET_INSTANCES: usize = 6;
 
+/// How long a home waits for changes at the store in one call; with the time for the answer it is
+/// below the two seconds within which a change has to be in force.
+const HOME_FEED_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long another instance waits for changes in one call; calls are charged.
+const FEED_WAIT: Duration = Duration::from_secs(15);
+
 /// How much longer than expected a completion is taken to last by an instance that stops; four in
 /// five estimates are right within this.
 const LENGTH_CAUTION: f64 = 1.5;
@@ -63,6 +70,10 @@
     peers: RefCell<Option<Rc<Peers>>>,
     next_booking: Cell<BookingId>,
     most_instances: Cell<usize>,
+    /// How far the configuration was followed.
+    pub routing_mark: FeedMark,
+    /// How far the list of servers was followed.
+    pub servers_mark: FeedMark,
     this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
@@ -104,6 +115,8 @@
             peers: RefCell::default(),
             next_booking: Cell::new(0),
             most_instances: Cell::new(1),
+            routing_mark: FeedMark::default(),
+            servers_mark: FeedMark::default(),
             this: this.clone(),
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -186,7 +199,17 @@
 
     /// Returns the number of instances that live, this one included.
     pub fn live_instances(&self) -> usize {
-        self.peers.borrow().as_ref().map_or(0, |peers| peers.len()) + 1
+        self.peers().map_or(1, |peers| peers.live(self.clock.now()))
+    }
+
+    /// Returns how long a call to the store may wait for changes.
+    ///
+    /// A call that waits long finds out late that its connection has gone silent. Homes wait for a
+    /// short time only; the others hear from them that they are behind.
+    fn feed_patience(&self) -> Duration {
+        let peers = self.peers();
+        let is_home = peers.is_none_or(|peers| peers.is_home(self.clock.now()));
+        if is_home { HOME_FEED_WAIT } else { FEED_WAIT }
     }
 
     /// Returns the number of a new booking.
@@ -464,6 +487,14 @@
     fn regained(&self) {
         self.servers_regained_at.set(Some(self.clock.now()));
     }
+
+    fn patience(&self) -> Duration {
+        self.feed_patience()
+    }
+
+    fn mark(&self) -> &FeedMark {
+        &self.servers_mark
+    }
 }
 
 /// Takes in the configuration; a version that is not newer than the one in force is dropped.
@@ -491,6 +522,14 @@
     }
 
     fn regained(&self) {}
+
+    fn patience(&self) -> Duration {
+        self.0.feed_patience()
+    }
+
+    fn mark(&self) -> &FeedMark {
+        &self.0.routing_mark
+    }
 }
 
 /// A request that waits for its answer.
--- a/crates/magnoliaspar-gateway/src/home.rs
+++ b/crates/magnoliaspar-gateway/src/home.rs
@@ -232,6 +232,7 @@
         most_tokens: want.most_tokens,
         starts_at: now + START_TIME,
         booked_at: now,
+        progress: None,
     };
     gateway.ledger.borrow_mut().book(instance, id, booking);
     Ok(Grant { decode, prefill, tokens_ahead })
--- a/crates/magnoliaspar-gateway/src/ledger.rs
+++ b/crates/magnoliaspar-gateway/src/ledger.rs
@@ -30,8 +30,14 @@
 /// The least speed that is reckoned with, in tokens a millisecond.
 const MIN_SPEED: f64 = 0.01;
 
-/// How much a new measurement of the speed counts.
-const SPEED_GAIN: f64 = 0.05;
+/// How much a new measurement counts for the speed that new completions are expected to have.
+const SPEED_GAIN: f64 = 0.02;
+
+/// How much a new measurement counts for the speed of its own stream.
+const STREAM_SPEED_GAIN: f64 = 0.3;
+
+/// The least time between two events whose tokens tell a speed, in milliseconds.
+const MIN_SAMPLE_MS: f64 = 5.0;
 
 /// How long finished completions count towards the rate at which memory becomes free.
 const RATE_WINDOW: Duration = Duration::from_secs(3);
@@ -43,7 +49,7 @@
 pub type BookingId = u64;
 
 /// Memory that a completion takes at an engine, and the reading of its prompt.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Booking {
     /// The engine that produces the tokens.
     pub decode: Box<str>,
@@ -59,6 +65,19 @@
     pub starts_at: Instant,
     /// When it was booked, or heard of.
     pub booked_at: Instant,
+    /// The tokens that were produced by then, once some were.
+    pub progress: Option<Progress>,
+}
+
+/// How far a completion had come at a moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Progress {
+    /// The moment.
+    pub at: Instant,
+    /// The tokens that were produced.
+    pub tokens: u64,
+    /// How many come in a millisecond.
+    pub speed: f64,
 }
 
 /// The bookings of all instances.
@@ -105,6 +124,22 @@
         }
     }
 
+    /// Takes in that tokens of a completion came, `tokens` so far.
+    pub fn took_tokens(&mut self, instance: &str, id: BookingId, tokens: u64, now: Instant) {
+        let Some(booking) = self.bookings.get_mut(&(instance.into(), id)) else { return };
+        let mut speed = booking.progress.map_or(self.speed, |progress| progress.speed);
+        if let Some(before) = booking.progress {
+            let millis = now.saturating_duration_since(before.at).as_secs_f64() * 1_000.0;
+            let produced = tokens.saturating_sub(before.tokens);
+            if millis >= MIN_SAMPLE_MS {
+                let sample = produced as f64 / millis;
+                speed += STREAM_SPEED_GAIN * (sample - speed);
+                self.speed += SPEED_GAIN * (sample - self.speed);
+            }
+        }
+        booking.progress = Some(Progress { at: now, tokens, speed });
+    }
+
     /// Takes in that a completion has ended; returns whether it was booked.
     pub fn free(&mut self, instance: &str, id: BookingId, now: Instant) -> bool {
         let is_freed = self.bookings.remove(&(instance.into(), id)).is_some();
@@ -153,15 +188,6 @@
         bookings.map(|((_, id), booking)| (*id, booking))
     }
 
-    /// Takes in that `tokens` were produced in `elapsed`.
-    pub fn measure_speed(&mut self, tokens: u64, elapsed: Duration) {
-        let millis = elapsed.as_secs_f64() * 1_000.0;
-        if tokens == 0 || millis <= 0.0 {
-            return;
-        }
-        self.speed += SPEED_GAIN * (tokens as f64 / millis - self.speed);
-    }
-
     /// Returns how long a completion takes that is expected to have so many tokens.
     pub fn expected_duration(&self, expected_tokens: u64) -> Duration {
         let millis = expected_tokens as f64 * MEAN_TO_MEDIAN / self.speed.max(MIN_SPEED);
@@ -224,9 +250,17 @@
         fill <= FILL_LIMIT
     }
 
+    fn produced(&self, booking: &Booking, now: Instant) -> u64 {
+        let (since, tokens, speed) = match booking.progress {
+            Some(progress) => (progress.at, progress.tokens, progress.speed),
+            None => (booking.starts_at, 0, self.speed),
+        };
+        let millis = now.saturating_duration_since(since).as_secs_f64() * 1_000.0;
+        tokens + (millis * speed) as u64
+    }
+
     fn growth(&self, booking: &Booking, now: Instant) -> Growth {
-        let elapsed = now.saturating_duration_since(booking.starts_at);
-        let produced = (elapsed.as_secs_f64() * 1_000.0 * self.speed) as u64;
+        let produced = self.produced(booking, now);
         let most = booking.most_tokens.saturating_sub(produced);
         let mean = (booking.expected_tokens as f64 * MEAN_TO_MEDIAN) as u64;
         let least = (produced as f64 * LEAST_REMAINING_SHARE) as u64;
@@ -273,6 +307,7 @@
             most_tokens: 9_000,
             starts_at,
             booked_at: starts_at,
+            progress: None,
         }
     }
 
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::Gateway;
 use crate::home::{Verdict, Want, decide, serve_queue, take_news};
-use crate::ledger::{Booking, BookingId, InstanceId};
+use crate::ledger::{Booking, BookingId, InstanceId, Progress};
 
 /// How often an instance tells all its bookings.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(800);
@@ -64,7 +64,14 @@
         bookings: Vec<(BookingId, BookingEntry)>,
     },
     /// Instances that the sender has heard of, itself included.
-    Members(Vec<Member>),
+    Members {
+        /// The instances.
+        members: Vec<Member>,
+        /// How many instances the sender knows, itself included.
+        live: usize,
+        /// How far the sender has followed the store.
+        marks: Marks,
+    },
     /// The sender asks for engines.
     Ask(BookingId, Box<Want>),
     /// The sender decided on a question of the receiver.
@@ -79,6 +86,16 @@
     Leaving,
 }
 
+/// Revisions by which the last changes had been made that an instance has taken in.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Marks {
+    /// Of the configuration.
+    routing: u64,
+    /// Of the list of servers.
+    servers: u64,
+}
+
 /// One instance as others tell of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -104,42 +121,58 @@
     prompt_tokens: u64,
     expected_tokens: u64,
     most_tokens: u64,
-    /// How long the completion has produced tokens, in milliseconds; negative until it does.
-    running_ms: i64,
+    /// In how many milliseconds the first token is expected, if none has come.
+    starts_in_ms: u64,
+    progress: Option<ProgressEntry>,
+}
+
+/// How far a completion has come, as it is told.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct ProgressEntry {
+    age_ms: u64,
+    tokens: u64,
+    /// Tokens a millisecond.
+    speed: f64,
 }
 
 impl BookingEntry {
     /// Describes a booking as of `now`.
     pub fn new(booking: &Booking, now: Instant) -> Self {
-        let running_ms = match now.checked_duration_since(booking.starts_at) {
-            Some(running) => running.as_millis() as i64,
-            None => -((booking.starts_at - now).as_millis() as i64),
-        };
+        let millis_since = |at| now.saturating_duration_since(at).as_millis() as u64;
+        let progress = booking.progress.map(|progress| ProgressEntry {
+            age_ms: millis_since(progress.at),
+            tokens: progress.tokens,
+            speed: progress.speed,
+        });
+        let starts_in = booking.starts_at.saturating_duration_since(now);
         Self {
             decode: booking.decode.clone(),
             prefill: booking.prefill.clone(),
             prompt_tokens: booking.prompt_tokens,
             expected_tokens: booking.expected_tokens,
             most_tokens: booking.most_tokens,
-            running_ms,
+            starts_in_ms: starts_in.as_millis() as u64,
+            progress,
         }
     }
 
     /// Returns the booking, as of `now`.
     pub fn into_booking(self, now: Instant) -> Booking {
-        let distance = Duration::from_millis(self.running_ms.unsigned_abs());
-        let starts_at = match self.running_ms >= 0 {
-            true => now.checked_sub(distance).unwrap_or(now),
-            false => now + distance,
-        };
+        let progress = self.progress.map(|progress| {
+            let age = Duration::from_millis(progress.age_ms);
+            let at = now.checked_sub(age).unwrap_or(now);
+            Progress { at, tokens: progress.tokens, speed: progress.speed }
+        });
         Booking {
             decode: self.decode,
             prefill: self.prefill,
             prompt_tokens: self.prompt_tokens,
             expected_tokens: self.expected_tokens,
             most_tokens: self.most_tokens,
-            starts_at,
+            starts_at: now + Duration::from_millis(self.starts_in_ms),
             booked_at: now,
+            progress,
         }
     }
 }
@@ -163,6 +196,8 @@
     is_ending: Cell<bool>,
     seeds: RefCell<Box<[SocketAddr]>>,
     known: RefCell<BTreeMap<InstanceId, Peer>>,
+    /// How many instances homes have told of, and when.
+    told_live: Cell<(usize, Instant)>,
 }
 
 #[derive(Debug, Clone)]
@@ -196,6 +231,7 @@
             is_ending: Cell::new(false),
             seeds,
             known,
+            told_live: Cell::new((1, now)),
         })
     }
 
@@ -209,14 +245,21 @@
         self.seeds.replace(seeds);
     }
 
-    /// Returns the number of other instances that live.
-    pub fn len(&self) -> usize {
-        self.known.borrow().len()
+    /// Returns the number of instances that live, this one included, as far as is known.
+    pub fn live(&self, now: Instant) -> usize {
+        let (told, at) = self.told_live.get();
+        let is_recent = now.saturating_duration_since(at) < PEER_TIMEOUT;
+        let known = self.known.borrow().len() + 1;
+        if is_recent { known.max(told) } else { known }
     }
 
-    /// Whether no other instance is known.
-    pub fn is_empty(&self) -> bool {
-        self.known.borrow().is_empty()
+    /// Takes in how many instances a home knows.
+    fn note_live(&self, live: usize, now: Instant) {
+        let (told, at) = self.told_live.get();
+        let is_old = now.saturating_duration_since(at) >= PEER_TIMEOUT;
+        if is_old || live >= told {
+            self.told_live.set((live, now));
+        }
     }
 
     /// Tells all instances that this one is no home any more, or that it is gone.
@@ -224,7 +267,10 @@
         self.is_ending.set(true);
         let news = match is_gone {
             true => News::Leaving,
-            false => News::Members(vec![self.member(now)]),
+            false => {
+                let members = vec![self.member(now)];
+                News::Members { members, live: 1, marks: Marks::default() }
+            }
         };
         let message = Message { from: self.instance.clone(), news };
         let Some(bytes) = encode(&message) else { return };
@@ -272,6 +318,11 @@
         self.ranked(now).into_iter().next()?.1
     }
 
+    /// Whether this instance is one of the homes of all instances.
+    pub fn is_home(&self, now: Instant) -> bool {
+        self.ranked(now).iter().take(HOMES).any(|(_, home)| home.is_none())
+    }
+
     /// Returns the homes that are told of bookings, without this instance.
     fn homes(&self, now: Instant) -> Vec<Home> {
         let ranked = self.ranked(now);
@@ -351,16 +402,29 @@
         }
     }
 
-    fn members(&self, now: Instant) -> Vec<Member> {
+    /// Returns the instances that one of `zone` has to know: the first homes, with some to spare.
+    ///
+    /// Telling all of them would fill the link of a home that many instances ask.
+    fn members(&self, zone: &str, now: Instant) -> Vec<Member> {
         let mut members = vec![self.member(now)];
-        for (instance, peer) in self.known.borrow().iter() {
-            members.push(Member {
-                instance: instance.clone(),
+        let known = self.known.borrow();
+        let mut of_zone = 0;
+        for (index, (_, home)) in self.ranked(now).into_iter().enumerate() {
+            let Some(peer) = home.as_ref().and_then(|home| known.get(&home.instance)) else {
+                continue;
+            };
+            let is_near = &*peer.zone == zone;
+            of_zone += usize::from(is_near);
+            if index >= 2 * HOMES && (!is_near || of_zone > 2 * ZONE_HOMES) {
+                continue;
+            }
+            members.extend(home.map(|home| Member {
+                instance: home.instance,
                 address: peer.address,
                 zone: peer.zone.clone(),
                 is_settled: peer.is_settled,
                 age_ms: now.saturating_duration_since(peer.heard).as_millis() as u64,
-            });
+            }));
         }
         members
     }
@@ -409,15 +473,25 @@
         match message.news {
             News::State { member, bookings } => {
                 let address = member.address;
+                let zone = member.zone.clone();
                 self.meet(member, now);
                 let mut entries = Vec::new();
                 for (id, entry) in bookings {
                     entries.push((id, entry.into_booking(now)));
                 }
                 gateway.ledger.borrow_mut().replace(&sender, entries, now);
-                self.tell(address, News::Members(self.members(now)));
+                let marks = Marks {
+                    routing: gateway.routing_mark.changed(),
+                    servers: gateway.servers_mark.changed(),
+                };
+                let members = self.members(&zone, now);
+                let live = self.known.borrow().len() + 1;
+                self.tell(address, News::Members { members, live, marks });
             }
-            News::Members(members) => {
+            News::Members { members, live, marks } => {
+                self.note_live(live, now);
+                gateway.routing_mark.hint(marks.routing);
+                gateway.servers_mark.hint(marks.servers);
                 for member in members {
                     self.meet(member, now);
                 }
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -41,7 +41,7 @@
                 req,
                 progress,
                 current: Some((reply, placement)),
-                event_at: None,
+                has_event: false,
                 _guard: guard,
             };
             Ended::Answer(relay.into_response(response))
@@ -258,7 +258,7 @@
     progress: Progress,
     events: EventBuffer,
     current: Option<(Reply, Placement)>,
-    event_at: Option<(Instant, u64)>,
+    has_event: bool,
     _guard: InFlight,
 }
 
@@ -317,25 +317,18 @@
         is_lost(&self.gateway, reply.lease.server).await
     }
 
-    /// Takes in that events came, and measures how fast the engine produces tokens.
+    /// Takes in that events came.
     fn took_events(&mut self) {
-        let now = self.gateway.clock.now();
-        let last = self.events.last_id().unwrap_or(0);
-        match self.event_at.replace((now, last)) {
-            Some((before, id)) => {
-                let spec = self.gateway.engine_spec(&self.req.service);
-                let tokens = last.saturating_sub(id) * spec.map_or(1, |spec| spec.tokens_per_event);
-                self.gateway.ledger.borrow_mut().measure_speed(tokens, now - before);
-            }
-            None => {
-                if let Some((_, placement)) = &self.current {
-                    placement.prompt_read();
-                }
-                let kind = self.req.route.kind.as_str();
-                let elapsed = now - self.req.received;
-                self.gateway.metrics.observe(kind, "first_event", elapsed);
-            }
+        let Some((_, placement)) = &self.current else { return };
+        if !std::mem::replace(&mut self.has_event, true) {
+            placement.prompt_read();
+            let elapsed = self.gateway.clock.now() - self.req.received;
+            let kind = self.req.route.kind.as_str();
+            self.gateway.metrics.observe(kind, "first_event", elapsed);
         }
+        let per_event = self.gateway.engine_spec(&self.req.service);
+        let per_event = per_event.map_or(1, |spec| spec.tokens_per_event);
+        placement.took_tokens(self.events.last_id().unwrap_or(0) * per_event);
     }
 
     fn finish(&mut self, now: Instant) -> Option<Bytes> {
@@ -375,7 +368,7 @@
             Ok((reply, placement)) if reply.is_genuine_success() => {
                 self.gateway.metrics.resumptions.inc();
                 log::info!(request, last_event:?; "stream_resumed");
-                self.event_at = None;
+                self.has_event = false;
                 self.current = Some((reply, placement));
                 Ok(())
             }
