Write logs in bounds without blocking, and tell a request's story from them

Cause: a full pipe would have blocked the one thread that serves requests, and only a search by hand led from an id to its cause. Change: lines wait in a bounded queue that a thread writes in batches; lines about failures have room that successes cannot fill; dropped lines are counted by kind, logged and served. `magnoliaspar explain ID` puts the lines of several instances in order, with what became of the servers meanwhile and the gaps. Metrics gain the queue, the budget left, dropped lines and memory; `check` reads settings of a gateway too. Ruled out: the logging library's own asynchronous mode, whose queue has no bound.

--- a/crates/magnoliaspar-cli/src/args.rs
+++ b/crates/magnoliaspar-cli/src/args.rs
@@ -23,6 +23,8 @@
     Serve(ServeArgs),
     #[options(help = "run an instance on the users' platform")]
     Gateway(GatewayArgs),
+    #[options(help = "tell the story of a request from logs")]
+    Explain(ExplainArgs),
     #[options(help = "check declarations and settings, and report all findings")]
     Check(CheckArgs),
     #[options(help = "show what declarations would change")]
@@ -57,6 +59,16 @@
     pub(crate) settings: Option<Box<str>>,
 }
 
+/// Tells what the logs of several instances say of one request, in order.
+#[derive(Debug)]
+#[derive(Options)]
+pub(crate) struct ExplainArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "the identifier and the log files", parse(from_str))]
+    pub(crate) free: Vec<Box<str>>,
+}
+
 /// Checks declarations as a whole and settings one by one, and reports all findings together.
 #[derive(Debug)]
 #[derive(Options)]
@@ -65,6 +77,13 @@
     pub(crate) help: bool,
     #[options(help = "a settings file to check too", meta = "FILE", no_short, parse(from_str))]
     pub(crate) settings: Vec<Box<str>>,
+    #[options(
+        help = "a settings file of a gateway to check too",
+        meta = "FILE",
+        no_short,
+        parse(from_str)
+    )]
+    pub(crate) gateway_settings: Vec<Box<str>>,
     #[options(help = "print findings as JSON", no_short)]
     pub(crate) json: bool,
     #[options(free, help = "the declaration files", parse(from_str))]
--- a/crates/magnoliaspar-cli/src/check.rs
+++ b/crates/magnoliaspar-cli/src/check.rs
@@ -8,6 +8,7 @@
 
 use crate::args::CheckArgs;
 use crate::failure::Failure;
+use crate::gateway;
 use crate::logs::read_filter;
 
 /// Checks files and reports all findings together.
@@ -56,6 +57,13 @@
             Err(failure) => return Err(failure),
         }
     }
+    for file in &args.gateway_settings {
+        match gateway::read_settings(&read(file)?, file) {
+            Ok(_) => {}
+            Err(Failure::Findings(report)) => findings.append(report.0),
+            Err(failure) => return Err(failure),
+        }
+    }
     if let Err(found) = open_declarations(&args.files)?.check() {
         findings.append(found);
     }
--- /dev/null
+++ b/crates/magnoliaspar-cli/src/explain.rs
@@ -0,0 +1,184 @@
+//! Puts the story of one request together from the logs of several instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Write};
+
+use serde_json::{Map, Value};
+
+use crate::args::ExplainArgs;
+use crate::failure::Failure;
+use crate::line_queue::DROPPED_EVENT;
+
+/// The fields that name a server in a line of a request.
+const SERVER_FIELDS: [&str; 3] = ["server", "decode", "prefill"];
+
+/// How long before and after a request what happened to its servers belongs to its story, in
+/// microseconds.
+const CONTEXT_US: i64 = 5_000_000;
+
+/// The fields that are shown in columns of their own.
+const COLUMNS: [&str; 5] = ["at", "level", "instance", "event", "request"];
+
+/// Prints all that the logs say of a request.
+pub(crate) fn explain(args: &ExplainArgs, out: &mut dyn Write) -> Result<(), Failure> {
+    let Some((id, files)) = args.free.split_first() else {
+        return Err(Failure::Usage("the identifier of a request is missing".into()));
+    };
+    let mut logs = Logs::default();
+    for file in files {
+        let opened = std::fs::File::open(&**file);
+        let opened = opened.map_err(|cause| Failure::File { file: file.clone(), cause })?;
+        logs.read(file, &mut BufReader::new(opened))?;
+    }
+    if files.is_empty() {
+        logs.read("standard input", &mut std::io::stdin().lock())?;
+    }
+    let story = logs.story(id);
+    for line in &story {
+        writeln!(out, "{line}")?;
+    }
+    for bad in &logs.unreadable {
+        writeln!(out, "{bad}")?;
+    }
+    if story.is_empty() {
+        return Err(Failure::Incomplete(format!("no line names the request {id}").into()));
+    }
+    Ok(())
+}
+
+/// The lines of all logs.
+#[derive(Debug, Default)]
+struct Logs {
+    lines: Vec<Line>,
+    unreadable: Vec<Box<str>>,
+}
+
+#[derive(Debug)]
+struct Line {
+    at_us: i64,
+    instance: Box<str>,
+    event: Box<str>,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn read(text: &str) -> Option<Self> {
+        // Collectors put a time and a name before the line.
+        let json = text.get(text.find('{')?..)?;
+        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let text = |name: &str| fields.get(name)?.as_str().map(Box::<str>::from);
+        let at_us = read_time(&text("at")?)?;
+        Some(Self { at_us, instance: text("instance")?, event: text("event")?, fields })
+    }
+
+    fn names_request(&self, id: &str) -> bool {
+        self.fields.get("request").and_then(Value::as_str) == Some(id)
+    }
+
+    fn servers(&self) -> impl Iterator<Item = &str> {
+        let fields = SERVER_FIELDS.iter().filter_map(|name| self.fields.get(*name));
+        fields.filter_map(Value::as_str).filter(|server| *server != "none")
+    }
+
+    fn show(&self, start_us: i64, mark: char) -> Box<str> {
+        let offset = (self.at_us - start_us) as f64 / 1_000.0;
+        let mut text = format!("{offset:>10.3} ms {mark} {:<16} {}", self.instance, self.event);
+        for (name, value) in &self.fields {
+            if COLUMNS.contains(&name.as_str()) {
+                continue;
+            }
+            match value {
+                Value::String(value) => text.push_str(&format!(" {name}={value}")),
+                value => text.push_str(&format!(" {name}={value}")),
+            }
+        }
+        text.into()
+    }
+}
+
+impl Logs {
+    fn read(&mut self, file: &str, input: &mut dyn BufRead) -> Result<(), Failure> {
+        for (index, line) in input.split(b'\n').enumerate() {
+            let line = line.map_err(|cause| Failure::File { file: file.into(), cause })?;
+            let text = String::from_utf8_lossy(&line);
+            if text.trim().is_empty() {
+                continue;
+            }
+            match Line::read(&text) {
+                Some(line) => self.lines.push(line),
+                None => {
+                    let place = format!("{file}:{}: not a log line", index + 1);
+                    self.unreadable.push(place.into());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the lines of a request, and beside them (marked `~`) what became of its servers, of
+    /// the instances' beliefs and of lines that were dropped.
+    fn story(&self, id: &str) -> Vec<Box<str>> {
+        let mut servers = BTreeSet::new();
+        let mut spans: BTreeMap<&str, (i64, i64)> = BTreeMap::new();
+        for line in self.lines.iter().filter(|line| line.names_request(id)) {
+            servers.extend(line.servers());
+            let span = spans.entry(&line.instance).or_insert((line.at_us, line.at_us));
+            *span = (span.0.min(line.at_us), span.1.max(line.at_us));
+        }
+        let Some(start_us) = spans.values().map(|span| span.0).min() else { return Vec::new() };
+        let mut shown: Vec<(&Line, char)> = Vec::new();
+        for line in &self.lines {
+            if line.names_request(id) {
+                shown.push((line, '*'));
+                continue;
+            }
+            let Some((from, to)) = spans.get(&*line.instance) else { continue };
+            let is_near = (from - CONTEXT_US..=to + CONTEXT_US).contains(&line.at_us);
+            let is_of_others = line.fields.contains_key("request");
+            let is_gap = line.event.as_ref() == DROPPED_EVENT;
+            let is_context = line.servers().any(|server| servers.contains(server));
+            let is_belief = !line.servers().any(|_| true);
+            if is_near && !is_of_others && (is_gap || is_context || is_belief) {
+                shown.push((line, if is_gap { '!' } else { '~' }));
+            }
+        }
+        shown.sort_by_key(|(line, _)| line.at_us);
+        shown.into_iter().map(|(line, mark)| line.show(start_us, mark)).collect()
+    }
+}
+
+/// Reads a time such as `2026-05-01T10:00:00.123456Z`, in microseconds of Unix time.
+fn read_time(text: &str) -> Option<i64> {
+    let time = chrono::DateTime::parse_from_rfc3339(text).ok()?;
+    Some(time.timestamp_micros())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Logs;
+
+    const LOG: &str = "\
+{\"at\":\"2026-05-01T10:00:00.100000Z\",\"level\":\"info\",\"instance\":\"one\",\"event\":\"placed\",\"request\":\"r1\",\"decode\":\"d1\"}
+  12.5 one {\"at\":\"2026-05-01T10:00:00.300000Z\",\"level\":\"warn\",\"instance\":\"one\",\"event\":\"server_lost\",\"server\":\"d1\"}
+{\"at\":\"2026-05-01T10:00:00.310000Z\",\"level\":\"warn\",\"instance\":\"one\",\"event\":\"server_lost\",\"server\":\"d2\"}
+{\"at\":\"2026-05-01T10:00:00.320000Z\",\"level\":\"info\",\"instance\":\"one\",\"event\":\"placed\",\"request\":\"r2\",\"decode\":\"d1\"}
+{\"at\":\"2026-05-01T10:00:00.200000Z\",\"level\":\"warn\",\"instance\":\"one\",\"event\":\"log_lines_dropped\",\"routine\":7,\"failures\":0}
+not a line
+{\"at\":\"2026-05-01T10:00:00.400000Z\",\"level\":\"warn\",\"instance\":\"one\",\"event\":\"refused\",\"request\":\"r1\",\"reason\":\"may_have_run\"}
+";
+
+    #[test]
+    fn a_story_has_the_request_its_servers_and_the_gaps() {
+        let mut logs = Logs::default();
+        logs.read("a.log", &mut LOG.as_bytes()).unwrap();
+        let story = logs.story("r1");
+        let events: Vec<&str> =
+            story.iter().map(|line| line.split_whitespace().nth(4).unwrap()).collect();
+        assert_eq!(events, ["placed", "log_lines_dropped", "server_lost", "refused"]);
+        assert!(story[1].contains("! one"), "{}", story[1]);
+        assert!(story[3].contains("300.000 ms * one"), "{}", story[3]);
+        assert!(story[3].ends_with("reason=may_have_run"), "{}", story[3]);
+        assert_eq!(logs.unreadable, [Box::from("a.log:6: not a log line")]);
+        assert!(logs.story("r9").is_empty());
+    }
+}
--- a/crates/magnoliaspar-cli/src/gateway.rs
+++ b/crates/magnoliaspar-cli/src/gateway.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 
 use magnoliaspar_adapter::{PlatformHeaders, feeds};
 use magnoliaspar_core::{Finding, SystemClock};
@@ -20,15 +21,19 @@
     let text = std::fs::read_to_string(&**file)
         .map_err(|cause| Failure::File { file: file.clone(), cause })?;
     let settings = read_settings(&text, file)?;
-    let _logs = logs::start_filter(&settings.log)
+    let (logs, dropped) = logs::start_bounded(&settings.log, &settings.instance)
         .map_err(|err| Failure::Incomplete(err.to_string().into()))?;
     let feeds = feeds(settings.store);
     let reload = reload(file.clone(), text.into());
     block_on(async {
         let gateway = Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders));
+        gateway.metrics.set_dropped_lines(Box::new(move || {
+            (dropped.routine.load(Ordering::Relaxed), dropped.failures.load(Ordering::Relaxed))
+        }));
         let instance = Instance::bind(gateway.clone()).await?;
         let stop = stop_signal(gateway, reload.clone());
         instance.run(feeds, reload, stop).await;
+        logs.flush();
         Ok::<_, ServerError>(())
     })
     .map_err(|err| Failure::Incomplete(err.to_string().into()))
--- a/crates/magnoliaspar-cli/src/help.rs
+++ b/crates/magnoliaspar-cli/src/help.rs
@@ -30,6 +30,15 @@
 Example: magnoliaspar gateway --settings gateway.json
 ";
 
+/// What more there is to say of `explain`.
+const EXPLAIN: &str = "\
+Without files the standard input is read. Lines of the request are marked with *, what happened to
+its servers and to the instance meanwhile with ~, and dropped lines with !. Lines that cannot be
+read are named with file and line. The exit code is 1 if no line names the request.
+
+Example: magnoliaspar explain 9c41d07be2a35f68 one.log two.log
+";
+
 /// What more there is to say of `check`.
 const CHECK: &str = "\
 Each finding has a file, line, column, JSON path and, where it helps, a hint.
@@ -90,6 +99,7 @@
     let (arguments, details, connection) = match command {
         Command::Serve(_) => ("--settings FILE", SERVE, ""),
         Command::Gateway(_) => ("--settings FILE", GATEWAY, ""),
+        Command::Explain(_) => ("ID [FILES...]", EXPLAIN, ""),
         Command::Check(_) => ("[OPTIONS] FILES...", CHECK, ""),
         Command::Diff(_) => ("[OPTIONS] FILES...", DIFF, CONNECTION),
         Command::Apply(_) => ("[OPTIONS] FILES...", APPLY, CONNECTION),
--- a/crates/magnoliaspar-cli/src/lib.rs
+++ b/crates/magnoliaspar-cli/src/lib.rs
@@ -9,9 +9,11 @@
 mod check;
 mod client;
 mod diff;
+mod explain;
 mod failure;
 mod gateway;
 mod help;
+mod line_queue;
 mod logs;
 mod serve;
 
@@ -64,6 +66,7 @@
     match command {
         Command::Serve(args) => serve::serve(&args),
         Command::Gateway(args) => gateway::gateway(&args),
+        Command::Explain(args) => explain::explain(&args, out),
         Command::Check(args) => check::check(&args, out),
         Command::Diff(args) => diff::diff(&args, out),
         Command::Apply(args) => apply::apply(&args, out),
--- /dev/null
+++ b/crates/magnoliaspar-cli/src/line_queue.rs
@@ -0,0 +1,272 @@
+//! Log lines that wait to be written, in bounds and without ever blocking who logs.
+
+use std::collections::VecDeque;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::kv::{self, Key, Value, VisitSource};
+use log::{Level, LevelFilter, Record};
+use serde_json::{Map, Value as Json};
+
+/// The most bytes of lines that wait; some seconds of a busy instance.
+const MAX_BYTES: usize = 1 << 20;
+
+/// The part of it that lines about successes may fill, so that there is room for failures.
+const ROUTINE_BYTES: usize = MAX_BYTES / 2;
+
+/// How long lines are collected before they are written together.
+const BATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The longest time that a stopping process waits for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// The text of the line that says how many were dropped.
+pub(crate) const DROPPED_EVENT: &str = "log_lines_dropped";
+
+/// Lines that wait, shared by those who log and the thread that writes.
+pub(crate) struct LineQueue {
+    instance: Box<str>,
+    lines: Mutex<Lines>,
+    changed: Condvar,
+    dropped: Arc<DroppedLines>,
+}
+
+#[derive(Debug, Default)]
+struct Lines {
+    waiting: VecDeque<Box<str>>,
+    bytes: usize,
+    is_writing: bool,
+}
+
+/// How many lines were dropped since the process started.
+#[derive(Debug, Default)]
+pub(crate) struct DroppedLines {
+    /// Lines about successes.
+    pub(crate) routine: AtomicU64,
+    /// Lines about failures.
+    pub(crate) failures: AtomicU64,
+}
+
+impl LineQueue {
+    /// Starts a thread that writes to the standard output what is logged by `instance`.
+    pub(crate) fn start(instance: &str) -> io::Result<Arc<Self>> {
+        Self::start_writing(instance, Box::new(io::stdout()))
+    }
+
+    fn start_writing(instance: &str, out: Box<dyn Write + Send>) -> io::Result<Arc<Self>> {
+        let queue = Arc::new(Self {
+            instance: instance.into(),
+            lines: Mutex::default(),
+            changed: Condvar::new(),
+            dropped: Arc::default(),
+        });
+        let writer = queue.clone();
+        thread::Builder::new().name("log".into()).spawn(move || writer.write_all(out))?;
+        Ok(queue)
+    }
+
+    /// Returns the counts of dropped lines.
+    pub(crate) fn dropped(&self) -> Arc<DroppedLines> {
+        self.dropped.clone()
+    }
+
+    /// Adds a line, or drops it if too many wait.
+    fn push(&self, line: Box<str>, is_failure: bool) {
+        let mut lines = self.lock();
+        let limit = if is_failure { MAX_BYTES } else { ROUTINE_BYTES };
+        if lines.bytes + line.len() > limit {
+            let count = if is_failure { &self.dropped.failures } else { &self.dropped.routine };
+            count.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        lines.bytes += line.len();
+        lines.waiting.push_back(line);
+        if !lines.is_writing {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Writes lines as they come, for as long as the output takes them.
+    fn write_all(&self, mut out: Box<dyn Write + Send>) {
+        let mut reported = (0, 0);
+        loop {
+            let batch = self.take_batch();
+            let written = self.write_batch(&mut out, &batch, &mut reported);
+            self.lock().is_writing = false;
+            self.changed.notify_all();
+            if written.is_err() {
+                // Nobody reads the output any more; lines that wait are dropped and counted.
+                return;
+            }
+        }
+    }
+
+    fn take_batch(&self) -> VecDeque<Box<str>> {
+        let mut lines = self.lock();
+        while lines.waiting.is_empty() {
+            lines = self.changed.wait(lines).unwrap_or_else(PoisonError::into_inner);
+        }
+        lines.is_writing = true;
+        drop(lines);
+        thread::sleep(BATCH_INTERVAL);
+        let mut lines = self.lock();
+        lines.bytes = 0;
+        std::mem::take(&mut lines.waiting)
+    }
+
+    fn write_batch(
+        &self,
+        out: &mut dyn Write,
+        batch: &VecDeque<Box<str>>,
+        reported: &mut (u64, u64),
+    ) -> io::Result<()> {
+        let routine = self.dropped.routine.load(Ordering::Relaxed);
+        let failures = self.dropped.failures.load(Ordering::Relaxed);
+        let mut text = String::new();
+        for line in batch {
+            text.push_str(line);
+        }
+        if (routine, failures) != *reported {
+            let mut fields = Map::new();
+            fields.insert("routine".into(), (routine - reported.0).into());
+            fields.insert("failures".into(), (failures - reported.1).into());
+            let at = chrono_text(&mut DeferredNow::new());
+            text.push_str(&self.line(&at, Level::Warn, DROPPED_EVENT, fields));
+            *reported = (routine, failures);
+        }
+        out.write_all(text.as_bytes())?;
+        out.flush()
+    }
+
+    fn line(&self, at: &str, level: Level, event: &str, fields: Map<String, Json>) -> Box<str> {
+        let mut line = Map::new();
+        line.insert("at".into(), at.into());
+        line.insert("level".into(), level.as_str().to_ascii_lowercase().into());
+        line.insert("instance".into(), (*self.instance).into());
+        line.insert("event".into(), event.into());
+        for (name, value) in fields {
+            line.entry(name).or_insert(value);
+        }
+        let mut text = Json::Object(line).to_string();
+        text.push('\n');
+        text.into()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Lines> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes log records to a queue.
+pub(crate) struct QueueWriter(pub(crate) Arc<LineQueue>);
+
+impl LogWriter for QueueWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut fields = Fields(Map::new());
+        // A field that cannot be read is left out; the line is still worth having.
+        let _ = record.key_values().visit(&mut fields);
+        let event = record.args().to_string();
+        let line = self.0.line(&chrono_text(now), record.level(), &event, fields.0);
+        self.0.push(line, record.level() <= Level::Warn);
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let mut lines = self.0.lock();
+        let mut left = FLUSH_LIMIT;
+        while (!lines.waiting.is_empty() || lines.is_writing) && !left.is_zero() {
+            let step = BATCH_INTERVAL.min(left);
+            let waited = self.0.changed.wait_timeout(lines, step);
+            lines = waited.unwrap_or_else(PoisonError::into_inner).0;
+            left = left.saturating_sub(step);
+        }
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> LevelFilter {
+        LevelFilter::Trace
+    }
+}
+
+fn chrono_text(now: &mut DeferredNow) -> String {
+    now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.6fZ").to_string()
+}
+
+/// Collects the fields of a record.
+struct Fields(Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let json = match (value.to_u64(), value.to_i64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _, _) => number.into(),
+            (_, Some(number), _, _) => number.into(),
+            (_, _, Some(number), _) => number.into(),
+            (_, _, _, Some(truth)) => truth.into(),
+            _ => Json::String(value.to_string()),
+        };
+        self.0.insert(key.as_str().into(), json);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::io::{self, Write};
+    use std::sync::atomic::Ordering;
+    use std::sync::mpsc::{Receiver, Sender, channel};
+    use std::time::Duration;
+
+    use serde_json::Value;
+
+    use super::{DROPPED_EVENT, LineQueue, ROUTINE_BYTES};
+
+    /// An output that takes nothing until it is told to.
+    struct Pipe {
+        gate: Receiver<()>,
+        written: Sender<Vec<u8>>,
+    }
+
+    impl Write for Pipe {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.gate.recv().map_err(|_| io::ErrorKind::BrokenPipe)?;
+            self.written.send(bytes.to_vec()).map_err(|_| io::ErrorKind::BrokenPipe)?;
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn a_full_pipe_drops_lines_of_successes_first_and_blocks_nobody() {
+        let (open, gate) = channel();
+        let (written, lines) = channel();
+        let queue = LineQueue::start_writing("one", Box::new(Pipe { gate, written })).unwrap();
+        queue.push("first\n".into(), false);
+        std::thread::sleep(Duration::from_millis(200));
+        let line: Box<str> = "x".repeat(1_000).into();
+        for _ in 0..2 * ROUTINE_BYTES / 1_000 {
+            queue.push(line.clone(), false);
+        }
+        queue.push("failure\n".into(), true);
+        let dropped = queue.dropped();
+        assert!(dropped.routine.load(Ordering::Relaxed) > 0);
+        assert_eq!(dropped.failures.load(Ordering::Relaxed), 0);
+        open.send(()).unwrap();
+        open.send(()).unwrap();
+        assert_eq!(lines.recv().unwrap(), b"first\n");
+        let text = String::from_utf8(lines.recv().unwrap()).unwrap();
+        let (head, last) = text.rsplit_once("failure\n").unwrap();
+        assert!(head.len() <= ROUTINE_BYTES);
+        let report: Value = serde_json::from_str(last).unwrap();
+        assert_eq!(report["event"], DROPPED_EVENT);
+        assert_eq!(report["routine"], dropped.routine.load(Ordering::Relaxed));
+        assert_eq!(report["instance"], "one");
+    }
+}
--- a/crates/magnoliaspar-cli/src/logs.rs
+++ b/crates/magnoliaspar-cli/src/logs.rs
@@ -1,9 +1,13 @@
+use std::sync::Arc;
+
 use displaydoc::Display;
 use flexi_logger::{
     FlexiLoggerError, LevelFilter, LogSpecification, Logger, LoggerHandle, json_format,
 };
 use magnoliaspar_settings::LogSettings;
 
+use crate::line_queue::{DroppedLines, LineQueue, QueueWriter};
+
 /// The libraries that write headers, and thereby keys, to their most detailed logs.
 const LIBRARIES: [&str; 8] =
     ["actix_http", "actix_server", "awc", "h2", "hyper", "hyper_util", "tonic", "tower"];
@@ -18,20 +22,29 @@
     Filter(FlexiLoggerError),
     /// logs cannot be started: {0}
     Start(FlexiLoggerError),
+    /// the thread that writes logs cannot be started: {0}
+    Thread(std::io::Error),
 }
 
 impl std::error::Error for LogError {}
 
 /// Starts to write logs to the standard output, one JSON object a line.
 pub(crate) fn start(settings: &LogSettings) -> Result<LoggerHandle, LogError> {
-    start_filter(&settings.filter)
+    let spec = read_filter(&settings.filter)?;
+    let logger = Logger::with(spec).use_utc().format(json_format).log_to_stdout();
+    logger.start().map_err(LogError::Start)
 }
 
-/// Starts to write the logs that pass `filter`.
-pub(crate) fn start_filter(filter: &str) -> Result<LoggerHandle, LogError> {
+/// Starts to write the logs of `instance` that pass `filter`, in bounds and without blocking.
+pub(crate) fn start_bounded(
+    filter: &str,
+    instance: &str,
+) -> Result<(LoggerHandle, Arc<DroppedLines>), LogError> {
     let spec = read_filter(filter)?;
-    let logger = Logger::with(spec).use_utc().format(json_format).log_to_stdout();
-    logger.start().map_err(LogError::Start)
+    let queue = LineQueue::start(instance).map_err(LogError::Thread)?;
+    let dropped = queue.dropped();
+    let logger = Logger::with(spec).use_utc().log_to_writer(Box::new(QueueWriter(queue)));
+    Ok((logger.start().map_err(LogError::Start)?, dropped))
 }
 
 /// Reads a filter; libraries that could log keys stay at the level of information.
--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -88,15 +88,15 @@
             ask.accept(grant, req)
         }
         Some(Verdict::NoEngine) => {
-            log::info!(request, home, waited_ms, reason = "no engine"; "not_placed");
+            log::warn!(request, home, waited_ms, reason = "no engine"; "not_placed");
             Err(Refusal::NoServer)
         }
         Some(Verdict::Queued | Verdict::Hopeless) => {
-            log::info!(request, home, waited_ms, reason = "too many wait"; "not_placed");
+            log::warn!(request, home, waited_ms, reason = "too many wait"; "not_placed");
             Err(Refusal::NoCapacity)
         }
         None => {
-            log::info!(request, home, waited_ms, reason = "no memory in time"; "not_placed");
+            log::warn!(request, home, waited_ms, reason = "no memory in time"; "not_placed");
             Err(Refusal::NoCapacity)
         }
     }
@@ -164,7 +164,7 @@
                 continue;
             }
             if let Some(home) = &self.home {
-                log::info!(home = &*home.instance, id = self.id; "home_silent");
+                log::warn!(home = &*home.instance, id = self.id; "home_silent");
                 self.gateway.suspect_home(&home.instance);
             }
             tries = 0;
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -165,7 +165,7 @@
     gateway.metrics.connections.inc();
     let opened = Connection::open(address, CONNECT_TIMEOUT).await;
     if let Err(error) = &opened {
-        log::info!(server = gateway.server_name(server), address:%, reason:% = error; "server_unreachable");
+        log::warn!(server = gateway.server_name(server), address:%, reason:% = error; "server_unreachable");
         gateway.metrics.count_call("not_sent");
         probe(gateway, server);
     }
@@ -184,7 +184,7 @@
             true
         }
         Err(error) => {
-            log::info!(server = gateway.server_name(server), reason:% = error; "server_lost");
+            log::warn!(server = gateway.server_name(server), reason:% = error; "server_lost");
             probe(gateway, server);
             false
         }
@@ -324,7 +324,7 @@
             }
             gateway.metrics.count_call("not_run");
             let status = reply.head.status.as_u16();
-            log::info!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
+            log::warn!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
         }
         Ok(reply) => {
             directory.succeeded(server);
@@ -333,7 +333,7 @@
             log::debug!(request, server = name, prefill, status, elapsed_ms; "call_answered");
         }
         Err(CallError::NotSent(reason)) => {
-            log::info!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
+            log::warn!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
         }
         Err(error) => {
             let avoided = directory.failed(server, now);
@@ -345,7 +345,7 @@
                 CallError::TimedOut => "timed_out",
             });
             let avoided_ms = avoided.map_or(0, |avoided| avoided.as_millis() as u64);
-            log::info!(request, server = name, prefill, reason:% = error, elapsed_ms, avoided_ms; "call_failed");
+            log::warn!(request, server = name, prefill, reason:% = error, elapsed_ms, avoided_ms; "call_failed");
             gateway.pool.borrow_mut().drop_server(server);
             probe(gateway, server);
         }
@@ -364,8 +364,8 @@
         let release = send_release(&gateway, server, &path);
         match tokio::time::timeout(RELEASE_TIMEOUT, release).await {
             Ok(Ok(())) => log::info!(handle; "kv_cache_released"),
-            Ok(Err(error)) => log::info!(handle, reason:% = error; "kv_cache_not_released"),
-            Err(_) => log::info!(handle, reason = "no answer in time"; "kv_cache_not_released"),
+            Ok(Err(error)) => log::warn!(handle, reason:% = error; "kv_cache_not_released"),
+            Err(_) => log::warn!(handle, reason = "no answer in time"; "kv_cache_not_released"),
         }
     });
 }
--- a/crates/magnoliaspar-gateway/src/front.rs
+++ b/crates/magnoliaspar-gateway/src/front.rs
@@ -122,15 +122,16 @@
     let route = checked.route.as_ref().map_or("", |route| route.name.as_str());
     let service = checked.service.as_deref().unwrap_or_default();
     let version = checked.version;
+    let servers_revision = gateway.servers_mark.changed();
     match ended {
-        Ended::Answer(response) => {
+        Ended::Answer(response, server) => {
             let status = response.status().as_u16();
             let stage = if kind.ends_with("stream") { "head" } else { "whole" };
             gateway.metrics.observe(kind, stage, elapsed);
             if stage == "whole" {
                 gateway.metrics.count_request(kind, "answered");
             }
-            log::info!(request, route, service, version, status, elapsed_ms; "answered");
+            log::info!(request, route, service, version, servers_revision, server = &*server, status, elapsed_ms; "answered");
             response
         }
         Ended::Refused(refusal) => {
@@ -148,7 +149,7 @@
             gateway.metrics.count_request(kind, "refused");
             gateway.metrics.count_refusal(refusal);
             let retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64);
-            log::info!(request, route, service, version, status, reason:% = refusal, elapsed_ms, retry_after_ms:?; "refused");
+            log::warn!(request, route, service, version, servers_revision, status, reason:% = refusal, elapsed_ms, retry_after_ms:?; "refused");
             let mut response = refusal.response(retry_after);
             gateway.dialect.write_refusal(response.headers_mut(), request);
             response
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -401,6 +401,7 @@
     /// Closes connections that cannot be used, and forgets servers that did not come back.
     pub fn sweep(&self) {
         let now = self.clock.now();
+        self.metrics.queued.set(self.queue.len() as i64);
         self.most_instances.set(self.most_instances.get().max(self.live_instances()));
         let directory = self.directory.borrow();
         self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
@@ -432,7 +433,7 @@
         match until {
             Some(until) if now < until && !is_draining => {
                 if self.directory.borrow().find(id).is_some() {
-                    log::info!(server = id; "server_vanished_during_outage");
+                    log::warn!(server = id; "server_vanished_during_outage");
                     self.vanished.borrow_mut().entry(id.into()).or_insert(until);
                 }
             }
--- a/crates/magnoliaspar-gateway/src/home.rs
+++ b/crates/magnoliaspar-gateway/src/home.rs
@@ -114,14 +114,8 @@
     fn first(&self, now: Instant) -> Option<((InstanceId, BookingId), Want)> {
         let mut waiters = self.waiters.borrow_mut();
         waiters.retain(|_, waiter| now < waiter.until);
-        let mut best: Option<((u8, i128), &(InstanceId, BookingId), &Want)> = None;
-        for (key, waiter) in waiters.iter() {
-            let rank = rank(waiter, now);
-            if best.as_ref().is_none_or(|(least, _, _)| rank < *least) {
-                best = Some((rank, key, &waiter.want));
-            }
-        }
-        best.map(|(_, key, want)| (key.clone(), want.clone()))
+        let first = waiters.iter().min_by_key(|(_, waiter)| rank(waiter, now));
+        first.map(|(key, waiter)| (key.clone(), waiter.want.clone()))
     }
 }
 
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -1,10 +1,11 @@
 //! Counters and latency histograms in the format of Prometheus.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::refusal::Refusal;
@@ -13,7 +14,6 @@
 const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 15.0];
 
 /// The metrics of one gateway.
-#[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
@@ -33,8 +33,18 @@
     pub budget_exhausted: IntCounter,
     /// Connections that were opened to servers.
     pub connections: IntCounter,
+    /// Completions that wait here for engine memory.
+    pub queued: IntGauge,
+    /// Retries that the budget still allows, by service.
+    pub budget_left: GaugeVec,
+    log_lines_dropped: IntGaugeVec,
+    resident_bytes: IntGauge,
+    dropped_lines: RefCell<Option<DroppedLines>>,
 }
 
+/// Returns how many log lines about successes and about failures were dropped.
+pub type DroppedLines = Box<dyn Fn() -> (u64, u64)>;
+
 impl Metrics {
     /// Creates metrics that stand at zero.
     pub fn new() -> Self {
@@ -62,6 +72,16 @@
             .buckets(BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["kind", "stage"]).expect("the names are valid");
         registry.register(Box::new(latency.clone())).expect("the name is used once");
+        let gauges = |name: &str, help: &str, label: &str| {
+            let opts = Opts::new(name, help).namespace("magnoliaspar");
+            let gauges = IntGaugeVec::new(opts, &[label]).expect("the names are valid");
+            registry.register(Box::new(gauges.clone())).expect("the name is used once");
+            gauges
+        };
+        let opts = Opts::new("gateway_budget_left", "Retries that the budget still allows.");
+        let budget_left = GaugeVec::new(opts.namespace("magnoliaspar"), &["service"])
+            .expect("the names are valid");
+        registry.register(Box::new(budget_left.clone())).expect("the name is used once");
         Self {
             requests: vec(
                 "gateway_requests_total",
@@ -85,6 +105,11 @@
             resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
             budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
             connections: counter("gateway_connections_total", "Connections opened to servers."),
+            queued: gauge("gateway_queued", "Completions that wait here for engine memory."),
+            budget_left,
+            log_lines_dropped: gauges("gateway_log_lines_dropped", "Dropped log lines.", "kind"),
+            resident_bytes: gauge("gateway_resident_bytes", "Memory of the process."),
+            dropped_lines: RefCell::default(),
             latency,
             registry,
         }
@@ -119,8 +144,21 @@
         self.latency.with_label_values(&[kind, stage])
     }
 
+    /// Takes what counts dropped log lines.
+    pub fn set_dropped_lines(&self, count: DroppedLines) {
+        self.dropped_lines.replace(Some(count));
+    }
+
     /// Returns all metrics as text.
     pub fn encode(&self) -> Vec<u8> {
+        if let Some(count) = &*self.dropped_lines.borrow() {
+            let (routine, failures) = count();
+            self.log_lines_dropped.with_label_values(&["routine"]).set(routine as i64);
+            self.log_lines_dropped.with_label_values(&["failure"]).set(failures as i64);
+        }
+        if let Some(bytes) = resident_bytes() {
+            self.resident_bytes.set(bytes);
+        }
         let mut buf = Vec::new();
         TextEncoder::new()
             .encode(&self.registry.gather(), &mut buf)
@@ -134,3 +172,11 @@
         Self::new()
     }
 }
+
+/// Returns the resident memory of the process, if the system tells it.
+fn resident_bytes() -> Option<i64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: i64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1_024)
+}
--- a/crates/magnoliaspar-gateway/src/plain.rs
+++ b/crates/magnoliaspar-gateway/src/plain.rs
@@ -23,8 +23,8 @@
 
 /// What becomes of a request.
 pub enum Ended {
-    /// A server's answer, to be passed on unchanged.
-    Answer(Response<BoxBody>),
+    /// A server's answer, to be passed on unchanged, and the server.
+    Answer(Response<BoxBody>, Box<str>),
     /// There is none.
     Refused(Refusal),
 }
@@ -34,7 +34,7 @@
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut arrivals = 0_u32;
     let mut runs = 0_u32;
-    let mut failure: Option<Response<BoxBody>> = None;
+    let mut failure: Option<(Response<BoxBody>, Box<str>)> = None;
     let may_repeat = req.route.kind.may_repeat();
     let refused = loop {
         let now = gateway.clock.now();
@@ -64,12 +64,13 @@
             Ok(Attempt::NotRun) => arrivals += 1,
             Ok(Attempt::Answered(response)) => {
                 let is_failure = response.status().is_server_error();
+                let name = gateway.server_name(server);
                 if !is_failure || !can_go_on {
-                    return Ended::Answer(response);
+                    return Ended::Answer(response, name);
                 }
                 arrivals += 1;
                 runs += 1;
-                failure = Some(response);
+                failure = Some((response, name));
             }
             Err(error) if error.is_never_sent() => {}
             Err(error) => {
@@ -87,7 +88,7 @@
     };
     // A server's own failure says more than that no further try was made.
     match failure {
-        Some(response) => Ended::Answer(response),
+        Some((response, server)) => Ended::Answer(response, server),
         None => Ended::Refused(refused),
     }
 }
@@ -108,7 +109,7 @@
     let rest = deadline.saturating_duration_since(gateway.clock.now());
     let read = tokio::time::timeout(rest, reply.read_body(MAX_ANSWER)).await;
     let body = read.unwrap_or(Err(CallError::TimedOut)).inspect_err(|error| {
-        log::info!(request = &*req.facts.id, reason:% = error; "answer_incomplete");
+        log::warn!(request = &*req.facts.id, reason:% = error; "answer_incomplete");
         gateway.directory.borrow_mut().failed(server, gateway.clock.now());
     })?;
     if reply.facts.is_not_run {
@@ -116,7 +117,7 @@
         return Ok(Attempt::NotRun);
     }
     if reply.head.status.is_success() && !reply.is_genuine_success() {
-        log::info!(request = &*req.facts.id; "answer_without_seal");
+        log::warn!(request = &*req.facts.id; "answer_without_seal");
         return Err(CallError::Garbled("a success without the server's seal".into()));
     }
     let response = build_response(&reply.head, body);
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -35,6 +35,7 @@
     match progress.start(gateway, &req, req.facts.resume_after).await {
         Ok((reply, placement)) if reply.is_genuine_success() => {
             let response = copy_head(&reply.head);
+            let server = gateway.server_name(reply.lease.server);
             let relay = Relay {
                 gateway: gateway.clone(),
                 events: EventBuffer::after(req.facts.resume_after),
@@ -44,13 +45,14 @@
                 has_event: false,
                 _guard: guard,
             };
-            Ended::Answer(relay.into_response(response))
+            Ended::Answer(relay.into_response(response), server)
         }
         Ok((mut reply, _)) => match reply.read_body(MAX_FAILURE).await {
             Ok(body) if !reply.head.status.is_success() => {
                 let response = copy_head(&reply.head).set_body(body.boxed());
+                let server = gateway.server_name(reply.lease.server);
                 reply.finish();
-                Ended::Answer(response)
+                Ended::Answer(response, server)
             }
             _ => Ended::Refused(Refusal::MayHaveRun),
         },
@@ -357,7 +359,7 @@
         let remaining = self.req.remaining(self.gateway.clock.now());
         let runs = self.progress.runs;
         let is_allowed = self.req.route.kind.may_repeat() && runs < self.req.route.max_attempts;
-        log::info!(request, reason:% = error, last_event:?, runs, is_allowed; "stream_broke");
+        log::warn!(request, reason:% = error, last_event:?, runs, is_allowed; "stream_broke");
         let kind = self.req.route.kind.as_str();
         if !is_allowed || remaining.is_zero() {
             self.gateway.metrics.count_request(kind, "broken");
@@ -374,12 +376,12 @@
             }
             Ok((reply, _)) => {
                 let status = reply.head.status.as_u16();
-                log::info!(request, status; "stream_not_resumed");
+                log::warn!(request, status; "stream_not_resumed");
                 self.gateway.metrics.count_request(kind, "broken");
                 Err(RelayError::Broken)
             }
             Err(refusal) => {
-                log::info!(request, reason:% = refusal; "stream_not_resumed");
+                log::warn!(request, reason:% = refusal; "stream_not_resumed");
                 self.gateway.metrics.count_request(kind, "broken");
                 Err(RelayError::Broken)
             }
--- a/crates/magnoliaspar-retry/src/budget.rs
+++ b/crates/magnoliaspar-retry/src/budget.rs
@@ -40,6 +40,11 @@
         true
     }
 
+    /// Returns how many retries are saved up, without what time has added since the last one.
+    pub fn left(&self) -> f64 {
+        self.tokens
+    }
+
     /// Returns after which time a retry is possible without any success.
     pub fn wait(&self) -> Duration {
         let missing = (1.0 - self.tokens).max(0.0);
