--- a/crates/magnoliaspar-cli/src/explain.rs
+++ b/crates/magnoliaspar-cli/src/explain.rs
@@ -14,7 +14,10 @@
 
 /// How long before and after a request what happened to its servers belongs to its story, in
 /// microseconds.
-const CONTEXT_US: i64 = 5_000_000;
+const SERVER_CONTEXT_US: i64 = 5_000_000;
+
+/// How long before and after a request what its instance came to believe does, in microseconds.
+const BELIEF_CONTEXT_US: i64 = 1_000_000;
 
 /// The fields that are shown in columns of their own.
 const COLUMNS: [&str; 5] = ["at", "level", "instance", "event", "request"];
@@ -133,12 +136,16 @@
                 continue;
             }
             let Some((from, to)) = spans.get(&*line.instance) else { continue };
-            let is_near = (from - CONTEXT_US..=to + CONTEXT_US).contains(&line.at_us);
-            let is_of_others = line.fields.contains_key("request");
+            let is_within = |context: i64| (from - context..=to + context).contains(&line.at_us);
+            if line.fields.contains_key("request") {
+                continue;
+            }
             let is_gap = line.event.as_ref() == DROPPED_EVENT;
-            let is_context = line.servers().any(|server| servers.contains(server));
-            let is_belief = !line.servers().any(|_| true);
-            if is_near && !is_of_others && (is_gap || is_context || is_belief) {
+            let is_of_server = line.servers().any(|server| servers.contains(server));
+            let is_belief = line.servers().next().is_none();
+            let is_shown = (is_gap || is_of_server) && is_within(SERVER_CONTEXT_US)
+                || is_belief && is_within(BELIEF_CONTEXT_US);
+            if is_shown {
                 shown.push((line, if is_gap { '!' } else { '~' }));
             }
         }
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -100,7 +100,8 @@
         let Self { gateway, requests, readiness, metrics, peers, limits } = self;
         let settings = gateway.settings();
         let instance = &*settings.instance;
-        log::info!(instance, zone = &*settings.zone, requests:% = requests.address(); "started");
+        let zone = &*settings.zone;
+        log::info!(instance, zone, requests:% = requests.address(), metrics:% = metrics.address(), peers:% = peers.address(); "started");
         let front_stop = requests.stop_handle();
         actix_rt::spawn(requests.run());
         actix_rt::spawn(readiness.run());
--- /dev/null
+++ b/tests/tests/explain.rs
@@ -0,0 +1,159 @@
+//! From the id of a failed request to its cause, by logs and metrics alone.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use magnoliaspar_cli::run_with;
+use magnoliaspar_platform_standin::{Caller, Fault, Role, ServerSpec, StandinServer, StandinStore};
+use magnoliaspar_tests::GatewayProcess;
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
+
+const HOST: &str = "site.example";
+
+struct Deployment {
+    gateway: GatewayProcess,
+    servers: Vec<StandinServer>,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    async fn start(name: &str) -> Self {
+        let store = StandinStore::start().await;
+        store.put("op", "config", &configuration());
+        let specs = [
+            ServerSpec::plain("s1", "shop"),
+            ServerSpec::engine("p1", "engines", Role::Prefill),
+            ServerSpec::engine("d1", "engines", Role::Decode),
+        ];
+        let mut servers = Vec::new();
+        for spec in specs {
+            servers.push(StandinServer::start(&store, spec).await);
+        }
+        let folder = std::env::temp_dir().join(format!("explain-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for settings and logs");
+        let file = folder.join("settings.json");
+        let address = store.address();
+        let started = tokio::task::spawn_blocking(move || {
+            GatewayProcess::start(PROGRAM, &file, "one", address)
+        });
+        let gateway = started.await.expect("the gateway starts");
+        let deployment = Self { gateway, servers, folder };
+        deployment.wait_for("servers_known").await;
+        deployment.wait_for("configuration_taken").await;
+        deployment
+    }
+
+    async fn wait_for(&self, text: &str) {
+        for _ in 0..1_000 {
+            if self.gateway.log().contains(text) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("no {text} in the log:\n{}", self.gateway.log());
+    }
+
+    /// Returns the story that the command tells of a request.
+    async fn explain(&self, id: &str) -> String {
+        self.wait_for(&format!("\"request\":\"{id}\"")).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let file = self.folder.join("one.log");
+        std::fs::write(&file, self.gateway.log()).expect("the log can be written");
+        let args = ["explain".into(), id.into(), file.to_str().expect("a path").into()];
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        assert_eq!(run_with(&args, &mut out, &mut err), 0, "{}", String::from_utf8_lossy(&err));
+        String::from_utf8(out).expect("text")
+    }
+
+    async fn metrics(&self) -> String {
+        let answer = Caller::get(HOST, "/metrics", "m").ask(self.gateway.metrics).await;
+        String::from_utf8(answer.expect("metrics").body).expect("text")
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn configuration() -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 5_000, "target_latency_ms": 500, "service": service, "max_attempts": 1,
+        })
+    };
+    json!({
+        "version": 7,
+        "routes": [
+            route("order", "non_idempotent", "shop"),
+            route("review", "streaming", "engines"),
+        ],
+        "services": [
+            { "name": "shop" },
+            { "name": "engines", "engine": { "slots": 8, "kv_capacity_tokens": 30_000 } },
+        ],
+        "limits": {
+            "max_body_bytes": 100_000, "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+#[actix_rt::test]
+async fn a_request_that_was_refused_for_want_of_capacity() {
+    let deployment = Deployment::start("refused").await;
+    deployment.servers[0].set_fault(Fault::Full);
+    let caller = Caller::post(HOST, "/order/1", "full1", b"x");
+    let answer = caller.ask(deployment.gateway.requests).await.unwrap();
+    assert_eq!(answer.status, 503);
+    let story = deployment.explain("full1").await;
+    assert!(story.contains("call_rejected"), "{story}");
+    assert!(story.contains("server=s1"), "{story}");
+    assert!(story.contains("reason=no_capacity"), "{story}");
+    assert!(story.contains("version=7"), "{story}");
+    let metrics = deployment.metrics().await;
+    let counted = "magnoliaspar_gateway_refusals_total{reason=\"no_capacity\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert!(
+        metrics.contains("magnoliaspar_gateway_calls_total{result=\"not_run\"} 1"),
+        "{metrics}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_request_that_failed_after_it_may_have_run() {
+    let deployment = Deployment::start("failed").await;
+    deployment.servers[0].set_fault(Fault::Reset);
+    let caller = Caller::post(HOST, "/order/1", "reset1", b"x");
+    let answer = caller.ask(deployment.gateway.requests).await.unwrap();
+    assert_eq!(answer.status, 502);
+    let story = deployment.explain("reset1").await;
+    assert!(story.contains("call_failed"), "{story}");
+    assert!(story.contains("server=s1"), "{story}");
+    assert!(story.contains("the connection broke"), "{story}");
+    assert!(story.contains("reason=may_have_run"), "{story}");
+    let metrics = deployment.metrics().await;
+    let counted = "magnoliaspar_gateway_refusals_total{reason=\"may_have_run\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+}
+
+#[actix_rt::test]
+async fn a_stream_that_broke_off() {
+    let deployment = Deployment::start("broken").await;
+    deployment.servers[2].set_fault(Fault::CutAfter(3));
+    let caller = Caller::completion(HOST, "/review/1", "cut1", 1_000, 80);
+    let answer = caller.ask(deployment.gateway.requests).await.unwrap();
+    assert!(!answer.is_complete);
+    let story = deployment.explain("cut1").await;
+    assert!(story.contains("placed"), "{story}");
+    assert!(story.contains("decode=d1"), "{story}");
+    assert!(story.contains("stream_broke"), "{story}");
+    assert!(story.contains("is_allowed=false"), "{story}");
+    let metrics = deployment.metrics().await;
+    let counted = "magnoliaspar_gateway_requests_total{kind=\"stream\",outcome=\"broken\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+}
