Choose plain servers by latency and share the retry budget from the start

Instances that had just been restarted together each took a sixth of the fixed part for itself, and the nearest server was asked although its answers had become slow. Change: an instance that expects others and has not heard of them takes a hundredth; the server that is likely to answer first is chosen; a late answer of a server that answers others is load and not a failure. Ruled out: counting retries at the home, which is one message for each.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -327,11 +327,18 @@
             log::warn!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
         }
         Ok(reply) => {
-            directory.succeeded(server);
+            directory.succeeded(server, now);
             gateway.metrics.count_call("answered");
             let status = reply.head.status.as_u16();
             log::debug!(request, server = name, prefill, status, elapsed_ms; "call_answered");
         }
+        Err(CallError::TimedOut)
+            if directory.get(server).is_some_and(|server| server.is_answering(now)) =>
+        {
+            directory.measured(server, elapsed, now);
+            gateway.metrics.count_call("timed_out");
+            log::warn!(request, server = name, prefill, reason = "late", elapsed_ms; "call_failed");
+        }
         Err(CallError::NotSent(reason)) => {
             log::warn!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
         }
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -18,6 +18,15 @@
 /// How long a server that refused a request for want of room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// How much a new measurement counts for the latency of a server.
+const LATENCY_GAIN: f64 = 0.3;
+
+/// How long after an answer a server is not taken as gone because another one is late.
+const ANSWERING_TIME: Duration = Duration::from_millis(500);
+
+/// How long a measured latency says something about a server; bursts last some seconds.
+const LATENCY_LIFE: Duration = Duration::from_millis(1_500);
+
 /// How a server describes itself in the list of servers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
@@ -64,6 +73,8 @@
     pub in_flight: u32,
     /// Whether no connection could be opened lately; a probe finds out when one can.
     pub is_unreachable: bool,
+    latency: Option<(Duration, Instant)>,
+    answered_at: Option<Instant>,
     failures_in_a_row: u32,
     avoided_until: Option<Instant>,
     full_until: Option<Instant>,
@@ -77,6 +88,19 @@
     }
 }
 
+impl Server {
+    /// Whether it has answered another call a moment ago, so that a late answer shows load only.
+    pub fn is_answering(&self, now: Instant) -> bool {
+        self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < ANSWERING_TIME)
+    }
+
+    /// Returns how long its answers took lately, if there were any.
+    pub fn latency(&self, now: Instant) -> Option<Duration> {
+        let (latency, at) = self.latency?;
+        (now.saturating_duration_since(at) < LATENCY_LIFE).then_some(latency)
+    }
+}
+
 /// What a new record of a server changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordChange {
@@ -116,6 +140,8 @@
             record,
             in_flight: 0,
             is_unreachable: false,
+            latency: None,
+            answered_at: None,
             failures_in_a_row: 0,
             avoided_until: None,
             full_until: None,
@@ -170,13 +196,22 @@
     }
 
     /// Takes in that a call to a server came to a proper answer.
-    pub fn succeeded(&mut self, key: ServerKey) {
+    pub fn succeeded(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else { return };
+        server.answered_at = Some(now);
         server.failures_in_a_row = 0;
         server.avoided_until = None;
         server.full_until = None;
     }
 
+    /// Takes in how long an answer of a server took.
+    pub fn measured(&mut self, key: ServerKey, latency: Duration, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let before = server.latency(now).unwrap_or(latency);
+        let smoothed = before.mul_f64(1.0 - LATENCY_GAIN) + latency.mul_f64(LATENCY_GAIN);
+        server.latency = Some((smoothed, now));
+    }
+
     /// Takes in that a call to a server failed; returns how long the server is avoided.
     pub fn failed(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
         let server = self.servers.get_mut(key)?;
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -29,10 +29,12 @@
 /// The source gives a living server about two seconds to come back.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 
-/// The least number of instances among which the retry budget is shared out.
-///
-/// An instance that has just started has not heard of the others yet.
-const MIN_BUDGET_INSTANCES: usize = 6;
+/// The number of instances among which the retry budget is shared out until others were heard of,
+/// such that restarts of all at once do not overdraw it.
+const UNKNOWN_INSTANCES: usize = 100;
+
+/// How long an instance that hears of no other is not sure that there is none.
+const HEARING_TIME: Duration = Duration::from_secs(5);
 
 /// How long a home waits for changes at the store in one call; with the time for the answer it is
 /// below the two seconds within which a change has to be in force.
@@ -70,6 +72,7 @@
     peers: RefCell<Option<Rc<Peers>>>,
     next_booking: Cell<BookingId>,
     most_instances: Cell<usize>,
+    created: Instant,
     /// How far the configuration was followed.
     pub routing_mark: FeedMark,
     /// How far the list of servers was followed.
@@ -93,7 +96,9 @@
         clock: Rc<dyn Clock>,
         dialect: Rc<dyn Dialect>,
     ) -> Rc<Self> {
+        let created = clock.now();
         Rc::new_cyclic(|this| Self {
+            created,
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -299,6 +304,7 @@
                 in_flight: server.in_flight,
                 slots: record.slots,
                 unread_tokens: 0,
+                latency: server.latency(now),
                 fill: 0.0,
                 role: record.role,
             });
@@ -371,6 +377,11 @@
         is_taken
     }
 
+    /// Takes in how many instances live.
+    pub fn note_instances(&self) {
+        self.most_instances.set(self.most_instances.get().max(self.live_instances()));
+    }
+
     fn with_budget<T>(
         &self,
         service: &ServiceName,
@@ -388,7 +399,12 @@
     /// Instances that are cut off from here still use their share, so the most that were heard of
     /// count for a while.
     fn budget_instances(&self) -> usize {
-        self.most_instances.get().max(MIN_BUDGET_INSTANCES)
+        let is_new = self.clock.now() - self.created < HEARING_TIME;
+        let has_seeds = self.peers().is_some_and(|peers| peers.has_seeds());
+        match self.most_instances.get() {
+            1 if is_new && has_seeds => UNKNOWN_INSTANCES,
+            most => most,
+        }
     }
 
     /// Returns after which time a caller that was refused should come back.
@@ -402,7 +418,7 @@
     pub fn sweep(&self) {
         let now = self.clock.now();
         self.metrics.queued.set(self.queue.len() as i64);
-        self.most_instances.set(self.most_instances.get().max(self.live_instances()));
+        self.note_instances();
         let directory = self.directory.borrow();
         self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
         drop(directory);
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -245,6 +245,11 @@
         self.seeds.replace(seeds);
     }
 
+    /// Whether the settings name another instance.
+    pub fn has_seeds(&self) -> bool {
+        self.seeds.borrow().iter().any(|seed| *seed != self.address)
+    }
+
     /// Returns the number of instances that live, this one included, as far as is known.
     pub fn live(&self, now: Instant) -> usize {
         let (told, at) = self.told_live.get();
@@ -490,6 +495,7 @@
             }
             News::Members { members, live, marks } => {
                 self.note_live(live, now);
+                gateway.note_instances();
                 gateway.routing_mark.hint(marks.routing);
                 gateway.servers_mark.hint(marks.servers);
                 for member in members {
--- a/crates/magnoliaspar-gateway/src/place.rs
+++ b/crates/magnoliaspar-gateway/src/place.rs
@@ -22,6 +22,10 @@
 /// memory; a transfer between zones takes longer and is lost when the zone is cut off.
 const ZONE_FILL: f64 = 0.06;
 
+/// How much longer the answers of a server of another zone are taken to be, which leaves a zone when
+/// its own servers are a third slower.
+const ZONE_LATENCY: f64 = 1.33;
+
 /// What a prefill engine of another availability zone must save to be preferred, in tokens.
 const ZONE_TOKENS: u64 = 2_500;
 
@@ -40,23 +44,46 @@
     pub slots: u32,
     /// Tokens of prompts that it has still to read.
     pub unread_tokens: u64,
+    /// How long its answers took lately, if there were any.
+    pub latency: Option<Duration>,
     /// The part of its memory that it would need with the request, for decode engines.
     pub fill: f64,
     /// Which part of a completion it runs.
     pub role: Option<EngineRole>,
 }
 
-/// Chooses a plain server: a healthy one in the zone with room, else the least loaded.
+/// Chooses a plain server: the one that is likely to answer first, with some preference for the own
+/// availability zone.
+///
+/// Answers bursts at services whose servers many instances share: how long answers took tells of the
+/// others' load, and what one instance has under way does not.
 pub fn choose_server(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+    let usual = usual_latency(candidates);
     least(candidates, rng, |candidate| {
-        // Half of the slots are left to the other instances that use the server.
-        let is_busy = candidate.in_flight * 2 >= candidate.slots.max(2);
-        let distance = u64::from(!candidate.is_local);
-        let load = u64::from(candidate.in_flight);
-        (candidate.is_avoided, is_busy, distance, load)
+        let latency = candidate.latency.unwrap_or(usual);
+        let factor = if candidate.is_local { 1.0 } else { ZONE_LATENCY };
+        // Requests under way are ahead of this one, shared out over the server's slots.
+        let ahead = f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1));
+        let expected = latency.mul_f64(factor * (1.0 + ahead));
+        (candidate.is_avoided, expected.as_micros())
     })
 }
 
+/// Returns the mean latency of the candidates that have one.
+fn usual_latency(candidates: &[Candidate]) -> Duration {
+    let mut sum = Duration::ZERO;
+    let mut count = 0;
+    for candidate in candidates {
+        let Some(latency) = candidate.latency else { continue };
+        sum += latency;
+        count += 1;
+    }
+    if count == 0 { UNKNOWN_LATENCY } else { sum / count }
+}
+
+/// The latency that is reckoned with before any is known; only its sign matters.
+const UNKNOWN_LATENCY: Duration = Duration::from_millis(10);
+
 /// Which engines run a completion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Plan {
--- a/crates/magnoliaspar-gateway/src/plain.rs
+++ b/crates/magnoliaspar-gateway/src/plain.rs
@@ -104,7 +104,8 @@
     server: ServerKey,
     patience: Duration,
 ) -> Result<Attempt, CallError> {
-    let deadline = gateway.clock.now() + patience;
+    let started = gateway.clock.now();
+    let deadline = started + patience;
     let mut reply = call(gateway, req, server, &CallSpec::default(), patience, None).await?;
     let rest = deadline.saturating_duration_since(gateway.clock.now());
     let read = tokio::time::timeout(rest, reply.read_body(MAX_ANSWER)).await;
@@ -116,6 +117,8 @@
         reply.finish();
         return Ok(Attempt::NotRun);
     }
+    let now = gateway.clock.now();
+    gateway.directory.borrow_mut().measured(server, now - started, now);
     if reply.head.status.is_success() && !reply.is_genuine_success() {
         log::warn!(request = &*req.facts.id; "answer_without_seal");
         return Err(CallError::Garbled("a success without the server's seal".into()));
