Rank strong instances first as homes and predict loads in one pass

Change: the ranking prefers instances with more processor; loads of all engines come from one pass; bookings fill 90 % of the memory, and a home has 40 ms to answer.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -20,7 +20,7 @@
 const LONGEST_WAIT_TARGETS: f64 = 3.3;
 
 /// How long the home may take to answer; some ten times the way there and back.
-const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// How often a home is asked that does not answer, before the next one is.
 const ASK_TRIES: u32 = 2;
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
 use crate::feed::{Batch, FeedError, FeedMark, Follower};
 use crate::home::{Queue, Verdict, Want, serve_queue, take_news};
-use crate::ledger::{BookingId, Ledger};
+use crate::ledger::{BookingId, EngineLoad, Ledger};
 use crate::metrics::Metrics;
 use crate::peers::{Home, News, Peers};
 use crate::place::Candidate;
@@ -318,21 +318,21 @@
         let capacity = self.engine_spec(&want.service).map_or(0, |engine| engine.kv_capacity);
         let mut candidates = self.candidates(&want.service, &[]);
         let directory = self.directory.borrow();
-        let ledger = self.ledger.borrow();
+        let loads = self.ledger.borrow().loads(now);
+        let idle = EngineLoad::default();
         candidates.retain_mut(|candidate| {
             let Some(server) = directory.get(candidate.key) else { return false };
             let id = &server.record.id;
             if want.excluded.contains(id) {
                 return false;
             }
-            let load = ledger.load(id);
+            let load = loads.get(id).unwrap_or(&idle);
             candidate.is_local = server.record.zone == want.zone;
-            candidate.in_flight = load.running;
             candidate.unread_tokens = load.unread_tokens;
             // An engine that runs nothing has to take what is larger than its memory, to refuse it.
-            if candidate.role == Some(EngineRole::Decode) && load.running > 0 {
+            if candidate.role == Some(EngineRole::Decode) && load.running() > 0 {
                 let (prompt, expected) = (want.prompt_tokens, want.expected_tokens);
-                candidate.fill = ledger.predicted_fill(id, capacity, prompt, expected, now);
+                candidate.fill = load.predicted_fill(capacity, prompt, expected);
             }
             true
         });
--- a/crates/magnoliaspar-gateway/src/ledger.rs
+++ b/crates/magnoliaspar-gateway/src/ledger.rs
@@ -14,7 +14,7 @@
 
 /// The part of the memory that bookings may fill; the rest covers lengths that are underestimated
 /// and bookings that cross on the way.
-const FILL_LIMIT: f64 = 0.95;
+const FILL_LIMIT: f64 = 0.9;
 
 /// The mean length of an answer, as a multiple of the caller's estimate, which is right at the
 /// median and off by a log-normal factor with a deviation of about a half.
@@ -91,14 +91,29 @@
 }
 
 /// What bookings say of one engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct EngineLoad {
     /// Completions that run there or are about to.
-    pub running: u32,
+    running: Vec<Growth>,
     /// Tokens of prompts that it has still to read.
     pub unread_tokens: u64,
 }
 
+impl EngineLoad {
+    /// Returns the number of completions that run there or are about to.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the part of the engine's memory that it would need at most, with one more completion.
+    pub fn predicted_fill(&self, capacity: u64, prompt_tokens: u64, expected_tokens: u64) -> f64 {
+        let mean = (expected_tokens as f64 * MEAN_TO_MEDIAN) as u64;
+        let mut running = self.running.clone();
+        running.push(Growth { held: prompt_tokens, remaining: mean });
+        peak(&mut running) as f64 / capacity.max(1) as f64
+    }
+}
+
 impl Ledger {
     /// Creates a ledger without bookings for the instance `own`.
     pub fn new(own: InstanceId) -> Self {
@@ -212,37 +227,17 @@
         self.freed.iter().filter(is_recent).count() as f64 / RATE_WINDOW.as_secs_f64()
     }
 
-    /// Returns what is booked at an engine.
-    pub fn load(&self, engine: &str) -> EngineLoad {
-        let mut load = EngineLoad::default();
-        for booking in self.bookings.values() {
-            if &*booking.decode == engine {
-                load.running += 1;
-            }
-            if booking.prefill.as_deref() == Some(engine) {
-                load.unread_tokens += booking.prompt_tokens;
-            }
-        }
-        load
-    }
-
-    /// Returns the part of an engine's memory that it would need at most, with one more completion.
-    pub fn predicted_fill(
-        &self,
-        engine: &str,
-        capacity: u64,
-        prompt_tokens: u64,
-        expected_tokens: u64,
-        now: Instant,
-    ) -> f64 {
-        let mean = (expected_tokens as f64 * MEAN_TO_MEDIAN) as u64;
-        let mut running = vec![Growth { held: prompt_tokens, remaining: mean }];
+    /// Returns what is booked at each engine.
+    pub fn loads(&self, now: Instant) -> BTreeMap<Box<str>, EngineLoad> {
+        let mut loads: BTreeMap<Box<str>, EngineLoad> = BTreeMap::new();
         for booking in self.bookings.values() {
-            if &*booking.decode == engine {
-                running.push(self.growth(booking, now));
+            let load = loads.entry(booking.decode.clone()).or_default();
+            load.running.push(self.growth(booking, now));
+            if let Some(prefill) = &booking.prefill {
+                loads.entry(prefill.clone()).or_default().unread_tokens += booking.prompt_tokens;
             }
         }
-        peak(&mut running) as f64 / capacity.max(1) as f64
+        loads
     }
 
     /// Whether a completion fits without a preemption, by its predicted fill.
@@ -272,7 +267,7 @@
 }
 
 /// How the memory of one completion grows.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 struct Growth {
     held: u64,
     remaining: u64,
@@ -296,7 +291,7 @@
 mod tests {
     use std::time::{Duration, Instant};
 
-    use super::{Booking, Growth, Ledger, peak};
+    use super::{Booking, EngineLoad, Growth, Ledger, peak};
 
     fn booking(engine: &str, starts_at: Instant) -> Booking {
         Booking {
@@ -311,6 +306,10 @@
         }
     }
 
+    fn load(ledger: &Ledger, now: Instant) -> EngineLoad {
+        ledger.loads(now).remove("a").unwrap_or_default()
+    }
+
     #[test]
     fn the_peak_counts_only_what_runs_together() {
         let mut running =
@@ -327,7 +326,7 @@
         let mut ledger = Ledger::new("one".into());
         let mut admitted = 0;
         for id in 0..20 {
-            let fill = ledger.predicted_fill("a", 73_808, 5_000, 3_540, now);
+            let fill = load(&ledger, now).predicted_fill(73_808, 5_000, 3_540);
             if !Ledger::fits(fill) {
                 break;
             }
@@ -337,7 +336,7 @@
         assert_eq!(admitted, 7);
         // Requests that end at different times leave room for more.
         let later = now + Duration::from_millis(2_500);
-        assert!(Ledger::fits(ledger.predicted_fill("a", 90_000, 5_000, 3_540, later)));
+        assert!(Ledger::fits(load(&ledger, later).predicted_fill(90_000, 5_000, 3_540)));
     }
 
     #[test]
@@ -345,10 +344,10 @@
         let now = Instant::now();
         let mut ledger = Ledger::new("one".into());
         ledger.replace("two", vec![(1, booking("a", now))], now);
-        assert_eq!(ledger.load("a").running, 1);
+        assert_eq!(load(&ledger, now).running(), 1);
         ledger.expire(now + Duration::from_secs(2));
-        assert_eq!(ledger.load("a").running, 1);
+        assert_eq!(load(&ledger, now).running(), 1);
         ledger.expire(now + Duration::from_secs(4));
-        assert_eq!(ledger.load("a").running, 0);
+        assert_eq!(load(&ledger, now).running(), 0);
     }
 }
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! what a home receives grows evenly with it.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::home::{Verdict, Want, decide, serve_queue, take_news};
 use crate::ledger::{Booking, BookingId, InstanceId, Progress};
+use crate::settings::GatewaySettings;
 
 /// How often an instance tells all its bookings.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(800);
@@ -108,6 +110,8 @@
     pub zone: Box<str>,
     /// Whether it has run long enough to be a home.
     pub is_settled: bool,
+    /// How much it can do, in thousandths of a core; the strongest are homes.
+    pub capacity: u32,
     /// How long ago it was heard of, in milliseconds.
     pub age_ms: u64,
 }
@@ -192,6 +196,7 @@
     address: SocketAddr,
     instance: InstanceId,
     zone: Box<str>,
+    capacity: u32,
     started: Instant,
     is_ending: Cell<bool>,
     seeds: RefCell<Box<[SocketAddr]>>,
@@ -205,28 +210,24 @@
     address: SocketAddr,
     zone: Box<str>,
     is_settled: bool,
+    capacity: u32,
     heard: Instant,
     suspected_until: Option<Instant>,
 }
 
 impl Peers {
-    /// Listens on `address`.
-    pub async fn bind(
-        address: SocketAddr,
-        instance: InstanceId,
-        zone: Box<str>,
-        seeds: Box<[SocketAddr]>,
-        now: Instant,
-    ) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
+    /// Listens on the address that the settings name.
+    pub async fn bind(settings: &GatewaySettings, now: Instant) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(settings.peers).await?;
         let address = socket.local_addr()?;
         let known = RefCell::default();
-        let seeds = RefCell::new(seeds);
+        let seeds = RefCell::new(settings.seeds.clone());
         Ok(Self {
             socket,
             address,
-            instance,
-            zone,
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            capacity: settings.capacity,
             started: now,
             is_ending: Cell::new(false),
             seeds,
@@ -352,10 +353,12 @@
         for (instance, peer) in known.iter() {
             let is_suspected = peer.suspected_until.is_some_and(|until| now < until);
             let home = Home { instance: instance.clone(), address: peer.address };
-            let order = (is_suspected, !peer.is_settled, xxh3_64(instance.as_bytes()));
+            let hash = xxh3_64(instance.as_bytes());
+            let order = (is_suspected, !peer.is_settled, Reverse(peer.capacity), hash);
             ranked.push((order, (peer.zone.clone(), Some(home))));
         }
-        let order = (false, !self.is_settled(now), xxh3_64(self.instance.as_bytes()));
+        let hash = xxh3_64(self.instance.as_bytes());
+        let order = (false, !self.is_settled(now), Reverse(self.capacity), hash);
         ranked.push((order, (self.zone.clone(), None)));
         ranked.sort_by_key(|(order, _)| *order);
         ranked.into_iter().map(|(_, entry)| entry).collect()
@@ -379,6 +382,7 @@
             address: self.address,
             zone: self.zone.clone(),
             is_settled: self.is_settled(now),
+            capacity: self.capacity,
             age_ms: 0,
         }
     }
@@ -428,6 +432,7 @@
                 address: peer.address,
                 zone: peer.zone.clone(),
                 is_settled: peer.is_settled,
+                capacity: peer.capacity,
                 age_ms: now.saturating_duration_since(peer.heard).as_millis() as u64,
             }));
         }
@@ -442,15 +447,16 @@
         }
         let heard = now.checked_sub(age).unwrap_or(now);
         let mut known = self.known.borrow_mut();
-        let Member { instance, address, zone, is_settled, .. } = member;
+        let Member { instance, address, zone, is_settled, capacity, .. } = member;
         match known.get_mut(&instance) {
             Some(peer) if heard >= peer.heard => {
-                *peer = Peer { address, zone, is_settled, heard, ..peer.clone() };
+                *peer = Peer { address, zone, is_settled, capacity, heard, ..peer.clone() };
             }
             Some(_) => {}
             None => {
                 log::info!(peer = &*instance, address:%, zone = &*zone; "peer_joined");
-                let peer = Peer { address, zone, is_settled, heard, suspected_until: None };
+                let suspected_until = None;
+                let peer = Peer { address, zone, is_settled, capacity, heard, suspected_until };
                 known.insert(instance, peer);
             }
         }
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -156,9 +156,7 @@
 async fn bind_peers(gateway: &Gateway) -> Result<Rc<Peers>, ServerError> {
     let settings = gateway.settings();
     let address = settings.peers;
-    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
-    let bound =
-        Peers::bind(address, instance, zone, settings.seeds.clone(), gateway.clock.now()).await;
+    let bound = Peers::bind(&settings, gateway.clock.now()).await;
     let peers =
         bound.map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
     Ok(Rc::new(peers))
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -20,6 +20,12 @@
 /// The durations that may be set, in seconds.
 const SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
 
+/// The parts of a core that may be set.
+const CORES: RangeInclusive<f64> = 0.001..=1_000.0;
+
+/// The cores of an instance whose settings give none.
+const DEFAULT_CORES: f64 = 1.0;
+
 /// The part of the shared retry budget that instances together use by their own requests.
 ///
 /// The rest covers the delay with which the window of the budget is counted elsewhere.
@@ -44,6 +50,8 @@
     pub seeds: Box<[SocketAddr]>,
     /// Where the store is that holds the configuration and the list of servers.
     pub store: SocketAddr,
+    /// How much the instance can do, in thousandths of a core.
+    pub capacity: u32,
     /// The retries of all instances together for each service.
     pub budget: SharedBudget,
     /// How long the process may go on after it was told to stop.
@@ -94,6 +102,7 @@
     let peers = object.required("peers").and_then(|field| read_address(&field));
     let seeds = object.with_default("seeds", [].into(), |field| field.list(read_address));
     let store = object.required("store").and_then(|field| read_address(&field));
+    let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
     let log = object.with_default("log", DEFAULT_LOG_FILTER, |field| field.filled_text());
@@ -107,6 +116,7 @@
         peers: peers?,
         seeds: seeds?,
         store: store?,
+        capacity: (cores? * 1_000.0) as u32,
         budget: budget?,
         grace: Duration::from_secs_f64(grace?),
         log: log?.into(),
