Have as many engines produce tokens as the others can read prompts for

Change: the home compares how long prefill engines would be busy when decode engines are full, by the sizes of the completions that it is asked for, and orders engines to change their role, spread over the zones; one instance orders at a time under the product's lease, which is kept in the platform's store and read again before each order. The adapter gains the product's table and orders to engines. Ruled out: the store's own row as a second kind of lease; a fixed share of prefill engines, which long prompts would overrun.

--- a/crates/magnoliaspar-cli/src/gateway.rs
+++ b/crates/magnoliaspar-cli/src/gateway.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
-use magnoliaspar_adapter::{PlatformHeaders, feeds};
+use magnoliaspar_adapter::{PlatformHeaders, connect};
 use magnoliaspar_core::{Finding, SystemClock};
 use magnoliaspar_gateway::{Gateway, GatewaySettings, Instance, Reload, stop_signal};
 use magnoliaspar_http::ServerError;
@@ -23,7 +23,7 @@
     let settings = read_settings(&text, file)?;
     let (logs, dropped) = logs::start_bounded(&settings.log, &settings.instance)
         .map_err(|err| Failure::Incomplete(err.to_string().into()))?;
-    let feeds = feeds(settings.store);
+    let platform = connect(settings.store);
     let reload = reload(file.clone(), text.into());
     block_on(async {
         let gateway = Gateway::new(settings, Rc::new(SystemClock), Rc::new(PlatformHeaders));
@@ -32,7 +32,7 @@
         }));
         let instance = Instance::bind(gateway.clone()).await?;
         let stop = stop_signal(gateway, reload.clone());
-        instance.run(feeds, reload, stop).await;
+        instance.run(platform, reload, stop).await;
         logs.flush();
         Ok::<_, ServerError>(())
     })
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -71,6 +71,8 @@
     pub record: ServerRecord,
     /// Requests of this instance that it runs.
     pub in_flight: u32,
+    /// Until when it changes its role, and to which.
+    pub changing: Option<(EngineRole, Instant)>,
     /// Whether no connection could be opened lately; a probe finds out when one can.
     pub is_unreachable: bool,
     latency: Option<(Duration, Instant)>,
@@ -94,6 +96,12 @@
         self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < ANSWERING_TIME)
     }
 
+    /// Whether it is out of use while it changes its role.
+    pub fn is_changing(&self, now: Instant) -> bool {
+        let Some((role, until)) = self.changing else { return false };
+        now < until && self.record.role != Some(role)
+    }
+
     /// Returns how long its answers took lately, if there were any.
     pub fn latency(&self, now: Instant) -> Option<Duration> {
         let (latency, at) = self.latency?;
@@ -139,6 +147,7 @@
         let key = self.servers.insert(Server {
             record,
             in_flight: 0,
+            changing: None,
             is_unreachable: false,
             latency: None,
             answered_at: None,
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -15,12 +15,13 @@
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
 use crate::feed::{Batch, FeedError, FeedMark, Follower};
-use crate::home::{Queue, Verdict, Want, serve_queue, take_news};
+use crate::home::{Queue, START_TIME, Verdict, Want, serve_queue, take_news};
 use crate::ledger::{BookingId, EngineLoad, Ledger};
 use crate::metrics::Metrics;
 use crate::peers::{Home, News, Peers};
 use crate::place::Candidate;
 use crate::pool::Pool;
+use crate::roles::{CHANGE_TIME, Sizes};
 use crate::route::{EngineSpec, Route, Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
@@ -70,6 +71,7 @@
     /// Whether the instance has stopped.
     pub is_stopped: Cell<bool>,
     peers: RefCell<Option<Rc<Peers>>>,
+    sizes: RefCell<BTreeMap<ServiceName, Sizes>>,
     next_booking: Cell<BookingId>,
     most_instances: Cell<usize>,
     created: Instant,
@@ -118,6 +120,7 @@
             asks: RefCell::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
+            sizes: RefCell::default(),
             next_booking: Cell::new(0),
             most_instances: Cell::new(1),
             routing_mark: FeedMark::default(),
@@ -293,7 +296,8 @@
         let mut candidates = Vec::new();
         for (key, server) in directory.iter() {
             let record = &server.record;
-            let is_usable = !record.is_draining && !server.is_unreachable;
+            let is_usable =
+                !record.is_draining && !server.is_unreachable && !server.is_changing(now);
             if &*record.service != service || !is_usable || tried.contains(&key) {
                 continue;
             }
@@ -339,6 +343,64 @@
         candidates
     }
 
+    /// Returns the mean sizes of the completions that were asked for here, by service.
+    pub fn sizes(&self) -> Vec<(ServiceName, Sizes)> {
+        self.sizes.borrow().iter().map(|(service, sizes)| (service.clone(), *sizes)).collect()
+    }
+
+    /// Takes in the sizes of a completion.
+    pub fn note_sizes(&self, want: &Want) {
+        self.sizes.borrow_mut().entry(want.service.clone()).or_default().add(want);
+    }
+
+    /// Returns how long a completion with so many tokens holds memory.
+    pub fn expected_holding(&self, tokens: u64) -> Duration {
+        START_TIME + self.ledger.borrow().expected_duration(tokens)
+    }
+
+    /// Returns the engines of a service that can be used and have a role, or are changing to it.
+    pub fn engines_of_role(&self, service: &str, role: EngineRole) -> Vec<ServerKey> {
+        let now = self.clock.now();
+        let mut engines = Vec::new();
+        for (key, server) in self.directory.borrow().iter() {
+            let record = &server.record;
+            let is_usable = !record.is_draining && !server.is_unreachable;
+            let changing = server.changing.filter(|_| server.is_changing(now));
+            let current = changing.map_or(record.role, |(role, _)| Some(role));
+            if &*record.service == service && is_usable && current == Some(role) {
+                engines.push(key);
+            }
+        }
+        engines
+    }
+
+    /// Returns `count` of some engines, of those zones first that have the most of them.
+    pub fn spread_over_zones(&self, engines: &[ServerKey], count: usize) -> Vec<ServerKey> {
+        let directory = self.directory.borrow();
+        let mut by_zone: BTreeMap<&str, Vec<ServerKey>> = BTreeMap::new();
+        for engine in engines {
+            let Some(server) = directory.get(*engine) else { continue };
+            by_zone.entry(&server.record.zone).or_default().push(*engine);
+        }
+        let mut chosen = Vec::new();
+        while chosen.len() < count {
+            let Some(largest) = by_zone.values_mut().max_by_key(|engines| engines.len()) else {
+                break;
+            };
+            let Some(engine) = largest.pop() else { break };
+            chosen.push(engine);
+        }
+        chosen
+    }
+
+    /// Takes in that an engine was ordered to change its role.
+    pub fn changes_role(&self, engine: ServerKey, role: EngineRole) {
+        let until = self.clock.now() + CHANGE_TIME;
+        if let Some(server) = self.directory.borrow_mut().get_mut(engine) {
+            server.changing = Some((role, until));
+        }
+    }
+
     /// Returns the servers of a service that this instance has tried or cannot reach.
     pub fn unusable(&self, service: &str, tried: &[ServerKey]) -> Vec<Box<str>> {
         let now = self.clock.now();
--- a/crates/magnoliaspar-gateway/src/home.rs
+++ b/crates/magnoliaspar-gateway/src/home.rs
@@ -141,6 +141,7 @@
     if gateway.queue.waiters.borrow().contains_key(&key) {
         return Verdict::Queued;
     }
+    gateway.note_sizes(&want);
     match grant(gateway, instance, id, &want) {
         Ok(grant) => return Verdict::Granted(grant),
         Err(NoPlan::NoEngine) => return Verdict::NoEngine,
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -9,7 +9,10 @@
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{Request, Response, StatusCode};
+use magnoliaspar_core::{Incarnation, InstanceName};
 use magnoliaspar_http::{ConnectionLimits, Handler, Server, ServerError};
+use magnoliaspar_order::{LeaseController, LeaseSettings};
+use magnoliaspar_store::{Backoff, TableService, TimerSleep};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::directory::ServerRecord;
@@ -17,6 +20,7 @@
 use crate::front;
 use crate::gateway::{Gateway, RoutingFollower};
 use crate::peers::{self, Peers};
+use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
 
 /// How often idle connections and vanished servers are looked through.
@@ -37,12 +41,22 @@
 /// How often a stopping instance looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Where the configuration and the list of servers come from.
-pub struct Feeds {
+/// How long the lease for orders to engines lasts; much longer than engines take to see who orders.
+const LEASE_DURATION: Duration = Duration::from_secs(15);
+
+/// What the lease for orders to engines is called.
+const LEASE_NAME: &str = "roles";
+
+/// What the gateway takes from the platform.
+pub struct Platform {
     /// The configuration.
     pub routing: Rc<dyn Feed<Routing>>,
     /// The list of servers.
     pub servers: Rc<dyn Feed<ServerRecord>>,
+    /// What lasts: the lease for orders.
+    pub table: Rc<dyn TableService>,
+    /// Orders to engines.
+    pub orders: Rc<dyn RoleOrders>,
 }
 
 /// Reads the settings again; logs what it finds.
@@ -96,7 +110,7 @@
     }
 
     /// Runs until `stop` is ready and the requests have ended.
-    pub async fn run(self, feeds: Feeds, reload: Reload, stop: impl Future<Output = ()>) {
+    pub async fn run(self, platform: Platform, reload: Reload, stop: impl Future<Output = ()>) {
         let Self { gateway, requests, readiness, metrics, peers, limits } = self;
         let settings = gateway.settings();
         let instance = &*settings.instance;
@@ -107,10 +121,17 @@
         actix_rt::spawn(readiness.run());
         actix_rt::spawn(metrics.run());
         let routing = Rc::new(RoutingFollower(gateway.clone()));
-        actix_rt::spawn(follow("configuration", feeds.routing, routing));
-        actix_rt::spawn(follow("servers", feeds.servers, gateway.clone()));
+        actix_rt::spawn(follow("configuration", platform.routing, routing));
+        actix_rt::spawn(follow("servers", platform.servers, gateway.clone()));
         actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
         actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
+        match lease(&gateway, platform.table) {
+            Some(lease) => {
+                let roles = RoleController::new(gateway.clone(), lease, platform.orders);
+                actix_rt::spawn(roles.run());
+            }
+            None => log::warn!(instance; "name_gives_no_lease"),
+        }
         tokio::select! {
             () = stop => {}
             () = maintain(&gateway, &limits, &reload) => {}
@@ -153,6 +174,24 @@
     }
 }
 
+/// Returns the lease for orders; none if the instance's name cannot be written into it.
+fn lease(gateway: &Gateway, table: Rc<dyn TableService>) -> Option<LeaseController> {
+    let settings = gateway.settings();
+    let instance = InstanceName::try_from(&*settings.instance).ok()?;
+    let nonce = gateway.with_rng(|rng| rng.next_u64());
+    let backoff = Backoff::new(Rc::new(TimerSleep));
+    Some(LeaseController::new(LeaseSettings {
+        table,
+        clock: gateway.clock.clone(),
+        backoff,
+        instance,
+        incarnation: Incarnation(nonce),
+        nonce,
+        name: LEASE_NAME.into(),
+        duration: LEASE_DURATION,
+    }))
+}
+
 async fn bind_peers(gateway: &Gateway) -> Result<Rc<Peers>, ServerError> {
     let settings = gateway.settings();
     let address = settings.peers;
