Add a fault soak of real processes, and keep what has left from coming back

Cause: no test ran several gateways as processes under faults that overlap. A process that has said that it leaves now never comes back, and a store whose history is gone is not read again without a pause. What allows a request to be sent again stands in one function of the route. Ruled out: cutting datagrams between instances, which tell their own address.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use magnoliaspar_core::ServerKey;
 
+use crate::broken::{Promise, is_broken};
 use crate::dialect::{AnswerFacts, Dispatch, RequestFacts};
 use crate::exchange::{AnswerBody, CallError, Connection};
 use crate::gateway::Gateway;
@@ -289,12 +290,12 @@
         server: &id,
         is_prefill: spec.is_prefill,
         kv_cache: holder.map(|(address, handle)| (address, &**handle)),
-        resume_after: spec.resume_after,
+        resume_after: spec.resume_after.filter(|_| !is_broken(Promise::EventOrder)),
     };
     gateway.dialect.write_dispatch(&mut head.headers, &dispatch);
     let is_ours = |head: &ResponseHead| {
         let answered = gateway.dialect.read_answer(head).request_id;
-        answered.is_none_or(|answered| answered == req.facts.id)
+        answered.is_none_or(|answered| answered == req.facts.id) || is_broken(Promise::OwnAnswer)
     };
     let (head, body) = connection.send(head, &req.body, is_ours).await?;
     let facts = gateway.dialect.read_answer(&head);
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -27,6 +27,9 @@
 /// How long a measured latency says something about a server; bursts last some seconds.
 const LATENCY_LIFE: Duration = Duration::from_millis(1_500);
 
+/// How many processes that have left are remembered; some hundred leave on a busy day.
+const MOST_LEFT: usize = 1_000;
+
 /// How a server describes itself in the list of servers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
@@ -62,6 +65,8 @@
 pub struct Directory {
     servers: SlotMap<ServerKey, Server>,
     by_id: BTreeMap<Box<str>, ServerKey>,
+    /// Processes that said that they leave and whose entries are gone, by identifier and start.
+    left: BTreeMap<Box<str>, u64>,
 }
 
 /// A server and what was learned of it.
@@ -124,7 +129,10 @@
 
 impl Directory {
     /// Takes in the newest record of a server.
-    pub fn put(&mut self, record: ServerRecord) -> RecordChange {
+    ///
+    /// A process that has said that it leaves never comes back; an entry that says so is an old one.
+    pub fn put(&mut self, mut record: ServerRecord) -> RecordChange {
+        record.is_draining |= self.left.get(&record.id) == Some(&record.started_ms);
         let Some(key) = self.by_id.get(&record.id).copied() else {
             self.insert(record);
             return RecordChange::Added;
@@ -138,6 +146,7 @@
             return RecordChange::Restarted;
         }
         let is_leaving = record.is_draining && !old.is_draining;
+        record.is_draining |= old.is_draining;
         server.record = record;
         if is_leaving { RecordChange::Draining } else { RecordChange::Updated }
     }
@@ -161,7 +170,14 @@
     /// Forgets a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(key) = self.by_id.remove(id) else { return false };
-        self.servers.remove(key).is_some()
+        let Some(server) = self.servers.remove(key) else { return false };
+        if server.record.is_draining {
+            self.left.insert(id.into(), server.record.started_ms);
+        }
+        while self.left.len() > MOST_LEFT {
+            self.left.pop_first();
+        }
+        true
     }
 
     /// Returns a server unless it is gone or was restarted.
--- a/crates/magnoliaspar-gateway/src/events.rs
+++ b/crates/magnoliaspar-gateway/src/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::broken::{Promise, is_broken};
+
 /// Bytes of a stream that do not make a whole event yet.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
@@ -24,6 +26,7 @@
             let id = read_id(&event);
             if let (Some(id), Some(last)) = (id, self.last_id)
                 && id <= last
+                && !is_broken(Promise::EventOrder)
             {
                 continue;
             }
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -125,6 +125,7 @@
     let mut rng = StdRng::from_os_rng();
     let mut revision = None;
     let mut failures = 0_u32;
+    let mut compactions = 0_u32;
     loop {
         let read = match revision {
             None => feed.read().await,
@@ -144,6 +145,9 @@
                 }
                 failures = 0;
                 let is_complete = revision.is_none();
+                if !is_complete {
+                    compactions = 0;
+                }
                 let has_changes = !batch.rows.is_empty();
                 revision = Some(batch.revision);
                 follower.mark().reached(batch.revision, has_changes);
@@ -154,8 +158,13 @@
                 }
             }
             Err(FeedError::Compacted) => {
-                log::info!(feed = name, revision:?; "feed_compacted");
+                log::info!(feed = name, revision:?, compactions; "feed_compacted");
                 revision = None;
+                if compactions > 0 {
+                    // A source that gives rows older than its history is not asked without a pause.
+                    tokio::time::sleep(BACKOFF.wait(compactions, &mut rng)).await;
+                }
+                compactions = compactions.saturating_add(1);
             }
             Err(error) => {
                 if failures == 0 {
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
 
+use crate::broken::{Promise, is_broken};
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
 use crate::feed::{Batch, FeedError, FeedMark, Follower};
@@ -296,8 +297,8 @@
         let mut candidates = Vec::new();
         for (key, server) in directory.iter() {
             let record = &server.record;
-            let is_usable =
-                !record.is_draining && !server.is_unreachable && !server.is_changing(now);
+            let is_leaving = record.is_draining && !is_broken(Promise::Drain);
+            let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing(now);
             if &*record.service != service || !is_usable || tried.contains(&key) {
                 continue;
             }
@@ -436,7 +437,7 @@
         if !is_taken {
             self.metrics.budget_exhausted.inc();
         }
-        is_taken
+        is_taken || is_broken(Promise::Budget)
     }
 
     /// Takes in how many instances live.
@@ -586,7 +587,8 @@
             let Some(routing) = routing else { continue };
             let current = self.0.routing().map(|routing| routing.version);
             let version = routing.version;
-            if current.is_some_and(|current| version <= current) {
+            let is_older = current.is_some_and(|current| version <= current);
+            if is_older && !is_broken(Promise::Configuration) {
                 log::debug!(version, current:?; "configuration_not_newer");
                 continue;
             }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! and servers come from is behind the traits [`Dialect`] and [`Feed`].
 
 mod admission;
+mod broken;
 pub mod call;
 pub mod dialect;
 pub mod directory;
--- a/crates/magnoliaspar-gateway/src/plain.rs
+++ b/crates/magnoliaspar-gateway/src/plain.rs
@@ -35,7 +35,6 @@
     let mut arrivals = 0_u32;
     let mut runs = 0_u32;
     let mut failure: Option<(Response<BoxBody>, Box<str>)> = None;
-    let may_repeat = req.route.kind.may_repeat();
     let refused = loop {
         let now = gateway.clock.now();
         let remaining = req.remaining(now);
@@ -55,7 +54,7 @@
             break if runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
         }
         tried.push(server);
-        let can_go_on = may_repeat && runs + 1 < req.route.max_attempts && candidates.len() > 1;
+        let can_go_on = req.route.allows_another(runs + 1) && candidates.len() > 1;
         let patience = match can_go_on {
             true => remaining.min(req.route.target_latency.mul_f64(PATIENCE_SHARE)),
             false => remaining,
@@ -76,7 +75,7 @@
             Err(error) => {
                 arrivals += 1;
                 runs += 1;
-                let is_over = !may_repeat || runs >= req.route.max_attempts;
+                let is_over = !req.route.allows_another(runs);
                 if is_over && error == CallError::TimedOut {
                     break Refusal::Deadline;
                 }
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -6,6 +6,8 @@
 
 use magnoliaspar_core::RouteName;
 
+use crate::broken::{Promise, is_broken};
+
 /// The name of a group of interchangeable backend servers.
 pub type ServiceName = Box<str>;
 
@@ -87,6 +89,12 @@
 }
 
 impl Route {
+    /// Whether a request that may have run `runs` times may be sent once more.
+    pub fn allows_another(&self, runs: u32) -> bool {
+        let is_allowed = self.kind.may_repeat() && runs < self.max_attempts;
+        is_allowed || is_broken(Promise::AtMostOnce)
+    }
+
     /// Chooses a service by weight; `point` is uniform in `0.0..1.0`.
     pub fn choose_service(&self, point: f64) -> Option<&ServiceName> {
         let total: u32 = self.split.iter().map(|(_, weight)| *weight).sum();
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use magnoliaspar_store::{Backoff, TableService, TimerSleep};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::broken::{Promise, is_broken};
 use crate::directory::ServerRecord;
 use crate::feed::{Feed, follow};
 use crate::front;
@@ -141,6 +142,9 @@
         gateway.stop(gateway.clock.now() + limit);
         gateway.tell_end(false);
         drain(&gateway, &front_stop, limit).await;
+        if is_broken(Promise::Stop) {
+            std::future::pending::<()>().await;
+        }
         gateway.is_stopped.set(true);
         gateway.tell_end(true);
         log::info!(instance, in_flight = gateway.in_flight(); "stopped");
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -85,7 +85,6 @@
         req: &Rc<Incoming>,
         resume_after: Option<u64>,
     ) -> Result<(Reply, Placement), Refusal> {
-        let may_repeat = req.route.kind.may_repeat();
         loop {
             let is_resumption = resume_after != req.facts.resume_after;
             let placement = match admit(gateway, req, &self.tried, is_resumption).await {
@@ -99,7 +98,7 @@
             if self.arrivals > 0 && !gateway.take_budget(&req.service) {
                 return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
             }
-            let can_go_on = may_repeat && self.runs + 1 < req.route.max_attempts;
+            let can_go_on = req.route.allows_another(self.runs + 1);
             let patience = match can_go_on {
                 true => req.route.target_latency.mul_f64(START_SHARE),
                 false => remaining,
@@ -119,7 +118,7 @@
                 Err(error) => {
                     self.arrivals += 1;
                     self.runs += 1;
-                    let is_over = !may_repeat || self.runs >= req.route.max_attempts;
+                    let is_over = !req.route.allows_another(self.runs);
                     match (is_over, error) {
                         (false, _) => {}
                         (true, CallError::TimedOut) => return Err(Refusal::Deadline),
@@ -308,7 +307,7 @@
             return true;
         }
         let route = &self.req.route;
-        if !route.kind.may_repeat() || self.progress.runs >= route.max_attempts {
+        if !route.allows_another(self.progress.runs) {
             return false;
         }
         let limit = (route.max_gap * STALL_GAPS).max(route.target_latency);
@@ -358,7 +357,7 @@
         drop(failed);
         let remaining = self.req.remaining(self.gateway.clock.now());
         let runs = self.progress.runs;
-        let is_allowed = self.req.route.kind.may_repeat() && runs < self.req.route.max_attempts;
+        let is_allowed = self.req.route.allows_another(runs);
         log::warn!(request, reason:% = error, last_event:?, runs, is_allowed; "stream_broke");
         let kind = self.req.route.kind.as_str();
         if !is_allowed || remaining.is_zero() {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod caller;
 mod cluster;
-mod gateway_process;
 mod known_red;
 mod local;
 mod operator;
@@ -12,7 +11,6 @@
 
 pub use self::caller::{AnswerEnd, Caller, StreamedAnswer};
 pub use self::cluster::{Cluster, SECOND_OPERATOR_KEY, wait_until};
-pub use self::gateway_process::GatewayProcess;
 pub use self::known_red::run_unless_known_red;
 pub use self::local::LocalCluster;
 pub use self::operator::{CommandOutput, Operator, column_of};
--- a/tests/tests/explain.rs
+++ b/tests/tests/explain.rs
@@ -1,11 +1,12 @@
 //! From the id of a failed request to its cause, by logs and metrics alone.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use magnoliaspar_cli::run_with;
-use magnoliaspar_platform_standin::{Caller, Fault, Role, ServerSpec, StandinServer, StandinStore};
-use magnoliaspar_tests::GatewayProcess;
+use magnoliaspar_platform_standin::{
+    Caller, Fault, GatewayProcess, Role, ServerSpec, StandinServer, StandinStore, write_settings,
+};
 use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
@@ -36,7 +37,8 @@
         let file = folder.join("settings.json");
         let address = store.address();
         let started = tokio::task::spawn_blocking(move || {
-            GatewayProcess::start(PROGRAM, &file, "one", address)
+            write_settings(&file, "one", address, &[]);
+            GatewayProcess::start(Path::new(PROGRAM), &file)
         });
         let gateway = started.await.expect("the gateway starts");
         let deployment = Self { gateway, servers, folder };
