Refuse plain requests that come just before a stopping instance ends

Change: an instance that stops takes no call of a plain service in its last second, and says that it has not run. Ruled out: waiting for it beyond the limit, which the next request would stretch again. Conclusion: a part of the cause; the rest is traced next.

--- a/crates/magnoliaspar-gateway/src/front.rs
+++ b/crates/magnoliaspar-gateway/src/front.rs
@@ -78,8 +78,7 @@
     let route = find_route(&routing, req.head()).unwrap_or(route);
     checked.version = routing.version;
     checked.route = Some(route.clone());
-    let is_stream = matches!(route.kind, RouteKind::Stream { .. });
-    if is_stream && !gateway.can_finish(&facts) {
+    if !gateway.can_finish(route.kind, &facts) {
         return Err(Refusal::Stopping);
     }
     let service = route.choose_service(gateway.draw()).cloned().ok_or(Refusal::NoServer)?;
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use crate::place::Candidate;
 use crate::pool::Pool;
 use crate::roles::{CHANGE_TIME, Sizes};
-use crate::route::{EngineSpec, Route, Routing, ServiceName};
+use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
 /// How long a server whose entry vanished while the source was away is used on.
@@ -45,6 +45,10 @@
 /// How long another instance waits for changes in one call; calls are charged.
 const FEED_WAIT: Duration = Duration::from_secs(15);
 
+/// How long before its end a stopping instance takes no more calls of plain services; they take some
+/// ten milliseconds, and the slowest of them a hundred.
+const LAST_CALL: Duration = Duration::from_secs(1);
+
 /// How much longer than expected a completion is taken to last by an instance that stops; four in
 /// five estimates are right within this.
 const LENGTH_CAUTION: f64 = 1.5;
@@ -260,11 +264,17 @@
         self.ends_at.set(Some(end));
     }
 
-    /// Whether a completion is likely to end before the process does.
-    pub fn can_finish(&self, facts: &RequestFacts) -> bool {
+    /// Whether a request is likely to end before the process does.
+    pub fn can_finish(&self, kind: RouteKind, facts: &RequestFacts) -> bool {
         let Some(end) = self.ends_at.get() else { return true };
-        let expected = self.ledger.borrow().expected_duration(facts.expected_tokens);
-        self.clock.now() + expected.mul_f64(LENGTH_CAUTION) < end
+        let expected = match kind {
+            RouteKind::Stream { .. } => {
+                let ledger = self.ledger.borrow();
+                ledger.expected_duration(facts.expected_tokens).mul_f64(LENGTH_CAUTION)
+            }
+            RouteKind::Idempotent | RouteKind::AtMostOnce => LAST_CALL,
+        };
+        self.clock.now() + expected < end
     }
 
     /// Returns the number of requests that wait for their answer.
