Charge prompts that prefill engines drop to the retry budget

Cause: a first reading of a prompt is no retry only if the engine accepts it. The gateway charged a reading that was rejected, but not one whose connection was reset or that came to no answer.

Change: a first reading that is not accepted is charged after it was sent, and the budget may be overdrawn by it. While it is, decode engines read prompts themselves. The budget also follows the settings and the number of instances, which it took over only once.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -451,6 +451,16 @@
         is_taken || is_broken(Promise::Budget)
     }
 
+    /// Charges a retry that became one only after it was sent.
+    pub fn charge_budget(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::charge);
+    }
+
+    /// Whether more retries of a service were charged than its budget allowed.
+    pub fn is_budget_overdrawn(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, RetryBudget::is_overdrawn)
+    }
+
     /// Takes in how many instances live.
     pub fn note_instances(&self) {
         self.most_instances.set(self.most_instances.get().max(self.live_instances()));
@@ -465,6 +475,8 @@
         let cfg = self.settings().budget.share(self.budget_instances());
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
+        // The settings and the number of instances may have changed.
+        budget.set_config(cfg);
         run(budget, now)
     }
 
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -147,10 +147,9 @@
         let connection = acquire(gateway, decode).await?;
         let mut spec = CallSpec { resume_after, ..CallSpec::default() };
         if let Plan::Split { prefill, .. } = placement.plan {
-            // A second reading is charged as a retry; a decode engine can read the prompt instead.
             let now = gateway.clock.now();
             let is_needed = self.cache.as_ref().is_none_or(|cache| !cache.is_kept(now));
-            if is_needed && (self.prefills == 0 || gateway.take_budget(&req.service)) {
+            if is_needed && self.may_prefill(gateway, req) {
                 let patience = placement.prefill_patience.min(req.remaining(now));
                 self.cache = self.prefill(gateway, req, prefill, patience).await;
             }
@@ -175,6 +174,16 @@
         reply
     }
 
+    /// Whether a prefill engine may be asked; if not, the decode engine can read the prompt itself.
+    ///
+    /// A first reading is a retry only if it fails, and is charged then; a further one always is.
+    fn may_prefill(&self, gateway: &Gateway, req: &Incoming) -> bool {
+        match self.prefills {
+            0 => !gateway.is_budget_overdrawn(&req.service),
+            _ => gateway.take_budget(&req.service),
+        }
+    }
+
     /// Has the prompt read; none if the decode engine has to read it itself.
     async fn prefill(
         &mut self,
@@ -185,14 +194,14 @@
     ) -> Option<HeldCache> {
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
         let called = call(gateway, req, prefill, &spec, patience, None).await;
+        let is_accepted = matches!(&called, Ok(reply) if !reply.facts.is_not_run);
         if !matches!(&called, Err(error) if error.is_never_sent()) {
+            if self.prefills == 0 && !is_accepted {
+                gateway.charge_budget(&req.service);
+            }
             self.prefills += 1;
         }
         let mut reply = called.ok()?;
-        if reply.facts.is_not_run {
-            // A reading that is refused is charged as a retry.
-            gateway.take_budget(&req.service);
-        }
         let body = match tokio::time::timeout(patience, reply.read_body(MAX_FAILURE)).await {
             Ok(Ok(body)) => body,
             _ => return None,
--- a/crates/magnoliaspar-retry/src/budget.rs
+++ b/crates/magnoliaspar-retry/src/budget.rs
@@ -30,9 +30,7 @@
 
     /// Takes one retry out of the budget, if there is one.
     pub fn take(&mut self, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        self.add(elapsed.as_secs_f64() * self.cfg.per_second);
+        self.refill(now);
         if self.tokens < 1.0 {
             return false;
         }
@@ -40,6 +38,18 @@
         true
     }
 
+    /// Charges a retry that was made already; the budget may owe retries afterwards.
+    pub fn charge(&mut self, now: Instant) {
+        self.refill(now);
+        self.tokens -= 1.0;
+    }
+
+    /// Whether more retries were charged than there were.
+    pub fn is_overdrawn(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.tokens < 0.0
+    }
+
     /// Returns how many retries are saved up, without what time has added since the last one.
     pub fn left(&self) -> f64 {
         self.tokens
@@ -51,6 +61,12 @@
         Duration::from_secs_f64(missing / self.cfg.per_second)
     }
 
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(now);
+        self.add(elapsed.as_secs_f64() * self.cfg.per_second);
+    }
+
     fn add(&mut self, tokens: f64) {
         self.tokens = (self.tokens + tokens).min(self.cfg.burst);
     }
@@ -97,4 +113,17 @@
         assert!(budget.wait() <= Duration::from_secs(100));
         assert!(budget.take(start + Duration::from_secs(100)));
     }
+    #[test]
+    fn retries_charged_afterwards_are_owed() {
+        let start = Instant::now();
+        let cfg = RetryBudgetConfig { per_second: 0.5, burst: 1.0, ..RetryBudgetConfig::default() };
+        let mut budget = RetryBudget::new(cfg, start);
+        budget.charge(start);
+        assert!(!budget.is_overdrawn(start));
+        budget.charge(start);
+        assert!(budget.is_overdrawn(start));
+        assert!(!budget.take(start + Duration::from_secs(3)));
+        assert!(!budget.is_overdrawn(start + Duration::from_secs(3)));
+        assert!(budget.take(start + Duration::from_secs(4)));
+    }
 }
