Keep homes from offering engines that several instances could not use

Cause: an engine that drops what it is sent looks empty to the home of completions, which offered it to each of 86 instances in turn.

Change: an instance that cannot open a connection to an engine, or whose call breaks, tells the homes. An engine that two instances could not use within a second is avoided for half a second, and twice as long each time in a row.

Ruled out: one report alone, since an instance may be cut off from an engine; late answers, which may show load; telling all instances.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -168,6 +168,7 @@
     if let Err(error) = &opened {
         log::warn!(server = gateway.server_name(server), address:%, reason:% = error; "server_unreachable");
         gateway.metrics.count_call("not_sent");
+        gateway.report_engine(server);
         probe(gateway, server);
     }
     opened
@@ -186,6 +187,7 @@
         }
         Err(error) => {
             log::warn!(server = gateway.server_name(server), reason:% = error; "server_lost");
+            gateway.report_engine(server);
             probe(gateway, server);
             false
         }
@@ -344,8 +346,8 @@
             log::warn!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
         }
         Err(error) => {
-            let avoided = directory.failed(server, now);
             drop(directory);
+            let avoided = gateway.call_failed(server, error);
             gateway.metrics.count_call(match error {
                 CallError::NotSent(_) => "not_sent",
                 CallError::Broken(_) => "broken",
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/failing.rs
@@ -0,0 +1,110 @@
+//! Engines that several instances could not use lately.
+//!
+//! An engine that drops what it is sent looks empty to the home, which would offer it to each
+//! instance in turn until each had found out alone.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::ledger::InstanceId;
+
+/// How many instances must have found an engine unusable; one alone may be cut off from it.
+const REPORTERS: usize = 2;
+
+/// How close together the failures must lie that several instances see.
+const REPORT_LIFE: Duration = Duration::from_secs(1);
+
+/// How long a failing engine is avoided the first time; it doubles each time in a row.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
+
+/// The longest time that a failing engine is avoided before it is tried again.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+
+/// How long after its last avoidance an engine counts as sound again.
+const MEMORY: Duration = Duration::from_secs(2);
+
+/// Failures that instances told of, by the identifier of the engine.
+#[derive(Debug, Default)]
+pub struct FailingEngines {
+    engines: BTreeMap<Box<str>, Reports>,
+}
+
+#[derive(Debug)]
+struct Reports {
+    /// When each instance last saw the engine fail.
+    by_instance: BTreeMap<InstanceId, Instant>,
+    avoidances_in_a_row: u32,
+    avoided_until: Instant,
+}
+
+impl FailingEngines {
+    /// Takes in that an instance could not use an engine; returns for how long the engine is avoided, if it
+    /// is from now on.
+    pub fn report(&mut self, engine: &str, instance: &str, now: Instant) -> Option<Duration> {
+        self.engines.retain(|_, reports| now < reports.avoided_until + MEMORY);
+        let reports = self.engines.entry(engine.into()).or_insert_with(|| Reports {
+            by_instance: BTreeMap::new(),
+            avoidances_in_a_row: 0,
+            avoided_until: now,
+        });
+        if now < reports.avoided_until {
+            return None;
+        }
+        reports.by_instance.retain(|_, at| now.saturating_duration_since(*at) < REPORT_LIFE);
+        reports.by_instance.insert(instance.into(), now);
+        if reports.by_instance.len() < REPORTERS {
+            return None;
+        }
+        reports.by_instance.clear();
+        let doublings = reports.avoidances_in_a_row.min(8);
+        reports.avoidances_in_a_row += 1;
+        let avoidance = FIRST_AVOIDANCE.saturating_mul(1 << doublings).min(LONGEST_AVOIDANCE);
+        reports.avoided_until = now + avoidance;
+        Some(avoidance)
+    }
+
+    /// Whether an engine should not be chosen while there are others.
+    pub fn is_avoided(&self, engine: &str, now: Instant) -> bool {
+        self.engines.get(engine).is_some_and(|reports| now < reports.avoided_until)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use super::FailingEngines;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    #[test]
+    fn one_instance_alone_keeps_no_engine_from_the_others() {
+        let start = Instant::now();
+        let mut failing = FailingEngines::default();
+        for round in 0..20 {
+            assert_eq!(failing.report("e", "one", start + 100 * MS * round), None);
+        }
+        assert!(!failing.is_avoided("e", start + 2_000 * MS));
+        assert_eq!(failing.report("e", "two", start + 4_000 * MS), None);
+    }
+
+    #[test]
+    fn an_engine_that_fails_for_two_instances_is_avoided_for_longer_each_time() {
+        let start = Instant::now();
+        let mut failing = FailingEngines::default();
+        let mut now = start;
+        for expected in [500, 1_000, 2_000, 2_000] {
+            assert_eq!(failing.report("e", "one", now), None);
+            let avoided = failing.report("e", "two", now + MS);
+            assert_eq!(avoided, Some(expected * MS));
+            assert!(failing.is_avoided("e", now + expected * MS));
+            // Calls that were under way say nothing new.
+            assert_eq!(failing.report("e", "three", now + 2 * MS), None);
+            now += expected * MS + 2 * MS;
+            assert!(!failing.is_avoided("e", now));
+        }
+        now += 2_500 * MS;
+        assert_eq!(failing.report("e", "one", now), None);
+        assert_eq!(failing.report("e", "two", now), Some(500 * MS));
+    }
+}
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -15,6 +15,8 @@
 use crate::broken::{Promise, is_broken};
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
+use crate::exchange::CallError;
+use crate::failing::FailingEngines;
 use crate::feed::{Batch, FeedError, FeedMark, Follower};
 use crate::home::{Queue, START_TIME, Verdict, Want, serve_queue, take_news};
 use crate::ledger::{BookingId, EngineLoad, Ledger};
@@ -68,6 +70,8 @@
     pub pool: RefCell<Pool>,
     /// The engine memory that all instances have booked.
     pub ledger: RefCell<Ledger>,
+    /// Engines that several instances could not use.
+    pub failing: RefCell<FailingEngines>,
     /// Completions of all instances that wait here for engine memory.
     pub queue: Queue,
     /// Questions of this instance to the home that are not decided.
@@ -120,6 +124,7 @@
             servers_regained_at: Cell::new(None),
             vanished: RefCell::default(),
             ledger: RefCell::new(Ledger::new(settings.instance.clone())),
+            failing: RefCell::default(),
             queue: Queue::default(),
             asks: RefCell::default(),
             is_stopped: Cell::new(false),
@@ -160,6 +165,29 @@
         }
     }
 
+    /// Takes in that a call to a server failed; returns how long this instance avoids the server.
+    ///
+    /// A late answer may show load only, so the homes don't hear of it.
+    pub fn call_failed(&self, server: ServerKey, error: &CallError) -> Option<Duration> {
+        let avoided = self.directory.borrow_mut().failed(server, self.clock.now());
+        if !matches!(error, CallError::TimedOut) {
+            self.report_engine(server);
+        }
+        avoided
+    }
+
+    /// Tells the homes of an engine that cannot be used, so that they don't offer it to others.
+    pub fn report_engine(&self, server: ServerKey) {
+        let directory = self.directory.borrow();
+        let Some(server) = directory.get(server) else { return };
+        if server.record.role.is_none() {
+            return;
+        }
+        let id = server.record.id.clone();
+        drop(directory);
+        self.tell_homes(News::EngineUnusable(id));
+    }
+
     /// Tells the homes but one.
     pub fn tell_other_homes(&self, news: News, except: Option<&Home>) {
         if let Some(peers) = self.peers() {
@@ -335,6 +363,7 @@
         let mut candidates = self.candidates(&want.service, &[]);
         let directory = self.directory.borrow();
         let loads = self.ledger.borrow().loads(now);
+        let failing = self.failing.borrow();
         let idle = EngineLoad::default();
         candidates.retain_mut(|candidate| {
             let Some(server) = directory.get(candidate.key) else { return false };
@@ -344,6 +373,7 @@
             }
             let load = loads.get(id).unwrap_or(&idle);
             candidate.is_local = server.record.zone == want.zone;
+            candidate.is_avoided |= failing.is_avoided(id, now);
             candidate.unread_tokens = load.unread_tokens;
             // An engine that runs nothing has to take what is larger than its memory, to refuse it.
             if candidate.role == Some(EngineRole::Decode) && load.running() > 0 {
--- a/crates/magnoliaspar-gateway/src/home.rs
+++ b/crates/magnoliaspar-gateway/src/home.rs
@@ -243,6 +243,13 @@
             gateway.ledger.borrow_mut().free(from, *id, now);
             serve_queue(gateway);
         }
+        News::EngineUnusable(engine) => {
+            let avoided = gateway.failing.borrow_mut().report(engine, from, now);
+            if let Some(avoided) = avoided {
+                let avoided_ms = avoided.as_millis() as u64;
+                log::warn!(server = &**engine, reporter = from, avoided_ms; "engine_avoided");
+            }
+        }
         _ => {}
     }
 }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod failing;
 pub mod feed;
 pub mod front;
 mod gateway;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -84,6 +84,8 @@
     PromptRead(BookingId),
     /// A completion has ended, or does not wait any more.
     Freed(BookingId),
+    /// The sender could not use an engine: a connection to it did not open, or a call broke.
+    EngineUnusable(Box<str>),
     /// The sender stops.
     Leaving,
 }
@@ -523,7 +525,9 @@
                 log::info!(peer = &*sender; "peer_leaving");
                 self.known.borrow_mut().remove(&sender);
             }
-            news @ (News::PromptRead(_) | News::Freed(_)) => take_news(gateway, &sender, &news),
+            news @ (News::PromptRead(_) | News::Freed(_) | News::EngineUnusable(_)) => {
+                take_news(gateway, &sender, &news)
+            }
         }
     }
 }
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -362,7 +362,7 @@
         let last_event = self.events.last_id();
         let Some(failed) = self.current.take() else { return Err(RelayError::Broken) };
         let server = failed.0.lease.server;
-        self.gateway.directory.borrow_mut().failed(server, self.gateway.clock.now());
+        self.gateway.call_failed(server, &error);
         drop(failed);
         let remaining = self.req.remaining(self.gateway.clock.now());
         let runs = self.progress.runs;
