Replace a home that does not know the newest list of servers

Change: an instance does not use an engine that it knows to be gone, to leave or to have another role; it tells the homes and asks again without it. Instances also tell how far they have followed the store, and one that most others have been ahead of for a second is no home. An engine that leaves was not kept from being used if the home offered it, which could break drains as well.

Ruled out: taking the role of a home from every instance that has lost the store: while the store answers nobody, homes would change with each instance that notices, and the successors know fewer bookings.

Conclusion: what a home believes matters as much as how it decides.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 
 use crate::call::Incoming;
+use crate::directory::EngineRole;
 use crate::gateway::Gateway;
 use crate::home::{Grant, START_TIME, Verdict, Want, decide};
 use crate::ledger::{Booking, BookingId};
@@ -76,32 +77,35 @@
     let longest = req.route.target_latency.mul_f64(LONGEST_WAIT_TARGETS);
     let start = if is_resumption { gateway.clock.now() } else { req.received };
     let until = (start + longest).min(req.deadline);
-    let mut ask = Ask::new(gateway, req, tried, is_resumption, until);
-    let verdict = ask.wait_for_verdict().await;
-    let request = &*req.facts.id;
-    let home = ask.home.as_ref().map_or("self", |home| &*home.instance);
-    let waited_ms = (gateway.clock.now() - req.received).as_millis() as u64;
-    match verdict {
-        Some(Verdict::Granted(grant)) => {
-            let Grant { decode, prefill, tokens_ahead } = &grant;
-            log::info!(request, home, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead; "placed");
-            ask.accept(grant, req)
-        }
-        Some(Verdict::NoEngine) => {
-            log::warn!(request, home, waited_ms, reason = "no engine"; "not_placed");
-            Err(Refusal::NoServer)
-        }
-        Some(Verdict::Queued | Verdict::Hopeless) => {
-            log::warn!(request, home, waited_ms, reason = "too many wait"; "not_placed");
-            Err(Refusal::NoCapacity)
-        }
-        None => {
-            log::warn!(request, home, waited_ms, reason = "no memory in time"; "not_placed");
-            Err(Refusal::NoCapacity)
-        }
+    let mut excluded = gateway.unusable(&req.service, tried);
+    loop {
+        let mut ask = Ask::new(gateway, req, excluded.clone(), is_resumption, until);
+        let verdict = ask.wait_for_verdict().await;
+        let Some(Verdict::Granted(grant)) = &verdict else {
+            return ask.take(verdict, req);
+        };
+        let Some(engine) = unusable_engine(gateway, grant) else {
+            return ask.take(verdict, req);
+        };
+        // The home is behind, or this instance; either way the engine cannot be used from here.
+        let request = &*req.facts.id;
+        let home = ask.home_name();
+        let servers_revision = gateway.servers_mark.changed();
+        log::warn!(request, home = &*home, engine = &*engine, servers_revision; "grant_unusable");
+        gateway.tell_homes(News::EngineUnusable(engine.clone()));
+        excluded.push(engine);
     }
 }
 
+/// Returns the engine of a grant that this instance does not know in that role, if there is one.
+fn unusable_engine(gateway: &Gateway, grant: &Grant) -> Option<Box<str>> {
+    if !gateway.can_use_engine(&grant.decode, EngineRole::Decode) {
+        return Some(grant.decode.clone());
+    }
+    let prefill = grant.prefill.as_ref()?;
+    (!gateway.can_use_engine(prefill, EngineRole::Prefill)).then(|| prefill.clone())
+}
+
 /// A question to the home, which is withdrawn unless it leads to a placement.
 struct Ask<'a> {
     gateway: &'a Rc<Gateway>,
@@ -119,7 +123,7 @@
     fn new(
         gateway: &'a Rc<Gateway>,
         req: &Incoming,
-        tried: &[ServerKey],
+        excluded: Vec<Box<str>>,
         is_resumption: bool,
         until: Instant,
     ) -> Self {
@@ -136,7 +140,7 @@
             waited_ms: 0,
             target_ms: req.route.target_latency.as_millis() as u64,
             limit_ms: 0,
-            excluded: gateway.unusable(&req.service, tried),
+            excluded,
         };
         let received = req.received;
         Self { gateway, id, want, received, until, home: None, verdicts, is_accepted: false }
@@ -206,6 +210,36 @@
         }
     }
 
+    /// Logs what was decided, and takes the engines that were granted.
+    fn take(&mut self, verdict: Option<Verdict>, req: &Incoming) -> Result<Placement, Refusal> {
+        let request = &*req.facts.id;
+        let home = self.home_name();
+        let waited_ms = (self.gateway.clock.now() - req.received).as_millis() as u64;
+        match verdict {
+            Some(Verdict::Granted(grant)) => {
+                let Grant { decode, prefill, tokens_ahead } = &grant;
+                log::info!(request, home = &*home, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead; "placed");
+                self.accept(grant, req)
+            }
+            Some(Verdict::NoEngine) => {
+                log::warn!(request, home = &*home, waited_ms, reason = "no engine"; "not_placed");
+                Err(Refusal::NoServer)
+            }
+            Some(Verdict::Queued | Verdict::Hopeless) => {
+                log::warn!(request, home = &*home, waited_ms, reason = "too many wait"; "not_placed");
+                Err(Refusal::NoCapacity)
+            }
+            None => {
+                log::warn!(request, home = &*home, waited_ms, reason = "no memory in time"; "not_placed");
+                Err(Refusal::NoCapacity)
+            }
+        }
+    }
+
+    fn home_name(&self) -> Box<str> {
+        self.home.as_ref().map_or("self".into(), |home| home.instance.clone())
+    }
+
     fn accept(&mut self, grant: Grant, req: &Incoming) -> Result<Placement, Refusal> {
         let now = self.gateway.clock.now();
         let directory = self.gateway.directory.borrow();
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -1,8 +1,9 @@
 //! Follows the configuration and the list of servers at their source.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use displaydoc::Display;
@@ -75,6 +76,9 @@
     changed: Cell<u64>,
     hinted: Cell<u64>,
     hint: Notify,
+    /// Instances that had taken in changes that had not come here, up to which revision, and since
+    /// when.
+    ahead: RefCell<BTreeMap<Box<str>, (u64, Instant)>>,
 }
 
 impl FeedMark {
@@ -91,6 +95,30 @@
         }
     }
 
+    /// Takes in how far another instance has come.
+    pub fn compare(&self, instance: &str, revision: u64, now: Instant) {
+        self.hint(revision);
+        let mut ahead = self.ahead.borrow_mut();
+        if revision > self.through.get() {
+            ahead.entry(instance.into()).or_insert((revision, now)).0 = revision;
+        } else {
+            ahead.remove(instance);
+        }
+    }
+
+    /// Returns how many instances have been ahead for longer than a change takes to come here.
+    pub fn ahead(&self, now: Instant) -> usize {
+        let mut ahead = self.ahead.borrow_mut();
+        ahead.retain(|_, (revision, _)| *revision > self.through.get());
+        let is_long = |since: Instant| now.saturating_duration_since(since) >= BEHIND_TIME;
+        ahead.values().filter(|(_, since)| is_long(*since)).count()
+    }
+
+    /// Forgets an instance that is gone.
+    pub fn forget(&self, instance: &str) {
+        self.ahead.borrow_mut().remove(instance);
+    }
+
     fn reached(&self, revision: u64, has_changes: bool) {
         self.through.set(revision);
         if has_changes {
@@ -120,6 +148,10 @@
 /// How long a change may take that another instance has, before the source is asked for it.
 const HINT_PATIENCE: Duration = Duration::from_millis(250);
 
+/// How long a change that others have may be missing here before this instance counts as behind:
+/// some tries to read it again.
+const BEHIND_TIME: Duration = Duration::from_millis(1_000);
+
 /// Follows a feed for as long as the process runs.
 pub async fn follow<T>(name: &'static str, feed: Rc<dyn Feed<T>>, follower: Rc<dyn Follower<T>>) {
     let mut rng = StdRng::from_os_rng();
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -86,7 +86,7 @@
     /// How far the configuration was followed.
     pub routing_mark: FeedMark,
     /// How far the list of servers was followed.
-    pub servers_mark: FeedMark,
+    pub servers_mark: Rc<FeedMark>,
     this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
@@ -133,7 +133,7 @@
             next_booking: Cell::new(0),
             most_instances: Cell::new(1),
             routing_mark: FeedMark::default(),
-            servers_mark: FeedMark::default(),
+            servers_mark: Rc::default(),
             this: this.clone(),
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -179,11 +179,8 @@
     /// Tells the homes of an engine that cannot be used, so that they don't offer it to others.
     pub fn report_engine(&self, server: ServerKey) {
         let directory = self.directory.borrow();
-        let Some(server) = directory.get(server) else { return };
-        if server.record.role.is_none() {
-            return;
-        }
-        let id = server.record.id.clone();
+        let engine = directory.get(server).filter(|server| server.record.role.is_some());
+        let Some(id) = engine.map(|engine| engine.record.id.clone()) else { return };
         drop(directory);
         self.tell_homes(News::EngineUnusable(id));
     }
@@ -448,7 +445,8 @@
         let now = self.clock.now();
         let mut unusable = Vec::new();
         for (key, server) in self.directory.borrow().iter() {
-            let is_failing = server.is_unreachable || server.is_avoided(now);
+            let is_leaving = server.record.is_draining;
+            let is_failing = is_leaving || server.is_unreachable || server.is_avoided(now);
             if &*server.record.service == service && (is_failing || tried.contains(&key)) {
                 unusable.push(server.record.id.clone());
             }
@@ -456,6 +454,14 @@
         unusable
     }
 
+    /// Whether this instance knows an engine in a role, and the engine does not leave.
+    pub fn can_use_engine(&self, id: &str, role: EngineRole) -> bool {
+        let directory = self.directory.borrow();
+        let Some(server) = directory.find(id) else { return false };
+        let is_leaving = server.record.is_draining && !is_broken(Promise::Drain);
+        !is_leaving && server.record.role == Some(role)
+    }
+
     /// Returns the identifier of a server for logs.
     pub fn server_name(&self, server: ServerKey) -> Box<str> {
         let directory = self.directory.borrow();
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::feed::FeedMark;
 use crate::gateway::Gateway;
 use crate::home::{Verdict, Want, decide, serve_queue, take_news};
 use crate::ledger::{Booking, BookingId, InstanceId, Progress};
@@ -64,6 +65,8 @@
         member: Member,
         /// Its bookings.
         bookings: Vec<(BookingId, BookingEntry)>,
+        /// How far the sender has followed the store.
+        marks: Marks,
     },
     /// Instances that the sender has heard of, itself included.
     Members {
@@ -205,6 +208,8 @@
     known: RefCell<BTreeMap<InstanceId, Peer>>,
     /// How many instances homes have told of, and when.
     told_live: Cell<(usize, Instant)>,
+    /// How far the list of servers was followed.
+    servers_mark: Rc<FeedMark>,
 }
 
 #[derive(Debug, Clone)]
@@ -219,7 +224,11 @@
 
 impl Peers {
     /// Listens on the address that the settings name.
-    pub async fn bind(settings: &GatewaySettings, now: Instant) -> std::io::Result<Self> {
+    pub async fn bind(
+        settings: &GatewaySettings,
+        servers_mark: Rc<FeedMark>,
+        now: Instant,
+    ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(settings.peers).await?;
         let address = socket.local_addr()?;
         let known = RefCell::default();
@@ -235,6 +244,7 @@
             seeds,
             known,
             told_live: Cell::new((1, now)),
+            servers_mark,
         })
     }
 
@@ -368,7 +378,14 @@
 
     fn is_settled(&self, now: Instant) -> bool {
         let is_old = now.saturating_duration_since(self.started) >= SETTLING_TIME;
-        is_old && !self.is_ending.get()
+        is_old && !self.is_ending.get() && !self.is_behind(now)
+    }
+
+    /// Whether most instances know of changes in the list of servers that have not come here.
+    ///
+    /// While the store answers nobody, all know the same, and the homes stay what they are.
+    fn is_behind(&self, now: Instant) -> bool {
+        2 * self.servers_mark.ahead(now) > self.known.borrow().len()
     }
 
     fn send(&self, to: SocketAddr, bytes: &[u8]) {
@@ -396,7 +413,7 @@
         for (id, booking) in gateway.ledger.borrow().of_instance(&self.instance) {
             bookings.push((id, BookingEntry::new(booking, now)));
         }
-        let news = News::State { member: self.member(now), bookings };
+        let news = News::State { member: self.member(now), bookings, marks: marks(gateway) };
         let message = Message { from: self.instance.clone(), news };
         let Some(bytes) = encode(&message) else { return };
         let mut addresses: Vec<SocketAddr> =
@@ -484,7 +501,7 @@
         let now = gateway.clock.now();
         let sender = message.from;
         match message.news {
-            News::State { member, bookings } => {
+            News::State { member, bookings, marks: theirs } => {
                 let address = member.address;
                 let zone = member.zone.clone();
                 self.meet(member, now);
@@ -493,13 +510,11 @@
                     entries.push((id, entry.into_booking(now)));
                 }
                 gateway.ledger.borrow_mut().replace(&sender, entries, now);
-                let marks = Marks {
-                    routing: gateway.routing_mark.changed(),
-                    servers: gateway.servers_mark.changed(),
-                };
+                gateway.routing_mark.hint(theirs.routing);
+                gateway.servers_mark.compare(&sender, theirs.servers, now);
                 let members = self.members(&zone, now);
                 let live = self.known.borrow().len() + 1;
-                self.tell(address, News::Members { members, live, marks });
+                self.tell(address, News::Members { members, live, marks: marks(gateway) });
             }
             News::Members { members, live, marks } => {
                 self.note_live(live, now);
@@ -524,6 +539,7 @@
             News::Leaving => {
                 log::info!(peer = &*sender; "peer_leaving");
                 self.known.borrow_mut().remove(&sender);
+                gateway.servers_mark.forget(&sender);
             }
             news @ (News::PromptRead(_) | News::Freed(_) | News::EngineUnusable(_)) => {
                 take_news(gateway, &sender, &news)
@@ -532,6 +548,12 @@
     }
 }
 
+/// Returns how far the store was followed.
+fn marks(gateway: &Gateway) -> Marks {
+    let routing = gateway.routing_mark.changed();
+    Marks { routing, servers: gateway.servers_mark.changed() }
+}
+
 fn encode(message: &Message) -> Option<Vec<u8>> {
     match serde_json::to_vec(message) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM => Some(bytes),
@@ -580,6 +602,7 @@
         for instance in peers.expire(now) {
             log::info!(peer = &*instance; "peer_lost");
             gateway.queue.remove_instance(&instance);
+            gateway.servers_mark.forget(&instance);
         }
         gateway.ledger.borrow_mut().expire(now);
         serve_queue(&gateway);
--- a/crates/magnoliaspar-gateway/src/serve.rs
+++ b/crates/magnoliaspar-gateway/src/serve.rs
@@ -199,7 +199,8 @@
 async fn bind_peers(gateway: &Gateway) -> Result<Rc<Peers>, ServerError> {
     let settings = gateway.settings();
     let address = settings.peers;
-    let bound = Peers::bind(&settings, gateway.clock.now()).await;
+    let servers_mark = gateway.servers_mark.clone();
+    let bound = Peers::bind(&settings, servers_mark, gateway.clock.now()).await;
     let peers =
         bound.map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
     Ok(Rc::new(peers))
