Take the retry of a broken stream before it waits for memory

Change: a completion that is sent again takes its retry first, and gives it back if it is not sent after all. The metric of the retries that are left is set; it was registered and never written.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -487,6 +487,11 @@
         is_taken || is_broken(Promise::Budget)
     }
 
+    /// Gives a retry back that was taken and not made.
+    pub fn give_budget_back(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, _| budget.give_back());
+    }
+
     /// Charges a retry that became one only after it was sent.
     pub fn charge_budget(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::charge);
@@ -513,7 +518,9 @@
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
         // The settings and the number of instances may have changed.
         budget.set_config(cfg);
-        run(budget, now)
+        let result = run(budget, now);
+        self.metrics.set_budget_left(service, budget.left());
+        result
     }
 
     /// Returns among how many instances the retry budget is shared out.
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -130,6 +130,11 @@
         self.calls.with_label_values(&[result]).inc();
     }
 
+    /// Takes in how many retries the budget of a service still allows.
+    pub fn set_budget_left(&self, service: &str, left: f64) {
+        self.budget_left.with_label_values(&[service]).set(left);
+    }
+
     /// Counts a call to the store.
     pub fn count_feed(&self, feed: &str, result: &str) {
         self.feeds.with_label_values(&[feed, result]).inc();
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::place::Plan;
 use crate::plain::{Ended, copy_head};
 use crate::refusal::Refusal;
+use crate::route::ServiceName;
 
 /// How many times the longest pause that is on time a resumable stream may be silent before it
 /// goes on at another engine.
@@ -63,6 +64,21 @@
 /// The longest failure that a server may explain, in bytes.
 const MAX_FAILURE: usize = 1 << 20;
 
+/// A retry that was taken out of the budget, and is given back unless it is made.
+struct TakenRetry<'a> {
+    gateway: &'a Gateway,
+    service: &'a ServiceName,
+    is_made: bool,
+}
+
+impl Drop for TakenRetry<'_> {
+    fn drop(&mut self) {
+        if !self.is_made {
+            self.gateway.give_budget_back(self.service);
+        }
+    }
+}
+
 /// How far the tries of a completion have come.
 #[derive(Default)]
 struct Progress {
@@ -87,6 +103,15 @@
     ) -> Result<(Reply, Placement), Refusal> {
         loop {
             let is_resumption = resume_after != req.facts.resume_after;
+            // The budget comes before the memory: a completion that may not be sent again should not
+            // wait for room, nor take it.
+            let mut retry = match self.arrivals {
+                0 => None,
+                _ if !gateway.take_budget(&req.service) => {
+                    return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
+                }
+                _ => Some(TakenRetry { gateway, service: &req.service, is_made: false }),
+            };
             let placement = match admit(gateway, req, &self.tried, is_resumption).await {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.refuse(refusal, Refusal::MayHaveRun)),
@@ -95,16 +120,20 @@
             if remaining.is_zero() {
                 return Err(self.refuse(Refusal::DeadlineBeforeStart, Refusal::Deadline));
             }
-            if self.arrivals > 0 && !gateway.take_budget(&req.service) {
-                return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
-            }
             let can_go_on = req.route.allows_another(self.runs + 1);
             let patience = match can_go_on {
                 true => req.route.target_latency.mul_f64(START_SHARE),
                 false => remaining,
             };
             let patience = patience.min(remaining);
-            match self.attempt(gateway, req, &placement, resume_after, patience).await {
+            if let Some(retry) = &mut retry {
+                retry.is_made = true;
+            }
+            let attempted = self.attempt(gateway, req, &placement, resume_after, patience).await;
+            if let (Some(retry), Err(error)) = (&mut retry, &attempted) {
+                retry.is_made = !error.is_never_sent();
+            }
+            match attempted {
                 Ok(reply) if reply.facts.is_not_run => {
                     self.arrivals += 1;
                     reply.finish();
--- a/crates/magnoliaspar-retry/src/budget.rs
+++ b/crates/magnoliaspar-retry/src/budget.rs
@@ -38,6 +38,11 @@
         true
     }
 
+    /// Gives a retry back that was taken and not made.
+    pub fn give_back(&mut self) {
+        self.add(1.0);
+    }
+
     /// Charges a retry that was made already; the budget may owe retries afterwards.
     pub fn charge(&mut self, now: Instant) {
         self.refill(now);
@@ -118,6 +123,8 @@
         let start = Instant::now();
         let cfg = RetryBudgetConfig { per_second: 0.5, burst: 1.0, ..RetryBudgetConfig::default() };
         let mut budget = RetryBudget::new(cfg, start);
+        assert!(budget.take(start));
+        budget.give_back();
         budget.charge(start);
         assert!(!budget.is_overdrawn(start));
         budget.charge(start);
