Read heartbeats of former versions, which don't say how far they are

Cause: the revisions in a heartbeat were required, so that a home would not hear instances of the former version while a deployment is replaced one by one. Change: without them an instance counts as not ahead. Found by reading; the field has a default, as the form of the message allows.

--- a/crates/magnoliaspar-gateway/src/failing.rs
+++ b/crates/magnoliaspar-gateway/src/failing.rs
@@ -38,8 +38,8 @@
 }
 
 impl FailingEngines {
-    /// Takes in that an instance could not use an engine; returns for how long the engine is avoided, if it
-    /// is from now on.
+    /// Takes in that an instance could not use an engine; returns for how long the engine is avoided,
+    /// if it is from now on.
     pub fn report(&mut self, engine: &str, instance: &str, now: Instant) -> Option<Duration> {
         self.engines.retain(|_, reports| now < reports.avoided_until + MEMORY);
         let reports = self.engines.entry(engine.into()).or_insert_with(|| Reports {
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -65,7 +65,8 @@
         member: Member,
         /// Its bookings.
         bookings: Vec<(BookingId, BookingEntry)>,
-        /// How far the sender has followed the store.
+        /// How far the sender has followed the store; former versions don't say.
+        #[serde(default)]
         marks: Marks,
     },
     /// Instances that the sender has heard of, itself included.
