Share what the gateway wrote again, and drop what nothing calls

- Addresses in settings files are read by `Cursor::address`; the gateway's settings and the product's had a function each.
- `Backoff::ceiling` gives the doubling wait that servers, engines that several instances found unusable, and probes each worked out for themselves.
- In call.rs one function opens and counts a connection, one finds where a server listens; each stood three times or more.
The head of a request is copied in one place for the front and the call.
- The gauge of the retries that are left is set with the other gauges at an interval, not for each request.
- `Pool::len` and `is_empty` had no caller, and nobody read the result of `Ledger::free`.

Ruled out: the two starters of processes in tests differ in what their log holds, in the echo of lines and in how they end a process; the registration of metrics would need a crate of its own.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! One call to one backend server.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,6 +8,7 @@
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
 use magnoliaspar_core::ServerKey;
+use magnoliaspar_retry::Backoff;
 
 use crate::broken::{Promise, is_broken};
 use crate::dialect::{AnswerFacts, Dispatch, RequestFacts};
@@ -57,6 +59,15 @@
     }
 }
 
+/// Copies what a request asks for, and not what belongs to the connection on which it came.
+pub fn copy_request_head(head: &RequestHead) -> RequestHead {
+    let mut copy = RequestHead::default();
+    copy.method = head.method.clone();
+    copy.uri = head.uri.clone();
+    copy.headers = head.headers.clone();
+    copy
+}
+
 /// Removes the headers that concern one connection only.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     for name in &CONNECTION_HEADERS {
@@ -157,14 +168,12 @@
 
 /// Takes an idle connection to a server, or opens one.
 pub async fn acquire(gateway: &Rc<Gateway>, server: ServerKey) -> Result<Connection, CallError> {
-    let gone = || CallError::NotSent("the server is gone".into());
-    let address = gateway.directory.borrow().get(server).ok_or_else(gone)?.record.address;
+    let address = address_of(gateway, server)?;
     let pooled = gateway.pool.borrow_mut().take(server, gateway.clock.now());
     if let Some(connection) = pooled {
         return Ok(connection);
     }
-    gateway.metrics.connections.inc();
-    let opened = Connection::open(address, CONNECT_TIMEOUT).await;
+    let opened = connect(gateway, address).await;
     if let Err(error) = &opened {
         log::warn!(server = gateway.server_name(server), address:%, reason:% = error; "server_unreachable");
         gateway.metrics.count_call("not_sent");
@@ -174,13 +183,25 @@
     opened
 }
 
+/// Returns where a server listens, unless it is gone.
+fn address_of(gateway: &Gateway, server: ServerKey) -> Result<SocketAddr, CallError> {
+    let directory = gateway.directory.borrow();
+    Ok(directory.get(server).ok_or_else(gone)?.record.address)
+}
+
+fn gone() -> CallError {
+    CallError::NotSent("the server is gone".into())
+}
+
+async fn connect(gateway: &Gateway, address: SocketAddr) -> Result<Connection, CallError> {
+    gateway.metrics.connections.inc();
+    Connection::open(address, CONNECT_TIMEOUT).await
+}
+
 /// Whether a new connection to a server opens, which is kept; if not, the server goes out of use.
 pub async fn opens(gateway: &Rc<Gateway>, server: ServerKey) -> bool {
-    let Some(address) = gateway.directory.borrow().get(server).map(|it| it.record.address) else {
-        return false;
-    };
-    gateway.metrics.connections.inc();
-    match Connection::open(address, CONNECT_TIMEOUT).await {
+    let Ok(address) = address_of(gateway, server) else { return false };
+    match connect(gateway, address).await {
         Ok(connection) => {
             gateway.pool.borrow_mut().put(server, connection, gateway.clock.now(), None);
             true
@@ -208,14 +229,10 @@
 
 async fn probe_until_open(gateway: Rc<Gateway>, server: ServerKey) {
     let started = gateway.clock.now();
-    let mut wait = FIRST_PROBE_WAIT;
+    let mut failures = 0_u32;
     loop {
-        let Some(address) = gateway.directory.borrow().get(server).map(|it| it.record.address)
-        else {
-            return;
-        };
-        gateway.metrics.connections.inc();
-        if let Ok(connection) = Connection::open(address, CONNECT_TIMEOUT).await {
+        let Ok(address) = address_of(&gateway, server) else { return };
+        if let Ok(connection) = connect(&gateway, address).await {
             let now = gateway.clock.now();
             let unreachable_ms = (now - started).as_millis() as u64;
             log::info!(server = gateway.server_name(server), unreachable_ms; "server_reachable");
@@ -226,16 +243,14 @@
             gateway.memory_freed();
             return;
         }
-        tokio::time::sleep(wait).await;
-        wait = (wait * 2).min(LONGEST_PROBE_WAIT);
+        tokio::time::sleep(PROBE_WAIT.ceiling(failures)).await;
+        failures = failures.saturating_add(1);
     }
 }
 
-/// The wait between the first two probes of a server; it doubles with each further one.
-const FIRST_PROBE_WAIT: Duration = Duration::from_millis(100);
-
-/// The longest wait between two probes of a server.
-const LONGEST_PROBE_WAIT: Duration = Duration::from_millis(800);
+/// The wait between two probes of a server; it doubles with each further one.
+const PROBE_WAIT: Backoff =
+    Backoff { first: Duration::from_millis(100), longest: Duration::from_millis(800) };
 
 /// Sends a request to a server and returns its answer once the head is there.
 ///
@@ -266,27 +281,19 @@
     lease: ServerLease,
     connection: Option<Connection>,
 ) -> Result<Reply, CallError> {
-    let gone = || CallError::NotSent("the server is gone".into());
     let id = {
         let directory = gateway.directory.borrow();
         directory.get(server).ok_or_else(gone)?.record.id.clone()
     };
     let holder = match &spec.kv_cache {
-        Some((holder, handle)) => {
-            let directory = gateway.directory.borrow();
-            let record = &directory.get(*holder).ok_or_else(gone)?.record;
-            Some((record.address, handle))
-        }
+        Some((holder, handle)) => Some((address_of(gateway, *holder)?, handle)),
         None => None,
     };
     let connection = match connection {
         Some(connection) => connection,
         None => acquire(gateway, server).await?,
     };
-    let mut head = RequestHead::default();
-    head.method = req.head.method.clone();
-    head.uri = req.head.uri.clone();
-    head.headers = req.head.headers.clone();
+    let mut head = copy_request_head(&req.head);
     let dispatch = Dispatch {
         remaining: req.remaining(gateway.clock.now()),
         server: &id,
@@ -385,8 +392,7 @@
     server: ServerKey,
     path: &str,
 ) -> Result<(), CallError> {
-    let gone = || CallError::NotSent("the server is gone".into());
-    let address = gateway.directory.borrow().get(server).ok_or_else(gone)?.record.address;
+    let address = address_of(gateway, server)?;
     let connection = acquire(gateway, server).await?;
     let mut head = RequestHead::default();
     head.method = Method::DELETE;
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -5,15 +5,14 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
+use magnoliaspar_retry::Backoff;
 use slotmap::SlotMap;
 
 use crate::route::ServiceName;
 
-/// How long a server that failed is avoided the first time; it doubles with each failure in a row.
-const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
-
-/// The longest time that a failing server is avoided before it is tried again.
-const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+/// How long a server that failed is avoided; it doubles with each failure in a row.
+const AVOIDANCE: Backoff =
+    Backoff { first: Duration::from_millis(250), longest: Duration::from_secs(2) };
 
 /// How long a server that refused a request for want of room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -246,9 +245,8 @@
         {
             return Some(until - now);
         }
-        let doublings = server.failures_in_a_row.min(8);
+        let avoidance = AVOIDANCE.ceiling(server.failures_in_a_row);
         server.failures_in_a_row += 1;
-        let avoidance = FIRST_AVOIDANCE.saturating_mul(1 << doublings).min(LONGEST_AVOIDANCE);
         server.avoided_until = Some(now + avoidance);
         Some(avoidance)
     }
--- a/crates/magnoliaspar-gateway/src/failing.rs
+++ b/crates/magnoliaspar-gateway/src/failing.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_retry::Backoff;
+
 use crate::ledger::InstanceId;
 
 /// How many instances must have found an engine unusable; one alone may be cut off from it.
@@ -14,11 +16,9 @@
 /// How close together the failures must lie that several instances see.
 const REPORT_LIFE: Duration = Duration::from_secs(1);
 
-/// How long a failing engine is avoided the first time; it doubles each time in a row.
-const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
-
-/// The longest time that a failing engine is avoided before it is tried again.
-const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+/// How long a failing engine is avoided; it doubles each time in a row.
+const AVOIDANCE: Backoff =
+    Backoff { first: Duration::from_millis(500), longest: Duration::from_secs(2) };
 
 /// How long after its last avoidance an engine counts as sound again.
 const MEMORY: Duration = Duration::from_secs(2);
@@ -56,9 +56,8 @@
             return None;
         }
         reports.by_instance.clear();
-        let doublings = reports.avoidances_in_a_row.min(8);
+        let avoidance = AVOIDANCE.ceiling(reports.avoidances_in_a_row);
         reports.avoidances_in_a_row += 1;
-        let avoidance = FIRST_AVOIDANCE.saturating_mul(1 << doublings).min(LONGEST_AVOIDANCE);
         reports.avoided_until = now + avoidance;
         Some(avoidance)
     }
--- a/crates/magnoliaspar-gateway/src/front.rs
+++ b/crates/magnoliaspar-gateway/src/front.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 
-use crate::call::{Incoming, strip_connection_headers};
+use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
 use crate::gateway::Gateway;
 use crate::plain::{self, Ended};
@@ -85,10 +85,7 @@
     checked.service = Some(service.clone());
     gateway.earn_budget(&service);
     let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
-    let mut head = RequestHead::default();
-    head.method = req.head().method.clone();
-    head.uri = req.head().uri.clone();
-    head.headers = req.head().headers.clone();
+    let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
     let received = checked.received;
     Ok(Incoming { facts, route, service, head, body, received, deadline: received + patience })
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -518,9 +518,7 @@
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
         // The settings and the number of instances may have changed.
         budget.set_config(cfg);
-        let result = run(budget, now);
-        self.metrics.set_budget_left(service, budget.left());
-        result
+        run(budget, now)
     }
 
     /// Returns among how many instances the retry budget is shared out.
@@ -547,6 +545,9 @@
     pub fn sweep(&self) {
         let now = self.clock.now();
         self.metrics.queued.set(self.queue.len() as i64);
+        for (service, budget) in &*self.budgets.borrow() {
+            self.metrics.set_budget_left(service, budget.left());
+        }
         self.note_instances();
         let directory = self.directory.borrow();
         self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
--- a/crates/magnoliaspar-gateway/src/ledger.rs
+++ b/crates/magnoliaspar-gateway/src/ledger.rs
@@ -155,13 +155,11 @@
         booking.progress = Some(Progress { at: now, tokens, speed });
     }
 
-    /// Takes in that a completion has ended; returns whether it was booked.
-    pub fn free(&mut self, instance: &str, id: BookingId, now: Instant) -> bool {
-        let is_freed = self.bookings.remove(&(instance.into(), id)).is_some();
-        if is_freed {
+    /// Takes in that a completion has ended.
+    pub fn free(&mut self, instance: &str, id: BookingId, now: Instant) {
+        if self.bookings.remove(&(instance.into(), id)).is_some() {
             self.freed.push(now);
         }
-        is_freed
     }
 
     /// Takes in all bookings of another instance.
--- a/crates/magnoliaspar-gateway/src/pool.rs
+++ b/crates/magnoliaspar-gateway/src/pool.rs
@@ -67,14 +67,4 @@
             !idle.is_empty() && is_known(*server)
         });
     }
-
-    /// Returns the number of idle connections.
-    pub fn len(&self) -> usize {
-        self.0.values().map(Vec::len).sum()
-    }
-
-    /// Whether there is no idle connection.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
 }
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -96,12 +96,12 @@
     let object = cursor.object()?;
     let instance = object.required("instance").and_then(|field| field.filled_text());
     let zone = object.required("zone").and_then(|field| field.filled_text());
-    let requests = object.required("requests").and_then(|field| read_address(&field));
-    let readiness = object.required("readiness").and_then(|field| read_address(&field));
-    let metrics = object.required("metrics").and_then(|field| read_address(&field));
-    let peers = object.required("peers").and_then(|field| read_address(&field));
-    let seeds = object.with_default("seeds", [].into(), |field| field.list(read_address));
-    let store = object.required("store").and_then(|field| read_address(&field));
+    let requests = object.required("requests").and_then(|field| field.address());
+    let readiness = object.required("readiness").and_then(|field| field.address());
+    let metrics = object.required("metrics").and_then(|field| field.address());
+    let peers = object.required("peers").and_then(|field| field.address());
+    let seeds = object.with_default("seeds", [].into(), |field| field.list(Cursor::address));
+    let store = object.required("store").and_then(|field| field.address());
     let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
@@ -123,16 +123,6 @@
     })
 }
 
-fn read_address(cursor: &Cursor) -> Option<SocketAddr> {
-    let text = cursor.text()?;
-    let Ok(address) = text.parse() else {
-        let hint = "write an IP address and a port, such as \"10.0.0.5:8080\"";
-        cursor.report_with_hint(format!("{text:?} is not a socket address"), hint);
-        return None;
-    };
-    Some(address)
-}
-
 fn read_budget(cursor: &Cursor) -> Option<SharedBudget> {
     let object = cursor.object()?;
     let ratio = object.required("ratio").and_then(|field| field.number(RETRY_SHARES));
--- a/crates/magnoliaspar-json/src/cursor.rs
+++ b/crates/magnoliaspar-json/src/cursor.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
@@ -204,6 +205,17 @@
         }
     }
 
+    /// Reads an IP address with a port.
+    pub fn address(&self) -> Option<SocketAddr> {
+        let text = self.text()?;
+        let Ok(address) = text.parse() else {
+            let hint = "write an IP address and a port, such as \"10.0.0.5:8080\"";
+            self.report_with_hint(format!("{text:?} is not a socket address"), hint);
+            return None;
+        };
+        Some(address)
+    }
+
     /// Reads one of several words.
     pub fn one_of<T: Copy>(&self, words: &[(&'static str, T)]) -> Option<T> {
         let text = self.text()?;
--- a/crates/magnoliaspar-retry/src/backoff.rs
+++ b/crates/magnoliaspar-retry/src/backoff.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-/// How often the longest wait doubles at most.
+/// How often a wait doubles at most.
 const MAX_DOUBLINGS: u32 = 16;
 
 /// Waits before retries that double in length, with full jitter.
@@ -20,8 +20,12 @@
     /// The wait is drawn evenly between zero and its longest, so that callers that failed together
     /// do not try again together.
     pub fn wait(&self, retry: u32, rng: &mut dyn rand::RngCore) -> Duration {
-        let ceiling = self.first.saturating_mul(1 << retry.min(MAX_DOUBLINGS)).min(self.longest);
-        ceiling.mul_f64(rng.random())
+        self.ceiling(retry).mul_f64(rng.random())
+    }
+
+    /// Returns the longest wait before the retry with number `retry`, counted from 0.
+    pub fn ceiling(&self, retry: u32) -> Duration {
+        self.first.saturating_mul(1 << retry.min(MAX_DOUBLINGS)).min(self.longest)
     }
 }
 
@@ -48,6 +52,8 @@
         let low = waits.iter().filter(|wait| **wait < Duration::from_millis(100)).count();
         assert!((400..600).contains(&low), "{low}");
         assert!(waits.iter().all(|wait| *wait <= Duration::from_millis(200)));
+        assert_eq!(backoff.ceiling(2), Duration::from_millis(200));
+        assert_eq!(backoff.ceiling(u32::MAX), backoff.longest);
         assert!((0..100).all(|_| backoff.wait(40, &mut rng) <= backoff.longest));
     }
 }
--- a/crates/magnoliaspar-settings/src/read.rs
+++ b/crates/magnoliaspar-settings/src/read.rs
@@ -38,10 +38,10 @@
     let object = cursor.object()?;
     let instance = object.required("instance").and_then(|field| field.parsed());
     let zone = object.required("zone").and_then(|field| field.parsed());
-    let callers = object.required("callers").and_then(|field| read_address(&field));
-    let peers = object.required("peers").and_then(|field| read_address(&field));
-    let operators = object.required("operators").and_then(|field| read_address(&field));
-    let seeds = object.with_default("seeds", [].into(), |field| field.list(read_address));
+    let callers = object.required("callers").and_then(|field| field.address());
+    let peers = object.required("peers").and_then(|field| field.address());
+    let operators = object.required("operators").and_then(|field| field.address());
+    let seeds = object.with_default("seeds", [].into(), |field| field.list(Cursor::address));
     let platform = object.required("platform").and_then(|field| read_platform(&field));
     let peer_keys = object.required("peer_keys").and_then(|field| read_peer_keys(&field));
     let operator_keys =
@@ -67,22 +67,12 @@
     })
 }
 
-fn read_address(cursor: &Cursor) -> Option<SocketAddr> {
-    let text = cursor.text()?;
-    let Ok(address) = text.parse() else {
-        let hint = "write an IP address and a port, such as \"10.0.0.5:8080\"";
-        cursor.report_with_hint(format!("{text:?} is not a socket address"), hint);
-        return None;
-    };
-    Some(address)
-}
-
 fn read_platform(cursor: &Cursor) -> Option<PlatformSettings> {
     let object = cursor.object()?;
-    let table = object.required("table").and_then(|field| read_address(&field));
-    let objects = object.required("objects").and_then(|field| read_address(&field));
-    let weights = object.required("weights").and_then(|field| read_address(&field));
-    let instances = object.required("instances").and_then(|field| read_address(&field));
+    let table = object.required("table").and_then(|field| field.address());
+    let objects = object.required("objects").and_then(|field| field.address());
+    let weights = object.required("weights").and_then(|field| field.address());
+    let instances = object.required("instances").and_then(|field| field.address());
     object.finish();
     Some(PlatformSettings {
         table: table?,
