Report configurations that are older than a peer's

An instance logged that its calls to the store failed, but not whether its configuration was outdated meanwhile, so that logs could not tell an instance that is behind from one that takes itself for current.

Heartbeats now carry the version of the sender's configuration beside its feed revisions. With each heartbeat an instance compares them with its own: configuration_outdated names its version, the newest one, the peer that has it and the own position in the feed; configuration_current says for how long it lasted. Two gauges give the newest version of all instances and the time without it. No decision depends on it.

--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -81,6 +81,11 @@
 }
 
 impl FeedPosition {
+    /// Returns the revision that this instance has reached.
+    pub fn applied(&self) -> u64 {
+        self.applied.get()
+    }
+
     /// Returns a revision that covers the last change applied here.
     pub fn last_change(&self) -> u64 {
         self.last_change.get()
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -101,6 +101,8 @@
     knows_servers: Cell<bool>,
     servers_regained_at: Cell<Option<Instant>>,
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
+    /// Time since when a peer has had a newer configuration.
+    outdated_since: Cell<Option<Instant>>,
 }
 
 impl Gateway {
@@ -127,6 +129,7 @@
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
             removed_during_outage: RefCell::default(),
+            outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
             queue: Queue::default(),
@@ -278,6 +281,33 @@
         self.routing.borrow().clone()
     }
 
+    /// Compares the configuration with those of the peers, and logs when it becomes outdated and
+    /// when it is current again.
+    pub fn check_version(&self) {
+        let now = self.clock.now();
+        let version = self.routing().map_or(0, |routing| routing.version);
+        let newest = self.peers().and_then(|peers| peers.newest_version());
+        let (newest, peer) = newest.unwrap_or_default();
+        self.metrics.newest_version.set(newest.max(version) as i64);
+        let since = self.outdated_since.get();
+        let outdated_for = since.map_or(Duration::ZERO, |since| now - since);
+        self.metrics.outdated_ms.set(outdated_for.as_millis() as i64);
+        match since {
+            None if newest > version => {
+                let revision = self.routing_position.applied();
+                log::warn!(version, newest, peer = &*peer, revision; "configuration_outdated");
+                self.outdated_since.set(Some(now));
+            }
+            Some(_) if newest <= version => {
+                let outdated_ms = outdated_for.as_millis() as u64;
+                log::info!(version, outdated_ms; "configuration_current");
+                self.outdated_since.set(None);
+                self.metrics.outdated_ms.set(0);
+            }
+            _ => {}
+        }
+    }
+
     /// Returns whether the instance is ready for new connections.
     pub fn is_ready(&self) -> bool {
         self.routing.borrow().is_some() && self.knows_servers.get() && !self.is_stopping.get()
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -25,6 +25,10 @@
     pub in_flight: IntGauge,
     /// Version of the current configuration.
     pub configuration_version: IntGauge,
+    /// Newest configuration version that this instance or a peer has.
+    pub newest_version: IntGauge,
+    /// Time for which a peer has had a newer configuration, in milliseconds.
+    pub outdated_ms: IntGauge,
     /// Number of known servers.
     pub servers: IntGauge,
     /// Streams that resumed at another engine.
@@ -101,6 +105,14 @@
             ),
             in_flight: gauge("gateway_in_flight", "Requests that wait for their answer."),
             configuration_version: gauge("gateway_configuration_version", "The version in force."),
+            newest_version: gauge(
+                "gateway_configuration_newest_version",
+                "The newest version that this instance or a peer has.",
+            ),
+            outdated_ms: gauge(
+                "gateway_configuration_outdated_ms",
+                "Time for which a peer has had a newer version.",
+            ),
             servers: gauge("gateway_servers", "Known backend servers."),
             resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
             budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -116,6 +116,9 @@
     routing: u64,
     /// Revision of the list of servers.
     servers: u64,
+    /// Version of the configuration; former versions of the gateway do not send it.
+    #[serde(default)]
+    version: u64,
 }
 
 /// Description of an instance, sent by itself or by another one.
@@ -237,6 +240,8 @@
     capacity: u32,
     last_seen: Instant,
     suspected_until: Option<Instant>,
+    /// The feed revisions that the instance has reported itself.
+    revisions: FeedRevisions,
 }
 
 impl Peers {
@@ -506,14 +511,34 @@
             Some(_) => {}
             None => {
                 log::info!(peer = &*instance, address:%, zone = &*zone; "peer_joined");
-                let suspected_until = None;
-                let peer =
-                    Peer { address, zone, is_eligible, capacity, last_seen, suspected_until };
+                let peer = Peer {
+                    address,
+                    zone,
+                    is_eligible,
+                    capacity,
+                    last_seen,
+                    suspected_until: None,
+                    revisions: FeedRevisions::default(),
+                };
                 peers.insert(instance, peer);
             }
         }
     }
 
+    /// Records the feed revisions that an instance has reported itself.
+    fn observe_revisions(&self, instance: &str, revisions: FeedRevisions) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(instance) {
+            peer.revisions = revisions;
+        }
+    }
+
+    /// Returns the newest configuration version of a live peer, and the name of that peer.
+    pub fn newest_version(&self) -> Option<(u64, InstanceId)> {
+        let peers = self.peers.borrow();
+        let newest = peers.iter().max_by_key(|(_, peer)| peer.revisions.version);
+        newest.map(|(instance, peer)| (peer.revisions.version, instance.clone()))
+    }
+
     /// Removes and returns the instances from which no message has arrived for `PEER_TIMEOUT`.
     fn expire(&self, now: Instant) -> Vec<InstanceId> {
         let mut gone = Vec::new();
@@ -543,6 +568,7 @@
                     entries.push((id, entry.into_reservation(now)));
                 }
                 gateway.reservations.borrow_mut().replace(&sender, entries, now);
+                self.observe_revisions(&sender, peer_revisions);
                 gateway.routing_position.observe_remote(peer_revisions.routing);
                 gateway.servers_position.observe_peer(&sender, peer_revisions.servers, now);
                 let members = self.members(&zone, now);
@@ -560,6 +586,7 @@
                 for member in members {
                     self.observe_member(member, now);
                 }
+                self.observe_revisions(&sender, revisions);
                 if let Some(peer) = self.peers.borrow_mut().get_mut(&sender) {
                     peer.suspected_until = None;
                 }
@@ -587,7 +614,8 @@
 /// Returns the feed revisions that this instance has reached.
 fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
-    FeedRevisions { routing, servers: gateway.servers_position.last_change() }
+    let version = gateway.routing().map_or(0, |routing| routing.version);
+    FeedRevisions { routing, servers: gateway.servers_position.last_change(), version }
 }
 
 fn encode(message: &Message) -> Option<Vec<u8>> {
@@ -640,6 +668,7 @@
             gateway.queue.remove_instance(&instance);
             gateway.servers_position.forget_peer(&instance);
         }
+        gateway.check_version();
         gateway.reservations.borrow_mut().expire(now);
         serve_queue(&gateway);
     }
