Copy the configuration and the servers from peers when the store does not give them

Callers of an instance that the store turned away were served by the configuration of before, and by servers that had left, for as long as the store did so; an instance that started then served nobody. The same happened after an answer that carried a new revision without the change.

The cause is a single way for a change to reach an instance: its own calls to the store. Peers told it in each heartbeat that they were ahead, and all it could do was to ask the store again. Besides, an instance compared positions in the feed and not what it had: a position can be right without the content.

Heartbeats carry the version of the configuration. An instance that a peer has been ahead of for 500 ms fetches the peer's copy over TCP, by version for the configuration and by revision for the list of servers. A batch that is older than the instance's position is dropped, so that a late answer of the store cannot bring back what a copy has removed; a version that is not newer is dropped as before.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -6,7 +6,7 @@
 
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::Backoff;
 
@@ -108,14 +108,7 @@
 
     /// Reads the rest of the response, up to `limit` bytes.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallError> {
-        let mut whole = BytesMut::new();
-        while let Some(chunk) = self.body.chunk().await? {
-            if whole.len() + chunk.len() > limit {
-                return Err(CallError::Malformed("the response exceeds the length limit".into()));
-            }
-            whole.extend_from_slice(&chunk);
-        }
-        Ok(whole.freeze())
+        self.body.read_whole(limit).await
     }
 
     /// Returns the connection to the pool, if the server keeps it open.
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -0,0 +1,176 @@
+//! Copies of the configuration and of the list of servers between instances.
+//!
+//! An instance whose own calls to the store fail would keep what it knew before. It learns from
+//! heartbeats that peers are ahead, and fetches a copy from one of them over TCP.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{Request, RequestHead, Response, StatusCode, Uri, header};
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::directory::ServerRecord;
+use crate::exchange::{CallError, Connection};
+use crate::feed::{Batch, Follower};
+use crate::gateway::{Gateway, RoutingFollower};
+use crate::peers::{FeedRevisions, Peers, Source, revisions};
+use crate::route::Routing;
+
+/// Time for which a peer may be ahead before its copy is fetched; enough for a call to the store.
+const COPY_GRACE: Duration = Duration::from_millis(500);
+
+/// Timeout of a new connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Timeout of a copy, which may be some megabytes long.
+const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum length of a copy, in bytes.
+const MAX_COPY_BYTES: usize = 8 << 20;
+
+/// Path of the copy of the configuration.
+const CONFIGURATION_PATH: &str = "/copies/configuration";
+
+/// Path of the copy of the list of servers.
+const SERVERS_PATH: &str = "/copies/servers";
+
+/// The rows of a feed as one instance has them.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Copy<T> {
+    /// The revision of the store that the instance has reached.
+    revision: u64,
+    /// The rows by key.
+    rows: Vec<(Box<str>, T)>,
+}
+
+/// Responds to a peer that requests a copy; with 503 if this instance has none.
+pub fn respond(gateway: &Gateway, req: &Request) -> Response<BoxBody> {
+    let encoded = match req.path() {
+        CONFIGURATION_PATH => configuration_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
+        SERVERS_PATH => servers_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
+        _ => return Response::new(StatusCode::NOT_FOUND),
+    };
+    match encoded {
+        Some(Ok(bytes)) => Response::new(StatusCode::OK).set_body(bytes.boxed()),
+        Some(Err(error)) => {
+            log::warn!(path = req.path(), reason:% = error; "copy_not_encoded");
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+        None => Response::new(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn configuration_copy(gateway: &Gateway) -> Option<Copy<Rc<Routing>>> {
+    let routing = gateway.routing()?;
+    let revision = gateway.routing_position.applied();
+    Some(Copy { revision, rows: vec![("".into(), routing)] })
+}
+
+fn servers_copy(gateway: &Gateway) -> Option<Copy<ServerRecord>> {
+    if !gateway.knows_servers() {
+        return None;
+    }
+    let mut rows = Vec::new();
+    for (_, server) in gateway.directory.borrow().iter() {
+        rows.push((server.record.id.clone(), server.record.clone()));
+    }
+    Some(Copy { revision: gateway.servers_position.applied(), rows })
+}
+
+/// Copies newer configurations from peers for as long as the process runs.
+pub async fn copy_configuration(gateway: Rc<Gateway>, peers: Rc<Peers>) {
+    let follower = RoutingFollower(gateway.clone());
+    let mark = |revisions: &FeedRevisions| revisions.version;
+    loop {
+        let source = wait_for_source(&gateway, &peers, mark, || revisions(&gateway).version).await;
+        let copy = fetch::<Routing>(&peers, &source, CONFIGURATION_PATH).await;
+        let Some(copy) = copy else { continue };
+        // The position stays: the peer's revision does not prove that it has every change up to it.
+        let batch = to_batch(copy);
+        log::info!(peer = &*source.instance, revision = batch.revision; "configuration_copied");
+        follower.apply(batch, false);
+        if revisions(&gateway).version < mark(&source.reported) {
+            peers.forget_revisions(&source.instance);
+        }
+    }
+}
+
+/// Copies newer lists of servers from peers for as long as the process runs.
+pub async fn copy_servers(gateway: Rc<Gateway>, peers: Rc<Peers>) {
+    let mark = |revisions: &FeedRevisions| revisions.servers;
+    let position = gateway.servers_position.clone();
+    loop {
+        let source = wait_for_source(&gateway, &peers, mark, || position.applied()).await;
+        let copy = fetch::<ServerRecord>(&peers, &source, SERVERS_PATH).await;
+        let Some(copy) = copy else { continue };
+        if copy.revision <= position.applied() {
+            peers.forget_revisions(&source.instance);
+            continue;
+        }
+        let batch = to_batch(copy);
+        log::info!(peer = &*source.instance, revision = batch.revision, servers = batch.rows.len(); "servers_copied");
+        position.advance(batch.revision, true);
+        gateway.apply(batch, true);
+    }
+}
+
+/// Waits until a peer has been ahead of this instance for longer than the store takes to answer.
+async fn wait_for_source(
+    gateway: &Gateway,
+    peers: &Peers,
+    mark: fn(&FeedRevisions) -> u64,
+    own: impl Fn() -> u64,
+) -> Source {
+    let find = || gateway.with_rng(|rng| peers.source_ahead(own(), mark, rng));
+    loop {
+        while find().is_none() {
+            peers.wait_for_report().await;
+        }
+        tokio::time::sleep(COPY_GRACE).await;
+        if let Some(source) = find() {
+            return source;
+        }
+    }
+}
+
+/// Fetches a copy from a peer. A peer that fails is not asked again before its next report.
+async fn fetch<T: DeserializeOwned>(peers: &Peers, source: &Source, path: &str) -> Option<Copy<T>> {
+    let request = request_copy(source.address, path);
+    let fetched = tokio::time::timeout(COPY_TIMEOUT, request).await;
+    match fetched.unwrap_or(Err(CallError::TimedOut)) {
+        Ok(copy) => Some(copy),
+        Err(error) => {
+            log::warn!(peer = &*source.instance, path, reason:% = error; "copy_failed");
+            peers.forget_revisions(&source.instance);
+            None
+        }
+    }
+}
+
+async fn request_copy<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+) -> Result<Copy<T>, CallError> {
+    let malformed = |reason: String| CallError::Malformed(reason.into());
+    let connection = Connection::open(address, CONNECT_TIMEOUT).await?;
+    let mut head = RequestHead::default();
+    head.uri = Uri::try_from(path).map_err(|error| malformed(error.to_string()))?;
+    let host = header::HeaderValue::try_from(address.to_string());
+    head.headers.insert(header::HOST, host.expect("an address is a header value"));
+    let (head, mut body) = connection.send(head, &Bytes::new(), |_| true).await?;
+    if head.status != StatusCode::OK {
+        return Err(malformed(format!("status {}", head.status)));
+    }
+    let bytes = body.read_whole(MAX_COPY_BYTES).await?;
+    serde_json::from_slice(&bytes).map_err(|error| malformed(error.to_string()))
+}
+
+fn to_batch<T>(copy: Copy<T>) -> Batch<T> {
+    let rows = copy.rows.into_iter().map(|(key, row)| (key, Some(row))).collect();
+    Batch { revision: copy.revision, rows }
+}
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -6,6 +6,7 @@
 
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::Backoff;
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::route::ServiceName;
@@ -31,6 +32,7 @@
 
 /// Entry of a server in the list of servers.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerRecord {
     /// Identifier, which a server may keep across a restart.
     pub id: Box<str>,
@@ -52,6 +54,7 @@
 
 /// Stage of a completion that an engine runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EngineRole {
     /// The engine prefills prompts and transfers the KV cache.
     Prefill,
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -270,6 +270,18 @@
         }
     }
 
+    /// Reads the rest of the body, up to `limit` bytes.
+    pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, CallError> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.chunk().await? {
+            if whole.len() + chunk.len() > limit {
+                return Err(CallError::Malformed("the response exceeds the length limit".into()));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+
     /// Returns the connection to read the next response from, which may already be buffered.
     fn into_next_response(self) -> Option<Connection> {
         let is_complete = matches!(self.framing, Framing::Complete);
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -95,7 +95,7 @@
     pub fn observe_remote(&self, revision: u64) {
         if revision > self.highest_remote.get() {
             self.highest_remote.set(revision);
-            self.remote_advanced.notify_one();
+            self.remote_advanced.notify_waiters();
         }
     }
 
@@ -124,7 +124,8 @@
         self.peers_ahead.borrow_mut().remove(instance);
     }
 
-    fn advance(&self, revision: u64, has_changes: bool) {
+    /// Moves the position to a later revision.
+    pub(crate) fn advance(&self, revision: u64, has_changes: bool) {
         self.applied.set(revision);
         if has_changes {
             self.last_change.set(revision);
@@ -160,15 +161,18 @@
 /// Follows a feed for as long as the process runs.
 pub async fn follow<T>(name: &'static str, feed: Rc<dyn Feed<T>>, follower: Rc<dyn Follower<T>>) {
     let mut rng = StdRng::from_os_rng();
-    let mut revision = None;
+    let position = follower.position();
+    let mut is_complete = true;
     let mut failures = 0_u32;
     let mut compactions = 0_u32;
     loop {
-        let read = match revision {
-            None => feed.read().await,
-            Some(after) => tokio::select! {
+        // A copy from a peer may have moved the position since the last call.
+        let after = position.applied();
+        let read = match is_complete {
+            true => feed.read().await,
+            false => tokio::select! {
                 read = feed.changes(after, follower.max_wait()) => read,
-                () = follower.position().wait_until_behind() => {
+                () = position.wait_until_behind() => {
                     log::info!(feed = name, revision = after; "feed_behind");
                     feed.changes(after, Duration::ZERO).await
                 }
@@ -181,22 +185,26 @@
                     follower.recovered();
                 }
                 failures = 0;
-                let is_complete = revision.is_none();
-                if !is_complete {
+                let was_complete = std::mem::replace(&mut is_complete, false);
+                if !was_complete {
                     compactions = 0;
                 }
+                if batch.revision < position.applied() {
+                    let (revision, applied) = (batch.revision, position.applied());
+                    log::info!(feed = name, revision, applied; "feed_stale");
+                    continue;
+                }
                 let has_changes = !batch.rows.is_empty();
-                revision = Some(batch.revision);
-                follower.position().advance(batch.revision, has_changes);
-                follower.apply(batch, is_complete);
-                if has_changes && !is_complete {
+                position.advance(batch.revision, has_changes);
+                follower.apply(batch, was_complete);
+                if has_changes && !was_complete {
                     // Changes often come in series; one call returns those that follow soon.
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
             }
             Err(FeedError::Compacted) => {
-                log::info!(feed = name, revision:?, compactions; "feed_compacted");
-                revision = None;
+                log::info!(feed = name, revision = after, compactions; "feed_compacted");
+                is_complete = true;
                 if compactions > 0 {
                     // The store returned rows that are older than its history. Without a pause,
                     // reads would follow each other in a busy loop.
@@ -206,7 +214,7 @@
             }
             Err(error) => {
                 if failures == 0 {
-                    log::warn!(feed = name, revision:?, reason:% = error; "feed_lost");
+                    log::warn!(feed = name, revision = after, reason:% = error; "feed_lost");
                 }
                 follower.call_failed(&error);
                 failures = failures.saturating_add(1);
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -281,6 +281,11 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns whether a complete list of servers has been received.
+    pub fn knows_servers(&self) -> bool {
+        self.knows_servers.get()
+    }
+
     /// Compares the configuration with those of the peers, and logs when it becomes outdated and
     /// when it is current again.
     pub fn check_version(&self) {
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -15,14 +15,15 @@
 use magnoliaspar_store::{Backoff, TableService, TimerSleep};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::copy::{copy_configuration, copy_servers};
 use crate::directory::ServerRecord;
 use crate::feed::{Feed, follow};
 use crate::gateway::{Gateway, RoutingFollower};
 use crate::guarantees::{Guarantee, is_disabled};
-use crate::handler;
 use crate::peers::{self, Peers};
 use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
+use crate::{copy, handler};
 
 /// Interval at which idle connections and removed servers are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,6 +46,9 @@
 /// Duration of the lease for role orders; much longer than an engine takes to check the sender.
 const LEASE_DURATION: Duration = Duration::from_secs(15);
 
+/// Maximum number of free ports to try for the address of the other instances.
+const MAX_BIND_ATTEMPTS: u32 = 10;
+
 /// Name of the lease for role orders.
 const LEASE_NAME: &str = "roles";
 
@@ -70,6 +74,7 @@
     readiness: Server,
     metrics: Server,
     peers: Rc<Peers>,
+    copies: Server,
     limits: Rc<Cell<ConnectionLimits>>,
 }
 
@@ -82,7 +87,7 @@
     pub readiness: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
-    /// For the other instances.
+    /// For the other instances: datagrams, and copies over TCP.
     pub peers: SocketAddr,
 }
 
@@ -95,9 +100,9 @@
         let requests = requests.with_limits(limits.clone());
         let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
         let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
-        let peers = bind_peers(&gateway).await?;
+        let (peers, copies) = bind_peers(&gateway).await?;
         gateway.set_peers(peers.clone());
-        Ok(Self { gateway, requests, readiness, metrics, peers, limits })
+        Ok(Self { gateway, requests, readiness, metrics, peers, copies, limits })
     }
 
     /// Returns the addresses on which the instance listens.
@@ -112,7 +117,7 @@
 
     /// Runs until `stop` completes and the requests have ended.
     pub async fn run(self, platform: Platform, reload: Reload, stop: impl Future<Output = ()>) {
-        let Self { gateway, requests, readiness, metrics, peers, limits } = self;
+        let Self { gateway, requests, readiness, metrics, peers, copies, limits } = self;
         let settings = gateway.settings();
         let instance = &*settings.instance;
         let zone = &*settings.zone;
@@ -121,10 +126,13 @@
         actix_rt::spawn(requests.run());
         actix_rt::spawn(readiness.run());
         actix_rt::spawn(metrics.run());
+        actix_rt::spawn(copies.run());
         let routing = Rc::new(RoutingFollower(gateway.clone()));
         actix_rt::spawn(follow("configuration", platform.routing, routing));
         actix_rt::spawn(follow("servers", platform.servers, gateway.clone()));
         actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
+        actix_rt::spawn(copy_configuration(gateway.clone(), peers.clone()));
+        actix_rt::spawn(copy_servers(gateway.clone(), peers.clone()));
         actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
         match lease(&gateway, platform.table) {
             Some(lease) => {
@@ -197,14 +205,25 @@
     }))
 }
 
-async fn bind_peers(gateway: &Gateway) -> Result<Rc<Peers>, ServerError> {
+/// Binds the address for the other instances, for datagrams and over TCP.
+async fn bind_peers(gateway: &Rc<Gateway>) -> Result<(Rc<Peers>, Server), ServerError> {
     let settings = gateway.settings();
-    let address = settings.peers;
-    let servers_position = gateway.servers_position.clone();
-    let bound = Peers::bind(&settings, servers_position, gateway.clock.now()).await;
-    let peers =
-        bound.map_err(|error| ServerError::Bind { address, message: error.to_string().into() })?;
-    Ok(Rc::new(peers))
+    let mut attempts = 0;
+    loop {
+        let servers_position = gateway.servers_position.clone();
+        let bound = Peers::bind(&settings, servers_position, gateway.clock.now()).await;
+        let peers = bound.map_err(|error| {
+            let message = error.to_string().into();
+            ServerError::Bind { address: settings.peers, message }
+        })?;
+        attempts += 1;
+        match Server::bind(peers.address(), copy_handler(gateway)).await {
+            Ok(copies) => return Ok((Rc::new(peers), copies)),
+            // A port that is free for datagrams may be taken for TCP.
+            Err(_) if settings.peers.port() == 0 && attempts < MAX_BIND_ATTEMPTS => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 /// Accepts connections until the balancer has redirected callers, then waits for the last request.
@@ -252,3 +271,11 @@
         Box::pin(async move { Response::new(StatusCode::OK).set_body(text.boxed()) })
     })
 }
+
+fn copy_handler(gateway: &Rc<Gateway>) -> Handler {
+    let gateway = gateway.clone();
+    Rc::new(move |req: Request| -> ResponseFuture {
+        let response = copy::respond(&gateway, &req);
+        Box::pin(async move { response })
+    })
+}
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 pub mod call;
 pub mod coordinator;
+mod copy;
 pub mod dialect;
 pub mod directory;
 pub mod events;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -1,5 +1,7 @@
 //! Messages between instances, sent as JSON datagrams.
 //!
+//! What does not fit into datagrams is fetched over TCP, see [`crate::copy`].
+//!
 //! All instances rank each other alike; the first of the ranking is the coordinator. Each instance
 //! reports its liveness and its reservations to the coordinators: the first few of the ranking and
 //! of its availability zone. They reply with the members that they know. The traffic that an
@@ -13,8 +15,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rand::RngCore;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
@@ -113,12 +118,12 @@
 #[derive(Serialize, Deserialize)]
 pub struct FeedRevisions {
     /// Revision of the configuration.
-    routing: u64,
+    pub(crate) routing: u64,
     /// Revision of the list of servers.
-    servers: u64,
+    pub(crate) servers: u64,
     /// Version of the configuration; former versions of the gateway do not send it.
     #[serde(default)]
-    version: u64,
+    pub(crate) version: u64,
 }
 
 /// Description of an instance, sent by itself or by another one.
@@ -215,6 +220,17 @@
     pub address: SocketAddr,
 }
 
+/// A peer that is ahead in a feed.
+#[derive(Debug, Clone)]
+pub struct Source {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Address at which the instance serves its copies.
+    pub address: SocketAddr,
+    /// The feed revisions that the instance has reported.
+    pub reported: FeedRevisions,
+}
+
 /// The socket for messages to and from the other instances, and the members known from them.
 pub struct Peers {
     socket: UdpSocket,
@@ -230,6 +246,8 @@
     reported_live: Cell<(usize, Instant)>,
     /// Position in the feed of the list of servers.
     servers_position: Rc<FeedPosition>,
+    /// Notified when a peer has reported its revisions.
+    reported: Notify,
 }
 
 #[derive(Debug, Clone)]
@@ -267,6 +285,7 @@
             peers,
             reported_live: Cell::new((1, now)),
             servers_position,
+            reported: Notify::new(),
         })
     }
 
@@ -527,8 +546,10 @@
 
     /// Records the feed revisions that an instance has reported itself.
     fn observe_revisions(&self, instance: &str, revisions: FeedRevisions) {
-        if let Some(peer) = self.peers.borrow_mut().get_mut(instance) {
-            peer.revisions = revisions;
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(instance) else { return };
+        if std::mem::replace(&mut peer.revisions, revisions) != revisions {
+            self.reported.notify_waiters();
         }
     }
 
@@ -539,6 +560,35 @@
         newest.map(|(instance, peer)| (peer.revisions.version, instance.clone()))
     }
 
+    /// Returns a peer among those with the highest mark, if that is above `own`; `mark` reads the
+    /// mark out of the revisions that a peer has reported.
+    pub fn source_ahead(
+        &self,
+        own: u64,
+        mark: fn(&FeedRevisions) -> u64,
+        rng: &mut dyn RngCore,
+    ) -> Option<Source> {
+        let peers = self.peers.borrow();
+        let highest = peers.values().map(|peer| mark(&peer.revisions)).max()?;
+        if highest <= own {
+            return None;
+        }
+        let ahead = peers.iter().filter(|(_, peer)| mark(&peer.revisions) == highest);
+        let (instance, peer) = ahead.choose(rng)?;
+        let (instance, address) = (instance.clone(), peer.address);
+        Some(Source { instance, address, reported: peer.revisions })
+    }
+
+    /// Forgets the revisions that an instance has reported, until it reports them again.
+    pub fn forget_revisions(&self, instance: &str) {
+        self.observe_revisions(instance, FeedRevisions::default());
+    }
+
+    /// Waits until a peer reports other revisions than before.
+    pub async fn wait_for_report(&self) {
+        self.reported.notified().await;
+    }
+
     /// Removes and returns the instances from which no message has arrived for `PEER_TIMEOUT`.
     fn expire(&self, now: Instant) -> Vec<InstanceId> {
         let mut gone = Vec::new();
@@ -612,7 +662,7 @@
 }
 
 /// Returns the feed revisions that this instance has reached.
-fn revisions(gateway: &Gateway) -> FeedRevisions {
+pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
     let version = gateway.routing().map_or(0, |routing| routing.version);
     FeedRevisions { routing, servers: gateway.servers_position.last_change(), version }
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use magnoliaspar_core::RouteName;
+use serde::{Deserialize, Serialize};
 
 use crate::guarantees::{Guarantee, is_disabled};
 
@@ -13,6 +14,7 @@
 
 /// A validated configuration of routes and services.
 #[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Routing {
     /// Version set by the operator, which only increases.
     pub version: u64,
@@ -67,6 +69,7 @@
 
 /// Destination of the requests to one host and path prefix.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route, for logs.
     pub name: RouteName,
@@ -111,6 +114,7 @@
 
 /// Kind of a route, which determines the rules for retries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RouteKind {
     /// A request may run several times.
     Idempotent,
@@ -146,6 +150,7 @@
 
 /// A group of interchangeable backend servers.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Service {
     /// Maximum number of connections that one server accepts from all instances together.
     pub max_connections: u32,
@@ -155,6 +160,7 @@
 
 /// Common properties of the model engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Number of requests that an engine runs concurrently.
     pub slots: u32,
@@ -166,6 +172,7 @@
 
 /// Limits on what callers may send and on the time that they may take.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Maximum length of a body, in bytes.
     pub max_body: usize,
