--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
+use magnoliaspar_retry::PartId;
 
 /// Maps between the platform's headers and the data of the gateway.
 pub trait Dialect {
@@ -42,6 +43,8 @@
     pub max_tokens: u64,
     /// Id of the last event that the caller has received.
     pub resume_after: Option<u64>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Box<[PartId]>,
 }
 
 /// Parameters of a request to a server.
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use futures_util::stream::unfold;
 use magnoliaspar_core::ServerKey;
+use magnoliaspar_retry::PartId;
 
 use crate::admission::{Placement, admit};
 use crate::call::{
@@ -407,7 +408,9 @@
         let remaining = self.req.remaining(self.gateway.clock.now());
         let runs = self.attempts.runs;
         let is_allowed = self.req.route.allows_retry(runs);
-        log::warn!(request, reason:% = error, last_event:?, runs, is_allowed; "stream_broke");
+        let has_event = self.has_event;
+        let parts = display_parts(&self.req.facts.shared_parts);
+        log::warn!(request, reason:% = error, last_event:?, has_event, parts, runs, is_allowed; "stream_broke");
         let kind = self.req.route.kind.as_str();
         if !is_allowed || remaining.is_zero() {
             self.gateway.metrics.count_request(kind, "broken");
@@ -437,6 +440,21 @@
     }
 }
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Joins the identifiers of a prompt's parts for logs.
+fn display_parts(parts: &[PartId]) -> Box<str> {
+    let mut text = String::new();
+    for part in parts.iter().take(MAX_LOGGED_PARTS) {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(&part.to_string());
+    }
+    text.into()
+}
+
 /// Returns whether a silent server is gone or refuses new connections.
 async fn is_lost(gateway: &Rc<Gateway>, server: ServerKey) -> bool {
     let is_known_lost = {
--- a/crates/magnoliaspar-retry/src/lib.rs
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -6,12 +6,14 @@
 mod budget;
 mod hedge;
 mod outlier;
+mod part;
 mod quarantine;
 
 pub use self::backoff::Backoff;
 pub use self::budget::{RetryBudget, RetryBudgetConfig};
 pub use self::hedge::{HedgeConfig, HedgePolicy};
 pub use self::outlier::{Ejection, EjectionCause, OutlierConfig, OutlierDetector};
+pub use self::part::PartId;
 pub use self::quarantine::{
     Admission, Fingerprint, Quarantine, QuarantineConfig, QuarantineDelta, QuarantineEntry,
 };
