Read the rows again when their changes do not arrive in time

Callers of instances that came back from a cut got 404 for routes that had been added, up to 12 s after the store could be reached again: "refused with 404 as an older version says; version 216 was acked more than 3000 ms before".

The cause: the store answers a request for changes with every change since the instance's position, each a whole configuration. After some seconds of frequent changes that is several megabytes, more than a small instance's link carries in the 700 ms after which the call was given up. The call was then made again from the same position, so that it could not succeed before the store had dropped its history. The class is a retry of a request that cannot succeed as it is, under a fixed limit of time or size on an answer that grows with what was missed.

An answer that is late, that stops or that is too long is now a failure of its own, after which the rows themselves are read: they are as long as they are, however many changes were missed. A copy from a peer has 5 s for the same reason.

--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -27,7 +27,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Timeout of a copy, which may be some megabytes long.
-const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+const COPY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Maximum length of a copy, in bytes.
 const MAX_COPY_BYTES: usize = 8 << 20;
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -44,6 +44,8 @@
 pub enum FeedError {
     /// the changes since the last batch are no longer known
     Compacted,
+    /// no complete answer came: {0}
+    Incomplete(Box<str>),
     /// {0}
     Unavailable(Box<str>),
 }
@@ -218,6 +220,12 @@
                 }
                 follower.call_failed(&error);
                 failures = failures.saturating_add(1);
+                // The changes may be too long to arrive in time however often they are requested;
+                // the rows are as long as they are, whatever was missed.
+                let is_incomplete = matches!(error, FeedError::Incomplete(_));
+                if is_incomplete && !std::mem::replace(&mut is_complete, true) {
+                    continue;
+                }
                 let wait = BACKOFF.wait(failures, &mut rng);
                 tokio::time::sleep(wait).await;
             }
