Refuse prompts with parts that crash engines

Callers lost their streams each time a request with a certain prompt part reached their engine: ten to 74 engines crashed in 22 s, and up to half of all requests were not served.

The cause: failures were counted by engine and never by what a request holds, so that the next request with the part went to another engine; where the route allows it, one request crashed two.

An engine that breaks off before a completion's first event and accepts no connection since has crashed; the instance reports the shared parts of the prompt to the coordinators, and with each first event that the completion has started. A start clears the parts, since a part that crashes engines lets none start. Three separate crashes and a start of another prompt meanwhile make a part refused; parts that crashed only together are refused only together, so that prompts that share the sound ones go on. Refused prompts are in each heartbeat and its answer, and need no store. Refusals are bounded in time and number, and are tried again after 60 s, then after twice that.

Ruled out: engines that crash for other reasons make no part refused, by a test of their own.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
+use magnoliaspar_retry::PartId;
 use tokio::sync::mpsc;
 
 use crate::call::Incoming;
@@ -50,6 +51,11 @@
     pub fn finish_prefill(&self) {
         self.gateway.send_to_coordinators(Payload::PrefillFinished(self.id));
     }
+
+    /// Records that the completion has started: its first event has arrived.
+    pub fn start(&self, parts: &[PartId]) {
+        self.gateway.send_to_coordinators(Payload::Started(self.id, parts.into()));
+    }
 }
 
 impl Placement {
@@ -67,20 +73,29 @@
     }
 }
 
+/// What has become of a completion so far.
+#[derive(Debug, Clone, Copy)]
+pub struct History {
+    /// Whether it resumes a stream that has already started.
+    pub is_resumption: bool,
+    /// Whether an engine crashed before the completion had started on it.
+    pub has_crashed: bool,
+}
+
 /// Requests engines for a completion, and waits while there is no free engine memory.
 pub async fn admit(
     gateway: &Rc<Gateway>,
     req: &Incoming,
     tried: &[ServerKey],
-    is_resumption: bool,
+    history: History,
 ) -> Result<Placement, Refusal> {
     let max_wait = req.route.target_latency.mul_f64(MAX_WAIT_IN_TARGETS);
-    let start = if is_resumption { gateway.clock.now() } else { req.received };
+    let start = if history.is_resumption { gateway.clock.now() } else { req.received };
     let expires_at = (start + max_wait).min(req.deadline);
     let mut excluded = gateway.unusable_servers(&req.service, tried);
     loop {
         let mut admission =
-            PendingAdmission::new(gateway, req, excluded.clone(), is_resumption, expires_at);
+            PendingAdmission::new(gateway, req, excluded.clone(), history, expires_at);
         let decision = admission.wait_for_decision().await;
         let Some(Decision::Granted(grant)) = &decision else {
             return admission.resolve(decision, req);
@@ -126,7 +141,7 @@
         gateway: &'a Rc<Gateway>,
         req: &Incoming,
         excluded: Vec<Box<str>>,
-        is_resumption: bool,
+        history: History,
         expires_at: Instant,
     ) -> Self {
         let id = gateway.next_reservation_id();
@@ -138,7 +153,9 @@
             prompt_tokens: req.facts.prompt_tokens,
             expected_tokens: req.facts.expected_tokens,
             max_tokens: req.facts.max_tokens,
-            is_resumption,
+            is_resumption: history.is_resumption,
+            parts: req.parts.clone(),
+            has_crashed: history.has_crashed,
             waited_ms: 0,
             target_ms: req.route.target_latency.as_millis() as u64,
             limit_ms: 0,
@@ -242,6 +259,10 @@
                 log::warn!(request, home = &*coordinator, waited_ms, reason = "no engine"; "not_placed");
                 Err(Refusal::NoServer)
             }
+            Some(Decision::Quarantined) => {
+                log::warn!(request, home = &*coordinator, waited_ms, reason = "quarantined"; "not_placed");
+                Err(Refusal::Quarantined)
+            }
             Some(Decision::Queued | Decision::Hopeless) => {
                 log::warn!(request, home = &*coordinator, waited_ms, reason = "too many wait"; "not_placed");
                 Err(Refusal::NoCapacity)
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -8,7 +8,7 @@
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use bytes::Bytes;
 use magnoliaspar_core::ServerKey;
-use magnoliaspar_retry::Backoff;
+use magnoliaspar_retry::{Backoff, PartId};
 
 use crate::dialect::{Dispatch, RequestFacts, ResponseFacts};
 use crate::exchange::{CallError, Connection, ResponseBody};
@@ -42,6 +42,8 @@
     pub route: Rc<Route>,
     /// The service chosen by weight.
     pub service: ServiceName,
+    /// The shared parts of the prompt, and a fingerprint of the whole request.
+    pub parts: Box<[PartId]>,
     /// The head without hop-by-hop headers.
     pub head: RequestHead,
     /// The complete body.
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -10,9 +10,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_retry::PartId;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::ServiceName;
@@ -46,6 +47,12 @@
     pub limit_ms: u64,
     /// Engines that the requesting instance cannot use.
     pub excluded: Vec<Box<str>>,
+    /// The shared parts of the prompt, and a fingerprint of the whole request.
+    #[serde(default)]
+    pub parts: Box<[PartId]>,
+    /// Whether an engine crashed before the completion had started on it.
+    #[serde(default)]
+    pub has_crashed: bool,
 }
 
 /// Decision of the coordinator on an admission request.
@@ -60,6 +67,8 @@
     NoEngine,
     /// The queue is so long that the completion would not start in time.
     Hopeless,
+    /// Prompts with these parts crash engines.
+    Quarantined,
 }
 
 /// The engines that a completion may use.
@@ -144,6 +153,9 @@
     request: AdmissionRequest,
 ) -> Decision {
     let now = gateway.clock.now();
+    if is_quarantined(gateway, &request, now) {
+        return Decision::Quarantined;
+    }
     if let Some(grant) = existing_grant(gateway, instance, id) {
         return Decision::Granted(grant);
     }
@@ -176,6 +188,13 @@
     Decision::Queued
 }
 
+/// Returns whether a completion may not run, or not once more after it has crashed an engine.
+fn is_quarantined(gateway: &Gateway, request: &AdmissionRequest, now: Instant) -> bool {
+    let quarantine = gateway.prompt_quarantine.borrow();
+    let is_retry_of_suspect = request.has_crashed && quarantine.is_suspected(now, &request.parts);
+    is_retry_of_suspect || quarantine.refused_for(now, &request.parts).is_some()
+}
+
 /// Returns the grant that an earlier copy of the request got, in case the reply was lost.
 fn existing_grant(gateway: &Gateway, instance: &str, id: ReservationId) -> Option<Grant> {
     let reservations = gateway.reservations.borrow();
@@ -190,6 +209,7 @@
         let next = gateway.queue.next(gateway.clock.now());
         let Some(((instance, id), request)) = next else { return };
         let decision = match grant(gateway, &instance, id, &request) {
+            _ if is_quarantined(gateway, &request, gateway.clock.now()) => Decision::Quarantined,
             Ok(grant) => Decision::Granted(grant),
             Err(PlanError::NoCapacity) => return,
             Err(PlanError::NoEngine) => Decision::NoEngine,
@@ -251,6 +271,17 @@
         Payload::PrefillFinished(id) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now)
         }
+        Payload::Started(id, parts) => {
+            gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
+            gateway.prompt_quarantine.borrow_mut().record_start(parts);
+        }
+        Payload::Crashed(request, parts) => {
+            let refused = gateway.prompt_quarantine.borrow_mut().record_crash(now, *request, parts);
+            if let Some(refused) = refused {
+                let parts = display_parts(&refused);
+                log::warn!(reporter = from, parts = &*parts; "prompt_part_refused");
+            }
+        }
         Payload::Released(id) => {
             gateway.queue.remove(from, *id);
             gateway.reservations.borrow_mut().release(from, *id, now);
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, ServerKey};
-use magnoliaspar_retry::RetryBudget;
+use magnoliaspar_retry::{PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
@@ -76,6 +76,8 @@
     pub reservations: RefCell<Reservations>,
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
+    /// Prompts that crash engines.
+    pub prompt_quarantine: RefCell<PromptQuarantine>,
     /// Completions of all instances that are queued here for engine memory.
     pub queue: Queue,
     /// Admission requests of this instance without a decision.
@@ -132,6 +134,7 @@
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
+            prompt_quarantine: RefCell::default(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             is_stopped: Cell::new(false),
@@ -194,6 +197,19 @@
         self.send_to_coordinators(Payload::EngineUnusable(id));
     }
 
+    /// Reports that an engine crashed before a completion had started on it.
+    pub fn report_crash(&self, server: ServerKey, parts: &[PartId]) {
+        let request = self.with_rng(|rng| rng.next_u64());
+        let server = self.server_name(server);
+        log::warn!(server = &*server, parts = &*display_parts(parts); "engine_crashed");
+        self.send_to_coordinators(Payload::Crashed(request, parts.into()));
+    }
+
+    /// Returns whether completions with these parts are refused.
+    pub fn is_quarantined(&self, parts: &[PartId]) -> bool {
+        self.prompt_quarantine.borrow().refused_for(self.clock.now(), parts).is_some()
+    }
+
     /// Sends a message to all coordinators except one.
     pub fn send_to_other_coordinators(&self, payload: Payload, except: Option<&Coordinator>) {
         if let Some(peers) = self.peers() {
@@ -724,6 +740,21 @@
     }
 }
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Joins the identifiers of a prompt's parts for logs.
+pub fn display_parts<'a>(parts: impl IntoIterator<Item = &'a PartId>) -> Box<str> {
+    let mut text = String::new();
+    for part in parts.into_iter().take(MAX_LOGGED_PARTS) {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(&part.to_string());
+    }
+    text.into()
+}
+
 /// A request in flight.
 pub struct InFlight(Rc<Gateway>);
 
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -8,6 +8,7 @@
 use actix_http::{ConnectionType, Request, RequestHead, Response};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use magnoliaspar_retry::PartId;
 
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
@@ -20,6 +21,9 @@
 /// Timeout of a request without one from the caller.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// `Retry-After` of a request that is refused since its like crash engines.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Serves one request.
 pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
     let guard = gateway.track_request();
@@ -89,7 +93,20 @@
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
     let received = cx.received;
-    Ok(Incoming { facts, route, service, head, body, received, deadline: received + timeout })
+    let parts = parts_of(&facts, req.head(), &body);
+    let deadline = received + timeout;
+    Ok(Incoming { facts, route, service, parts, head, body, received, deadline })
+}
+
+/// Returns the shared parts of a prompt and a fingerprint, by which a request that is sent again is
+/// recognized.
+fn parts_of(facts: &RequestFacts, head: &RequestHead, body: &[u8]) -> Box<[PartId]> {
+    let mut content = head.uri.path().as_bytes().to_vec();
+    content.push(0);
+    content.extend_from_slice(body);
+    let mut parts = facts.shared_parts.to_vec();
+    parts.push(PartId::of(&content));
+    parts.into()
 }
 
 fn find_route(routing: &Routing, head: &RequestHead) -> Option<Rc<Route>> {
@@ -138,6 +155,8 @@
             let retry_after = match &cx.route {
                 // Other instances can take the request immediately.
                 Some(_) if refusal == Refusal::Stopping => Some(Duration::ZERO),
+                // Until then every instance refuses the request.
+                Some(_) if refusal == Refusal::Quarantined => Some(QUARANTINE_RETRY_AFTER),
                 Some(route) if is_not_run => Some(gateway.retry_after(route, remaining)),
                 None if is_not_run => Some(remaining.mul_f64(0.3)),
                 _ => None,
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -10,11 +10,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_retry::PartId;
 use rand::RngCore;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -24,7 +25,7 @@
 
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
 use crate::feed::FeedPosition;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, display_parts};
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
 use crate::settings::GatewaySettings;
 
@@ -81,6 +82,9 @@
         /// send them.
         #[serde(default, rename = "marks")]
         revisions: FeedRevisions,
+        /// The prompts that the sender refuses since they crash engines.
+        #[serde(default)]
+        refused: Vec<RefusedPrompt>,
     },
     /// The members that the sender knows, including itself.
     Members {
@@ -91,6 +95,9 @@
         /// The feed revisions that the sender has reached.
         #[serde(rename = "marks")]
         revisions: FeedRevisions,
+        /// The prompts that the sender refuses since they crash engines.
+        #[serde(default)]
+        refused: Vec<RefusedPrompt>,
     },
     /// The sender requests admission of a completion.
     #[serde(rename = "Ask")]
@@ -104,6 +111,11 @@
     /// The prefill of a completion has finished.
     #[serde(rename = "PromptRead")]
     PrefillFinished(ReservationId),
+    /// A completion whose prompt has these parts has sent its first event.
+    Started(ReservationId, Box<[PartId]>),
+    /// An engine crashed before a completion whose prompt has these parts had started on it. The
+    /// number is unique for each attempt.
+    Crashed(u64, Box<[PartId]>),
     /// A completion has ended or is no longer queued.
     #[serde(rename = "Freed")]
     Released(ReservationId),
@@ -113,6 +125,15 @@
     Leaving,
 }
 
+/// Parts of prompts that are refused if a prompt has all of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusedPrompt {
+    parts: BTreeSet<PartId>,
+    /// Time for which they are still refused, in milliseconds.
+    remaining_ms: u64,
+}
+
 /// Feed revisions that cover the last changes that an instance has applied.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -329,7 +350,8 @@
             true => Payload::Leaving,
             false => {
                 let members = vec![self.member(now)];
-                Payload::Members { members, live: 1, revisions: FeedRevisions::default() }
+                let revisions = FeedRevisions::default();
+                Payload::Members { members, live: 1, revisions, refused: Vec::new() }
             }
         };
         let message = Message { from: self.instance.clone(), payload };
@@ -466,6 +488,7 @@
             member: self.member(now),
             reservations,
             revisions: revisions(gateway),
+            refused: refused_prompts(gateway, now),
         };
         let message = Message { from: self.instance.clone(), payload };
         let Some(bytes) = encode(&message) else { return };
@@ -609,7 +632,8 @@
         let now = gateway.clock.now();
         let sender = message.from;
         match message.payload {
-            Payload::State { member, reservations, revisions: peer_revisions } => {
+            Payload::State { member, reservations, revisions: peer_revisions, refused } => {
+                merge_refused(gateway, &sender, refused, now);
                 let address = member.address;
                 let zone = member.zone.clone();
                 self.observe_member(member, now);
@@ -625,10 +649,16 @@
                 let live = self.peers.borrow().len() + 1;
                 self.send_payload(
                     address,
-                    Payload::Members { members, live, revisions: revisions(gateway) },
+                    Payload::Members {
+                        members,
+                        live,
+                        revisions: revisions(gateway),
+                        refused: refused_prompts(gateway, now),
+                    },
                 );
             }
-            Payload::Members { members, live, revisions } => {
+            Payload::Members { members, live, revisions, refused } => {
+                merge_refused(gateway, &sender, refused, now);
                 self.record_live_count(live, now);
                 gateway.update_max_instances();
                 gateway.routing_position.observe_remote(revisions.routing);
@@ -655,6 +685,8 @@
                 gateway.servers_position.forget_peer(&sender);
             }
             payload @ (Payload::PrefillFinished(_)
+            | Payload::Started(..)
+            | Payload::Crashed(..)
             | Payload::Released(_)
             | Payload::EngineUnusable(_)) => apply_update(gateway, &sender, &payload),
         }
@@ -668,6 +700,24 @@
     FeedRevisions { routing, servers: gateway.servers_position.last_change(), version }
 }
 
+fn refused_prompts(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
+    let mut refused = Vec::new();
+    for (parts, remaining) in gateway.prompt_quarantine.borrow().refused(now) {
+        refused.push(RefusedPrompt { parts, remaining_ms: remaining.as_millis() as u64 });
+    }
+    refused
+}
+
+fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedPrompt>, now: Instant) {
+    let mut quarantine = gateway.prompt_quarantine.borrow_mut();
+    for RefusedPrompt { parts, remaining_ms } in refused {
+        let names = display_parts(&parts);
+        if quarantine.merge(now, parts, Duration::from_millis(remaining_ms)) {
+            log::info!(peer = from, parts = &*names, remaining_ms; "prompt_part_refused");
+        }
+    }
+}
+
 fn encode(message: &Message) -> Option<Vec<u8>> {
     match serde_json::to_vec(message) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => Some(bytes),
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -9,15 +9,14 @@
 use displaydoc::Display;
 use futures_util::stream::unfold;
 use magnoliaspar_core::ServerKey;
-use magnoliaspar_retry::PartId;
 
-use crate::admission::{Placement, admit};
+use crate::admission::{History, Placement, admit};
 use crate::call::{
     CallSpec, Incoming, Reply, acquire, call, can_connect, keep_connection, release_kv_cache,
 };
 use crate::events::EventBuffer;
 use crate::exchange::CallError;
-use crate::gateway::{Gateway, InFlight};
+use crate::gateway::{Gateway, InFlight, display_parts};
 use crate::refusal::Refusal;
 use crate::route::ServiceName;
 use crate::selection::Plan;
@@ -94,6 +93,8 @@
     kv_cache: Option<HeldKvCache>,
     /// Decode requests that an engine rejected; after the second, the KV cache is released.
     rejections: u32,
+    /// Whether an engine crashed before the completion had started on it.
+    has_crashed: bool,
 }
 
 impl Attempts {
@@ -105,6 +106,9 @@
         resume_after: Option<u64>,
     ) -> Result<(Reply, Placement), Refusal> {
         loop {
+            if gateway.is_quarantined(&req.parts) {
+                return Err(self.refuse(Refusal::Quarantined, Refusal::MayHaveRun));
+            }
             let is_resumption = resume_after != req.facts.resume_after;
             // The budget is checked before admission: a completion that may not be retried must
             // neither wait for engine memory nor reserve it.
@@ -115,7 +119,8 @@
                 }
                 _ => Some(ReservedRetry { gateway, service: &req.service, is_used: false }),
             };
-            let placement = match admit(gateway, req, &self.tried, is_resumption).await {
+            let history = History { is_resumption, has_crashed: self.has_crashed };
+            let placement = match admit(gateway, req, &self.tried, history).await {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.refuse(refusal, Refusal::MayHaveRun)),
             };
@@ -150,6 +155,7 @@
                 Err(error) => {
                     self.dispatches += 1;
                     self.runs += 1;
+                    self.check_crash(gateway, req, placement.plan.decode(), &error).await;
                     let is_final = !req.route.allows_retry(self.runs);
                     match (is_final, error) {
                         (false, _) => {}
@@ -161,6 +167,21 @@
         }
     }
 
+    /// Reports a crash if the engine broke off before the completion had started on it, and accepts
+    /// no connections since.
+    async fn check_crash(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        req: &Incoming,
+        engine: ServerKey,
+        error: &CallError,
+    ) {
+        if matches!(error, CallError::Broken(_)) && !can_connect(gateway, engine).await {
+            self.has_crashed = true;
+            gateway.report_crash(engine, &req.parts);
+        }
+    }
+
     /// Returns the refusal that is true for the number of runs so far.
     fn refuse(&self, not_run: Refusal, may_have_run: Refusal) -> Refusal {
         if self.runs == 0 { not_run } else { may_have_run }
@@ -372,7 +393,7 @@
     fn record_events(&mut self) {
         let Some((_, placement)) = &self.current else { return };
         if !std::mem::replace(&mut self.has_event, true) {
-            placement.finish_prefill();
+            placement.start(&self.req.parts);
             let elapsed = self.gateway.clock.now() - self.req.received;
             let kind = self.req.route.kind.as_str();
             self.gateway.metrics.observe(kind, "first_event", elapsed);
@@ -405,11 +426,14 @@
         let server = failed.0.guard.server;
         self.gateway.record_call_failure(server, &error);
         drop(failed);
+        if !self.has_event {
+            self.attempts.check_crash(&self.gateway, &self.req, server, &error).await;
+        }
         let remaining = self.req.remaining(self.gateway.clock.now());
         let runs = self.attempts.runs;
         let is_allowed = self.req.route.allows_retry(runs);
         let has_event = self.has_event;
-        let parts = display_parts(&self.req.facts.shared_parts);
+        let parts = display_parts(&self.req.parts);
         log::warn!(request, reason:% = error, last_event:?, has_event, parts, runs, is_allowed; "stream_broke");
         let kind = self.req.route.kind.as_str();
         if !is_allowed || remaining.is_zero() {
@@ -440,21 +464,6 @@
     }
 }
 
-/// Maximum number of parts of a prompt in a log line.
-const MAX_LOGGED_PARTS: usize = 8;
-
-/// Joins the identifiers of a prompt's parts for logs.
-fn display_parts(parts: &[PartId]) -> Box<str> {
-    let mut text = String::new();
-    for part in parts.iter().take(MAX_LOGGED_PARTS) {
-        if !text.is_empty() {
-            text.push(',');
-        }
-        text.push_str(&part.to_string());
-    }
-    text.into()
-}
-
 /// Returns whether a silent server is gone or refuses new connections.
 async fn is_lost(gateway: &Rc<Gateway>, server: ServerKey) -> bool {
     let is_known_lost = {
--- a/crates/magnoliaspar-retry/src/lib.rs
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -7,6 +7,7 @@
 mod hedge;
 mod outlier;
 mod part;
+mod prompt_quarantine;
 mod quarantine;
 
 pub use self::backoff::Backoff;
@@ -14,6 +15,7 @@
 pub use self::hedge::{HedgeConfig, HedgePolicy};
 pub use self::outlier::{Ejection, EjectionCause, OutlierConfig, OutlierDetector};
 pub use self::part::PartId;
+pub use self::prompt_quarantine::PromptQuarantine;
 pub use self::quarantine::{
     Admission, Fingerprint, Quarantine, QuarantineConfig, QuarantineDelta, QuarantineEntry,
 };
--- /dev/null
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -0,0 +1,336 @@
+//! Quarantine of prompts with parts that crash the engines that run them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::backoff::Backoff;
+use crate::part::PartId;
+
+/// Number of crashes after which a part is refused.
+const CRASHES_TO_REFUSE: u32 = 3;
+
+/// Minimum time between two crashes that count separately. Engines that crash together have one
+/// cause, which need not be a request.
+const CRASH_SPACING: Duration = Duration::from_millis(200);
+
+/// Number of other completions that must have started since the first crash; without any, the
+/// engines and not the part may be the cause.
+const MIN_OTHER_STARTS: u32 = 1;
+
+/// Time after its last crash at which a part is no longer suspected.
+const SUSPICION_TTL: Duration = Duration::from_secs(60);
+
+/// Time for which a part is refused; it doubles each time that the part crashes an engine again.
+const REFUSAL_BACKOFF: Backoff =
+    Backoff { first: Duration::from_secs(60), longest: Duration::from_secs(3_600) };
+
+/// Maximum number of suspected parts.
+const MAX_SUSPECTS: usize = 512;
+
+/// Maximum number of crashed requests to remember for each part.
+const MAX_CRASHED_REQUESTS: usize = 8;
+
+/// Maximum number of refused combinations of parts.
+const MAX_REFUSED: usize = 32;
+
+/// Learns from crashes which parts of prompts crash engines, and refuses prompts with them.
+///
+/// A crash speaks against the parts of each completion that had not started on the engine. A
+/// completion that starts clears its parts: a part that crashes engines never lets one start. If
+/// several parts were in all requests that crashed, only prompts with all of them are refused.
+#[derive(Debug, Clone, Default)]
+pub struct PromptQuarantine {
+    suspects: BTreeMap<PartId, Suspect>,
+    refused: BTreeMap<BTreeSet<PartId>, RefusedState>,
+}
+
+/// Evidence against a part.
+#[derive(Debug, Clone)]
+struct Suspect {
+    /// The crashed requests with the part, the oldest first.
+    requests: Vec<u64>,
+    /// The number of crashes that count separately.
+    crashes: u32,
+    last_crash: Instant,
+    /// Completions without the part that have started since its first crash.
+    other_starts: u32,
+}
+
+/// State of a refused combination of parts.
+#[derive(Debug, Clone, Copy)]
+struct RefusedState {
+    until: Instant,
+    /// How often it was refused again after its time had passed.
+    rounds: u32,
+}
+
+impl PromptQuarantine {
+    /// Returns for how long prompts with these parts are still refused, if they are.
+    pub fn refused_for(&self, now: Instant, parts: &[PartId]) -> Option<Duration> {
+        let parts: BTreeSet<PartId> = parts.iter().copied().collect();
+        let mut longest = None;
+        for (refused, state) in &self.refused {
+            if now < state.until && refused.is_subset(&parts) {
+                longest = longest.max(Some(state.until - now));
+            }
+        }
+        longest
+    }
+
+    /// Returns whether several requests that crashed engines had one of these parts, and none with
+    /// it has started since.
+    pub fn is_suspected(&self, now: Instant, parts: &[PartId]) -> bool {
+        let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
+        let mut suspects = suspects.filter(|suspect| !suspect.is_expired(now));
+        suspects.any(|suspect| suspect.requests.len() > 1)
+    }
+
+    /// Records that an engine crashed before a completion with these parts had started on it;
+    /// `request` is unique for each attempt. Returns the parts that are refused from now on, if any.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        request: u64,
+        parts: &[PartId],
+    ) -> Option<BTreeSet<PartId>> {
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
+        let parts: BTreeSet<PartId> = parts.iter().copied().collect();
+        for part in &parts {
+            self.suspects.entry(*part).or_insert_with(|| Suspect::new(now)).add(now, request);
+        }
+        let refused = self.refused_again(now, &parts).or_else(|| self.find_culprits(&parts));
+        if let Some(refused) = &refused {
+            self.refuse(now, refused.clone());
+        }
+        self.evict();
+        refused
+    }
+
+    /// Records that a completion with these parts has started, which clears them.
+    pub fn record_start(&mut self, parts: &[PartId]) {
+        if self.suspects.is_empty() && self.refused.is_empty() {
+            return;
+        }
+        for part in parts {
+            self.suspects.remove(part);
+        }
+        for suspect in self.suspects.values_mut() {
+            suspect.other_starts = suspect.other_starts.saturating_add(1);
+        }
+        let is_cleared =
+            |refused: &BTreeSet<PartId>| parts.iter().any(|part| refused.contains(part));
+        let cleared: Vec<_> =
+            self.refused.extract_if(.., |refused, _| is_cleared(refused)).collect();
+        for (mut refused, state) in cleared {
+            for part in parts {
+                refused.remove(part);
+            }
+            // The cause is among the parts that are left.
+            if !refused.is_empty() {
+                self.refused.insert(refused, state);
+            }
+        }
+    }
+
+    /// Adds a combination of parts that another instance refuses for `remaining`; returns whether it
+    /// is new here.
+    pub fn merge(&mut self, now: Instant, parts: BTreeSet<PartId>, remaining: Duration) -> bool {
+        let until = now + remaining.min(REFUSAL_BACKOFF.longest);
+        if parts.is_empty() || remaining.is_zero() {
+            return false;
+        }
+        let is_new = !self.refused.contains_key(&parts);
+        let state = self.refused.entry(parts).or_insert(RefusedState { until, rounds: 0 });
+        state.until = state.until.max(until);
+        self.evict();
+        is_new
+    }
+
+    /// Returns the refused combinations of parts and the time for which they are still refused.
+    pub fn refused(&self, now: Instant) -> Vec<(BTreeSet<PartId>, Duration)> {
+        let mut refused = Vec::new();
+        for (parts, state) in &self.refused {
+            if now < state.until {
+                refused.push((parts.clone(), state.until - now));
+            }
+        }
+        refused
+    }
+
+    /// Returns a combination whose refusal has passed, if a request with it has crashed an engine.
+    fn refused_again(&self, now: Instant, parts: &BTreeSet<PartId>) -> Option<BTreeSet<PartId>> {
+        let passed = self.refused.iter().filter(|(_, state)| now >= state.until);
+        let mut passed = passed.filter(|(refused, _)| refused.is_subset(parts));
+        passed.next().map(|(refused, _)| refused.clone())
+    }
+
+    /// Returns the parts that were in all crashed requests of a part with enough crashes.
+    fn find_culprits(&self, parts: &BTreeSet<PartId>) -> Option<BTreeSet<PartId>> {
+        for part in parts {
+            let Some(suspect) = self.suspects.get(part) else { continue };
+            if suspect.crashes < CRASHES_TO_REFUSE || suspect.other_starts < MIN_OTHER_STARTS {
+                continue;
+            }
+            let mut culprits = BTreeSet::new();
+            for other in parts {
+                let Some(requests) = self.suspects.get(other).map(|other| &other.requests) else {
+                    continue;
+                };
+                if suspect.requests.iter().all(|request| requests.contains(request)) {
+                    culprits.insert(*other);
+                }
+            }
+            return Some(culprits);
+        }
+        None
+    }
+
+    fn refuse(&mut self, now: Instant, parts: BTreeSet<PartId>) {
+        let rounds = self.refused.get(&parts).map_or(0, |state| state.rounds + 1);
+        let until = now + REFUSAL_BACKOFF.ceiling(rounds);
+        self.refused.insert(parts, RefusedState { until, rounds });
+    }
+
+    /// Removes the oldest entries above the limits.
+    fn evict(&mut self) {
+        while self.suspects.len() > MAX_SUSPECTS {
+            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.last_crash);
+            let Some(part) = oldest.map(|(part, _)| *part) else { return };
+            self.suspects.remove(&part);
+        }
+        while self.refused.len() > MAX_REFUSED {
+            let earliest = self.refused.iter().min_by_key(|(_, state)| state.until);
+            let Some(parts) = earliest.map(|(parts, _)| parts.clone()) else { return };
+            self.refused.remove(&parts);
+        }
+    }
+}
+
+impl Suspect {
+    fn new(now: Instant) -> Self {
+        Self { requests: Vec::new(), crashes: 0, last_crash: now, other_starts: 0 }
+    }
+
+    fn add(&mut self, now: Instant, request: u64) {
+        if self.requests.contains(&request) {
+            return;
+        }
+        let is_separate = now.saturating_duration_since(self.last_crash) >= CRASH_SPACING;
+        if self.crashes == 0 || is_separate {
+            self.crashes += 1;
+            self.last_crash = now;
+        }
+        self.requests.push(request);
+        if self.requests.len() > MAX_CRASHED_REQUESTS {
+            self.requests.remove(0);
+        }
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_crash) >= SUSPICION_TTL
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use super::{MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF, SUSPICION_TTL};
+    use crate::part::PartId;
+
+    const SECOND: Duration = Duration::from_secs(1);
+    const COMMON: PartId = PartId(1);
+    const DEADLY: PartId = PartId(2);
+
+    /// Lets requests with `parts` crash engines a second apart, while others start.
+    fn crash(quarantine: &mut PromptQuarantine, start: Instant, parts: &[PartId], count: u32) {
+        for index in 0..count {
+            let request = u64::from(index) + 100 * parts.len() as u64;
+            quarantine.record_crash(start + index * SECOND, request, parts);
+            quarantine.record_start(&[PartId(90)]);
+            quarantine.record_start(&[PartId(91)]);
+        }
+    }
+
+    #[test]
+    fn a_part_that_crashes_engines_is_refused_and_one_that_starts_is_not() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        crash(&mut quarantine, start, &[COMMON, DEADLY], 2);
+        assert_eq!(quarantine.refused_for(start + 2 * SECOND, &[COMMON, DEADLY]), None);
+        quarantine.record_start(&[COMMON]);
+        crash(&mut quarantine, start + 2 * SECOND, &[COMMON, DEADLY, PartId(7)], 2);
+        let now = start + 4 * SECOND;
+        assert!(quarantine.refused_for(now, &[PartId(8), DEADLY]).is_some());
+        assert_eq!(quarantine.refused_for(now, &[COMMON, PartId(7)]), None);
+    }
+
+    #[test]
+    fn parts_that_always_crash_together_are_refused_only_together_until_one_starts() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        crash(&mut quarantine, start, &[COMMON, DEADLY], 3);
+        let now = start + 3 * SECOND;
+        assert!(quarantine.refused_for(now, &[COMMON, DEADLY, PartId(5)]).is_some());
+        assert_eq!(quarantine.refused_for(now, &[COMMON, PartId(5)]), None);
+        assert_eq!(quarantine.refused_for(now, &[DEADLY, PartId(5)]), None);
+        quarantine.record_start(&[COMMON]);
+        assert!(quarantine.refused_for(now, &[DEADLY, PartId(5)]).is_some());
+    }
+
+    #[test]
+    fn engines_that_crash_together_or_while_nothing_starts_make_no_part_refused() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        for request in 0..20 {
+            quarantine.record_crash(start, request, &[COMMON]);
+            quarantine.record_start(&[DEADLY]);
+        }
+        assert!(quarantine.refused(start).is_empty());
+        let mut quarantine = PromptQuarantine::default();
+        for request in 0..20 {
+            quarantine.record_crash(start + SECOND * request, request.into(), &[COMMON]);
+        }
+        assert!(quarantine.refused(start + 20 * SECOND).is_empty());
+    }
+
+    #[test]
+    fn a_refused_part_is_tried_again_and_refused_for_longer_if_it_crashes_an_engine() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        crash(&mut quarantine, start, &[DEADLY], 3);
+        let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
+        assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
+        quarantine.record_crash(passed, 70, &[DEADLY]);
+        assert_eq!(quarantine.refused_for(passed, &[DEADLY]), Some(2 * REFUSAL_BACKOFF.first));
+        let passed = passed + 2 * REFUSAL_BACKOFF.first;
+        quarantine.record_start(&[DEADLY]);
+        quarantine.record_crash(passed, 71, &[DEADLY]);
+        assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
+    }
+
+    #[test]
+    fn evidence_expires_and_stays_within_its_limits() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        crash(&mut quarantine, start, &[DEADLY], 2);
+        crash(&mut quarantine, start + 2 * SUSPICION_TTL, &[DEADLY], 2);
+        assert!(quarantine.refused(start + 2 * SUSPICION_TTL + 2 * SECOND).is_empty());
+        for index in 0..2_000 {
+            quarantine.record_crash(start + 3 * SUSPICION_TTL, index, &[PartId(index)]);
+            quarantine.merge(start, [PartId(index)].into(), SECOND);
+        }
+        assert_eq!(quarantine.suspects.len(), MAX_SUSPECTS);
+        assert_eq!(quarantine.refused.len(), MAX_REFUSED);
+    }
+
+    #[test]
+    fn a_refusal_of_another_instance_holds_for_its_remaining_time() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        assert!(quarantine.merge(start, [DEADLY].into(), 5 * SECOND));
+        assert!(!quarantine.merge(start, [DEADLY].into(), 2 * SECOND));
+        assert_eq!(quarantine.refused_for(start + SECOND, &[DEADLY]), Some(4 * SECOND));
+        assert_eq!(quarantine.refused_for(start + 5 * SECOND, &[DEADLY]), None);
+    }
+}
