Treat a stream that ends inside an event as broken off

Callers of a stream whose engine closed it in order, but inside an event, got that part of an event and an answer that looked complete.

The cause: the end of the answer's body was taken for the end of the stream, and bytes of an incomplete event were passed on with it. A stream that ends inside an event has been broken off: it goes on at another engine where the route allows it, and otherwise ends without looking complete. Parts of events are never passed on.

--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -360,7 +360,13 @@
                     self.record_events();
                     return Ok(Some(events));
                 }
-                Ok(Ok(None)) => return Ok(self.finish(now)),
+                Ok(Ok(None)) if self.events.has_partial() => {
+                    CallError::Broken("the stream ended inside an event".into())
+                }
+                Ok(Ok(None)) => {
+                    self.finish(now);
+                    return Ok(None);
+                }
                 Ok(Err(error)) => error,
                 Err(_) if self.should_abandon(silent_since).await => CallError::TimedOut,
                 Err(_) => continue,
@@ -403,8 +409,9 @@
         placement.record_tokens(self.events.last_id().unwrap_or(0) * per_event);
     }
 
-    fn finish(&mut self, now: Instant) -> Option<Bytes> {
-        let (reply, _placement) = self.current.take()?;
+    /// Records the end of a whole stream, and keeps the connection to its engine.
+    fn finish(&mut self, now: Instant) {
+        let Some((reply, _placement)) = self.current.take() else { return };
         let kind = self.req.route.kind.as_str();
         self.gateway.metrics.observe(kind, "whole", now - self.req.received);
         self.gateway.metrics.count_request(kind, "answered");
@@ -414,8 +421,6 @@
         let idle_timeout = reply.facts.idle_timeout;
         let server = reply.guard.server;
         keep_connection(&self.gateway, server, reply.body, idle_timeout);
-        let rest = self.events.take_partial();
-        (!rest.is_empty()).then_some(rest)
     }
 
     /// Resumes the stream at another engine, if the route allows it.
