Bound the bytes of answers that never end

Callers whose server sent interim responses without end waited for their whole timeout; a completion whose engine sent bytes that are no event kept them all in memory, and so did a server that went on sending after a request could not be written. An answer to a completion that was no stream was read without a time limit.

The cause: limits on single pieces of an answer, and none on what is skipped or collected until a piece is whole. Now at most 16 interim responses, 1 MiB of one event, 1 MiB of a response to another request and 1 MiB after a failed write are read, and a body that is no stream until the deadline. Heads were bounded by the HTTP codec and whole bodies by their limits before.

--- a/crates/magnoliaspar-gateway/src/events.rs
+++ b/crates/magnoliaspar-gateway/src/events.rs
@@ -4,6 +4,9 @@
 
 use crate::guarantees::{Guarantee, is_disabled};
 
+/// Maximum length of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Buffer for the bytes of an incomplete event.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
@@ -41,6 +44,11 @@
         self.last_id
     }
 
+    /// Returns whether the incomplete event is longer than any event may be.
+    pub fn is_too_long(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns whether the bytes so far end inside an event.
     pub fn has_partial(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -34,6 +34,13 @@
 /// Minimum free capacity of the buffer for a read, in bytes.
 const MIN_READ_BYTES: usize = 4_096;
 
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
+/// Maximum number of bytes that are read of a response to an earlier request, or after a failed
+/// write.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 2;
 
@@ -126,9 +133,10 @@
             .map_err(|error| CallError::NotSent(error.to_string().into()))?;
         out.extend_from_slice(body);
         let mut strays = 0;
-        let (response, was_sent) = self.exchange_head(&mut codec, &out).await?;
-        let mut response = response;
+        let mut decoder = HeadDecoder::new(codec);
+        let (mut response, was_sent) = self.exchange_head(&mut decoder, &out).await?;
         loop {
+            let codec = decoder.codec;
             let mut response_body = ResponseBody::new(self, codec, &response, is_head, was_sent);
             if is_own_response(&response) {
                 return Ok((response, response_body));
@@ -137,15 +145,15 @@
             if strays > MAX_STRAY_RESPONSES {
                 return Err(CallError::Malformed("responses to other requests".into()));
             }
-            while response_body.chunk().await?.is_some() {}
+            response_body.read_whole(MAX_DISCARDED_BYTES).await?;
             let Some(connection) = response_body.into_next_response() else {
                 return Err(CallError::Broken(
                     "closed after the response to another request".into(),
                 ));
             };
             self = connection;
-            codec = ClientCodec::default();
-            response = self.read_head(&mut codec).await?;
+            decoder = HeadDecoder::new(ClientCodec::default());
+            response = self.read_head(&mut decoder).await?;
         }
     }
 
@@ -153,7 +161,7 @@
     /// is fully written; the flag is true if the request was.
     async fn exchange_head(
         &mut self,
-        codec: &mut ClientCodec,
+        decoder: &mut HeadDecoder,
         out: &[u8],
     ) -> Result<(ResponseHead, bool), CallError> {
         let (mut reader, mut writer) = self.stream.split();
@@ -167,7 +175,7 @@
                         // The server may have responded before it closed the connection.
                         Err(error) => {
                             drain_reader(&mut reader, &mut self.buf).await;
-                            return match decode_head(codec, &mut self.buf)? {
+                            return match decoder.decode(&mut self.buf)? {
                                 Some(head) => Ok((head, false)),
                                 None => Err(CallError::from_io(&error)),
                             };
@@ -178,7 +186,7 @@
                     if read? == 0 {
                         return Err(CallError::Broken(CLOSED_BY_SERVER.into()));
                     }
-                    if let Some(head) = decode_head(codec, &mut self.buf)? {
+                    if let Some(head) = decoder.decode(&mut self.buf)? {
                         return Ok((head, written == out.len()));
                     }
                 }
@@ -186,9 +194,9 @@
         }
     }
 
-    async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, CallError> {
+    async fn read_head(&mut self, decoder: &mut HeadDecoder) -> Result<ResponseHead, CallError> {
         loop {
-            if let Some(head) = decode_head(codec, &mut self.buf)? {
+            if let Some(head) = decoder.decode(&mut self.buf)? {
                 return Ok(head);
             }
             let (mut reader, _) = self.stream.split();
@@ -328,24 +336,37 @@
 
 /// Reads the bytes that arrived before the connection ended.
 async fn drain_reader(reader: &mut ReadHalf<'_>, buf: &mut BytesMut) {
-    while read_some(reader, buf).await.is_ok_and(|count| count > 0) {}
+    while buf.len() < MAX_DISCARDED_BYTES
+        && read_some(reader, buf).await.is_ok_and(|count| count > 0)
+    {}
 }
 
-/// Decodes the head of a response and skips interim responses.
-fn decode_head(
-    codec: &mut ClientCodec,
-    buf: &mut BytesMut,
-) -> Result<Option<ResponseHead>, CallError> {
-    loop {
-        let decoded = codec.decode(buf);
-        let head = match decoded {
-            Ok(Some(head)) => head,
-            Ok(None) => return Ok(None),
-            Err(error) => return Err(CallError::Malformed(error.to_string().into())),
-        };
-        if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
-            continue;
+/// Decodes the heads of the responses to one request.
+struct HeadDecoder {
+    codec: ClientCodec,
+    interim_responses: u32,
+}
+
+impl HeadDecoder {
+    fn new(codec: ClientCodec) -> Self {
+        Self { codec, interim_responses: 0 }
+    }
+
+    /// Decodes the head of a response and skips interim responses.
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<ResponseHead>, CallError> {
+        loop {
+            let head = match self.codec.decode(buf) {
+                Ok(Some(head)) => head,
+                Ok(None) => return Ok(None),
+                Err(error) => return Err(CallError::Malformed(error.to_string().into())),
+            };
+            if !head.status.is_informational() || head.status == StatusCode::SWITCHING_PROTOCOLS {
+                return Ok(Some(head));
+            }
+            self.interim_responses += 1;
+            if self.interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(CallError::Malformed("too many interim responses".into()));
+            }
         }
-        return Ok(Some(head));
     }
 }
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -48,7 +48,7 @@
             };
             Outcome::Response(relay.into_response(response), server)
         }
-        Ok((mut reply, _)) => match reply.read_body(MAX_BUFFERED_BODY_BYTES).await {
+        Ok((mut reply, _)) => match read_whole_body(gateway, &req, &mut reply).await {
             Ok(body) if !reply.head.status.is_success() => {
                 let response = copy_response_head(&reply.head).set_body(body.boxed());
                 let server = gateway.server_name(reply.guard.server);
@@ -61,6 +61,17 @@
     }
 }
 
+/// Reads the body of a response that is not a stream, until the deadline.
+async fn read_whole_body(
+    gateway: &Gateway,
+    req: &Incoming,
+    reply: &mut Reply,
+) -> Result<Bytes, CallError> {
+    let remaining = req.remaining(gateway.clock.now());
+    let read = tokio::time::timeout(remaining, reply.read_body(MAX_BUFFERED_BODY_BYTES)).await;
+    read.unwrap_or(Err(CallError::TimedOut))
+}
+
 /// Maximum length of a buffered error or prefill response, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
 
@@ -356,9 +367,16 @@
             let error = match tokio::time::timeout(limit, reply.body.chunk()).await {
                 Ok(Ok(Some(chunk))) => {
                     silent_since = self.gateway.clock.now();
-                    let Some(events) = self.events.push(&chunk) else { continue };
-                    self.record_events();
-                    return Ok(Some(events));
+                    match self.events.push(&chunk) {
+                        Some(events) => {
+                            self.record_events();
+                            return Ok(Some(events));
+                        }
+                        None if self.events.is_too_long() => {
+                            CallError::Malformed("an event exceeds the length limit".into())
+                        }
+                        None => continue,
+                    }
                 }
                 Ok(Ok(None)) if self.events.has_partial() => {
                     CallError::Broken("the stream ended inside an event".into())
