Keep refused combinations of prompt parts short enough for a heartbeat

A prompt may have 64 shared parts, and all of them may have been in each crashed request. 32 such combinations would have made heartbeats longer than a datagram, and instances whose heartbeats are not sent count as gone. A combination now has eight parts at most, and longer ones of peers are dropped.

Evidence: a_refused_combination_is_short_however_many_parts_a_prompt_has, which a combination of 64 parts fails.

--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -33,6 +33,9 @@
 /// Maximum number of refused combinations of parts.
 const MAX_REFUSED: usize = 32;
 
+/// Maximum number of parts of a refused combination, so that all of them fit into one heartbeat.
+const MAX_COMBINED_PARTS: usize = 8;
+
 /// Learns from crashes which parts of prompts crash engines, and refuses prompts with them.
 ///
 /// A crash speaks against the parts of each completion that had not started on the engine. A
@@ -136,7 +139,7 @@
     /// is new here.
     pub fn merge(&mut self, now: Instant, parts: BTreeSet<PartId>, remaining: Duration) -> bool {
         let until = now + remaining.min(REFUSAL_BACKOFF.longest);
-        if parts.is_empty() || remaining.is_zero() {
+        if parts.is_empty() || parts.len() > MAX_COMBINED_PARTS || remaining.is_zero() {
             return false;
         }
         let is_new = !self.refused.contains_key(&parts);
@@ -176,7 +179,8 @@
                 let Some(requests) = self.suspects.get(other).map(|other| &other.requests) else {
                     continue;
                 };
-                if suspect.requests.iter().all(|request| requests.contains(request)) {
+                let is_always_there = suspect.requests.iter().all(|id| requests.contains(id));
+                if is_always_there && culprits.len() < MAX_COMBINED_PARTS {
                     culprits.insert(*other);
                 }
             }
@@ -235,7 +239,10 @@
 mod tests {
     use std::time::{Duration, Instant};
 
-    use super::{MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF, SUSPICION_TTL};
+    use super::{
+        MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF,
+        SUSPICION_TTL,
+    };
     use crate::part::PartId;
 
     const SECOND: Duration = Duration::from_secs(1);
@@ -324,6 +331,20 @@
         assert_eq!(quarantine.refused.len(), MAX_REFUSED);
     }
 
+    #[test]
+    fn a_refused_combination_is_short_however_many_parts_a_prompt_has() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        let parts: Vec<PartId> = (100..164).map(PartId).collect();
+        crash(&mut quarantine, start, &parts, 3);
+        let now = start + 3 * SECOND;
+        assert!(quarantine.refused_for(now, &parts).is_some());
+        for (refused, _) in quarantine.refused(now) {
+            assert_eq!(refused.len(), MAX_COMBINED_PARTS);
+        }
+        assert!(!quarantine.merge(now, parts.into_iter().collect(), SECOND));
+    }
+
     #[test]
     fn a_refusal_of_another_instance_holds_for_its_remaining_time() {
         let start = Instant::now();
