--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -100,8 +100,8 @@
 
     /// Chooses a service by weight; `point` is uniform in `0.0..1.0`.
     pub fn choose_service(&self, point: f64) -> Option<&ServiceName> {
-        let total: u32 = self.split.iter().map(|(_, weight)| *weight).sum();
-        let mut rest = point * f64::from(total);
+        let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut rest = point * total;
         for (service, weight) in &self.split {
             rest -= f64::from(*weight);
             if rest < 0.0 {
