Refuse prompt parts only if chance does not explain their crashes

The cause: three crashes and a single start of another prompt made a part refused, and the part was in all requests of that route, so that none of them could clear it any more. Failures of a link to one engine counted as crashes of it again and again.

A crash is now that of one process of an engine, however many requests it hits and however often the process fails. A part is refused if as many crashes in a row would happen by chance in one of 1,000 cases, by how often completions of the same service without it started or crashed since. Requests that are hit by the crash of another are no evidence for a common cause. Evidence is kept for each service, since the engines of one may fail for reasons of their own. The first refusal lasts 30 s.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
-use magnoliaspar_retry::PartId;
 use tokio::sync::mpsc;
 
 use crate::call::Incoming;
@@ -53,8 +52,9 @@
     }
 
     /// Records that the completion has started: its first event has arrived.
-    pub fn start(&self, parts: &[PartId]) {
-        self.gateway.send_to_coordinators(Payload::Started(self.id, parts.into()));
+    pub fn start(&self, req: &Incoming) {
+        let (service, parts) = (req.service.clone(), req.parts.clone());
+        self.gateway.send_to_coordinators(Payload::Started(self.id, service, parts));
     }
 }
 
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -153,7 +153,7 @@
     request: AdmissionRequest,
 ) -> Decision {
     let now = gateway.clock.now();
-    if is_quarantined(gateway, &request, now) {
+    if is_quarantined(gateway, &request) {
         return Decision::Quarantined;
     }
     if let Some(grant) = existing_grant(gateway, instance, id) {
@@ -189,10 +189,10 @@
 }
 
 /// Returns whether a completion may not run, or not once more after it has crashed an engine.
-fn is_quarantined(gateway: &Gateway, request: &AdmissionRequest, now: Instant) -> bool {
-    let quarantine = gateway.prompt_quarantine.borrow();
-    let is_retry_of_suspect = request.has_crashed && quarantine.is_suspected(now, &request.parts);
-    is_retry_of_suspect || quarantine.refused_for(now, &request.parts).is_some()
+fn is_quarantined(gateway: &Gateway, request: &AdmissionRequest) -> bool {
+    let AdmissionRequest { service, parts, .. } = request;
+    let is_retry_of_suspect = request.has_crashed && gateway.is_suspected(service, parts);
+    is_retry_of_suspect || gateway.quarantined_for(service, parts).is_some()
 }
 
 /// Returns the grant that an earlier copy of the request got, in case the reply was lost.
@@ -209,7 +209,7 @@
         let next = gateway.queue.next(gateway.clock.now());
         let Some(((instance, id), request)) = next else { return };
         let decision = match grant(gateway, &instance, id, &request) {
-            _ if is_quarantined(gateway, &request, gateway.clock.now()) => Decision::Quarantined,
+            _ if is_quarantined(gateway, &request) => Decision::Quarantined,
             Ok(grant) => Decision::Granted(grant),
             Err(PlanError::NoCapacity) => return,
             Err(PlanError::NoEngine) => Decision::NoEngine,
@@ -271,15 +271,16 @@
         Payload::PrefillFinished(id) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now)
         }
-        Payload::Started(id, parts) => {
+        Payload::Started(id, service, parts) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
-            gateway.prompt_quarantine.borrow_mut().record_start(parts);
+            gateway.with_quarantine(service, |quarantine| quarantine.record_start(parts));
         }
-        Payload::Crashed(request, parts) => {
-            let refused = gateway.prompt_quarantine.borrow_mut().record_crash(now, *request, parts);
+        Payload::Crashed(crash, service, parts) => {
+            let refused = gateway
+                .with_quarantine(service, |quarantine| quarantine.record_crash(now, *crash, parts));
             if let Some(refused) = refused {
                 let parts = display_parts(&refused);
-                log::warn!(reporter = from, parts = &*parts; "prompt_part_refused");
+                log::warn!(reporter = from, service = &**service, parts = &*parts; "prompt_part_refused");
             }
         }
         Payload::Released(id) => {
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, ServerKey};
-use magnoliaspar_retry::{PartId, PromptQuarantine, RetryBudget};
+use magnoliaspar_retry::{Crash, PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordinator::{
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
@@ -76,8 +77,8 @@
     pub reservations: RefCell<Reservations>,
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
-    /// Prompts that crash engines.
-    pub prompt_quarantine: RefCell<PromptQuarantine>,
+    /// Prompts that crash engines, by service: the engines of one may fail for reasons of their own.
+    pub prompt_quarantines: RefCell<BTreeMap<ServiceName, PromptQuarantine>>,
     /// Completions of all instances that are queued here for engine memory.
     pub queue: Queue,
     /// Admission requests of this instance without a decision.
@@ -134,7 +135,7 @@
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
-            prompt_quarantine: RefCell::default(),
+            prompt_quarantines: RefCell::default(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             is_stopped: Cell::new(false),
@@ -198,16 +199,37 @@
     }
 
     /// Reports that an engine crashed before a completion had started on it.
-    pub fn report_crash(&self, server: ServerKey, parts: &[PartId]) {
-        let request = self.with_rng(|rng| rng.next_u64());
-        let server = self.server_name(server);
-        log::warn!(server = &*server, parts = &*display_parts(parts); "engine_crashed");
-        self.send_to_coordinators(Payload::Crashed(request, parts.into()));
+    pub fn report_crash(&self, server: ServerKey, service: &ServiceName, parts: &[PartId]) {
+        let directory = self.directory.borrow();
+        let started_ms = directory.get(server).map_or(0, |server| server.record.started_ms);
+        drop(directory);
+        let name = self.server_name(server);
+        log::warn!(server = &*name, parts = &*display_parts(parts); "engine_crashed");
+        let engine = xxh3_64(format!("{name}/{started_ms}").as_bytes());
+        let crash = Crash { engine, request: self.with_rng(|rng| rng.next_u64()) };
+        self.send_to_coordinators(Payload::Crashed(crash, service.clone(), parts.into()));
+    }
+
+    /// Returns for how long completions of a service with these parts are refused, if they are.
+    pub fn quarantined_for(&self, service: &str, parts: &[PartId]) -> Option<Duration> {
+        let quarantines = self.prompt_quarantines.borrow();
+        quarantines.get(service)?.refused_for(self.clock.now(), parts)
     }
 
-    /// Returns whether completions with these parts are refused.
-    pub fn is_quarantined(&self, parts: &[PartId]) -> bool {
-        self.prompt_quarantine.borrow().refused_for(self.clock.now(), parts).is_some()
+    /// Returns whether a completion may not run once more after it has crashed an engine.
+    pub fn is_suspected(&self, service: &str, parts: &[PartId]) -> bool {
+        let quarantines = self.prompt_quarantines.borrow();
+        let quarantine = quarantines.get(service);
+        quarantine.is_some_and(|quarantine| quarantine.is_suspected(self.clock.now(), parts))
+    }
+
+    /// Calls `run` with the quarantine of a service.
+    pub fn with_quarantine<T>(
+        &self,
+        service: &str,
+        run: impl FnOnce(&mut PromptQuarantine) -> T,
+    ) -> T {
+        run(self.prompt_quarantines.borrow_mut().entry(service.into()).or_default())
     }
 
     /// Sends a message to all coordinators except one.
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -21,9 +21,6 @@
 /// Timeout of a request without one from the caller.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// `Retry-After` of a request that is refused since its like crash engines.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
-
 /// Serves one request.
 pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
     let guard = gateway.track_request();
@@ -54,12 +51,28 @@
     facts: Option<RequestFacts>,
     route: Option<Rc<Route>>,
     service: Option<ServiceName>,
+    parts: Box<[PartId]>,
     version: u64,
 }
 
 impl Default for RequestContext {
     fn default() -> Self {
-        Self { received: Instant::now(), facts: None, route: None, service: None, version: 0 }
+        Self {
+            received: Instant::now(),
+            facts: None,
+            route: None,
+            service: None,
+            parts: Box::default(),
+            version: 0,
+        }
+    }
+}
+
+impl RequestContext {
+    /// Returns the time for which every instance refuses the request.
+    fn quarantined_for(&self, gateway: &Gateway) -> Duration {
+        let service = self.service.as_deref().unwrap_or_default();
+        gateway.quarantined_for(service, &self.parts).unwrap_or_default()
     }
 }
 
@@ -94,6 +107,7 @@
     strip_connection_headers(&mut head.headers);
     let received = cx.received;
     let parts = parts_of(&facts, req.head(), &body);
+    cx.parts.clone_from(&parts);
     let deadline = received + timeout;
     Ok(Incoming { facts, route, service, parts, head, body, received, deadline })
 }
@@ -156,7 +170,7 @@
                 // Other instances can take the request immediately.
                 Some(_) if refusal == Refusal::Stopping => Some(Duration::ZERO),
                 // Until then every instance refuses the request.
-                Some(_) if refusal == Refusal::Quarantined => Some(QUARANTINE_RETRY_AFTER),
+                Some(_) if refusal == Refusal::Quarantined => Some(cx.quarantined_for(gateway)),
                 Some(route) if is_not_run => Some(gateway.retry_after(route, remaining)),
                 None if is_not_run => Some(remaining.mul_f64(0.3)),
                 _ => None,
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_retry::PartId;
+use magnoliaspar_retry::{Crash, PartId};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,7 @@
 use crate::feed::FeedPosition;
 use crate::gateway::{Gateway, display_parts};
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
+use crate::route::ServiceName;
 use crate::settings::GatewaySettings;
 
 /// Interval at which an instance reports all its reservations.
@@ -56,6 +57,9 @@
 /// Maximum length of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// Maximum number of refused prompts in a message.
+const MAX_REFUSED_PROMPTS: usize = 64;
+
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -111,11 +115,11 @@
     /// The prefill of a completion has finished.
     #[serde(rename = "PromptRead")]
     PrefillFinished(ReservationId),
-    /// A completion whose prompt has these parts has sent its first event.
-    Started(ReservationId, Box<[PartId]>),
-    /// An engine crashed before a completion whose prompt has these parts had started on it. The
-    /// number is unique for each attempt.
-    Crashed(u64, Box<[PartId]>),
+    /// A completion of a service whose prompt has these parts has sent its first event.
+    Started(ReservationId, ServiceName, Box<[PartId]>),
+    /// An engine of a service crashed before a completion whose prompt has these parts had started on
+    /// it.
+    Crashed(Crash, ServiceName, Box<[PartId]>),
     /// A completion has ended or is no longer queued.
     #[serde(rename = "Freed")]
     Released(ReservationId),
@@ -129,6 +133,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RefusedPrompt {
+    service: ServiceName,
     parts: BTreeSet<PartId>,
     /// Time for which they are still refused, in milliseconds.
     remaining_ms: u64,
@@ -702,18 +707,24 @@
 
 fn refused_prompts(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
     let mut refused = Vec::new();
-    for (parts, remaining) in gateway.prompt_quarantine.borrow().refused(now) {
-        refused.push(RefusedPrompt { parts, remaining_ms: remaining.as_millis() as u64 });
+    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+        for (parts, remaining) in quarantine.refused(now) {
+            let (service, remaining_ms) = (service.clone(), remaining.as_millis() as u64);
+            refused.push(RefusedPrompt { service, parts, remaining_ms });
+        }
     }
+    refused.truncate(MAX_REFUSED_PROMPTS);
     refused
 }
 
 fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedPrompt>, now: Instant) {
-    let mut quarantine = gateway.prompt_quarantine.borrow_mut();
-    for RefusedPrompt { parts, remaining_ms } in refused {
+    for RefusedPrompt { service, parts, remaining_ms } in refused {
         let names = display_parts(&parts);
-        if quarantine.merge(now, parts, Duration::from_millis(remaining_ms)) {
-            log::info!(peer = from, parts = &*names, remaining_ms; "prompt_part_refused");
+        let remaining = Duration::from_millis(remaining_ms);
+        let is_new =
+            gateway.with_quarantine(&service, |quarantine| quarantine.merge(now, parts, remaining));
+        if is_new {
+            log::info!(peer = from, service, parts = &*names, remaining_ms; "prompt_part_refused");
         }
     }
 }
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -117,7 +117,7 @@
         resume_after: Option<u64>,
     ) -> Result<(Reply, Placement), Refusal> {
         loop {
-            if gateway.is_quarantined(&req.parts) {
+            if gateway.quarantined_for(&req.service, &req.parts).is_some() {
                 return Err(self.refuse(Refusal::Quarantined, Refusal::MayHaveRun));
             }
             let is_resumption = resume_after != req.facts.resume_after;
@@ -189,7 +189,7 @@
     ) {
         if matches!(error, CallError::Broken(_)) && !can_connect(gateway, engine).await {
             self.has_crashed = true;
-            gateway.report_crash(engine, &req.parts);
+            gateway.report_crash(engine, &req.service, &req.parts);
         }
     }
 
@@ -417,7 +417,7 @@
     fn record_events(&mut self) {
         let Some((_, placement)) = &self.current else { return };
         if !std::mem::replace(&mut self.has_event, true) {
-            placement.start(&self.req.parts);
+            placement.start(&self.req);
             let elapsed = self.gateway.clock.now() - self.req.received;
             let kind = self.req.route.kind.as_str();
             self.gateway.metrics.observe(kind, "first_event", elapsed);
--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::backoff::Backoff;
 use crate::part::PartId;
 
@@ -11,18 +13,22 @@
 
 /// Minimum time between two crashes that count separately. Engines that crash together have one
 /// cause, which need not be a request.
-const CRASH_SPACING: Duration = Duration::from_millis(200);
+const CRASH_SPACING: Duration = Duration::from_millis(100);
 
 /// Number of other completions that must have started since the first crash; without any, the
 /// engines and not the part may be the cause.
 const MIN_OTHER_STARTS: u32 = 1;
 
+/// Maximum probability that all requests with a part crashed by chance, if they crash as often as
+/// those without it.
+const MAX_CHANCE: f64 = 1e-3;
+
 /// Time after its last crash at which a part is no longer suspected.
 const SUSPICION_TTL: Duration = Duration::from_secs(60);
 
 /// Time for which a part is refused; it doubles each time that the part crashes an engine again.
 const REFUSAL_BACKOFF: Backoff =
-    Backoff { first: Duration::from_secs(60), longest: Duration::from_secs(3_600) };
+    Backoff { first: Duration::from_secs(30), longest: Duration::from_secs(3_600) };
 
 /// Maximum number of suspected parts.
 const MAX_SUSPECTS: usize = 512;
@@ -30,13 +36,17 @@
 /// Maximum number of crashed requests to remember for each part.
 const MAX_CRASHED_REQUESTS: usize = 8;
 
+/// Maximum number of crashes to remember for each part.
+const MAX_CRASHES: usize = 64;
+
 /// Maximum number of refused combinations of parts.
 const MAX_REFUSED: usize = 32;
 
 /// Maximum number of parts of a refused combination, so that all of them fit into one heartbeat.
 const MAX_COMBINED_PARTS: usize = 8;
 
-/// Learns from crashes which parts of prompts crash engines, and refuses prompts with them.
+/// Learns from crashes which parts of prompts crash the engines of one service, and refuses prompts
+/// with them.
 ///
 /// A crash speaks against the parts of each completion that had not started on the engine. A
 /// completion that starts clears its parts: a part that crashes engines never lets one start. If
@@ -47,16 +57,30 @@
     refused: BTreeMap<BTreeSet<PartId>, RefusedState>,
 }
 
+/// A crash at which a completion had not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// Identifies the process of the engine; several completions may be hit by one crash.
+    pub engine: u64,
+    /// Identifies the attempt of the completion.
+    pub request: u64,
+}
+
 /// Evidence against a part.
 #[derive(Debug, Clone)]
 struct Suspect {
     /// The crashed requests with the part, the oldest first.
     requests: Vec<u64>,
-    /// The number of crashes that count separately.
-    crashes: u32,
+    /// The crashes at which a request with the part had not started.
+    crashes: BTreeSet<u64>,
+    /// The number of these that count separately.
+    separate_crashes: u32,
     last_crash: Instant,
     /// Completions without the part that have started since its first crash.
     other_starts: u32,
+    /// The crashes since then at which only requests without the part had not started.
+    other_crashes: BTreeSet<u64>,
 }
 
 /// State of a refused combination of parts.
@@ -88,18 +112,23 @@
         suspects.any(|suspect| suspect.requests.len() > 1)
     }
 
-    /// Records that an engine crashed before a completion with these parts had started on it;
-    /// `request` is unique for each attempt. Returns the parts that are refused from now on, if any.
+    /// Records that an engine crashed before a completion with these parts had started on it.
+    /// Returns the parts that are refused from now on, if any.
     pub fn record_crash(
         &mut self,
         now: Instant,
-        request: u64,
+        crash: Crash,
         parts: &[PartId],
     ) -> Option<BTreeSet<PartId>> {
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
         let parts: BTreeSet<PartId> = parts.iter().copied().collect();
+        for (part, suspect) in &mut self.suspects {
+            if !parts.contains(part) {
+                suspect.add_other(crash);
+            }
+        }
         for part in &parts {
-            self.suspects.entry(*part).or_insert_with(|| Suspect::new(now)).add(now, request);
+            self.suspects.entry(*part).or_insert_with(|| Suspect::new(now)).add(now, crash);
         }
         let refused = self.refused_again(now, &parts).or_else(|| self.find_culprits(&parts));
         if let Some(refused) = &refused {
@@ -171,7 +200,7 @@
     fn find_culprits(&self, parts: &BTreeSet<PartId>) -> Option<BTreeSet<PartId>> {
         for part in parts {
             let Some(suspect) = self.suspects.get(part) else { continue };
-            if suspect.crashes < CRASHES_TO_REFUSE || suspect.other_starts < MIN_OTHER_STARTS {
+            if !suspect.is_convicted() {
                 continue;
             }
             let mut culprits = BTreeSet::new();
@@ -212,21 +241,52 @@
 
 impl Suspect {
     fn new(now: Instant) -> Self {
-        Self { requests: Vec::new(), crashes: 0, last_crash: now, other_starts: 0 }
+        Self {
+            requests: Vec::new(),
+            crashes: BTreeSet::new(),
+            separate_crashes: 0,
+            last_crash: now,
+            other_starts: 0,
+            other_crashes: BTreeSet::new(),
+        }
+    }
+
+    fn is_convicted(&self) -> bool {
+        self.separate_crashes >= CRASHES_TO_REFUSE
+            && self.other_starts >= MIN_OTHER_STARTS
+            && self.chance() <= MAX_CHANCE
+    }
+
+    /// Returns the probability of this many crashes in a row, if the requests with the part crash as
+    /// often as those without it.
+    fn chance(&self) -> f64 {
+        let crashes = self.other_crashes.len() as f64 + 1.0;
+        let all = crashes + f64::from(self.other_starts) + 1.0;
+        (crashes / all).powi(self.separate_crashes as i32)
     }
 
-    fn add(&mut self, now: Instant, request: u64) {
-        if self.requests.contains(&request) {
+    fn add(&mut self, now: Instant, crash: Crash) {
+        self.other_crashes.remove(&crash.engine);
+        if !self.requests.contains(&crash.request) {
+            self.requests.push(crash.request);
+        }
+        if self.requests.len() > MAX_CRASHED_REQUESTS {
+            self.requests.remove(0);
+        }
+        if self.crashes.len() >= MAX_CRASHES || !self.crashes.insert(crash.engine) {
             return;
         }
-        let is_separate = now.saturating_duration_since(self.last_crash) >= CRASH_SPACING;
-        if self.crashes == 0 || is_separate {
-            self.crashes += 1;
+        let since_last = now.saturating_duration_since(self.last_crash);
+        if self.separate_crashes == 0 || since_last >= CRASH_SPACING {
+            self.separate_crashes += 1;
             self.last_crash = now;
         }
-        self.requests.push(request);
-        if self.requests.len() > MAX_CRASHED_REQUESTS {
-            self.requests.remove(0);
+    }
+
+    /// Adds a crash at which a request without the part had not started.
+    fn add_other(&mut self, crash: Crash) {
+        if self.other_crashes.len() < MAX_CRASHES && !self.crashes.contains(&crash.engine) {
+            self.other_crashes.insert(crash.engine);
         }
     }
 
@@ -240,7 +300,7 @@
     use std::time::{Duration, Instant};
 
     use super::{
-        MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF,
+        Crash, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF,
         SUSPICION_TTL,
     };
     use crate::part::PartId;
@@ -249,13 +309,19 @@
     const COMMON: PartId = PartId(1);
     const DEADLY: PartId = PartId(2);
 
+    /// Returns a crash of an engine that hits one completion.
+    fn crash_of(id: u64) -> Crash {
+        Crash { engine: id, request: id }
+    }
+
     /// Lets requests with `parts` crash engines a second apart, while others start.
     fn crash(quarantine: &mut PromptQuarantine, start: Instant, parts: &[PartId], count: u32) {
         for index in 0..count {
-            let request = u64::from(index) + 100 * parts.len() as u64;
-            quarantine.record_crash(start + index * SECOND, request, parts);
-            quarantine.record_start(&[PartId(90)]);
-            quarantine.record_start(&[PartId(91)]);
+            let id = u64::from(index) + 100 * parts.len() as u64;
+            quarantine.record_crash(start + index * SECOND, crash_of(id), parts);
+            for other in 90..100 {
+                quarantine.record_start(&[PartId(other)]);
+            }
         }
     }
 
@@ -290,17 +356,64 @@
         let start = Instant::now();
         let mut quarantine = PromptQuarantine::default();
         for request in 0..20 {
-            quarantine.record_crash(start, request, &[COMMON]);
+            quarantine.record_crash(start, crash_of(request), &[COMMON]);
             quarantine.record_start(&[DEADLY]);
         }
         assert!(quarantine.refused(start).is_empty());
         let mut quarantine = PromptQuarantine::default();
         for request in 0..20 {
-            quarantine.record_crash(start + SECOND * request, request.into(), &[COMMON]);
+            quarantine.record_crash(start + SECOND * request, crash_of(request.into()), &[COMMON]);
         }
         assert!(quarantine.refused(start + 20 * SECOND).is_empty());
     }
 
+    #[test]
+    fn a_part_whose_requests_crash_as_often_as_others_is_not_refused() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        for request in 0..6 {
+            let now = start + SECOND * request;
+            quarantine.record_crash(now, crash_of(request.into()), &[COMMON]);
+            quarantine.record_crash(now, crash_of(100 + u64::from(request)), &[PartId(50)]);
+            quarantine.record_start(&[PartId(51)]);
+        }
+        assert!(quarantine.refused(start + 6 * SECOND).is_empty());
+    }
+
+    #[test]
+    fn a_process_that_fails_again_and_again_counts_as_one_crash() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        for request in 0..10 {
+            let crash = Crash { engine: 1, request: request.into() };
+            quarantine.record_crash(start + SECOND * request, crash, &[COMMON]);
+            for other in 0..20 {
+                quarantine.record_start(&[PartId(100 + other)]);
+            }
+        }
+        assert!(quarantine.refused(start + 10 * SECOND).is_empty());
+    }
+
+    #[test]
+    fn requests_that_are_hit_by_the_crash_of_another_speak_for_no_other_cause() {
+        let start = Instant::now();
+        let mut quarantine = PromptQuarantine::default();
+        for index in 0..3 {
+            let now = start + SECOND * index;
+            for victim in 0..4 {
+                let crash =
+                    Crash { engine: index.into(), request: 100 + 10 * u64::from(index) + victim };
+                quarantine.record_crash(now, crash, &[PartId(100 + victim)]);
+            }
+            let crash = Crash { engine: index.into(), request: index.into() };
+            quarantine.record_crash(now, crash, &[DEADLY]);
+            for other in 0..10 {
+                quarantine.record_start(&[PartId(100 + other)]);
+            }
+        }
+        assert!(quarantine.refused_for(start + 3 * SECOND, &[DEADLY]).is_some());
+    }
+
     #[test]
     fn a_refused_part_is_tried_again_and_refused_for_longer_if_it_crashes_an_engine() {
         let start = Instant::now();
@@ -308,11 +421,11 @@
         crash(&mut quarantine, start, &[DEADLY], 3);
         let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
-        quarantine.record_crash(passed, 70, &[DEADLY]);
+        quarantine.record_crash(passed, crash_of(70), &[DEADLY]);
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), Some(2 * REFUSAL_BACKOFF.first));
         let passed = passed + 2 * REFUSAL_BACKOFF.first;
         quarantine.record_start(&[DEADLY]);
-        quarantine.record_crash(passed, 71, &[DEADLY]);
+        quarantine.record_crash(passed, crash_of(71), &[DEADLY]);
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
     }
 
@@ -324,7 +437,7 @@
         crash(&mut quarantine, start + 2 * SUSPICION_TTL, &[DEADLY], 2);
         assert!(quarantine.refused(start + 2 * SUSPICION_TTL + 2 * SECOND).is_empty());
         for index in 0..2_000 {
-            quarantine.record_crash(start + 3 * SUSPICION_TTL, index, &[PartId(index)]);
+            quarantine.record_crash(start + 3 * SUSPICION_TTL, crash_of(index), &[PartId(index)]);
             quarantine.merge(start, [PartId(index)].into(), SECOND);
         }
         assert_eq!(quarantine.suspects.len(), MAX_SUSPECTS);
