Refuse no part that only the victims of a crash share

Callers of prompts that share a sound part with one that crashes engines could have been refused: if a request with the sound part is hit by the crash, and is reported before the request that caused it, the sound part has a crash that the other one does not have yet, and was refused by itself.

The cause: parts were compared by the requests that they were in together, and a request that is only hit has the shared part alone. They are compared by crashes now, whichever requests these hit, and the latest crash is left out, since reports of other requests may follow. So the part that all crashes hit is always in the refused combination.

Evidence: a_part_of_requests_that_are_hit_by_the_crash_of_another_is_not_refused fails if the latest crash is compared too. Found by reading; no run showed it.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, ServerKey};
-use magnoliaspar_retry::{Crash, PartId, PromptQuarantine, RetryBudget};
+use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
@@ -205,8 +205,7 @@
         drop(directory);
         let name = self.server_name(server);
         log::warn!(server = &*name, parts = &*display_parts(parts); "engine_crashed");
-        let engine = xxh3_64(format!("{name}/{started_ms}").as_bytes());
-        let crash = Crash { engine, request: self.with_rng(|rng| rng.next_u64()) };
+        let crash = CrashId(xxh3_64(format!("{name}/{started_ms}").as_bytes()));
         self.send_to_coordinators(Payload::Crashed(crash, service.clone(), parts.into()));
     }
 
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_retry::{Crash, PartId};
+use magnoliaspar_retry::{CrashId, PartId};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -119,7 +119,7 @@
     Started(ReservationId, ServiceName, Box<[PartId]>),
     /// An engine of a service crashed before a completion whose prompt has these parts had started on
     /// it.
-    Crashed(Crash, ServiceName, Box<[PartId]>),
+    Crashed(CrashId, ServiceName, Box<[PartId]>),
     /// A completion has ended or is no longer queued.
     #[serde(rename = "Freed")]
     Released(ReservationId),
--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -33,9 +33,6 @@
 /// Maximum number of suspected parts.
 const MAX_SUSPECTS: usize = 512;
 
-/// Maximum number of crashed requests to remember for each part.
-const MAX_CRASHED_REQUESTS: usize = 8;
-
 /// Maximum number of crashes to remember for each part.
 const MAX_CRASHES: usize = 64;
 
@@ -50,37 +47,31 @@
 ///
 /// A crash speaks against the parts of each completion that had not started on the engine. A
 /// completion that starts clears its parts: a part that crashes engines never lets one start. If
-/// several parts were in all requests that crashed, only prompts with all of them are refused.
+/// other parts were hit by all crashes of a part, only prompts with all of them are refused.
 #[derive(Debug, Clone, Default)]
 pub struct PromptQuarantine {
     suspects: BTreeMap<PartId, Suspect>,
     refused: BTreeMap<BTreeSet<PartId>, RefusedState>,
 }
 
-/// A crash at which a completion had not started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Identifies the crash of one process of an engine, which may hit several completions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
-pub struct Crash {
-    /// Identifies the process of the engine; several completions may be hit by one crash.
-    pub engine: u64,
-    /// Identifies the attempt of the completion.
-    pub request: u64,
-}
+#[serde(transparent)]
+pub struct CrashId(pub u64);
 
 /// Evidence against a part.
 #[derive(Debug, Clone)]
 struct Suspect {
-    /// The crashed requests with the part, the oldest first.
-    requests: Vec<u64>,
     /// The crashes at which a request with the part had not started.
-    crashes: BTreeSet<u64>,
+    crashes: BTreeSet<CrashId>,
     /// The number of these that count separately.
     separate_crashes: u32,
     last_crash: Instant,
     /// Completions without the part that have started since its first crash.
     other_starts: u32,
     /// The crashes since then at which only requests without the part had not started.
-    other_crashes: BTreeSet<u64>,
+    other_crashes: BTreeSet<CrashId>,
 }
 
 /// State of a refused combination of parts.
@@ -104,12 +95,12 @@
         longest
     }
 
-    /// Returns whether several requests that crashed engines had one of these parts, and none with
-    /// it has started since.
+    /// Returns whether requests with one of these parts were hit by several crashes, and none with it
+    /// has started since.
     pub fn is_suspected(&self, now: Instant, parts: &[PartId]) -> bool {
         let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
         let mut suspects = suspects.filter(|suspect| !suspect.is_expired(now));
-        suspects.any(|suspect| suspect.requests.len() > 1)
+        suspects.any(|suspect| suspect.crashes.len() > 1)
     }
 
     /// Records that an engine crashed before a completion with these parts had started on it.
@@ -117,7 +108,7 @@
     pub fn record_crash(
         &mut self,
         now: Instant,
-        crash: Crash,
+        crash: CrashId,
         parts: &[PartId],
     ) -> Option<BTreeSet<PartId>> {
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
@@ -130,7 +121,7 @@
         for part in &parts {
             self.suspects.entry(*part).or_insert_with(|| Suspect::new(now)).add(now, crash);
         }
-        let refused = self.refused_again(now, &parts).or_else(|| self.find_culprits(&parts));
+        let refused = self.refused_again(now, &parts).or_else(|| self.find_culprits(crash, &parts));
         if let Some(refused) = &refused {
             self.refuse(now, refused.clone());
         }
@@ -196,20 +187,20 @@
         passed.next().map(|(refused, _)| refused.clone())
     }
 
-    /// Returns the parts that were in all crashed requests of a part with enough crashes.
-    fn find_culprits(&self, parts: &BTreeSet<PartId>) -> Option<BTreeSet<PartId>> {
+    /// Returns a convicted part among `parts`, with those that were hit by all of its crashes.
+    ///
+    /// The latest crash is left out of the comparison, since reports of other requests that it hit
+    /// may follow.
+    fn find_culprits(&self, latest: CrashId, parts: &BTreeSet<PartId>) -> Option<BTreeSet<PartId>> {
         for part in parts {
             let Some(suspect) = self.suspects.get(part) else { continue };
             if !suspect.is_convicted() {
                 continue;
             }
-            let mut culprits = BTreeSet::new();
-            for other in parts {
-                let Some(requests) = self.suspects.get(other).map(|other| &other.requests) else {
-                    continue;
-                };
-                let is_always_there = suspect.requests.iter().all(|id| requests.contains(id));
-                if is_always_there && culprits.len() < MAX_COMBINED_PARTS {
+            let mut culprits = BTreeSet::from([*part]);
+            for (other, candidate) in &self.suspects {
+                if culprits.len() < MAX_COMBINED_PARTS && suspect.is_always_with(candidate, latest)
+                {
                     culprits.insert(*other);
                 }
             }
@@ -242,7 +233,6 @@
 impl Suspect {
     fn new(now: Instant) -> Self {
         Self {
-            requests: Vec::new(),
             crashes: BTreeSet::new(),
             separate_crashes: 0,
             last_crash: now,
@@ -265,15 +255,14 @@
         (crashes / all).powi(self.separate_crashes as i32)
     }
 
-    fn add(&mut self, now: Instant, crash: Crash) {
-        self.other_crashes.remove(&crash.engine);
-        if !self.requests.contains(&crash.request) {
-            self.requests.push(crash.request);
-        }
-        if self.requests.len() > MAX_CRASHED_REQUESTS {
-            self.requests.remove(0);
-        }
-        if self.crashes.len() >= MAX_CRASHES || !self.crashes.insert(crash.engine) {
+    /// Returns whether all crashes of this part but the latest also hit requests with the other one.
+    fn is_always_with(&self, other: &Self, latest: CrashId) -> bool {
+        self.crashes.iter().all(|crash| *crash == latest || other.crashes.contains(crash))
+    }
+
+    fn add(&mut self, now: Instant, crash: CrashId) {
+        self.other_crashes.remove(&crash);
+        if self.crashes.len() >= MAX_CRASHES || !self.crashes.insert(crash) {
             return;
         }
         let since_last = now.saturating_duration_since(self.last_crash);
@@ -284,9 +273,9 @@
     }
 
     /// Adds a crash at which a request without the part had not started.
-    fn add_other(&mut self, crash: Crash) {
-        if self.other_crashes.len() < MAX_CRASHES && !self.crashes.contains(&crash.engine) {
-            self.other_crashes.insert(crash.engine);
+    fn add_other(&mut self, crash: CrashId) {
+        if self.other_crashes.len() < MAX_CRASHES && !self.crashes.contains(&crash) {
+            self.other_crashes.insert(crash);
         }
     }
 
@@ -300,7 +289,7 @@
     use std::time::{Duration, Instant};
 
     use super::{
-        Crash, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF,
+        CrashId, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine, REFUSAL_BACKOFF,
         SUSPICION_TTL,
     };
     use crate::part::PartId;
@@ -309,16 +298,11 @@
     const COMMON: PartId = PartId(1);
     const DEADLY: PartId = PartId(2);
 
-    /// Returns a crash of an engine that hits one completion.
-    fn crash_of(id: u64) -> Crash {
-        Crash { engine: id, request: id }
-    }
-
     /// Lets requests with `parts` crash engines a second apart, while others start.
     fn crash(quarantine: &mut PromptQuarantine, start: Instant, parts: &[PartId], count: u32) {
         for index in 0..count {
             let id = u64::from(index) + 100 * parts.len() as u64;
-            quarantine.record_crash(start + index * SECOND, crash_of(id), parts);
+            quarantine.record_crash(start + index * SECOND, CrashId(id), parts);
             for other in 90..100 {
                 quarantine.record_start(&[PartId(other)]);
             }
@@ -356,13 +340,13 @@
         let start = Instant::now();
         let mut quarantine = PromptQuarantine::default();
         for request in 0..20 {
-            quarantine.record_crash(start, crash_of(request), &[COMMON]);
+            quarantine.record_crash(start, CrashId(request), &[COMMON]);
             quarantine.record_start(&[DEADLY]);
         }
         assert!(quarantine.refused(start).is_empty());
         let mut quarantine = PromptQuarantine::default();
         for request in 0..20 {
-            quarantine.record_crash(start + SECOND * request, crash_of(request.into()), &[COMMON]);
+            quarantine.record_crash(start + SECOND * request, CrashId(request.into()), &[COMMON]);
         }
         assert!(quarantine.refused(start + 20 * SECOND).is_empty());
     }
@@ -373,8 +357,8 @@
         let mut quarantine = PromptQuarantine::default();
         for request in 0..6 {
             let now = start + SECOND * request;
-            quarantine.record_crash(now, crash_of(request.into()), &[COMMON]);
-            quarantine.record_crash(now, crash_of(100 + u64::from(request)), &[PartId(50)]);
+            quarantine.record_crash(now, CrashId(request.into()), &[COMMON]);
+            quarantine.record_crash(now, CrashId(100 + u64::from(request)), &[PartId(50)]);
             quarantine.record_start(&[PartId(51)]);
         }
         assert!(quarantine.refused(start + 6 * SECOND).is_empty());
@@ -384,34 +368,37 @@
     fn a_process_that_fails_again_and_again_counts_as_one_crash() {
         let start = Instant::now();
         let mut quarantine = PromptQuarantine::default();
-        for request in 0..10 {
-            let crash = Crash { engine: 1, request: request.into() };
-            quarantine.record_crash(start + SECOND * request, crash, &[COMMON]);
-            for other in 0..20 {
-                quarantine.record_start(&[PartId(100 + other)]);
+        for index in 0..10 {
+            quarantine.record_crash(start + SECOND * index, CrashId(1), &[COMMON]);
+            for other in 100..120 {
+                quarantine.record_start(&[PartId(other)]);
             }
         }
         assert!(quarantine.refused(start + 10 * SECOND).is_empty());
     }
 
     #[test]
-    fn requests_that_are_hit_by_the_crash_of_another_speak_for_no_other_cause() {
+    fn a_part_of_requests_that_are_hit_by_the_crash_of_another_is_not_refused() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
-        for index in 0..3 {
-            let now = start + SECOND * index;
-            for victim in 0..4 {
-                let crash =
-                    Crash { engine: index.into(), request: 100 + 10 * u64::from(index) + victim };
-                quarantine.record_crash(now, crash, &[PartId(100 + victim)]);
-            }
-            let crash = Crash { engine: index.into(), request: index.into() };
-            quarantine.record_crash(now, crash, &[DEADLY]);
-            for other in 0..10 {
-                quarantine.record_start(&[PartId(100 + other)]);
+        for is_victim_first in [true, false] {
+            let mut quarantine = PromptQuarantine::default();
+            for index in 0..5 {
+                let now = start + SECOND * index;
+                let crash = CrashId(index.into());
+                let victim = [COMMON, PartId(100 + u64::from(index))];
+                if is_victim_first {
+                    quarantine.record_crash(now, crash, &victim);
+                }
+                quarantine.record_crash(now, crash, &[COMMON, DEADLY]);
+                quarantine.record_crash(now, crash, &victim);
+                for other in 200..210 {
+                    quarantine.record_start(&[PartId(other)]);
+                }
             }
+            let now = start + 5 * SECOND;
+            assert!(quarantine.refused_for(now, &[COMMON, DEADLY, PartId(7)]).is_some());
+            assert_eq!(quarantine.refused_for(now, &[COMMON, PartId(7)]), None);
         }
-        assert!(quarantine.refused_for(start + 3 * SECOND, &[DEADLY]).is_some());
     }
 
     #[test]
@@ -421,11 +408,11 @@
         crash(&mut quarantine, start, &[DEADLY], 3);
         let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
-        quarantine.record_crash(passed, crash_of(70), &[DEADLY]);
+        quarantine.record_crash(passed, CrashId(70), &[DEADLY]);
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), Some(2 * REFUSAL_BACKOFF.first));
         let passed = passed + 2 * REFUSAL_BACKOFF.first;
         quarantine.record_start(&[DEADLY]);
-        quarantine.record_crash(passed, crash_of(71), &[DEADLY]);
+        quarantine.record_crash(passed, CrashId(71), &[DEADLY]);
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
     }
 
@@ -437,7 +424,7 @@
         crash(&mut quarantine, start + 2 * SUSPICION_TTL, &[DEADLY], 2);
         assert!(quarantine.refused(start + 2 * SUSPICION_TTL + 2 * SECOND).is_empty());
         for index in 0..2_000 {
-            quarantine.record_crash(start + 3 * SUSPICION_TTL, crash_of(index), &[PartId(index)]);
+            quarantine.record_crash(start + 3 * SUSPICION_TTL, CrashId(index), &[PartId(index)]);
             quarantine.merge(start, [PartId(index)].into(), SECOND);
         }
         assert_eq!(quarantine.suspects.len(), MAX_SUSPECTS);
