Treat a stream that ends with its connection before any event as broken off

Callers of a stream with neither a length nor chunks got a complete answer without an event if its engine closed the connection in order right after the head, as one that crashes does.

The cause: the end of the connection was taken for the end of such a stream, whatever came before. A stream that has delivered nothing has no end to show; it goes on at another engine where the route allows it, and a crash is recognized. After an event, an orderly end cannot be told from the stream's own.

--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -212,6 +212,7 @@
     connection: Connection,
     framing: Framing,
     is_reusable: bool,
+    is_delimited: bool,
 }
 
 /// Framing of a response body.
@@ -245,7 +246,12 @@
             (true, false) => Framing::Delimited(Box::new(codec.into_payload_codec())),
         };
         let is_reusable = was_sent && is_delimited && !is_closing(head.headers());
-        Self { connection, framing, is_reusable }
+        Self { connection, framing, is_reusable, is_delimited }
+    }
+
+    /// Returns whether a length or chunks tell where the body ends, and not only its connection.
+    pub fn is_delimited(&self) -> bool {
+        self.is_delimited
     }
 
     /// Returns the next bytes, or `None` after the last ones.
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -381,6 +381,10 @@
                 Ok(Ok(None)) if self.events.has_partial() => {
                     CallError::Broken("the stream ended inside an event".into())
                 }
+                // An engine that crashes may close its connections in order.
+                Ok(Ok(None)) if !reply.body.is_delimited() && self.events.last_id().is_none() => {
+                    CallError::Broken("the connection ended before the first event".into())
+                }
                 Ok(Ok(None)) => {
                     self.finish(now);
                     return Ok(None);
