Report the limits that servers name, and the requests sent to them

A change of a limit is logged with its source, and requests to limited servers are counted by server. Nothing is decided by it yet.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::{self, HeaderMap, HeaderName};
-use actix_http::{Method, RequestHead, ResponseHead, Uri};
+use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
 use bytes::Bytes;
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::{Backoff, PartId};
@@ -14,6 +14,7 @@
 use crate::exchange::{CallError, Connection, ResponseBody};
 use crate::gateway::Gateway;
 use crate::guarantees::{Guarantee, is_disabled};
+use crate::request_limit::{LimitNotice, LimitState};
 use crate::route::{Route, ServiceName};
 
 /// Timeout of a new connection to a server. A longer wait means a lost packet or a lost server.
@@ -264,6 +265,9 @@
     let exchange = exchange(gateway, req, server, spec, guard, connection);
     let result = tokio::time::timeout(timeout, exchange).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
+    if let Ok(reply) = &result {
+        observe_limit(gateway, server, reply.head.status, &reply.facts, started);
+    }
     let elapsed = gateway.clock.now() - started;
     report(gateway, req, server, spec, &result, elapsed);
     result
@@ -303,11 +307,40 @@
         answered.is_none_or(|answered| answered == req.facts.id)
             || is_disabled(Guarantee::OwnAnswer)
     };
+    count_limited(gateway, server);
     let (head, body) = connection.send(head, &req.body, is_own_response).await?;
     let facts = gateway.dialect.read_response(&head);
     Ok(Reply { head, facts, body, guard })
 }
 
+/// Counts a request that is sent to a server that names a limit.
+fn count_limited(gateway: &Gateway, server: ServerKey) {
+    let directory = gateway.directory.borrow();
+    let Some(server) = directory.get(server) else { return };
+    if server.limit().is_some() {
+        gateway.metrics.count_limited_call(&server.record.id);
+    }
+}
+
+/// Records what a response to a call that began at `called_at` says about the limit of its server.
+fn observe_limit(
+    gateway: &Gateway,
+    server: ServerKey,
+    status: StatusCode,
+    facts: &ResponseFacts,
+    called_at: Instant,
+) {
+    // Only a response that the server itself gave to a request tells that it names no limit.
+    let is_genuine = facts.is_sealed || status.is_success();
+    if facts.is_other_server || (facts.limit == LimitNotice::Absent && !is_genuine) {
+        return;
+    }
+    let now = gateway.clock.now();
+    gateway.update_limit(server, "response", |current| {
+        LimitState::after_response(current, facts.limit, called_at, now)
+    });
+}
+
 /// Records and logs the result of a call.
 fn report(
     gateway: &Rc<Gateway>,
@@ -396,8 +429,11 @@
     head.uri = Uri::try_from(path).map_err(|error| CallError::NotSent(error.to_string().into()))?;
     let host = header::HeaderValue::try_from(address.to_string());
     head.headers.insert(header::HOST, host.expect("an address is a header value"));
+    count_limited(gateway, server);
+    let called_at = gateway.clock.now();
     let (head, mut body) = connection.send(head, &Bytes::new(), |_| true).await?;
     let facts = gateway.dialect.read_response(&head);
+    observe_limit(gateway, server, head.status, &facts, called_at);
     while body.chunk().await?.is_some() {}
     keep_connection(gateway, server, body, facts.idle_timeout);
     Ok(())
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -7,6 +7,8 @@
 use actix_http::{RequestHead, ResponseHead};
 use magnoliaspar_retry::PartId;
 
+use crate::request_limit::LimitNotice;
+
 /// Maps between the platform's headers and the data of the gateway.
 pub trait Dialect {
     /// Reads the caller's description of a request; `None` if it has no identifier.
@@ -63,7 +65,7 @@
 }
 
 /// The server's description of a response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseFacts {
     /// Identifier of the request that the response belongs to, if present.
     pub request_id: Option<Box<str>>,
@@ -75,6 +77,8 @@
     pub is_sealed: bool,
     /// Time for which the server keeps the idle connection open.
     pub idle_timeout: Option<Duration>,
+    /// What the response says about the server's limit on requests.
+    pub limit: LimitNotice,
 }
 
 /// Result of a prefill whose KV cache is held.
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use crate::request_limit::{LimitState, RequestLimit};
 use crate::route::ServiceName;
 
 /// Duration for which a failed server is avoided; it doubles with each consecutive failure.
@@ -82,6 +83,7 @@
     pub changing: Option<(EngineRole, Instant)>,
     /// Whether the last attempt to connect failed; a probe clears it once a connection opens.
     pub is_unreachable: bool,
+    limit: Option<LimitState>,
     latency: Option<(Duration, Instant)>,
     answered_at: Option<Instant>,
     consecutive_failures: u32,
@@ -110,6 +112,12 @@
         now < until && self.record.role != Some(role)
     }
 
+    /// Returns the requests per second that the server accepts from all instances together, if it names
+    /// a limit.
+    pub fn limit(&self) -> Option<RequestLimit> {
+        self.limit?.limit
+    }
+
     /// Returns the recent latency, if there are samples.
     pub fn latency(&self, now: Instant) -> Option<Duration> {
         let (latency, at) = self.latency?;
@@ -130,6 +138,15 @@
     Updated,
 }
 
+/// A change of the limit of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// The limit before, if there was one.
+    pub previous: Option<RequestLimit>,
+    /// The limit from now on, if there is one.
+    pub current: Option<RequestLimit>,
+}
+
 impl Directory {
     /// Applies the latest entry of a server.
     ///
@@ -162,6 +179,7 @@
             in_flight: 0,
             changing: None,
             is_unreachable: false,
+            limit: None,
             latency: None,
             answered_at: None,
             consecutive_failures: 0,
@@ -258,6 +276,19 @@
         Some(avoidance)
     }
 
+    /// Updates the limit of a server with `update`; returns the limit before, if it has changed.
+    pub fn update_limit(
+        &mut self,
+        key: ServerKey,
+        update: impl FnOnce(Option<LimitState>) -> Option<LimitState>,
+    ) -> Option<LimitChange> {
+        let server = self.servers.get_mut(key)?;
+        let previous = server.limit();
+        server.limit = update(server.limit);
+        let current = server.limit();
+        (previous != current).then_some(LimitChange { previous, current })
+    }
+
     /// Records that a server refused a request as full.
     pub fn record_full(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else { return };
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers};
 use crate::pool::Pool;
+use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
 use crate::roles::{ROLE_CHANGE_TIMEOUT, Sizes};
 use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
@@ -542,6 +543,21 @@
         !is_leaving && server.record.role == Some(role)
     }
 
+    /// Updates the limit of a server with `update`, and logs a change with its `source`.
+    pub fn update_limit(
+        &self,
+        server: ServerKey,
+        source: &str,
+        update: impl FnOnce(Option<LimitState>) -> Option<LimitState>,
+    ) {
+        let change = self.directory.borrow_mut().update_limit(server, update);
+        let Some(change) = change else { return };
+        let name = self.server_name(server);
+        let per_second = |limit: Option<RequestLimit>| limit.map(RequestLimit::per_second);
+        let (limit, previous) = (per_second(change.current), per_second(change.previous));
+        log::info!(server = &*name, limit:?, previous:?, source; "server_limit_changed");
+    }
+
     /// Returns the identifier of a server for logs.
     pub fn server_name(&self, server: ServerKey) -> Box<str> {
         let directory = self.directory.borrow();
@@ -629,6 +645,8 @@
         }
         self.update_max_instances();
         let directory = self.directory.borrow();
+        let limited = directory.iter().filter(|(_, server)| server.limit().is_some());
+        self.metrics.limited_servers.set(limited.count() as i64);
         self.pool.borrow_mut().sweep(now, |key| directory.get(key).is_some());
         drop(directory);
         let mut gone = Vec::new();
@@ -646,6 +664,7 @@
 
     fn remove_server(&self, id: &str, cause: &'static str) {
         if self.directory.borrow_mut().remove(id) {
+            self.metrics.forget_server(id);
             log::info!(server = id, cause; "server_gone");
         }
     }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 mod pool;
 pub mod refusal;
+pub mod request_limit;
 pub mod reservations;
 pub mod roles;
 pub mod route;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -31,6 +31,9 @@
     pub outdated_ms: IntGauge,
     /// Number of known servers.
     pub servers: IntGauge,
+    /// Number of servers that name a limit.
+    pub limited_servers: IntGauge,
+    limited_calls: IntCounterVec,
     /// Streams that resumed at another engine.
     pub resumptions: IntCounter,
     /// Retries that the budget did not allow.
@@ -114,6 +117,12 @@
                 "Time for which a peer has had a newer version.",
             ),
             servers: gauge("gateway_servers", "Known backend servers."),
+            limited_servers: gauge("gateway_limited_servers", "Servers that name a limit."),
+            limited_calls: vec(
+                "gateway_limited_calls_total",
+                "Requests sent to servers that name a limit, by server.",
+                &["server"],
+            ),
             resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
             budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
             connections: counter("gateway_connections_total", "Connections opened to servers."),
@@ -142,6 +151,17 @@
         self.calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that was sent to a server that names a limit.
+    pub fn count_limited_call(&self, server: &str) {
+        self.limited_calls.with_label_values(&[server]).inc();
+    }
+
+    /// Removes the counter of a server that is gone.
+    pub fn forget_server(&self, server: &str) {
+        // Fails if the server never named a limit.
+        let _ = self.limited_calls.remove_label_values(&[server]);
+    }
+
     /// Sets the number of retries left in the budget of a service.
     pub fn set_budget_left(&self, service: &str, left: f64) {
         self.budget_left.with_label_values(&[service]).set(left);
