Keep all instances together to the limit that a server names

What callers saw: requests to a server in need went on as before; it got up to two and a half times what it takes, and would fail for all of them.

Cause: the limit was not read, and what a server says to one instance, or what one instance sends, was known to that instance alone.

The coordinator issues a permit for each request to a limited server, at the limit of all instances together. Instances report a changed limit to the coordinators, and the coordinator sends it to all; heartbeats carry a fingerprint of the limits, so that a lost message is made up for. Permits are reported to the other coordinators, so that a successor starts with a warm count. An instance that has no contact with some of the others issues permits by its share of them. Completions need a permit of their engines to be admitted; KV caches of limited engines are left to expire, and limited engines get no orders. Requests for which no permit is due in time are refused at once, with the time until one is due.

Ruled out: a fixed share of the limit for each instance, which lies idle where no callers are, and is below one request in many seconds for a low limit.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::{Dispatch, RequestFacts, ResponseFacts};
 use crate::exchange::{CallError, Connection, ResponseBody};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, OWN_RESPONSE};
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::request_limit::{LimitNotice, LimitState};
 use crate::route::{Route, ServiceName};
@@ -336,7 +336,7 @@
         return;
     }
     let now = gateway.clock.now();
-    gateway.update_limit(server, "response", |current| {
+    gateway.update_limit(server, OWN_RESPONSE, |current| {
         LimitState::after_response(current, facts.limit, called_at, now)
     });
 }
@@ -423,6 +423,10 @@
     path: &str,
 ) -> Result<(), CallError> {
     let address = address_of(gateway, server)?;
+    if gateway.limit_of(server).is_some() {
+        // The KV cache expires by itself; the permits are for completions.
+        return Err(CallError::NotSent("the server limits its requests".into()));
+    }
     let connection = acquire(gateway, server).await?;
     let mut head = RequestHead::default();
     head.method = Method::DELETE;
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -5,7 +5,7 @@
 //! answer, the next one is asked. It holds no state that its successor cannot rebuild from the
 //! reservations that the instances report.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,6 +15,7 @@
 
 use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
+use crate::permits::issue_permits;
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::ServiceName;
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan, PlanError, Prompt, choose_engines};
@@ -87,6 +88,7 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiters: RefCell<BTreeMap<(InstanceId, ReservationId), Waiter>>,
+    is_wake_scheduled: Cell<bool>,
 }
 
 /// A queued completion.
@@ -169,11 +171,14 @@
         Err(PlanError::NoEngine) => return Decision::NoEngine,
         Err(PlanError::NoCapacity) => {}
     }
+    schedule_wake(gateway, &request.service);
     let limit = Duration::from_millis(request.limit_ms);
     let completion_rate = {
         let reservations = gateway.reservations.borrow();
-        reservations.completion_rate(now).max(reservations.expected_completion_rate(START_LATENCY))
+        let rate = reservations.completion_rate(now);
+        rate.max(reservations.expected_completion_rate(START_LATENCY))
     };
+    let completion_rate = completion_rate.min(gateway.decode_rate_limit(&request.service));
     // The number of completions that are expected to end, and so to free memory, within the limit.
     let places = completion_rate * limit.as_secs_f64();
     let waiting = gateway.queue.len();
@@ -211,7 +216,10 @@
         let decision = match grant(gateway, &instance, id, &request) {
             _ if is_quarantined(gateway, &request) => Decision::Quarantined,
             Ok(grant) => Decision::Granted(grant),
-            Err(PlanError::NoCapacity) => return,
+            Err(PlanError::NoCapacity) => {
+                schedule_wake(gateway, &request.service);
+                return;
+            }
             Err(PlanError::NoEngine) => Decision::NoEngine,
         };
         gateway.queue.remove(&instance, id);
@@ -219,6 +227,26 @@
     }
 }
 
+/// Maximum time until queued completions are looked at again while engines are limited.
+const MAX_WAKE_DELAY: Duration = Duration::from_millis(200);
+
+/// Minimum time until queued completions are looked at again.
+const MIN_WAKE_DELAY: Duration = Duration::from_millis(5);
+
+/// Serves the queue again once a permit for a limited decode engine is due.
+fn schedule_wake(gateway: &Rc<Gateway>, service: &str) {
+    let Some(wait) = gateway.decode_permit_wait(service) else { return };
+    if gateway.queue.is_wake_scheduled.replace(true) {
+        return;
+    }
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move {
+        tokio::time::sleep(wait.clamp(MIN_WAKE_DELAY, MAX_WAKE_DELAY)).await;
+        gateway.queue.is_wake_scheduled.set(false);
+        serve_queue(&gateway);
+    });
+}
+
 /// Selects engines for a completion and reserves their memory.
 fn grant(
     gateway: &Rc<Gateway>,
@@ -238,8 +266,14 @@
     let mut tokens_ahead = 0;
     let mut fill = 0.0;
     let prefill = match plan {
-        Plan::Split { prefill, .. } => Some(gateway.server_name(prefill)),
-        Plan::Decode(_) => None,
+        Plan::Split { prefill, .. } => {
+            issue_permits(gateway, &[prefill, plan.decode()]);
+            Some(gateway.server_name(prefill))
+        }
+        Plan::Decode(_) => {
+            issue_permits(gateway, &[plan.decode()]);
+            None
+        }
     };
     for candidate in &candidates {
         if candidate.key == plan.decode() {
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::request_limit::{LimitState, RequestLimit};
+use crate::request_limit::{LimitState, PermitBucket, RequestLimit};
 use crate::route::ServiceName;
 
 /// Duration for which a failed server is avoided; it doubles with each consecutive failure.
@@ -84,6 +84,9 @@
     /// Whether the last attempt to connect failed; a probe clears it once a connection opens.
     pub is_unreachable: bool,
     limit: Option<LimitState>,
+    permits: PermitBucket,
+    /// The time before which the coordinator issues no permit for the server.
+    permit_due_at: Option<Instant>,
     latency: Option<(Duration, Instant)>,
     answered_at: Option<Instant>,
     consecutive_failures: u32,
@@ -112,6 +115,16 @@
         now < until && self.record.role != Some(role)
     }
 
+    /// Returns the limit, or that it was lifted, and when that was observed.
+    pub fn limit_state(&self) -> Option<LimitState> {
+        self.limit
+    }
+
+    /// Returns the time before which the coordinator issues no permit for the server.
+    pub fn permit_wait(&self, now: Instant) -> Duration {
+        self.permit_due_at.map_or(Duration::ZERO, |due_at| due_at.saturating_duration_since(now))
+    }
+
     /// Returns the requests per second that the server accepts from all instances together, if it names
     /// a limit.
     pub fn limit(&self) -> Option<RequestLimit> {
@@ -147,6 +160,16 @@
     pub current: Option<RequestLimit>,
 }
 
+impl LimitChange {
+    /// Returns whether the server accepts more requests than before.
+    pub fn is_raised(&self) -> bool {
+        match (self.previous, self.current) {
+            (Some(previous), Some(current)) => current > previous,
+            (_, current) => current.is_none(),
+        }
+    }
+}
+
 impl Directory {
     /// Applies the latest entry of a server.
     ///
@@ -180,6 +203,8 @@
             changing: None,
             is_unreachable: false,
             limit: None,
+            permits: PermitBucket::default(),
+            permit_due_at: None,
             latency: None,
             answered_at: None,
             consecutive_failures: 0,
@@ -276,17 +301,50 @@
         Some(avoidance)
     }
 
-    /// Updates the limit of a server with `update`; returns the limit before, if it has changed.
+    /// Updates the limit of a server with `update`; returns the change, if there is one.
+    ///
+    /// `share` is the part of the limit up to now that the permits were issued by.
     pub fn update_limit(
         &mut self,
         key: ServerKey,
+        share: f64,
+        now: Instant,
         update: impl FnOnce(Option<LimitState>) -> Option<LimitState>,
     ) -> Option<LimitChange> {
         let server = self.servers.get_mut(key)?;
         let previous = server.limit();
         server.limit = update(server.limit);
         let current = server.limit();
-        (previous != current).then_some(LimitChange { previous, current })
+        if previous == current {
+            return None;
+        }
+        server.permit_due_at = None;
+        match previous {
+            Some(previous) => drop(server.permits.drain(previous.rate(share), now)),
+            None => server.permits = PermitBucket::default(),
+        }
+        Some(LimitChange { previous, current })
+    }
+
+    /// Returns the time until the next permit of a limited server is due, for a group of instances with
+    /// a `share` of its limit; `None` if it has no limit.
+    pub fn permit_due_in(&mut self, key: ServerKey, share: f64, now: Instant) -> Option<Duration> {
+        let server = self.servers.get_mut(key)?;
+        let rate = server.limit()?.rate(share);
+        Some(server.permits.wait(rate, now))
+    }
+
+    /// Counts a permit of a limited server.
+    pub fn take_permit(&mut self, key: ServerKey, share: f64, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let Some(limit) = server.limit() else { return };
+        server.permits.take(limit.rate(share), now);
+    }
+
+    /// Records that the coordinator issues no permit for a server before a time.
+    pub fn record_permit_due(&mut self, key: ServerKey, due_at: Instant) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.permit_due_at = Some(due_at);
     }
 
     /// Records that a server refused a request as full.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers};
+use crate::permits::{Permits, mark_changed};
 use crate::pool::Pool;
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
@@ -60,6 +61,9 @@
 /// Ratio of the duration on a slow engine to the mean.
 const SLOW_ENGINE_FACTOR: f64 = 1.3;
 
+/// Source of a limit that a response to this instance has named.
+pub const OWN_RESPONSE: &str = "response";
+
 /// State of one instance.
 pub struct Gateway {
     /// The settings, which are replaced on reload.
@@ -84,6 +88,8 @@
     pub queue: Queue,
     /// Admission requests of this instance without a decision.
     pub pending_admissions: RefCell<BTreeMap<ReservationId, mpsc::UnboundedSender<Decision>>>,
+    /// Permits for requests to limited servers.
+    pub(crate) permits: Permits,
     /// Whether the instance has stopped.
     pub is_stopped: Cell<bool>,
     peers: RefCell<Option<Rc<Peers>>>,
@@ -139,6 +145,7 @@
             prompt_quarantines: RefCell::default(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
+            permits: Permits::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
             sizes: RefCell::default(),
@@ -428,6 +435,7 @@
                 latency: server.latency(now),
                 fill: 0.0,
                 role: record.role,
+                permit_wait: self.limit_of(key).map(|_| server.permit_wait(now)),
             });
         }
         candidates
@@ -436,13 +444,17 @@
     /// Returns the engines that could run a completion, with their reserved load.
     pub fn engines(&self, request: &AdmissionRequest) -> Vec<Candidate> {
         let now = self.clock.now();
+        let share = self.limit_share();
         let capacity = self.engine_spec(&request.service).map_or(0, |engine| engine.kv_capacity);
         let mut candidates = self.candidates(&request.service, &[]);
-        let directory = self.directory.borrow();
+        let mut directory = self.directory.borrow_mut();
         let loads = self.reservations.borrow().loads(now);
         let failing_engines = self.failing_engines.borrow();
         let idle = EngineLoad::default();
         candidates.retain_mut(|candidate| {
+            if candidate.permit_wait.is_some() {
+                candidate.permit_wait = directory.permit_due_in(candidate.key, share, now);
+            }
             let Some(server) = directory.get(candidate.key) else { return false };
             let id = &server.record.id;
             if request.excluded.contains(id) {
@@ -543,21 +555,83 @@
         !is_leaving && server.record.role == Some(role)
     }
 
-    /// Updates the limit of a server with `update`, and logs a change with its `source`.
+    /// Updates the limit of a server with `update`, and logs a change with its `source`:
+    /// [`OWN_RESPONSE`] or a peer.
     pub fn update_limit(
         &self,
         server: ServerKey,
         source: &str,
         update: impl FnOnce(Option<LimitState>) -> Option<LimitState>,
     ) {
-        let change = self.directory.borrow_mut().update_limit(server, update);
+        let (share, now) = (self.limit_share(), self.clock.now());
+        let change = self.directory.borrow_mut().update_limit(server, share, now, update);
         let Some(change) = change else { return };
+        let is_own = source == OWN_RESPONSE;
+        if is_own || self.coordinator().is_none() {
+            mark_changed(self, server);
+        }
+        if change.is_raised() {
+            self.admit_queued();
+        }
         let name = self.server_name(server);
         let per_second = |limit: Option<RequestLimit>| limit.map(RequestLimit::per_second);
         let (limit, previous) = (per_second(change.current), per_second(change.previous));
         log::info!(server = &*name, limit:?, previous:?, source; "server_limit_changed");
     }
 
+    /// Returns the limit of a server on the requests of all instances, if it names one.
+    pub fn limit_of(&self, server: ServerKey) -> Option<RequestLimit> {
+        let directory = self.directory.borrow();
+        directory.get(server)?.limit().filter(|_| !is_disabled(Guarantee::Limit))
+    }
+
+    /// Returns the part of each server's limit that this instance issues permits by as coordinator: the
+    /// share of the instances that it is in touch with.
+    ///
+    /// The others may be cut off and send requests by a coordinator of their own.
+    pub fn limit_share(&self) -> f64 {
+        let Some(peers) = self.peers() else { return 1.0 };
+        let now = self.clock.now();
+        let known = match peers.known(now) {
+            1 if self.is_discovering() => ASSUMED_INSTANCES,
+            known => known,
+        };
+        peers.present(now).min(known) as f64 / known as f64
+    }
+
+    /// Returns the time until a permit for one of the decode engines of a service is due; `None` if no
+    /// engine is limited.
+    pub fn decode_permit_wait(&self, service: &str) -> Option<Duration> {
+        let (share, now) = (self.limit_share(), self.clock.now());
+        let engines = self.engines_of_role(service, EngineRole::Decode);
+        let mut directory = self.directory.borrow_mut();
+        let mut earliest: Option<Duration> = None;
+        for engine in engines {
+            let Some(wait) = directory.permit_due_in(engine, share, now) else { continue };
+            earliest = Some(earliest.map_or(wait, |earliest| earliest.min(wait)));
+        }
+        earliest
+    }
+
+    /// Returns the completions per second that the limits of the decode engines of a service allow.
+    pub fn decode_rate_limit(&self, service: &str) -> f64 {
+        let share = self.limit_share();
+        let mut sum = 0.0;
+        for engine in self.engines_of_role(service, EngineRole::Decode) {
+            sum += self.limit_of(engine).map_or(f64::INFINITY, |limit| limit.rate(share));
+        }
+        sum
+    }
+
+    /// Sends limits to the coordinators, or as coordinator to all instances.
+    pub fn send_limits(&self, payload: Payload) {
+        let Some(peers) = self.peers() else { return };
+        match self.coordinator() {
+            Some(_) => peers.send_to_coordinators(&payload, None, self.clock.now()),
+            None => peers.send_to_all(&payload),
+        }
+    }
+
     /// Returns the identifier of a server for logs.
     pub fn server_name(&self, server: ServerKey) -> Box<str> {
         let directory = self.directory.borrow();
@@ -600,7 +674,11 @@
 
     /// Updates the maximum number of live instances seen so far.
     pub fn update_max_instances(&self) {
-        self.max_instances.set(self.max_instances.get().max(self.live_instances()));
+        let live = self.live_instances();
+        self.max_instances.set(self.max_instances.get().max(live));
+        if let Some(peers) = self.peers() {
+            peers.record_known(live, self.clock.now());
+        }
     }
 
     fn with_budget<T>(
@@ -621,14 +699,18 @@
     ///
     /// Instances that are cut off still use their share, so the maximum number seen so far counts.
     fn budget_instances(&self) -> usize {
-        let is_new = self.clock.now() - self.created < PEER_DISCOVERY_TIME;
-        let has_seeds = self.peers().is_some_and(|peers| peers.has_seeds());
         match self.max_instances.get() {
-            1 if is_new && has_seeds => ASSUMED_INSTANCES,
+            1 if self.is_discovering() => ASSUMED_INSTANCES,
             known => known,
         }
     }
 
+    /// Returns whether an instance that knows no peers may not have discovered them yet.
+    fn is_discovering(&self) -> bool {
+        let is_new = self.clock.now() - self.created < PEER_DISCOVERY_TIME;
+        is_new && self.peers().is_some_and(|peers| peers.has_seeds())
+    }
+
     /// Returns the `Retry-After` of a refused request.
     pub fn retry_after(&self, route: &Route, remaining: Duration) -> Duration {
         // The caller retries early enough to be served, and spread out from other callers.
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -17,6 +17,8 @@
     Configuration,
     /// Retries stay within the budget.
     Budget,
+    /// A server gets no more requests than the limit that it names for all instances.
+    Limit,
     /// A stopping instance ends before its deadline.
     Stop,
 }
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -76,6 +76,20 @@
     }
 }
 
+impl RequestContext {
+    /// Returns the time until a server of the service may have a permit, if the request was refused for
+    /// want of one.
+    fn permit_due_in(&self, gateway: &Gateway, refusal: Refusal) -> Duration {
+        let service = self.service.as_deref().unwrap_or_default();
+        let candidates = gateway.candidates(service, &[]);
+        let waits = candidates.iter().filter_map(|candidate| candidate.permit_wait);
+        match refusal {
+            Refusal::ServerLimit => waits.min().unwrap_or_default(),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// Checks a request in order: configuration, identifier, route, body, shutdown deadline.
 async fn check(
     gateway: &Gateway,
@@ -171,7 +185,10 @@
                 Some(_) if refusal == Refusal::Stopping => Some(Duration::ZERO),
                 // Until then every instance refuses the request.
                 Some(_) if refusal == Refusal::Quarantined => Some(cx.quarantined_for(gateway)),
-                Some(route) if is_not_run => Some(gateway.retry_after(route, remaining)),
+                Some(route) if is_not_run => {
+                    let earliest = cx.permit_due_in(gateway, refusal);
+                    Some(gateway.retry_after(route, remaining).max(earliest))
+                }
                 None if is_not_run => Some(remaining.mul_f64(0.3)),
                 _ => None,
             };
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{Gateway, RoutingFollower};
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::peers::{self, Peers};
+use crate::permits::spread_limits;
 use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
 use crate::{copy, handler};
@@ -131,6 +132,7 @@
         actix_rt::spawn(follow("configuration", platform.routing, routing));
         actix_rt::spawn(follow("servers", platform.servers, gateway.clone()));
         actix_rt::spawn(peers::listen(gateway.clone(), peers.clone()));
+        actix_rt::spawn(spread_limits(gateway.clone()));
         actix_rt::spawn(copy_configuration(gateway.clone(), peers.clone()));
         actix_rt::spawn(copy_servers(gateway.clone(), peers.clone()));
         actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod instance;
 pub mod metrics;
 pub mod peers;
+mod permits;
 mod pool;
 pub mod refusal;
 pub mod request_limit;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -26,6 +26,10 @@
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
 use crate::feed::FeedPosition;
 use crate::gateway::{Gateway, display_parts};
+use crate::permits::{
+    LimitEntry, PermitDecision, PermitId, PermitRequest, all_limits, decide_permit, limits_digest,
+    merge_limits, record_issued,
+};
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
 use crate::route::ServiceName;
 use crate::settings::GatewaySettings;
@@ -54,6 +58,14 @@
 /// the zone, so that a successor in it is ready if the zone is cut off.
 const ZONE_COORDINATORS: usize = 2;
 
+/// Time without a message after which an instance does not count towards the share of a server's limit;
+/// one or two reports may be lost.
+const PRESENCE_WINDOW: Duration = Duration::from_millis(2_000);
+
+/// Time for which the largest number of live instances counts at least. Instances that are cut off for
+/// longer are taken for gone.
+const KNOWN_WINDOW: Duration = Duration::from_secs(60);
+
 /// Maximum length of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -89,6 +101,9 @@
         /// The prompts that the sender refuses since they crash engines.
         #[serde(default)]
         refused: Vec<RefusedPrompt>,
+        /// Fingerprint of the limits of servers that the sender knows.
+        #[serde(default)]
+        limits: u64,
     },
     /// The members that the sender knows, including itself.
     Members {
@@ -102,6 +117,9 @@
         /// The prompts that the sender refuses since they crash engines.
         #[serde(default)]
         refused: Vec<RefusedPrompt>,
+        /// Fingerprint of the limits of servers that the sender knows.
+        #[serde(default)]
+        limits: u64,
     },
     /// The sender requests admission of a completion.
     #[serde(rename = "Ask")]
@@ -125,6 +143,14 @@
     Released(ReservationId),
     /// The sender could not use an engine: a connection to it failed to open, or a call broke.
     EngineUnusable(Box<str>),
+    /// Limits of servers that have changed, or that the receiver may not know.
+    Limits(Vec<LimitEntry>),
+    /// The sender requests a permit for a limited server.
+    RequestPermit(PermitId, PermitRequest),
+    /// The sender has decided on a request of the receiver for a permit.
+    Permit(PermitId, PermitDecision),
+    /// The sender has issued a permit for each of these limited servers.
+    PermitsIssued(Vec<LimitEntry>),
     /// The sender has stopped.
     Leaving,
 }
@@ -270,6 +296,7 @@
     peers: RefCell<BTreeMap<InstanceId, Peer>>,
     /// Number of live instances that coordinators have reported, and the time of the report.
     reported_live: Cell<(usize, Instant)>,
+    known: Cell<RecentMaximum>,
     /// Position in the feed of the list of servers.
     servers_position: Rc<FeedPosition>,
     /// Notified when a peer has reported its revisions.
@@ -310,6 +337,7 @@
             seeds,
             peers,
             reported_live: Cell::new((1, now)),
+            known: Cell::new(RecentMaximum::new(now)),
             servers_position,
             reported: Notify::new(),
         })
@@ -338,6 +366,36 @@
         if is_recent { peers.max(reported) } else { peers }
     }
 
+    /// Returns the number of instances that have been in touch within `PRESENCE_WINDOW`, including this
+    /// one.
+    pub fn present(&self, now: Instant) -> usize {
+        let peers = self.peers.borrow();
+        let is_present =
+            |peer: &&Peer| now.saturating_duration_since(peer.last_seen) < PRESENCE_WINDOW;
+        peers.values().filter(is_present).count() + 1
+    }
+
+    /// Returns the largest recent number of live instances, including this one.
+    pub fn known(&self, now: Instant) -> usize {
+        self.known.get().value(now).max(self.peers.borrow().len() + 1)
+    }
+
+    /// Records the number of live instances, including this one.
+    pub fn record_known(&self, live: usize, now: Instant) {
+        let mut known = self.known.get();
+        known.record(live, now);
+        self.known.set(known);
+    }
+
+    /// Sends a message to all known instances.
+    pub fn send_to_all(&self, payload: &Payload) {
+        let message = Message { from: self.instance.clone(), payload: payload.clone() };
+        let Some(bytes) = encode(&message) else { return };
+        for peer in self.peers.borrow().values() {
+            self.send(peer.address, &bytes);
+        }
+    }
+
     /// Records the number of live instances that a coordinator reports.
     fn record_live_count(&self, live: usize, now: Instant) {
         let (reported, at) = self.reported_live.get();
@@ -356,7 +414,8 @@
             false => {
                 let members = vec![self.member(now)];
                 let revisions = FeedRevisions::default();
-                Payload::Members { members, live: 1, revisions, refused: Vec::new() }
+                let refused = Vec::new();
+                Payload::Members { members, live: 1, revisions, refused, limits: 0 }
             }
         };
         let message = Message { from: self.instance.clone(), payload };
@@ -450,6 +509,17 @@
         ranked.into_iter().map(|(_, entry)| entry).collect()
     }
 
+    /// Sends the limits of servers to an instance that knows other ones.
+    fn reconcile_limits(&self, gateway: &Gateway, to: SocketAddr, digest: u64) {
+        if digest == limits_digest(gateway) {
+            return;
+        }
+        let entries = all_limits(gateway);
+        if !entries.is_empty() {
+            self.send_payload(to, Payload::Limits(entries));
+        }
+    }
+
     fn is_eligible(&self, now: Instant) -> bool {
         let is_warmed_up = now.saturating_duration_since(self.started) >= WARM_UP_TIME;
         is_warmed_up && !self.is_shutting_down.get() && !self.is_behind(now)
@@ -494,6 +564,7 @@
             reservations,
             revisions: revisions(gateway),
             refused: refused_prompts(gateway, now),
+            limits: limits_digest(gateway),
         };
         let message = Message { from: self.instance.clone(), payload };
         let Some(bytes) = encode(&message) else { return };
@@ -637,7 +708,7 @@
         let now = gateway.clock.now();
         let sender = message.from;
         match message.payload {
-            Payload::State { member, reservations, revisions: peer_revisions, refused } => {
+            Payload::State { member, reservations, revisions: peer_revisions, refused, limits } => {
                 merge_refused(gateway, &sender, refused, now);
                 let address = member.address;
                 let zone = member.zone.clone();
@@ -659,10 +730,15 @@
                         live,
                         revisions: revisions(gateway),
                         refused: refused_prompts(gateway, now),
+                        limits: limits_digest(gateway),
                     },
                 );
+                self.reconcile_limits(gateway, address, limits);
             }
-            Payload::Members { members, live, revisions, refused } => {
+            Payload::Members { members, live, revisions, refused, limits } => {
+                if live > 1 {
+                    self.reconcile_limits(gateway, from, limits);
+                }
                 merge_refused(gateway, &sender, refused, now);
                 self.record_live_count(live, now);
                 gateway.update_max_instances();
@@ -684,7 +760,19 @@
             Payload::Reserved(id, entry) => {
                 gateway.reservations.borrow_mut().reserve(&sender, id, entry.into_reservation(now));
             }
+            Payload::Limits(entries) => merge_limits(gateway, &sender, entries),
+            Payload::RequestPermit(id, request) => {
+                let decision = decide_permit(gateway, &sender, id, request);
+                self.send_payload(from, Payload::Permit(id, decision));
+            }
+            Payload::Permit(id, decision) => gateway.permits.receive(id, decision),
+            Payload::PermitsIssued(entries) => record_issued(gateway, &sender, entries),
             Payload::Leaving => {
+                let mut known = self.known.get();
+                known.forget_one();
+                self.known.set(known);
+                let (live, at) = self.reported_live.get();
+                self.reported_live.set((live.saturating_sub(1), at));
                 log::info!(peer = &*sender; "peer_leaving");
                 self.peers.borrow_mut().remove(&sender);
                 gateway.servers_position.forget_peer(&sender);
@@ -698,6 +786,41 @@
     }
 }
 
+/// The largest of recent values, which counts for between one and two of `KNOWN_WINDOW`.
+#[derive(Debug, Clone, Copy)]
+struct RecentMaximum {
+    window_start: Instant,
+    current: usize,
+    previous: usize,
+}
+
+impl RecentMaximum {
+    fn new(now: Instant) -> Self {
+        Self { window_start: now, current: 1, previous: 1 }
+    }
+
+    fn record(&mut self, value: usize, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed >= KNOWN_WINDOW {
+            self.previous = if elapsed < 2 * KNOWN_WINDOW { self.current } else { 1 };
+            self.current = 1;
+            self.window_start = now;
+        }
+        self.current = self.current.max(value);
+    }
+
+    fn value(&self, now: Instant) -> usize {
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed < 2 * KNOWN_WINDOW { self.current.max(self.previous) } else { 1 }
+    }
+
+    /// Takes out an instance that has announced its end.
+    fn forget_one(&mut self) {
+        self.current = self.current.saturating_sub(1).max(1);
+        self.previous = self.previous.saturating_sub(1).max(1);
+    }
+}
+
 /// Returns the feed revisions that this instance has reached.
 pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// no_capacity
     NoCapacity,
+    /// server_limit
+    ServerLimit,
     /// stopping
     Stopping,
     /// quarantined
@@ -49,6 +51,7 @@
             Self::NoConfiguration
             | Self::NoServer
             | Self::NoCapacity
+            | Self::ServerLimit
             | Self::Stopping
             | Self::Quarantined
             | Self::DeadlineBeforeStart => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/magnoliaspar-gateway/src/request_limit.rs
+++ b/crates/magnoliaspar-gateway/src/request_limit.rs
@@ -1,6 +1,6 @@
 //! Limits that servers name for the requests of all instances together.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -11,11 +11,20 @@
 #[serde(try_from = "f64", into = "f64")]
 pub struct RequestLimit(f64);
 
+/// Lowest rate at which a limited server gets requests, per second. Only its responses tell that a
+/// limit has changed.
+const MIN_RATE: f64 = 0.1;
+
 impl RequestLimit {
     /// Returns the requests per second.
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Returns the requests per second of a group of instances with a `share` of the limit.
+    pub fn rate(self, share: f64) -> f64 {
+        self.0.max(MIN_RATE) * share
+    }
 }
 
 impl TryFrom<f64> for RequestLimit {
@@ -91,11 +100,60 @@
     }
 }
 
+impl LimitState {
+    /// Returns the newer one of the `current` state and one that a peer has reported.
+    pub fn merge(current: Option<Self>, reported: Self) -> Self {
+        match current {
+            Some(current) if current.observed_at >= reported.observed_at => current,
+            _ => reported,
+        }
+    }
+}
+
+/// Time for which permits accumulate while no request uses them.
+const BURST_TIME: Duration = Duration::from_millis(200);
+
+/// Permits for the requests to one limited server, as a leaky bucket.
+///
+/// The bucket starts full, since the server may have had requests just before its limit became known.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PermitBucket {
+    /// Permits issued that the limit does not cover yet, and the time of the count.
+    level: Option<(f64, Instant)>,
+}
+
+impl PermitBucket {
+    /// Returns the time until the next permit is due, at `rate` permits per second.
+    pub fn wait(&mut self, rate: f64, now: Instant) -> Duration {
+        let level = self.drain(rate, now);
+        Duration::from_secs_f64((level + 1.0 - Self::burst(rate)).max(0.0) / rate)
+    }
+
+    /// Counts a permit that was issued here or by another instance.
+    pub fn take(&mut self, rate: f64, now: Instant) {
+        let level = self.drain(rate, now);
+        self.level = Some((level + 1.0, now));
+    }
+
+    /// Counts the permits that have become due since the last count at `rate`, before the rate changes.
+    pub fn drain(&mut self, rate: f64, now: Instant) -> f64 {
+        let (level, at) = self.level.unwrap_or((Self::burst(rate), now));
+        let elapsed = now.saturating_duration_since(at);
+        let level = (level - rate * elapsed.as_secs_f64()).max(0.0);
+        self.level = Some((level, now.max(at)));
+        level
+    }
+
+    fn burst(rate: f64) -> f64 {
+        (rate * BURST_TIME.as_secs_f64()).max(1.0)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::time::{Duration, Instant};
 
-    use super::{LimitNotice, LimitState, RequestLimit};
+    use super::{LimitNotice, LimitState, PermitBucket, RequestLimit};
 
     const MS: Duration = Duration::from_millis(1);
 
@@ -130,4 +188,47 @@
         assert_eq!((lifted.is_some(), limit(lifted)), (true, None));
         assert_eq!(after(None, LimitNotice::Absent, 110, 120), None);
     }
+
+    /// Takes permits as soon as they are due; returns the number of them in each second.
+    fn permits_by_second(rates: &[f64]) -> Vec<usize> {
+        let start = Instant::now();
+        let mut bucket = PermitBucket::default();
+        let mut counts = vec![0; rates.len()];
+        let mut previous = rates[0];
+        for tick in 0..rates.len() * 1_000 {
+            let now = start + tick as u32 * MS;
+            let rate = rates[tick / 1_000];
+            if rate != previous {
+                bucket.drain(previous, now);
+                previous = rate;
+            }
+            if bucket.wait(rate, now).is_zero() {
+                bucket.take(rate, now);
+                counts[tick / 1_000] += 1;
+            }
+        }
+        counts
+    }
+
+    #[test]
+    fn a_bucket_issues_its_rate_from_the_start() {
+        assert_eq!(permits_by_second(&[5.0, 5.0, 5.0]), [4, 5, 5]);
+        let counts = permits_by_second(&[0.25; 12]);
+        assert_eq!(counts.iter().sum::<usize>(), 2);
+    }
+
+    #[test]
+    fn a_bucket_follows_a_limit_that_changes() {
+        let counts = permits_by_second(&[0.1, 0.1, 50.0, 50.0, 2.0, 2.0, 2.0]);
+        assert_eq!(counts[..2], [0, 0]);
+        assert!((40..=60).contains(&counts[2]) && (49..=51).contains(&counts[3]), "{counts:?}");
+        assert!(counts[4..].iter().sum::<usize>() <= 6, "{counts:?}");
+    }
+
+    #[test]
+    fn a_limit_of_zero_leaves_requests_that_tell_when_it_ends() {
+        let limit = RequestLimit::try_from(0.0).unwrap();
+        assert_eq!(limit.rate(1.0), 0.1);
+        assert_eq!(RequestLimit::try_from(6.0).unwrap().rate(0.5), 3.0);
+    }
 }
--- a/crates/magnoliaspar-gateway/src/roles.rs
+++ b/crates/magnoliaspar-gateway/src/roles.rs
@@ -194,6 +194,9 @@
             1.. => (decode_engines, EngineRole::Prefill),
             _ => (prefill_engines, EngineRole::Decode),
         };
+        let mut pool = pool;
+        // An order is a request, too, and the engine would be out of use meanwhile.
+        pool.retain(|engine| self.gateway.limit_of(*engine).is_none());
         let chosen = self.gateway.pick_across_zones(&pool, change.unsigned_abs());
         log::info!(service = &**service, change, chosen = chosen.len(), role:?, holding:?; "roles_reconsidered");
         for engine in chosen {
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -1,6 +1,6 @@
 //! The current routing: the service for each request, and the rules for retries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +56,18 @@
         None
     }
 
+    /// Returns the number of priorities above that of `route` among the routes to a service.
+    pub fn rank(&self, route: &Route, service: &str) -> u32 {
+        let mut higher = BTreeSet::new();
+        for other in self.hosts.values().flatten() {
+            let is_of_service = other.split.iter().any(|(name, _)| &**name == service);
+            if is_of_service && other.priority < route.priority {
+                higher.insert(other.priority);
+            }
+        }
+        higher.len() as u32
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -51,6 +51,15 @@
     pub fill: f64,
     /// The stage of a completion that the engine runs; `None` for other servers.
     pub role: Option<EngineRole>,
+    /// Time until a permit for a limited server may be due; `None` for a server without a limit.
+    pub permit_wait: Option<Duration>,
+}
+
+impl Candidate {
+    /// Returns whether a request may be sent at once, with a permit if the server is limited.
+    fn has_permit(&self) -> bool {
+        self.permit_wait.is_none_or(|wait| wait.is_zero())
+    }
 }
 
 /// Chooses the server with the lowest expected latency, with a preference for the local
@@ -70,6 +79,18 @@
     })
 }
 
+/// Returns the candidates for which a permit may be due within `max_wait`, or that need none.
+pub fn within_limits(candidates: &[Candidate], max_wait: Duration) -> Vec<Candidate> {
+    let mut within = candidates.to_vec();
+    within.retain(|candidate| candidate.permit_wait.is_none_or(|wait| wait <= max_wait));
+    within
+}
+
+/// Returns whether a server without a limit can take a request at once.
+pub fn has_unlimited(candidates: &[Candidate]) -> bool {
+    candidates.iter().any(|candidate| candidate.permit_wait.is_none() && !candidate.is_avoided)
+}
+
 /// Returns the mean latency of the candidates that have one.
 fn mean_latency(candidates: &[Candidate]) -> Duration {
     let mut sum = Duration::ZERO;
@@ -143,8 +164,8 @@
     for candidate in candidates {
         match candidate.role {
             Some(EngineRole::Decode) => decode_engines.push(*candidate),
-            Some(EngineRole::Prefill) => prefill_engines.push(*candidate),
-            None => {}
+            Some(EngineRole::Prefill) if candidate.has_permit() => prefill_engines.push(*candidate),
+            Some(EngineRole::Prefill) | None => {}
         }
     }
     if decode_engines.is_empty() {
@@ -154,7 +175,7 @@
     if decode_engines.iter().any(|candidate| !candidate.is_avoided) {
         decode_engines.retain(|candidate| !candidate.is_avoided);
     }
-    decode_engines.retain(|candidate| Reservations::fits(candidate.fill));
+    decode_engines.retain(|candidate| candidate.has_permit() && Reservations::fits(candidate.fill));
     let decode = choose_min(&decode_engines, rng, |candidate| {
         let penalty = if candidate.is_local { 0.0 } else { REMOTE_ZONE_FILL_PENALTY };
         (candidate.is_avoided, per_mille(candidate.fill + penalty))
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -12,8 +12,9 @@
 use crate::call::{CallSpec, Incoming, call, strip_connection_headers};
 use crate::exchange::CallError;
 use crate::gateway::Gateway;
+use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::refusal::Refusal;
-use crate::selection::choose_server;
+use crate::selection::{Candidate, choose_server, has_unlimited, within_limits};
 
 /// Maximum length of a response that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
@@ -41,20 +42,23 @@
         if remaining.is_zero() {
             break if runs > 0 { Refusal::Deadline } else { Refusal::DeadlineBeforeStart };
         }
-        let candidates = gateway.candidates(&req.service, &tried);
-        let chosen = gateway.with_rng(|rng| choose_server(&candidates, rng));
-        let Some(server) = chosen else {
-            break match (runs, tried.is_empty()) {
-                (0, true) => Refusal::NoServer,
-                (0, false) => Refusal::NoCapacity,
-                _ => Refusal::MayHaveRun,
-            };
-        };
+        // The budget is checked first, so that no permit is obtained for a retry that is not made.
         if dispatches > 0 && !gateway.take_retry(&req.service) {
             break if runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
         }
+        let server = match choose(gateway, req, &tried).await {
+            Ok(server) => server,
+            Err(refusal) => {
+                if dispatches > 0 {
+                    gateway.return_retry(&req.service);
+                }
+                break if runs == 0 { refusal } else { Refusal::MayHaveRun };
+            }
+        };
+        let remaining = req.remaining(gateway.clock.now());
+        let has_alternative = gateway.candidates(&req.service, &tried).len() > 1;
         tried.push(server);
-        let can_retry = req.route.allows_retry(runs + 1) && candidates.len() > 1;
+        let can_retry = req.route.allows_retry(runs + 1) && has_alternative;
         let timeout = match can_retry {
             true => remaining.min(req.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE)),
             false => remaining,
@@ -92,6 +96,69 @@
     }
 }
 
+/// Maximum wait for a permit of a limited server, as a share of the latency target. It halves with each
+/// rank of the route, so that the routes of the highest priority are served first.
+const PERMIT_WAIT_SHARE: f64 = 0.6;
+
+/// Maximum number of requests to the coordinator for a permit before one choice of a server.
+const MAX_PERMIT_REQUESTS: u32 = 2;
+
+/// Chooses a server that has not been tried, and obtains a permit if the server is limited.
+async fn choose(
+    gateway: &Rc<Gateway>,
+    req: &Incoming,
+    tried: &[ServerKey],
+) -> Result<ServerKey, Refusal> {
+    let mut permit_requests = 0;
+    loop {
+        let candidates = gateway.candidates(&req.service, tried);
+        if candidates.is_empty() {
+            return Err(if tried.is_empty() { Refusal::NoServer } else { Refusal::NoCapacity });
+        }
+        let now = gateway.clock.now();
+        let (max_wait, decision_due_at) = match has_unlimited(&candidates) {
+            true => (Duration::ZERO, req.deadline.min(now + PERMIT_TIMEOUT)),
+            false => (max_permit_wait(gateway, req), req.deadline),
+        };
+        let mut open = within_limits(&candidates, max_wait);
+        if permit_requests == MAX_PERMIT_REQUESTS {
+            open.retain(|candidate| candidate.permit_wait.is_none());
+        }
+        let chosen = gateway.with_rng(|rng| choose_server(&open, rng));
+        let server = chosen.ok_or(Refusal::ServerLimit)?;
+        if gateway.limit_of(server).is_none() {
+            return Ok(server);
+        }
+        permit_requests += 1;
+        let limited = preferred_first(&open, server);
+        let permit = obtain_permit(gateway, &limited, max_wait, decision_due_at).await;
+        if let Some((server, wait)) = permit {
+            tokio::time::sleep(wait).await;
+            return Ok(server);
+        }
+    }
+}
+
+/// Returns the maximum wait for a permit with which a response can still be in time.
+fn max_permit_wait(gateway: &Gateway, req: &Incoming) -> Duration {
+    let routing = gateway.routing();
+    let rank = routing.map_or(0, |routing| routing.rank(&req.route, &req.service));
+    let share = PERMIT_WAIT_SHARE * 0.5_f64.powi(rank as i32);
+    let remaining = req.remaining(gateway.clock.now());
+    req.route.target_latency.mul_f64(share).min(remaining / 2)
+}
+
+/// Returns the limited servers among the candidates, the preferred one first.
+fn preferred_first(candidates: &[Candidate], preferred: ServerKey) -> Vec<ServerKey> {
+    let mut servers = vec![preferred];
+    for candidate in candidates {
+        if candidate.permit_wait.is_some() && candidate.key != preferred {
+            servers.push(candidate.key);
+        }
+    }
+    servers
+}
+
 enum Attempt {
     NotRun,
     Answered(Response<BoxBody>),
