--- a/crates/magnoliaspar-gateway/src/roles.rs
+++ b/crates/magnoliaspar-gateway/src/roles.rs
@@ -186,17 +186,14 @@
         let output = sizes.output_tokens as u64;
         let holding = self.gateway.expected_holding(output);
         let demand = Demand { sizes, capacity: spec.kv_capacity, holding };
-        let prefill_engines = self.gateway.engines_of_role(service, EngineRole::Prefill);
-        let decode_engines = self.gateway.engines_of_role(service, EngineRole::Decode);
+        let prefill_engines = self.unlimited_engines(service, EngineRole::Prefill);
+        let decode_engines = self.unlimited_engines(service, EngineRole::Decode);
         let change = prefill_engine_delta(prefill_engines.len(), decode_engines.len(), &demand);
         let (pool, role) = match change {
             0 => return,
             1.. => (decode_engines, EngineRole::Prefill),
             _ => (prefill_engines, EngineRole::Decode),
         };
-        let mut pool = pool;
-        // An order is a request, too, and the engine would be out of use meanwhile.
-        pool.retain(|engine| self.gateway.limit_of(*engine).is_none());
         let chosen = self.gateway.pick_across_zones(&pool, change.unsigned_abs());
         log::info!(service = &**service, change, chosen = chosen.len(), role:?, holding:?; "roles_reconsidered");
         for engine in chosen {
@@ -210,6 +207,15 @@
         self.cooldown_until.set(Some(self.gateway.clock.now() + COOLDOWN));
     }
 
+    /// Returns the engines of a role that do not limit their requests.
+    ///
+    /// A limited engine does the work of a part of an engine, and gets no orders, which are requests too.
+    fn unlimited_engines(&self, service: &str, role: EngineRole) -> Vec<ServerKey> {
+        let mut engines = self.gateway.engines_of_role(service, role);
+        engines.retain(|engine| self.gateway.limit_of(*engine).is_none());
+        engines
+    }
+
     async fn order(&self, engine: ServerKey, role: EngineRole) -> Result<(), OrderFailure> {
         let (server, address) = {
             let directory = self.gateway.directory.borrow();
