--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -335,6 +335,13 @@
     if facts.is_other_server || (facts.limit == LimitNotice::Absent && !is_genuine) {
         return;
     }
+    let is_known = {
+        let directory = gateway.directory.borrow();
+        directory.get(server).is_some_and(|server| server.limit_state().is_some())
+    };
+    if !is_known && facts.limit == LimitNotice::Absent {
+        return;
+    }
     let now = gateway.clock.now();
     gateway.update_limit(server, OWN_RESPONSE, |current| {
         LimitState::after_response(current, facts.limit, called_at, now)
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
 use crate::dialect::{Dialect, RequestFacts};
-use crate::directory::{Directory, EngineRole, RecordChange, ServerRecord};
+use crate::directory::{Directory, EngineRole, RecordChange, Server, ServerRecord};
 use crate::exchange::CallError;
 use crate::failing_engines::FailingEngines;
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
@@ -435,7 +435,7 @@
                 latency: server.latency(now),
                 fill: 0.0,
                 role: record.role,
-                permit_wait: self.limit_of(key).map(|_| server.permit_wait(now)),
+                permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
             });
         }
         candidates
@@ -444,9 +444,10 @@
     /// Returns the engines that could run a completion, with their reserved load.
     pub fn engines(&self, request: &AdmissionRequest) -> Vec<Candidate> {
         let now = self.clock.now();
-        let share = self.limit_share();
         let capacity = self.engine_spec(&request.service).map_or(0, |engine| engine.kv_capacity);
         let mut candidates = self.candidates(&request.service, &[]);
+        let is_limited = candidates.iter().any(|candidate| candidate.permit_wait.is_some());
+        let share = if is_limited { self.limit_share() } else { 1.0 };
         let mut directory = self.directory.borrow_mut();
         let loads = self.reservations.borrow().loads(now);
         let failing_engines = self.failing_engines.borrow();
@@ -582,7 +583,7 @@
     /// Returns the limit of a server on the requests of all instances, if it names one.
     pub fn limit_of(&self, server: ServerKey) -> Option<RequestLimit> {
         let directory = self.directory.borrow();
-        directory.get(server)?.limit().filter(|_| !is_disabled(Guarantee::Limit))
+        effective_limit(directory.get(server)?)
     }
 
     /// Returns the part of each server's limit that this instance issues permits by as coordinator: the
@@ -877,6 +878,11 @@
     text.into()
 }
 
+/// Returns the limit of a server, unless limits are disabled.
+fn effective_limit(server: &Server) -> Option<RequestLimit> {
+    server.limit().filter(|_| !is_disabled(Guarantee::Limit))
+}
+
 /// A request in flight.
 pub struct InFlight(Rc<Gateway>);
 
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 mod permits;
 mod pool;
+mod presence;
 pub mod refusal;
 pub mod request_limit;
 pub mod reservations;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -30,6 +30,7 @@
     LimitEntry, PermitDecision, PermitId, PermitRequest, all_limits, decide_permit, limits_digest,
     merge_limits, record_issued,
 };
+use crate::presence::RecentMaximum;
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
 use crate::route::ServiceName;
 use crate::settings::GatewaySettings;
@@ -62,10 +63,6 @@
 /// one or two reports may be lost.
 const PRESENCE_WINDOW: Duration = Duration::from_millis(2_000);
 
-/// Time for which the largest number of live instances counts at least. Instances that are cut off for
-/// longer are taken for gone.
-const KNOWN_WINDOW: Duration = Duration::from_secs(60);
-
 /// Maximum length of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -786,41 +783,6 @@
     }
 }
 
-/// The largest of recent values, which counts for between one and two of `KNOWN_WINDOW`.
-#[derive(Debug, Clone, Copy)]
-struct RecentMaximum {
-    window_start: Instant,
-    current: usize,
-    previous: usize,
-}
-
-impl RecentMaximum {
-    fn new(now: Instant) -> Self {
-        Self { window_start: now, current: 1, previous: 1 }
-    }
-
-    fn record(&mut self, value: usize, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.window_start);
-        if elapsed >= KNOWN_WINDOW {
-            self.previous = if elapsed < 2 * KNOWN_WINDOW { self.current } else { 1 };
-            self.current = 1;
-            self.window_start = now;
-        }
-        self.current = self.current.max(value);
-    }
-
-    fn value(&self, now: Instant) -> usize {
-        let elapsed = now.saturating_duration_since(self.window_start);
-        if elapsed < 2 * KNOWN_WINDOW { self.current.max(self.previous) } else { 1 }
-    }
-
-    /// Takes out an instance that has announced its end.
-    fn forget_one(&mut self) {
-        self.current = self.current.saturating_sub(1).max(1);
-        self.previous = self.previous.saturating_sub(1).max(1);
-    }
-}
-
 /// Returns the feed revisions that this instance has reached.
 pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
--- a/crates/magnoliaspar-gateway/src/permits.rs
+++ b/crates/magnoliaspar-gateway/src/permits.rs
@@ -341,9 +341,10 @@
     let mut digest = 0;
     for (_, server) in directory.iter() {
         let Some(limit) = server.limit() else { continue };
-        let text = format!("{}/{}", server.record.id, server.record.started_ms);
+        let record = &server.record;
+        let text = format!("{}/{}/{}", record.id, record.started_ms, limit.per_second());
         // The order of the servers differs between instances.
-        digest ^= xxh3_64(text.as_bytes()) ^ limit.per_second().to_bits().rotate_left(17);
+        digest ^= xxh3_64(text.as_bytes());
     }
     digest
 }
--- a/crates/magnoliaspar-gateway/src/request_limit.rs
+++ b/crates/magnoliaspar-gateway/src/request_limit.rs
@@ -102,9 +102,16 @@
 
 impl LimitState {
     /// Returns the newer one of the `current` state and one that a peer has reported.
+    ///
+    /// A report of the same limit does not renew it, since a message makes its age appear too low.
     pub fn merge(current: Option<Self>, reported: Self) -> Self {
         match current {
-            Some(current) if current.observed_at >= reported.observed_at => current,
+            Some(current)
+                if current.limit == reported.limit
+                    || current.observed_at >= reported.observed_at =>
+            {
+                current
+            }
             _ => reported,
         }
     }
@@ -171,6 +178,21 @@
         }
     }
 
+    #[test]
+    fn reports_that_peers_return_do_not_keep_a_limit_that_was_lifted() {
+        let start = Instant::now();
+        let limit = RequestLimit::try_from(5.0).ok();
+        let state = |limit, after| LimitState { limit, observed_at: start + after * MS };
+        let mut current = state(limit, 0);
+        for round in 1..100 {
+            current = LimitState::merge(Some(current), state(limit, round));
+        }
+        let lifted = LimitState::merge(Some(current), state(None, 50));
+        assert_eq!(lifted.limit, None);
+        assert_eq!(LimitState::merge(Some(lifted), state(limit, 40)), lifted);
+        assert_eq!(LimitState::merge(Some(lifted), state(limit, 60)).limit, limit);
+    }
+
     #[test]
     fn a_response_that_was_overtaken_neither_raises_nor_lifts_a_limit() {
         let start = Instant::now();
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -46,8 +46,8 @@
         if dispatches > 0 && !gateway.take_retry(&req.service) {
             break if runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
         }
-        let server = match choose(gateway, req, &tried).await {
-            Ok(server) => server,
+        let Choice { server, has_alternative } = match choose(gateway, req, &tried).await {
+            Ok(choice) => choice,
             Err(refusal) => {
                 if dispatches > 0 {
                     gateway.return_retry(&req.service);
@@ -56,7 +56,6 @@
             }
         };
         let remaining = req.remaining(gateway.clock.now());
-        let has_alternative = gateway.candidates(&req.service, &tried).len() > 1;
         tried.push(server);
         let can_retry = req.route.allows_retry(runs + 1) && has_alternative;
         let timeout = match can_retry {
@@ -103,18 +102,26 @@
 /// Maximum number of requests to the coordinator for a permit before one choice of a server.
 const MAX_PERMIT_REQUESTS: u32 = 2;
 
+/// The server for one attempt.
+struct Choice {
+    server: ServerKey,
+    /// Whether there was another server.
+    has_alternative: bool,
+}
+
 /// Chooses a server that has not been tried, and obtains a permit if the server is limited.
 async fn choose(
     gateway: &Rc<Gateway>,
     req: &Incoming,
     tried: &[ServerKey],
-) -> Result<ServerKey, Refusal> {
+) -> Result<Choice, Refusal> {
     let mut permit_requests = 0;
     loop {
         let candidates = gateway.candidates(&req.service, tried);
         if candidates.is_empty() {
             return Err(if tried.is_empty() { Refusal::NoServer } else { Refusal::NoCapacity });
         }
+        let has_alternative = candidates.len() > 1;
         let now = gateway.clock.now();
         let (max_wait, decision_due_at) = match has_unlimited(&candidates) {
             true => (Duration::ZERO, req.deadline.min(now + PERMIT_TIMEOUT)),
@@ -127,14 +134,14 @@
         let chosen = gateway.with_rng(|rng| choose_server(&open, rng));
         let server = chosen.ok_or(Refusal::ServerLimit)?;
         if gateway.limit_of(server).is_none() {
-            return Ok(server);
+            return Ok(Choice { server, has_alternative });
         }
         permit_requests += 1;
         let limited = preferred_first(&open, server);
         let permit = obtain_permit(gateway, &limited, max_wait, decision_due_at).await;
         if let Some((server, wait)) = permit {
             tokio::time::sleep(wait).await;
-            return Ok(server);
+            return Ok(Choice { server, has_alternative });
         }
     }
 }
