Share the connections that a server accepts among the instances

Cause: the maximum of the configuration was read and not used; each instance kept up to 24 idle connections to each server. It is the class of the limits of servers: a bound for all instances that each counts alone.

Each instance keeps its share of the maximum idle, by the number of instances that it knows.

Connections in use are not bounded by this.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -134,8 +134,7 @@
     if gateway.directory.borrow().get(server).is_none() {
         return;
     }
-    let now = gateway.clock.now();
-    gateway.pool.borrow_mut().put(server, connection, now, idle_timeout);
+    gateway.keep_idle(server, connection, idle_timeout);
 }
 
 /// Counts a request as in flight at a server until dropped.
@@ -200,7 +199,7 @@
     let Ok(address) = address_of(gateway, server) else { return false };
     match connect(gateway, address).await {
         Ok(connection) => {
-            gateway.pool.borrow_mut().put(server, connection, gateway.clock.now(), None);
+            gateway.keep_idle(server, connection, None);
             true
         }
         Err(error) => {
@@ -236,7 +235,7 @@
             if let Some(server) = gateway.directory.borrow_mut().get_mut(server) {
                 server.is_unreachable = false;
             }
-            gateway.pool.borrow_mut().put(server, connection, now, None);
+            gateway.keep_idle(server, connection, None);
             gateway.admit_queued();
             return;
         }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -18,14 +18,14 @@
 };
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, Server, ServerRecord};
-use crate::exchange::CallError;
+use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers};
 use crate::permits::{Permits, mark_changed};
-use crate::pool::Pool;
+use crate::pool::{MAX_IDLE, Pool};
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
 use crate::roles::{ROLE_CHANGE_TIMEOUT, Sizes};
@@ -624,6 +624,32 @@
         sum
     }
 
+    /// Returns a connection to the pool, which keeps the share of this instance of the connections that
+    /// a server accepts from all instances.
+    pub fn keep_idle(
+        &self,
+        server: ServerKey,
+        connection: Connection,
+        idle_timeout: Option<Duration>,
+    ) {
+        let now = self.clock.now();
+        let max_idle = self.max_idle_connections(server, now);
+        self.pool.borrow_mut().put(server, connection, now, idle_timeout, max_idle);
+    }
+
+    fn max_idle_connections(&self, server: ServerKey, now: Instant) -> usize {
+        let directory = self.directory.borrow();
+        let routing = self.routing.borrow();
+        let service = directory.get(server).map(|server| &server.record.service);
+        let service = service.and_then(|name| routing.as_ref()?.services.get(name));
+        // Zero stands for a service without a stated maximum.
+        let accepted =
+            service.map(|service| service.max_connections as usize).filter(|max| *max > 0);
+        let Some(accepted) = accepted else { return MAX_IDLE };
+        let known = self.peers().map_or(1, |peers| peers.known(now));
+        (accepted / known).clamp(1, MAX_IDLE)
+    }
+
     /// Sends limits to the coordinators, or as coordinator to all instances.
     pub fn send_limits(&self, payload: Payload) {
         let Some(peers) = self.peers() else { return };
--- a/crates/magnoliaspar-gateway/src/pool.rs
+++ b/crates/magnoliaspar-gateway/src/pool.rs
@@ -7,8 +7,8 @@
 
 use crate::exchange::Connection;
 
-/// Maximum number of idle connections per server.
-const MAX_IDLE: usize = 24;
+/// Maximum number of idle connections of one instance per server.
+pub const MAX_IDLE: usize = 24;
 
 /// Margin before the server's idle timeout at which a connection is closed, so that no request
 /// crosses the server's close.
@@ -33,13 +33,15 @@
         None
     }
 
-    /// Adds a connection, to be kept until shortly before the server's idle timeout.
+    /// Adds a connection, to be kept until shortly before the server's idle timeout; it is closed if
+    /// there are `max_idle` already.
     pub fn put(
         &mut self,
         server: ServerKey,
         mut connection: Connection,
         now: Instant,
         idle_timeout: Option<Duration>,
+        max_idle: usize,
     ) {
         let lifetime = match idle_timeout {
             Some(timeout) => timeout.saturating_sub(IDLE_MARGIN),
@@ -50,7 +52,7 @@
         }
         connection.set_idle_until(Some(now + lifetime));
         let idle = self.0.entry(server).or_default();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < max_idle {
             idle.push(connection);
         }
     }
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -164,7 +164,8 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Service {
-    /// Maximum number of connections that one server accepts from all instances together.
+    /// Maximum number of connections that one server accepts from all instances together; 0 if none is
+    /// stated.
     pub max_connections: u32,
     /// Common properties of the service's model engines; `None` for other services.
     pub engine: Option<EngineSpec>,
