--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -753,6 +753,12 @@
             self.metrics.set_budget_left(service, budget.left());
         }
         self.update_max_instances();
+        if let Some(peers) = self.peers() {
+            let sent = peers.sent();
+            let metrics = &self.metrics;
+            metrics.peer_messages.inc_by(sent.messages - metrics.peer_messages.get());
+            metrics.peer_bytes.inc_by(sent.bytes - metrics.peer_bytes.get());
+        }
         let directory = self.directory.borrow();
         let limited = directory.iter().filter(|(_, server)| server.limit().is_some());
         self.metrics.limited_servers.set(limited.count() as i64);
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -40,6 +40,10 @@
     pub budget_exhausted: IntCounter,
     /// Connections opened to servers.
     pub connections: IntCounter,
+    /// Messages sent to other instances.
+    pub peer_messages: IntCounter,
+    /// Bytes of these messages.
+    pub peer_bytes: IntCounter,
     /// Completions queued here for engine memory.
     pub queued: IntGauge,
     /// Retries left in the budget, by service.
@@ -126,6 +130,8 @@
             resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
             budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
             connections: counter("gateway_connections_total", "Connections opened to servers."),
+            peer_messages: counter("gateway_peer_messages_total", "Messages sent to instances."),
+            peer_bytes: counter("gateway_peer_bytes_total", "Bytes of messages to instances."),
             queued: gauge("gateway_queued", "Completions that wait here for engine memory."),
             budget_left,
             log_lines_dropped: gauges("gateway_log_lines_dropped", "Dropped log lines.", "kind"),
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -280,6 +280,15 @@
     pub reported: FeedRevisions,
 }
 
+/// Counts of messages to other instances.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SentMessages {
+    /// Number of messages.
+    pub messages: u64,
+    /// Their length in bytes, without the headers of UDP and IP.
+    pub bytes: u64,
+}
+
 /// The socket for messages to and from the other instances, and the members known from them.
 pub struct Peers {
     socket: UdpSocket,
@@ -294,6 +303,7 @@
     /// Number of live instances that coordinators have reported, and the time of the report.
     reported_live: Cell<(usize, Instant)>,
     known: Cell<RecentMaximum>,
+    sent: Cell<SentMessages>,
     /// Position in the feed of the list of servers.
     servers_position: Rc<FeedPosition>,
     /// Notified when a peer has reported its revisions.
@@ -335,6 +345,7 @@
             peers,
             reported_live: Cell::new((1, now)),
             known: Cell::new(RecentMaximum::new(now)),
+            sent: Cell::default(),
             servers_position,
             reported: Notify::new(),
         })
@@ -531,7 +542,15 @@
         2 * self.servers_position.peers_ahead(now) > self.peers.borrow().len()
     }
 
+    /// Returns the messages sent so far.
+    pub fn sent(&self) -> SentMessages {
+        self.sent.get()
+    }
+
     fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let sent = self.sent.get();
+        let (messages, bytes_sent) = (sent.messages + 1, sent.bytes + bytes.len() as u64);
+        self.sent.set(SentMessages { messages, bytes: bytes_sent });
         if let Err(error) = self.socket.try_send_to(bytes, to) {
             // Lost messages are tolerated: the state is sent again at an interval.
             log::debug!(peer:% = to, reason:% = error; "peer_not_told");
