Keep refused prompts in the platform's table

What callers saw: after all instances had restarted at once, prompts that were known to crash engines reached them again, until the part was learned anew at the cost of three engines or more.

Cause: what instances know of prompts was passed on between live instances only.

The coordinator writes the refused prompts to a row of the table when one is added or its time grows, and each instance reads the row at its start. Both are repeated with a backoff while the table does not answer.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -313,6 +313,7 @@
             let refused = gateway
                 .with_quarantine(service, |quarantine| quarantine.record_crash(now, *crash, parts));
             if let Some(refused) = refused {
+                gateway.prompts_refused.notify_one();
                 let parts = display_parts(&refused);
                 log::warn!(reporter = from, service = &**service, parts = &*parts; "prompt_part_refused");
             }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordinator::{
@@ -84,6 +84,8 @@
     pub failing_engines: RefCell<FailingEngines>,
     /// Prompts that crash engines, by service: the engines of one may fail for reasons of their own.
     pub prompt_quarantines: RefCell<BTreeMap<ServiceName, PromptQuarantine>>,
+    /// Notified when prompts are refused that were not before, or for longer.
+    pub(crate) prompts_refused: Notify,
     /// Completions of all instances that are queued here for engine memory.
     pub queue: Queue,
     /// Admission requests of this instance without a decision.
@@ -143,6 +145,7 @@
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
             prompt_quarantines: RefCell::default(),
+            prompts_refused: Notify::new(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             permits: Permits::default(),
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::permits::spread_limits;
 use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
+use crate::stored_quarantine::keep_quarantine;
 use crate::{copy, handler};
 
 /// Interval at which idle connections and removed servers are checked.
@@ -128,6 +129,7 @@
         actix_rt::spawn(readiness.run());
         actix_rt::spawn(metrics.run());
         actix_rt::spawn(copies.run());
+        actix_rt::spawn(keep_quarantine(gateway.clone(), platform.table.clone()));
         let routing = Rc::new(RoutingFollower(gateway.clone()));
         actix_rt::spawn(follow("configuration", platform.routing, routing));
         actix_rt::spawn(follow("servers", platform.servers, gateway.clone()));
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod route;
 pub mod selection;
 mod settings;
+mod stored_quarantine;
 pub mod stream;
 pub mod unary;
 
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -828,6 +828,7 @@
         let is_new =
             gateway.with_quarantine(&service, |quarantine| quarantine.merge(now, parts, remaining));
         if is_new {
+            gateway.prompts_refused.notify_one();
             log::info!(peer = from, service, parts = &*names, remaining_ms; "prompt_part_refused");
         }
     }
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -0,0 +1,140 @@
+//! Keeps the refused prompts in the platform's table, for instances that restart all at once.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use displaydoc::Display;
+use magnoliaspar_retry::{Backoff, PartId};
+use magnoliaspar_store::{
+    Condition, PlatformError, Row, RowKey, TableService, Transaction, Write, WriteOutcome,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::{Gateway, display_parts};
+use crate::route::ServiceName;
+
+/// The row that holds the refused prompts.
+const ROW: &str = "quarantine/prompts";
+
+/// Maximum number of refused prompts in the row.
+const MAX_STORED: usize = 64;
+
+/// Maximum number of parts of one refused prompt in the row.
+const MAX_STORED_PARTS: usize = 64;
+
+/// Backoff between two calls to the table after one failed.
+const BACKOFF: Backoff =
+    Backoff { first: Duration::from_millis(250), longest: Duration::from_secs(4) };
+
+/// Reads the refused prompts at the start, then writes those that this instance learns as coordinator,
+/// for as long as the process runs.
+pub async fn keep_quarantine(gateway: Rc<Gateway>, table: Rc<dyn TableService>) {
+    repeat(async || read(&gateway, &*table).await).await;
+    loop {
+        gateway.prompts_refused.notified().await;
+        if gateway.coordinator().is_some() {
+            continue;
+        }
+        repeat(async || write(&gateway, &*table).await).await;
+    }
+}
+
+/// Repeats a call to the table until it succeeds.
+async fn repeat(call: impl AsyncFn() -> Result<(), CallFailure>) {
+    let mut failures = 0;
+    while let Err(reason) = call().await {
+        log::warn!(reason:%; "quarantine_not_stored");
+        tokio::time::sleep(BACKOFF.ceiling(failures)).await;
+        failures = failures.saturating_add(1);
+    }
+}
+
+/// Reason why the refused prompts were neither read nor written.
+#[derive(Debug)]
+#[derive(Display)]
+enum CallFailure {
+    /// {0}
+    Table(PlatformError),
+    /// another instance has written the row meanwhile
+    Conflict,
+}
+
+impl From<PlatformError> for CallFailure {
+    fn from(error: PlatformError) -> Self {
+        Self::Table(error)
+    }
+}
+
+/// Parts of prompts that are refused if a prompt has all of them, as stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct StoredPrompt {
+    service: ServiceName,
+    parts: BTreeSet<PartId>,
+    /// End of the refusal, in milliseconds since the Unix epoch.
+    until_ms: u64,
+}
+
+async fn read(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
+    let row = table.read(&RowKey(ROW.into())).await?;
+    let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
+    for prompt in stored_prompts(row.as_ref()) {
+        let remaining_ms = prompt.until_ms.saturating_sub(wall_ms);
+        if remaining_ms == 0 {
+            continue;
+        }
+        let names = display_parts(&prompt.parts);
+        log::info!(service = &*prompt.service, parts = &*names, remaining_ms; "prompt_part_restored");
+        let remaining = Duration::from_millis(remaining_ms);
+        gateway.with_quarantine(&prompt.service, |quarantine| {
+            quarantine.merge(now, prompt.parts, remaining)
+        });
+    }
+    Ok(())
+}
+
+/// Adds the prompts that this instance refuses to the stored ones, and drops those whose time is over.
+async fn write(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
+    let key = RowKey(ROW.into());
+    let row = table.read(&key).await?;
+    let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
+    let mut prompts = stored_prompts(row.as_ref());
+    prompts.retain(|prompt| prompt.until_ms > wall_ms);
+    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+        for (parts, remaining) in quarantine.refused(now) {
+            prompts.retain(|prompt| prompt.service != *service || prompt.parts != parts);
+            let until_ms = wall_ms + remaining.as_millis() as u64;
+            prompts.push(StoredPrompt { service: service.clone(), parts, until_ms });
+        }
+    }
+    prompts.retain(|prompt| prompt.parts.len() <= MAX_STORED_PARTS);
+    prompts.sort_by_key(|prompt| std::cmp::Reverse(prompt.until_ms));
+    prompts.truncate(MAX_STORED);
+    let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
+    let value = Some(serde_json::to_value(&prompts).expect("the prompts have text keys"));
+    let transaction = Transaction { writes: vec![Write { key, condition, value }] };
+    match table.commit(&transaction).await? {
+        WriteOutcome::Applied(_) => {
+            log::info!(prompts = prompts.len(); "quarantine_stored");
+            Ok(())
+        }
+        WriteOutcome::Conflict { .. } => Err(CallFailure::Conflict),
+    }
+}
+
+/// Returns the prompts of a row; none if the row cannot be read.
+fn stored_prompts(row: Option<&Row>) -> Vec<StoredPrompt> {
+    let Some(row) = row else { return Vec::new() };
+    match serde_json::from_value(row.value.clone()) {
+        Ok(prompts) => prompts,
+        Err(error) => {
+            log::warn!(key = ROW, reason:% = error; "row_unreadable");
+            Vec::new()
+        }
+    }
+}
+
+fn unix_ms(wall: SystemTime) -> u64 {
+    wall.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
