Try one prompt at a time after the refusal of its parts has ended

Cause: the end of a refusal is a bound for all instances that each of them applied alone. The coordinator admits every prompt, but looked only at whether the refusal still held.

Once a refusal has ended, the coordinator admits one prompt with the parts each 3 s, until one starts, which clears them, or crashes an engine, which doubles the refusal. The others are refused and told to come again.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -169,6 +169,7 @@
     match grant(gateway, instance, id, &request) {
         Ok(grant) => return Decision::Granted(grant),
         Err(PlanError::NoEngine) => return Decision::NoEngine,
+        Err(PlanError::Quarantined) => return Decision::Quarantined,
         Err(PlanError::NoCapacity) => {}
     }
     schedule_wake(gateway, &request.service);
@@ -221,6 +222,7 @@
                 return;
             }
             Err(PlanError::NoEngine) => Decision::NoEngine,
+            Err(PlanError::Quarantined) => Decision::Quarantined,
         };
         gateway.queue.remove(&instance, id);
         gateway.deliver_decision(&instance, id, decision);
@@ -262,6 +264,9 @@
         prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
     };
     let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng))?;
+    if !gateway.allows_trial(&request.service, &request.parts) {
+        return Err(PlanError::Quarantined);
+    }
     let decode = gateway.server_name(plan.decode());
     let mut tokens_ahead = 0;
     let mut fill = 0.0;
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -226,6 +226,13 @@
         quarantines.get(service)?.refused_for(self.clock.now(), parts)
     }
 
+    /// Returns whether a completion whose refusal has ended may be tried now; records the trial.
+    pub fn allows_trial(&self, service: &str, parts: &[PartId]) -> bool {
+        let mut quarantines = self.prompt_quarantines.borrow_mut();
+        let quarantine = quarantines.get_mut(service);
+        quarantine.is_none_or(|quarantine| quarantine.allows_trial(self.clock.now(), parts))
+    }
+
     /// Returns whether a completion may not run once more after it has crashed an engine.
     pub fn is_suspected(&self, service: &str, parts: &[PartId]) -> bool {
         let quarantines = self.prompt_quarantines.borrow();
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -184,7 +184,10 @@
                 // Other instances can take the request immediately.
                 Some(_) if refusal == Refusal::Stopping => Some(Duration::ZERO),
                 // Until then every instance refuses the request.
-                Some(_) if refusal == Refusal::Quarantined => Some(cx.quarantined_for(gateway)),
+                Some(route) if refusal == Refusal::Quarantined => {
+                    let refused_for = cx.quarantined_for(gateway);
+                    Some(gateway.retry_after(route, remaining).max(refused_for))
+                }
                 Some(route) if is_not_run => {
                     let earliest = cx.permit_due_in(gateway, refusal);
                     Some(gateway.retry_after(route, remaining).max(earliest))
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -136,6 +136,8 @@
     NoEngine,
     /// There are decode engines, but none has enough free memory.
     NoCapacity,
+    /// The refusal of the prompt has ended, and another such prompt is being tried.
+    Quarantined,
 }
 
 /// A prompt to be placed.
--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -30,6 +30,9 @@
 const REFUSAL_BACKOFF: Backoff =
     Backoff { first: Duration::from_secs(30), longest: Duration::from_secs(3_600) };
 
+/// Time for which one prompt is tried after a refusal has ended, before the next one.
+const TRIAL_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum number of suspected parts.
 const MAX_SUSPECTS: usize = 512;
 
@@ -78,6 +81,8 @@
 #[derive(Debug, Clone, Copy)]
 struct RefusedState {
     until: Instant,
+    /// The end of the trial of one prompt, after the refusal has ended.
+    trial_until: Option<Instant>,
     /// How often it was refused again after its time had passed.
     rounds: u32,
 }
@@ -95,6 +100,25 @@
         longest
     }
 
+    /// Returns whether a prompt with these parts may be tried although its refusal has ended without a
+    /// start: one at a time, until one starts or crashes an engine.
+    ///
+    /// Only the instance that admits all prompts may call this, since it records the trial.
+    pub fn allows_trial(&mut self, now: Instant, parts: &[PartId]) -> bool {
+        let parts: BTreeSet<PartId> = parts.iter().copied().collect();
+        let ended = |(refused, state): &(&BTreeSet<PartId>, &mut RefusedState)| {
+            now >= state.until && refused.is_subset(&parts)
+        };
+        let ended: Vec<_> = self.refused.iter_mut().filter(ended).map(|(_, state)| state).collect();
+        if ended.iter().any(|state| state.trial_until.is_some_and(|until| now < until)) {
+            return false;
+        }
+        for state in ended {
+            state.trial_until = Some(now + TRIAL_TIME);
+        }
+        true
+    }
+
     /// Returns whether requests with one of these parts were hit by several crashes, and none with it
     /// has started since.
     pub fn is_suspected(&self, now: Instant, parts: &[PartId]) -> bool {
@@ -163,7 +187,11 @@
             return false;
         }
         let is_new = !self.refused.contains_key(&parts);
-        let state = self.refused.entry(parts).or_insert(RefusedState { until, rounds: 0 });
+        let state = self.refused.entry(parts).or_insert(RefusedState {
+            until,
+            trial_until: None,
+            rounds: 0,
+        });
         state.until = state.until.max(until);
         self.evict();
         is_new
@@ -212,7 +240,7 @@
     fn refuse(&mut self, now: Instant, parts: BTreeSet<PartId>) {
         let rounds = self.refused.get(&parts).map_or(0, |state| state.rounds + 1);
         let until = now + REFUSAL_BACKOFF.ceiling(rounds);
-        self.refused.insert(parts, RefusedState { until, rounds });
+        self.refused.insert(parts, RefusedState { until, trial_until: None, rounds });
     }
 
     /// Removes the oldest entries above the limits.
