--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -99,6 +99,9 @@
 /// rank of the route, so that the routes of the highest priority are served first.
 const PERMIT_WAIT_SHARE: f64 = 0.6;
 
+/// Maximum number of servers in one request to the coordinator for a permit.
+const MAX_PERMIT_SERVERS: usize = 16;
+
 /// Maximum number of requests to the coordinator for a permit before one choice of a server.
 const MAX_PERMIT_REQUESTS: u32 = 2;
 
@@ -155,13 +158,17 @@
     req.route.target_latency.mul_f64(share).min(remaining / 2)
 }
 
-/// Returns the limited servers among the candidates, the preferred one first.
+/// Returns limited servers among the candidates, the preferred one first.
 fn preferred_first(candidates: &[Candidate], preferred: ServerKey) -> Vec<ServerKey> {
     let mut servers = vec![preferred];
     for candidate in candidates {
-        if candidate.permit_wait.is_some() && candidate.key != preferred {
-            servers.push(candidate.key);
+        if candidate.permit_wait.is_none() || candidate.key == preferred {
+            continue;
+        }
+        if servers.len() == MAX_PERMIT_SERVERS {
+            break;
         }
+        servers.push(candidate.key);
     }
     servers
 }
