Number requests for permits differently in each process

An instance that restarted within a second repeated the numbers of its former process, and could get a decision that the coordinator remembered for it: a permit that was not counted. Found by reading; the numbers start at random now, and no run showed it.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -148,7 +148,7 @@
             prompts_refused: Notify::new(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
-            permits: Permits::default(),
+            permits: Permits::new(rand::rng().random()),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
             sizes: RefCell::default(),
--- a/crates/magnoliaspar-gateway/src/permits.rs
+++ b/crates/magnoliaspar-gateway/src/permits.rs
@@ -101,6 +101,12 @@
 }
 
 impl Permits {
+    /// Creates the state with a first number, which should differ between processes of an instance: a
+    /// coordinator may remember decisions for the former process.
+    pub fn new(first_id: PermitId) -> Self {
+        Self { next_id: Cell::new(first_id), ..Self::default() }
+    }
+
     /// Delivers a decision of the coordinator to the request that waits for it.
     pub fn receive(&self, id: PermitId, decision: PermitDecision) {
         let waiter = self.pending.borrow().get(&id).cloned();
@@ -136,8 +142,8 @@
     deadline: Instant,
 ) -> Option<(ServerKey, Duration)> {
     let permits = &gateway.permits;
-    let id = permits.next_id.get() + 1;
-    permits.next_id.set(id);
+    let id = permits.next_id.get();
+    permits.next_id.set(id.wrapping_add(1));
     let (tx, mut decisions) = mpsc::unbounded_channel();
     permits.pending.borrow_mut().insert(id, tx);
     let _pending = PendingPermit { gateway, id };
