Contact the seeds with each report on the smaller side of a cut

What callers saw: an added route was refused with 404 on an instance 0.2 s after it had to be in force, when its zone had been cut off before.

Cause: an instance that has lost its peers contacts the seeds each fourth report, 3.2 s apart, unless it knows nobody at all; one that still knows another instance of its zone found the others only 2.8 s after the cut had healed, and their newer configuration after that.

With half of the known instances gone or more, an instance contacts the seeds with each report. All do it if many have died; that is three datagrams each 0.8 s for a minute or two.

--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -848,6 +848,12 @@
     }
 }
 
+/// Returns whether this instance may be on the smaller side of a cut, or on one of two equal ones; it
+/// contacts the seeds more often then, to notice the end of the cut.
+fn is_minority(live: usize, known: usize) -> bool {
+    live < known && 2 * live <= known
+}
+
 /// Receives messages from peers for as long as the process runs.
 pub async fn listen(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -876,9 +882,10 @@
         if gateway.is_stopped.get() {
             return;
         }
-        peers.send_state(&gateway, round.is_multiple_of(REFRESHES_PER_SEED_CONTACT));
-        round = round.wrapping_add(1);
         let now = gateway.clock.now();
+        let is_due = round.is_multiple_of(REFRESHES_PER_SEED_CONTACT);
+        peers.send_state(&gateway, is_due || is_minority(peers.live(now), peers.known(now)));
+        round = round.wrapping_add(1);
         for instance in peers.expire(now) {
             log::info!(peer = &*instance; "peer_lost");
             gateway.queue.remove_instance(&instance);
