--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -100,7 +100,7 @@
         refused: Vec<RefusedPrompt>,
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
-        limits: u64,
+        limits_digest: u64,
     },
     /// The members that the sender knows, including itself.
     Members {
@@ -116,7 +116,7 @@
         refused: Vec<RefusedPrompt>,
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
-        limits: u64,
+        limits_digest: u64,
     },
     /// The sender requests admission of a completion.
     #[serde(rename = "Ask")]
@@ -423,7 +423,7 @@
                 let members = vec![self.member(now)];
                 let revisions = FeedRevisions::default();
                 let refused = Vec::new();
-                Payload::Members { members, live: 1, revisions, refused, limits: 0 }
+                Payload::Members { members, live: 1, revisions, refused, limits_digest: 0 }
             }
         };
         let message = Message { from: self.instance.clone(), payload };
@@ -580,7 +580,7 @@
             reservations,
             revisions: revisions(gateway),
             refused: refused_prompts(gateway, now),
-            limits: limits_digest(gateway),
+            limits_digest: limits_digest(gateway),
         };
         let message = Message { from: self.instance.clone(), payload };
         let Some(bytes) = encode(&message) else { return };
@@ -724,7 +724,13 @@
         let now = gateway.clock.now();
         let sender = message.from;
         match message.payload {
-            Payload::State { member, reservations, revisions: peer_revisions, refused, limits } => {
+            Payload::State {
+                member,
+                reservations,
+                revisions: peer_revisions,
+                refused,
+                limits_digest: peer_digest,
+            } => {
                 merge_refused(gateway, &sender, refused, now);
                 let address = member.address;
                 let zone = member.zone.clone();
@@ -746,14 +752,15 @@
                         live,
                         revisions: revisions(gateway),
                         refused: refused_prompts(gateway, now),
-                        limits: limits_digest(gateway),
+                        limits_digest: limits_digest(gateway),
                     },
                 );
-                self.reconcile_limits(gateway, address, limits);
+                self.reconcile_limits(gateway, address, peer_digest);
             }
-            Payload::Members { members, live, revisions, refused, limits } => {
+            Payload::Members { members, live, revisions, refused, limits_digest: peer_digest } => {
+                // An instance that announces its end sends no fingerprint.
                 if live > 1 {
-                    self.reconcile_limits(gateway, from, limits);
+                    self.reconcile_limits(gateway, from, peer_digest);
                 }
                 merge_refused(gateway, &sender, refused, now);
                 self.record_live_count(live, now);
