--- a/crates/magnoliaspar-core/src/lib.rs
+++ b/crates/magnoliaspar-core/src/lib.rs
@@ -2,6 +2,7 @@
 //! prefix hashes.
 
 mod clock;
+mod epoch;
 mod finding;
 mod id;
 mod key;
@@ -9,6 +10,7 @@
 mod prefix;
 
 pub use self::clock::{Clock, ManualClock, SystemClock};
+pub use self::epoch::Epoch;
 pub use self::finding::{Finding, Findings, Place};
 pub use self::id::{
     AttemptId, IdempotencyKey, Incarnation, InstanceName, ModelName, NameError, PoolName,
--- a/crates/magnoliaspar-store/src/table.rs
+++ b/crates/magnoliaspar-store/src/table.rs
@@ -1,6 +1,7 @@
 //! The table service with its rows and transactions.
 
 use async_trait::async_trait;
+use magnoliaspar_core::Epoch;
 use serde::{Deserialize, Serialize};
 
 use crate::PlatformError;
@@ -21,6 +22,12 @@
 
     /// Applies all writes of a transaction atomically.
     async fn commit(&self, transaction: &Transaction) -> Result<WriteOutcome, PlatformError>;
+
+    /// Returns the highest epoch of the table that a call has met; always the first one if the table is
+    /// never restored from a copy.
+    fn epoch(&self) -> Epoch {
+        Epoch::default()
+    }
 }
 
 /// The key of a row, as a path such as `claim/midlands/voucher-17`.
