End no stream as complete after a response without a stream of events

A caller of a resumable stream got three of eight events in a response that was framed as complete: its first engine broke off, and the second one answered the request to go on with 204, which named the request and carried the seal. An empty response of an engine that goes on is taken for the end of the stream, since the first engine may have broken off just after its last event; nothing asked whether it was a stream at all. Only a 200 of type text/event-stream counts now; anything else has broken off before its first event.

The new test failed before with 'assertion failed: !response.is_complete' and passes now.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -99,6 +99,9 @@
 /// Timeout for the body of a refusal. Opening another connection takes no longer.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A response whose head has been read.
 pub struct Reply {
     /// The head.
@@ -120,6 +123,14 @@
         self.head.status.is_success() && self.facts.is_sealed && !is_encoded
     }
 
+    /// Returns whether the response is a stream of events, which may be empty.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.head.headers().get(header::CONTENT_TYPE);
+        let is_of_events =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+        self.head.status == StatusCode::OK && is_of_events
+    }
+
     /// Reads the rest of the response, up to `limit` bytes; fails unless it is whole.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallError> {
         let body = self.body.read_whole(limit).await?;
--- a/crates/magnoliaspar-gateway/src/evidence.rs
+++ b/crates/magnoliaspar-gateway/src/evidence.rs
@@ -71,7 +71,7 @@
             return Self::BrokenOff("the stream ended inside an event");
         }
         // The stream before may have broken off just after its last event.
-        let may_be_empty = stream.is_continuation && stream.is_delimited;
+        let may_be_empty = stream.is_continuation && stream.is_delimited && stream.is_event_stream;
         if !stream.has_event && !may_be_empty {
             return Self::BrokenOff("the stream ended before its first event");
         }
@@ -84,6 +84,8 @@
 pub struct StreamEnd {
     /// Whether a length or chunks announced the end.
     pub is_delimited: bool,
+    /// Whether the head announced a stream of events.
+    pub is_event_stream: bool,
     /// Whether it came inside an event.
     pub is_inside_event: bool,
     /// Whether the engine has sent an event.
@@ -161,6 +163,7 @@
         let ending = |is_delimited, is_inside_event, has_event, is_continuation| {
             Ending::of_stream(StreamEnd {
                 is_delimited,
+                is_event_stream: true,
                 is_inside_event,
                 has_event,
                 is_continuation,
@@ -176,6 +179,13 @@
         }
         assert!(is_broken(ending(true, false, false, false)));
         assert_eq!(ending(true, false, false, true), Ending::Whole);
+        assert!(is_broken(Ending::of_stream(StreamEnd {
+            is_delimited: true,
+            is_event_stream: false,
+            is_inside_event: false,
+            has_event: false,
+            is_continuation: true,
+        })));
     }
 
     #[test]
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -442,6 +442,7 @@
                 Ok(Ok(None)) => {
                     let ending = Ending::of_stream(StreamEnd {
                         is_delimited: reply.body.is_delimited(),
+                        is_event_stream: reply.is_event_stream(),
                         is_inside_event: self.events.has_partial(),
                         has_event: self.has_event,
                         is_continuation: self.is_continuation,
