Keep a silent attempt until its successor has begun to respond

An attempt that was late was cancelled, which closes its connection, before the retry budget, the coordinator, a permit and a connection had allowed another one. Now an attempt in hand goes on beside its successor, until the successor has sent a whole response or the first whole event of a stream; if the successor is not allowed, refused or fails, the first one is awaited until the deadline.

A server that is silent is avoided as before; its idle connections are no longer closed and it is no longer marked unreachable for that, unless a new connection to it fails.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -255,6 +255,7 @@
         Err(error) => {
             log::warn!(server = gateway.server_name(server), reason:% = error; "server_lost");
             gateway.report_engine(server);
+            gateway.pool.borrow_mut().drop_server(server);
             probe(gateway, server);
             false
         }
@@ -507,12 +508,12 @@
             let (status, framing) = (reply.head.status.as_u16(), reply.body.framing_name());
             log::debug!(request, server = name, prefill, status, framing, elapsed_ms; "call_answered");
         }
-        Err(CallError::TimedOut)
-            if directory.get(server).is_some_and(|server| server.has_answered_recently(now)) =>
-        {
-            directory.record_latency(server, elapsed, now);
+        Err(CallError::TimedOut) => {
+            drop(directory);
+            let avoided = record_silence(gateway, server, elapsed);
             gateway.metrics.count_call("timed_out");
-            log::warn!(request, server = name, prefill, reason = "late", elapsed_ms; "call_failed");
+            let avoided_ms = avoided.map_or(0, |avoided| avoided.as_millis() as u64);
+            log::warn!(request, server = name, prefill, reason = "late", elapsed_ms, avoided_ms; "call_failed");
         }
         Err(CallError::NotSent(reason)) => {
             log::warn!(request, server = name, prefill, reason = &**reason, elapsed_ms; "call_not_sent");
@@ -534,6 +535,29 @@
     }
 }
 
+/// Records that a server is silent for longer than expected, though it may still go on; returns the duration for
+/// which other servers are preferred.
+pub fn record_silence(
+    gateway: &Rc<Gateway>,
+    server: ServerKey,
+    silent: Duration,
+) -> Option<Duration> {
+    let now = gateway.clock.now();
+    let mut directory = gateway.directory.borrow_mut();
+    let state = directory.get(server)?;
+    let (has_answered, was_avoided) = (state.has_answered_recently(now), state.is_avoided(now));
+    if has_answered {
+        directory.record_latency(server, silent, now);
+        return None;
+    }
+    let avoided = directory.record_failure(server, now);
+    if !was_avoided {
+        let gateway = gateway.clone();
+        actix_rt::spawn(async move { can_connect(&gateway, server).await });
+    }
+    avoided
+}
+
 /// Timeout of a call that releases a KV cache.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -173,6 +173,11 @@
         self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < RECENT_ANSWER_WINDOW)
     }
 
+    /// Returns whether the server has responded to a call after a time.
+    pub fn has_answered_since(&self, time: Instant) -> bool {
+        self.answered_at.is_some_and(|at| at > time)
+    }
+
     /// Returns whether the server is out of use while it changes its role.
     pub fn is_changing(&self, now: Instant) -> bool {
         let Some((role, until)) = self.changing else { return false };
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -1,5 +1,8 @@
 //! Completions, whose responses are streams of events.
 
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,60 +10,94 @@
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use bytes::Bytes;
 use displaydoc::Display;
+use futures_util::future::LocalBoxFuture;
 use futures_util::stream::unfold;
 use magnoliaspar_core::ServerKey;
+use tokio::sync::watch;
 
 use crate::admission::{History, Placement, admit};
 use crate::call::{
-    CallSpec, Incoming, Reply, acquire, call, can_connect, keep_connection, release_kv_cache,
+    CallSpec, Incoming, Reply, acquire, call, can_connect, keep_connection, record_silence,
+    release_kv_cache,
 };
-use crate::events::EventBuffer;
-use crate::evidence::{Ending, StreamEnd, promises_not_run};
+use crate::engine_stream::EngineStream;
+use crate::evidence::promises_not_run;
 use crate::exchange::CallError;
 use crate::gateway::{Gateway, InFlight, display_parts};
+use crate::hedge::{Course, Patience, ReservedRetry, Tally};
 use crate::refusal::Refusal;
-use crate::route::ServiceName;
 use crate::selection::Plan;
 use crate::unary::{Outcome, copy_response_head};
 
-/// Silence after which a resumable stream continues at another engine, as a multiple of the route's
+/// Silence after which a resumable stream is started at another engine, too, as a multiple of the route's
 /// `max_gap`. The latency target of the route is the lower bound.
 const STALL_TIMEOUT_GAPS: u32 = 4;
 
-/// Share of the latency target within which an engine must start to respond to a resumable
-/// completion. After it the completion is sent to another engine, which can still meet the target.
+/// Share of the latency target within which an engine must start to respond to a resumable completion. After it
+/// the completion is sent to another engine, too, which can still meet the target.
 const START_TIMEOUT_SHARE: f64 = 0.5;
 
-/// Runs a completion and returns its stream once the engine has started to respond.
+/// Runs a completion and returns its stream once an engine has started to respond.
 pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>, guard: InFlight) -> Outcome {
     let mut attempts = Attempts::default();
-    match attempts.start(gateway, &req, req.facts.resume_after).await {
-        Ok(Start::Stream(reply, placement)) => {
-            let response = copy_response_head(&reply.head);
-            let server = gateway.server_name(reply.guard.server);
-            let relay = Relay {
-                gateway: gateway.clone(),
-                events: EventBuffer::after(req.facts.resume_after),
-                is_continuation: req.facts.resume_after.is_some(),
-                req,
-                attempts,
-                current: Some((*reply, placement)),
-                has_event: false,
-                _guard: guard,
+    let cx = Context { gateway, req: &req };
+    let resume_after = req.facts.resume_after;
+    let (engine, ready) = match attempts.find_engine(cx, resume_after).await {
+        Ok(Started::Head(reply, placement)) => {
+            (EngineStream::begin(gateway, *reply, placement, resume_after), None)
+        }
+        Ok(Started::Opened(opened)) => (opened.engine, Some(opened.events)),
+        // The failure of an engine is more specific than the refusal to retry.
+        Err(refusal) => {
+            return match attempts.failure.take() {
+                Some(failure) => Outcome::Response(failure.response, failure.server),
+                None => Outcome::Refused(refusal),
             };
-            Outcome::Response(relay.into_response(response), server)
         }
-        Ok(Start::Failed(failure)) => Outcome::Response(failure.response, failure.server),
-        Err(refusal) => Outcome::Refused(refusal),
-    }
+    };
+    let response = copy_response_head(&engine.reply.head);
+    let server = gateway.server_name(engine.reply.guard.server);
+    let relay = Relay {
+        gateway: gateway.clone(),
+        req: req.clone(),
+        attempts,
+        current: Some(engine),
+        ready,
+        _guard: guard,
+    };
+    Outcome::Response(relay.into_response(response), server)
+}
+
+/// The request that is run, and the gateway that runs it.
+#[derive(Clone, Copy)]
+struct Context<'a> {
+    gateway: &'a Rc<Gateway>,
+    req: &'a Rc<Incoming>,
+}
+
+/// The start of a completion at an engine.
+enum Started {
+    /// The engine has sent the head of its stream.
+    Head(Box<Reply>, Placement),
+    /// The engine was started beside a silent one, and has sent its first events before that one has sent anything.
+    Opened(Opened),
+}
+
+/// A stream with its next events.
+struct Opened {
+    engine: Box<EngineStream>,
+    /// The events, or `None` after the last one.
+    events: Option<Bytes>,
 }
 
-/// The start of a completion.
-enum Start {
-    /// An engine has begun to respond.
-    Stream(Box<Reply>, Placement),
-    /// The last engine that responded has failed.
-    Failed(Failure),
+/// Result of a wait for an engine beside which a successor may have been started.
+enum Raced<T> {
+    /// The engine has responded or failed.
+    First(T),
+    /// The successor has responded, and the engine was given up.
+    Successor(Opened),
+    /// The engine was given up for a successor that has failed since.
+    Lost(Refusal),
 }
 
 /// The failure of an engine, to be forwarded unchanged.
@@ -98,66 +135,34 @@
 /// Maximum length of a buffered error or prefill response, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
 
-/// A retry taken out of the budget, which is returned on drop unless it was used.
-struct ReservedRetry<'a> {
-    gateway: &'a Gateway,
-    service: &'a ServiceName,
-    is_used: bool,
-}
-
-impl Drop for ReservedRetry<'_> {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.gateway.return_retry(self.service);
-        }
-    }
-}
-
 /// The attempts made for a completion.
 #[derive(Default)]
 struct Attempts {
     tried: Vec<ServerKey>,
-    /// Requests that reached a server, except those for prefill only.
-    dispatches: u32,
+    tally: Tally,
     /// Prefill requests that reached a server. The first one is charged only if it fails.
     prefill_attempts: u32,
-    /// Requests that an engine may have run.
-    runs: u32,
-    /// The KV cache of the prompt, until an engine has fetched it.
+    /// The KV cache of the prompt, until it is offered to an engine.
     kv_cache: Option<HeldKvCache>,
     /// Decode requests that an engine rejected; after the second, the KV cache is released.
     rejections: u32,
+    /// The last failure of an engine that may be forwarded.
+    failure: Option<Failure>,
     /// Whether an engine crashed before the completion had started on it.
-    has_crashed: bool,
+    has_crashed: Rc<Cell<bool>>,
+    /// The course of the attempt that was started last beside a silent one.
+    course: watch::Sender<Course>,
 }
 
 impl Attempts {
-    /// Starts the completion at an engine, or resumes it after an event.
-    async fn start(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        req: &Rc<Incoming>,
-        resume_after: Option<u64>,
-    ) -> Result<Start, Refusal> {
-        let mut failure = None;
-        let started = self.find_engine(gateway, req, resume_after, &mut failure).await;
-        match (started, failure) {
-            (Ok((reply, placement)), _) => Ok(Start::Stream(Box::new(reply), placement)),
-            // The failure of an engine is more specific than the refusal to retry.
-            (Err(_), Some(failure)) => Ok(Start::Failed(failure)),
-            (Err(refusal), None) => Err(refusal),
-        }
-    }
-
-    /// Sends the completion to engines until one begins to respond with a stream or no further attempt is
-    /// allowed; `failure` is the last one that may be forwarded.
+    /// Sends the completion to engines, after an event if given, until one begins to respond with a stream or no
+    /// further attempt is allowed.
     async fn find_engine(
         &mut self,
-        gateway: &Rc<Gateway>,
-        req: &Rc<Incoming>,
+        cx: Context<'_>,
         resume_after: Option<u64>,
-        failure: &mut Option<Failure>,
-    ) -> Result<(Reply, Placement), Refusal> {
+    ) -> Result<Started, Refusal> {
+        let Context { gateway, req } = cx;
         loop {
             if gateway.quarantined_for(&req.service, &req.parts).is_some() {
                 return Err(self.refuse(Refusal::Quarantined, Refusal::MayHaveRun));
@@ -165,110 +170,237 @@
             let is_resumption = resume_after != req.facts.resume_after;
             // The budget is checked before admission: a completion that may not be retried must
             // neither wait for engine memory nor reserve it.
-            let mut retry = match self.dispatches {
-                0 => None,
-                _ if !gateway.take_retry(&req.service) => {
+            let mut retry = None;
+            if self.tally.dispatches > 0 {
+                retry = ReservedRetry::take(gateway, &req.service);
+                if retry.is_none() {
+                    log::info!(request = &*req.facts.id, reason = "the retry budget is used up"; "not_retried");
                     return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
                 }
-                _ => Some(ReservedRetry { gateway, service: &req.service, is_used: false }),
-            };
-            let history = History { is_resumption, has_crashed: self.has_crashed };
+            }
+            let history = History { is_resumption, has_crashed: self.has_crashed.get() };
             let placement = match admit(gateway, req, &self.tried, history).await {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.refuse(refusal, Refusal::MayHaveRun)),
             };
-            let remaining = req.remaining(gateway.clock.now());
-            if remaining.is_zero() {
+            if req.remaining(gateway.clock.now()).is_zero() {
                 return Err(self.refuse(Refusal::DeadlineBeforeStart, Refusal::Deadline));
             }
-            let can_retry = req.route.allows_retry(self.runs + 1);
-            let timeout = match can_retry {
-                true => req.route.target_latency.mul_f64(START_TIMEOUT_SHARE),
-                false => remaining,
-            };
-            let timeout = timeout.min(remaining);
             if let Some(retry) = &mut retry {
                 retry.is_used = true;
             }
-            let result = self.attempt(gateway, req, &placement, resume_after, timeout).await;
+            let decode = placement.plan.decode();
+            let (result, placement) = match self.attempt(cx, placement, resume_after).await {
+                Raced::First(first) => first,
+                Raced::Successor(opened) => return Ok(Started::Opened(opened)),
+                Raced::Lost(refusal) => return Err(refusal),
+            };
             if let (Some(retry), Err(error)) = (&mut retry, &result) {
                 retry.is_used = !error.is_not_sent();
             }
             match result {
-                Ok(reply) if reply.proves_not_run() => {
-                    self.dispatches += 1;
-                    reply.finish_refusal().await;
+                Ok(reply) if reply.proves_not_run() => reply.finish_refusal().await,
+                Ok(reply) if reply.is_sealed_success() => {
+                    return Ok(Started::Head(Box::new(reply), placement));
                 }
                 Ok(reply) => {
-                    self.dispatches += 1;
-                    self.runs += 1;
-                    if reply.is_sealed_success() {
-                        return Ok((reply, placement));
-                    }
                     drop(placement);
                     let status = reply.head.status;
                     let may_succeed_elsewhere =
                         !status.is_client_error() || promises_not_run(status);
-                    *failure = Failure::read(gateway, req, reply).await;
-                    if !may_succeed_elsewhere || !req.route.allows_retry(self.runs) {
+                    self.failure = Failure::read(gateway, req, reply).await;
+                    if !may_succeed_elsewhere || !self.tally.allows_attempt(&req.route) {
                         return Err(Refusal::MayHaveRun);
                     }
                 }
                 Err(error) if error.is_not_sent() => {
                     // An engine that began to rest meanwhile can be used later.
-                    let decode = placement.plan.decode();
                     self.tried.pop_if(|server| *server == decode && gateway.must_wait_for(decode));
                 }
-                Err(error) => {
-                    self.dispatches += 1;
-                    self.runs += 1;
-                    self.check_crash(gateway, req, placement.plan.decode(), &error).await;
-                    let is_final = !req.route.allows_retry(self.runs);
-                    match (is_final, error) {
-                        (false, _) => {}
-                        (true, CallError::TimedOut) => return Err(Refusal::Deadline),
-                        (true, _) => return Err(Refusal::MayHaveRun),
-                    }
+                Err(error) if !self.tally.allows_attempt(&req.route) => {
+                    return Err(final_refusal(&error));
                 }
+                Err(_) => {}
             }
         }
     }
 
-    /// Reports a crash if the engine broke off before the completion had started on it, and accepts
-    /// no connections since.
-    async fn check_crash(
+    /// Starts the completion at engines, after an event if given, until one has sent its first events or no
+    /// further attempt is allowed.
+    async fn open(
         &mut self,
-        gateway: &Rc<Gateway>,
-        req: &Incoming,
-        engine: ServerKey,
-        error: &CallError,
-    ) {
-        if matches!(error, CallError::Broken(_)) && !can_connect(gateway, engine).await {
-            self.has_crashed = true;
-            gateway.report_crash(engine, &req.service, &req.parts);
+        cx: Context<'_>,
+        resume_after: Option<u64>,
+    ) -> Result<Opened, Refusal> {
+        loop {
+            let engine = match self.find_engine(cx, resume_after).await? {
+                Started::Opened(opened) => return Ok(opened),
+                Started::Head(reply, placement) => {
+                    EngineStream::begin(cx.gateway, *reply, placement, resume_after)
+                }
+            };
+            match self.next_events(cx, engine).await {
+                Raced::First(Ok(opened)) | Raced::Successor(opened) => return Ok(opened),
+                Raced::First(Err(error)) if !self.tally.allows_attempt(&cx.req.route) => {
+                    return Err(final_refusal(&error));
+                }
+                Raced::First(Err(_)) => self.report_course(Course::default()),
+                Raced::Lost(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Starts the completion at a successor of a silent engine.
+    fn open_successor<'a>(
+        &'a mut self,
+        cx: Context<'a>,
+        resume_after: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<Opened, Refusal>> {
+        Box::pin(self.open(cx, resume_after))
+    }
+
+    /// Waits for the next events of an engine. A stream that pauses is started at another engine, too, if the
+    /// route allows it.
+    async fn next_events(
+        &mut self,
+        cx: Context<'_>,
+        mut engine: Box<EngineStream>,
+    ) -> Raced<Result<Opened, CallError>> {
+        let route = &cx.req.route;
+        let last_event = engine.events.last_id();
+        let watched = Watched {
+            server: engine.reply.guard.server,
+            silent_since: engine.heard_at.clone(),
+            limit: (route.max_gap * STALL_TIMEOUT_GAPS).max(route.target_latency),
+            check_interval: Some(route.max_gap).filter(|gap| !gap.is_zero()),
+        };
+        // The caller may not have asked for more events until now.
+        engine.heard_at.set(cx.gateway.clock.now());
+        let (tally, has_crashed) = (self.tally, self.has_crashed.clone());
+        let first = async move {
+            let error = match engine.next(cx.gateway, cx.req).await {
+                Ok(events) => return Ok(Opened { engine, events }),
+                Err(error) => error,
+            };
+            report_broken(cx, &engine, tally, &error);
+            let (server, has_event) = (engine.reply.guard.server, engine.has_event);
+            drop(engine);
+            if !has_event {
+                check_crash(cx, server, &error, &has_crashed).await;
+            }
+            Err(error)
+        };
+        self.race(cx, &watched, last_event, first, Result::is_err).await
+    }
+
+    /// Waits for `first`, and starts a successor beside it when it is silent for too long. `first` is given up
+    /// once the successor has sent events.
+    async fn race<F: Future>(
+        &mut self,
+        cx: Context<'_>,
+        watched: &Watched,
+        resume_after: Option<u64>,
+        first: F,
+        is_failure: fn(&F::Output) -> bool,
+    ) -> Raced<F::Output> {
+        let mut first = Box::pin(first);
+        let mut patience = Patience::new(watched.limit);
+        loop {
+            let allows_attempt = self.tally.allows_attempt(&cx.req.route);
+            let reason = tokio::select! {
+                biased;
+                out = &mut first => return Raced::First(out),
+                reason = watched.wait(cx, patience), if allows_attempt => reason,
+            };
+            let silent = cx.gateway.clock.now() - watched.silent_since.get();
+            record_silence(cx.gateway, watched.server, silent);
+            let server = cx.gateway.server_name(watched.server);
+            let silent_ms = silent.as_millis() as u64;
+            log::info!(request = &*cx.req.facts.id, server = &*server, reason, silent_ms; "hedge_started");
+            let course = watch::Sender::new(Course::default());
+            let outer = std::mem::replace(&mut self.course, course);
+            let raced = self.race_successor(cx, watched, resume_after, first, is_failure).await;
+            self.course = outer;
+            match raced {
+                Ok(raced) => return raced,
+                Err(alone) => first = alone,
+            }
+            patience.asked_at = Some(cx.gateway.clock.now());
+        }
+    }
+
+    /// Waits for a silent engine and a successor; returns `first` if it is the one that is kept.
+    async fn race_successor<F: Future>(
+        &mut self,
+        cx: Context<'_>,
+        watched: &Watched,
+        resume_after: Option<u64>,
+        mut first: Pin<Box<F>>,
+        is_failure: fn(&F::Output) -> bool,
+    ) -> Result<Raced<F::Output>, Pin<Box<F>>> {
+        let request = &*cx.req.facts.id;
+        let mut course = self.course.subscribe();
+        let mut successor = self.open_successor(cx, resume_after);
+        let end = tokio::select! {
+            biased;
+            out = &mut first => HedgeEnd::First(out),
+            opened = &mut successor => HedgeEnd::Successor(opened),
+            () = wait_for_overlap(cx, &mut course) => HedgeEnd::Overlap,
+        };
+        match end {
+            HedgeEnd::First(out) if is_failure(&out) => match successor.await {
+                Ok(opened) => Ok(Raced::Successor(opened)),
+                Err(_) => Ok(Raced::First(out)),
+            },
+            HedgeEnd::First(out) => {
+                log::info!(request, won = "first", reason = "it went on"; "hedge_ended");
+                Ok(Raced::First(out))
+            }
+            HedgeEnd::Successor(Ok(opened)) => {
+                log::info!(request, won = "second", reason = "it was sooner"; "hedge_ended");
+                Ok(Raced::Successor(opened))
+            }
+            HedgeEnd::Successor(Err(refusal)) => {
+                log::info!(request, won = "first", reason:% = refusal; "hedge_ended");
+                Err(first)
+            }
+            HedgeEnd::Overlap if course.borrow().keeps_first(watched.is_alive(cx)) => {
+                log::info!(request, won = "first", reason = "its engine lives"; "hedge_ended");
+                Err(first)
+            }
+            HedgeEnd::Overlap => {
+                log::info!(request, won = "second", reason = "one engine must stop"; "hedge_ended");
+                drop(first);
+                Ok(successor.await.map_or_else(Raced::Lost, Raced::Successor))
+            }
         }
     }
 
+    fn report_course(&self, course: Course) {
+        self.course.send_replace(course);
+    }
+
     /// Returns the refusal that is true for the number of runs so far.
     fn refuse(&self, not_run: Refusal, may_have_run: Refusal) -> Refusal {
-        if self.runs == 0 { not_run } else { may_have_run }
+        if self.tally.runs == 0 { not_run } else { may_have_run }
     }
 
     /// Prefills the prompt if needed, and sends the completion to the decode engine.
     async fn attempt(
         &mut self,
-        gateway: &Rc<Gateway>,
-        req: &Incoming,
-        placement: &Placement,
+        cx: Context<'_>,
+        placement: Placement,
         resume_after: Option<u64>,
-        timeout: Duration,
-    ) -> Result<Reply, CallError> {
+    ) -> Raced<(Result<Reply, CallError>, Placement)> {
+        let Context { gateway, req } = cx;
         let decode = placement.plan.decode();
         self.tried.push(decode);
         // The connection is opened first, so that no prompt is prefilled for an engine that is
         // gone.
-        let connection = acquire(gateway, decode).await?;
-        let mut spec = CallSpec { resume_after, ..CallSpec::default() };
+        let connection = match acquire(gateway, decode).await {
+            Ok(connection) => connection,
+            Err(error) => return Raced::First((Err(error), placement)),
+        };
         if let Plan::Split { prefill, .. } = placement.plan {
             let now = gateway.clock.now();
             let is_needed = self.kv_cache.as_ref().is_none_or(|kv_cache| !kv_cache.is_valid(now));
@@ -278,24 +410,71 @@
             }
             placement.finish_prefill();
         }
-        self.kv_cache.take_if(|kv_cache| !kv_cache.is_valid(gateway.clock.now()));
-        spec.kv_cache =
-            self.kv_cache.as_ref().map(|kv_cache| (kv_cache.server, kv_cache.handle.clone()));
-        let reply = call(gateway, req, decode, &spec, timeout, Some(connection)).await;
-        match &reply {
-            // The KV cache is still available to another engine.
-            Err(CallError::NotSent(_)) => {}
-            Ok(reply) if reply.proves_not_run() => self.rejections += 1,
-            Ok(_) | Err(_) => {
-                if let Some(kv_cache) = self.kv_cache.take() {
-                    kv_cache.mark_fetched();
-                }
+        let now = gateway.clock.now();
+        let kv_cache = self.kv_cache.take().filter(|kv_cache| kv_cache.is_valid(now));
+        let spec = CallSpec {
+            resume_after,
+            kv_cache: kv_cache.as_ref().map(|kv_cache| (kv_cache.server, kv_cache.handle.clone())),
+            ..CallSpec::default()
+        };
+        self.tally.start();
+        self.report_course(Course { sent_at: Some(now), has_begun: false });
+        let watched = Watched {
+            server: decode,
+            silent_since: Rc::new(Cell::new(now)),
+            limit: req.route.target_latency.mul_f64(START_TIMEOUT_SHARE),
+            check_interval: None,
+        };
+        let has_crashed = self.has_crashed.clone();
+        let first = async move {
+            let remaining = req.remaining(gateway.clock.now());
+            let result = call(gateway, req, decode, &spec, remaining, Some(connection)).await;
+            if let Err(error) = &result {
+                check_crash(cx, decode, error, &has_crashed).await;
             }
+            (result, placement, kv_cache)
+        };
+        let has_not_begun = |(result, ..): &(Result<Reply, CallError>, _, _)| {
+            !result.as_ref().is_ok_and(Reply::is_sealed_success)
+        };
+        match self.race(cx, &watched, resume_after, first, has_not_begun).await {
+            Raced::First((result, placement, kv_cache)) => {
+                self.record(&result, kv_cache);
+                Raced::First((result, placement))
+            }
+            Raced::Successor(opened) => Raced::Successor(opened),
+            Raced::Lost(refusal) => Raced::Lost(refusal),
         }
-        if self.rejections > 1 {
-            self.kv_cache = None;
+    }
+
+    /// Records the result of a decode request, to which a KV cache may have been offered.
+    fn record(&mut self, result: &Result<Reply, CallError>, kv_cache: Option<HeldKvCache>) {
+        let is_unused = match result {
+            Err(CallError::NotSent(_)) => {
+                self.tally.take_back();
+                true
+            }
+            Ok(reply) if reply.proves_not_run() => {
+                self.tally.refuse();
+                self.rejections += 1;
+                self.rejections < 2
+            }
+            Ok(reply) if reply.is_sealed_success() => {
+                self.course.send_modify(|course| course.has_begun = true);
+                kv_cache.into_iter().for_each(HeldKvCache::mark_fetched);
+                return;
+            }
+            Ok(_) | Err(_) => {
+                kv_cache.into_iter().for_each(HeldKvCache::mark_fetched);
+                self.report_course(Course::default());
+                return;
+            }
+        };
+        self.report_course(Course::default());
+        // The KV cache is still available to another engine.
+        if is_unused && self.kv_cache.is_none() {
+            self.kv_cache = kv_cache;
         }
-        reply
     }
 
     /// Returns whether a prefill engine may be used; if not, the decode engine can prefill the
@@ -351,6 +530,103 @@
     }
 }
 
+/// What has happened first while an engine and its successor run.
+enum HedgeEnd<T> {
+    /// The engine has responded or failed.
+    First(T),
+    /// The successor has sent events, or no further attempt is allowed.
+    Successor(Result<Opened, Refusal>),
+    /// Both run the completion for as long as they may.
+    Overlap,
+}
+
+/// An engine that is watched for silence.
+struct Watched {
+    server: ServerKey,
+    silent_since: Rc<Cell<Instant>>,
+    /// The time for which the engine may be silent.
+    limit: Duration,
+    /// Interval at which it is checked that a silent engine still accepts connections, if it is.
+    check_interval: Option<Duration>,
+}
+
+impl Watched {
+    /// Waits until a successor is due, and returns the reason.
+    async fn wait(&self, cx: Context<'_>, patience: Patience) -> &'static str {
+        loop {
+            let now = cx.gateway.clock.now();
+            let left = patience.left(self.silent_since.get(), now);
+            if left.is_zero() {
+                return "silent";
+            }
+            let Some(interval) = self.check_interval else {
+                tokio::time::sleep(left).await;
+                continue;
+            };
+            let is_due = now - self.silent_since.get() >= interval && patience.asked_at.is_none();
+            if is_due && is_lost(cx.gateway, self.server).await {
+                return "unreachable";
+            }
+            tokio::time::sleep(interval.min(left)).await;
+        }
+    }
+
+    /// Returns whether the engine has responded to another call since it fell silent.
+    fn is_alive(&self, cx: Context<'_>) -> bool {
+        let directory = cx.gateway.directory.borrow();
+        let server = directory.get(self.server);
+        server.is_some_and(|server| server.has_answered_since(self.silent_since.get()))
+    }
+}
+
+/// Waits until two engines have run a completion for as long as they may.
+async fn wait_for_overlap(cx: Context<'_>, course: &mut watch::Receiver<Course>) {
+    loop {
+        let left = course.borrow_and_update().overlap_left(cx.gateway.clock.now());
+        let changed = course.changed();
+        match left {
+            Some(left) if left.is_zero() => return,
+            Some(left) => drop(tokio::time::timeout(left, changed).await),
+            // Without a sender the attempt has ended.
+            None if changed.await.is_err() => std::future::pending().await,
+            None => {}
+        }
+    }
+}
+
+/// Returns the refusal after the failure of the last attempt that is allowed.
+fn final_refusal(error: &CallError) -> Refusal {
+    if *error == CallError::TimedOut { Refusal::Deadline } else { Refusal::MayHaveRun }
+}
+
+/// Reports a crash if the engine broke off before the completion had started on it, and accepts no connections
+/// since.
+async fn check_crash(
+    cx: Context<'_>,
+    engine: ServerKey,
+    error: &CallError,
+    has_crashed: &Cell<bool>,
+) {
+    let Context { gateway, req } = cx;
+    if matches!(error, CallError::Broken(_)) && !can_connect(gateway, engine).await {
+        has_crashed.set(true);
+        gateway.report_crash(engine, &req.service, &req.parts);
+    }
+}
+
+/// Records and logs that the stream of an engine has failed.
+fn report_broken(cx: Context<'_>, engine: &EngineStream, tally: Tally, error: &CallError) {
+    let Context { gateway, req } = cx;
+    let server = engine.reply.guard.server;
+    gateway.record_call_failure(server, error);
+    let (request, name) = (&*req.facts.id, gateway.server_name(server));
+    let framing = engine.reply.body.framing_name();
+    let (last_event, has_event) = (engine.events.last_id(), engine.has_event);
+    let is_allowed = tally.allows_attempt(&req.route);
+    let (parts, runs) = (display_parts(&req.parts), tally.runs);
+    log::warn!(request, server = &*name, framing, reason:% = error, last_event:?, has_event, parts, runs, is_allowed; "stream_broke");
+}
+
 /// Time for which a KV cache is assumed to be held. Engines hold it for at least half a second.
 const KV_CACHE_LIFETIME: Duration = Duration::from_millis(450);
 
@@ -396,12 +672,11 @@
     gateway: Rc<Gateway>,
     req: Rc<Incoming>,
     attempts: Attempts,
-    events: EventBuffer,
-    current: Option<(Reply, Placement)>,
-    /// Whether the current engine has sent an event.
-    has_event: bool,
-    /// Whether the current engine continues after an event that was delivered.
-    is_continuation: bool,
+    /// The engine that runs the completion.
+    current: Option<Box<EngineStream>>,
+    /// Events of the engine that were read before its stream is forwarded; the inner value is `None` after the
+    /// last one.
+    ready: Option<Option<Bytes>>,
     _guard: InFlight,
 }
 
@@ -420,146 +695,68 @@
 
     /// Returns the next complete events, or `None` after the last one.
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let mut silent_since = self.gateway.clock.now();
-        loop {
-            let Some((reply, _)) = &mut self.current else { return Ok(None) };
-            let now = self.gateway.clock.now();
-            let limit = self.req.route.max_gap.min(self.req.remaining(now));
-            let error = match tokio::time::timeout(limit, reply.body.chunk()).await {
-                Ok(Ok(Some(chunk))) => {
-                    silent_since = self.gateway.clock.now();
-                    match self.events.push(&chunk) {
-                        Some(events) => {
-                            self.record_events();
-                            return Ok(Some(events));
-                        }
-                        None if self.events.is_too_long() => {
-                            CallError::Malformed("an event exceeds the length limit".into())
-                        }
-                        None => continue,
-                    }
-                }
-                Ok(Ok(None)) => {
-                    let ending = Ending::of_stream(StreamEnd {
-                        is_delimited: reply.body.is_delimited(),
-                        is_event_stream: reply.is_event_stream(),
-                        is_inside_event: self.events.has_partial(),
-                        has_event: self.has_event,
-                        is_continuation: self.is_continuation,
-                    });
-                    match reply.confirm_end(ending).await {
-                        Ok(()) => {
-                            self.finish();
-                            return Ok(None);
-                        }
-                        Err(error) => error,
-                    }
-                }
-                Ok(Err(error)) => error,
-                Err(_) if self.should_abandon(silent_since).await => CallError::TimedOut,
-                Err(_) => continue,
-            };
-            self.resume(error).await?;
-            silent_since = self.gateway.clock.now();
+        let Some(engine) = self.current.take() else { return Ok(None) };
+        if let Some(events) = self.ready.take() {
+            return Ok(self.deliver(Opened { engine, events }));
+        }
+        let (gateway, req) = (self.gateway.clone(), self.req.clone());
+        let cx = Context { gateway: &gateway, req: &req };
+        let last_event = engine.events.last_id();
+        let resumed = match self.attempts.next_events(cx, engine).await {
+            Raced::First(Ok(opened)) => return Ok(self.deliver(opened)),
+            Raced::First(Err(_)) if self.may_resume() => self.attempts.open(cx, last_event).await,
+            Raced::First(Err(error)) => Err(final_refusal(&error)),
+            Raced::Successor(opened) => Ok(opened),
+            Raced::Lost(refusal) => Err(refusal),
+        };
+        match resumed {
+            Ok(opened) => {
+                gateway.metrics.resumptions.inc();
+                log::info!(request = &*req.facts.id, last_event:?; "stream_resumed");
+                Ok(self.deliver(opened))
+            }
+            Err(refusal) => {
+                let failure = self.attempts.failure.take();
+                let status = failure.map(|failure| failure.response.status().as_u16());
+                log::warn!(request = &*req.facts.id, reason:% = refusal, status:?; "stream_not_resumed");
+                gateway.metrics.count_request(req.route.kind.as_str(), "broken");
+                Err(RelayError::Broken)
+            }
         }
     }
 
-    /// Returns whether a silent stream has reached its deadline or has to continue at another
-    /// engine.
-    async fn should_abandon(&self, silent_since: Instant) -> bool {
-        let now = self.gateway.clock.now();
-        if self.req.remaining(now).is_zero() {
-            return true;
-        }
-        let route = &self.req.route;
-        if !route.allows_retry(self.attempts.runs) {
-            return false;
-        }
-        let limit = (route.max_gap * STALL_TIMEOUT_GAPS).max(route.target_latency);
-        if now - silent_since >= limit {
-            return true;
-        }
-        let Some((reply, _)) = &self.current else { return false };
-        is_lost(&self.gateway, reply.guard.server).await
+    /// Returns whether a stream that has failed may go on at another engine.
+    fn may_resume(&self) -> bool {
+        let remaining = self.req.remaining(self.gateway.clock.now());
+        self.attempts.tally.allows_attempt(&self.req.route) && !remaining.is_zero()
     }
 
-    /// Records the arrival of events.
-    fn record_events(&mut self) {
-        let Some((_, placement)) = &self.current else { return };
-        if !std::mem::replace(&mut self.has_event, true) {
-            placement.start(&self.req);
-            let elapsed = self.gateway.clock.now() - self.req.received;
-            let kind = self.req.route.kind.as_str();
-            self.gateway.metrics.observe(kind, "first_event", elapsed);
+    /// Returns the events of an engine, whose stream goes on unless they are the end.
+    fn deliver(&mut self, opened: Opened) -> Option<Bytes> {
+        match opened.events {
+            Some(_) => self.current = Some(opened.engine),
+            None => self.finish(opened.engine),
         }
-        let per_event = self.gateway.engine_spec(&self.req.service);
-        let per_event = per_event.map_or(1, |spec| spec.tokens_per_event);
-        placement.record_tokens(self.events.last_id().unwrap_or(0) * per_event);
+        opened.events
     }
 
     /// Records the end of a whole stream, and keeps the connection to its engine.
-    fn finish(&mut self) {
+    fn finish(&self, engine: Box<EngineStream>) {
         let now = self.gateway.clock.now();
-        let Some((reply, _placement)) = self.current.take() else { return };
+        let EngineStream { reply, events, placement: _placement, .. } = *engine;
         let kind = self.req.route.kind.as_str();
         self.gateway.metrics.observe(kind, "whole", now - self.req.received);
         self.gateway.metrics.count_request(kind, "answered");
         let elapsed_ms = (now - self.req.received).as_millis() as u64;
-        let last_event = self.events.last_id();
+        let last_event = events.last_id();
         let server = reply.guard.server;
         let name = self.gateway.server_name(server);
         let framing = reply.body.framing_name();
-        log::info!(request = &*self.req.facts.id, server = &*name, framing, elapsed_ms, last_event:?, runs = self.attempts.runs; "stream_ended");
+        let runs = self.attempts.tally.runs;
+        log::info!(request = &*self.req.facts.id, server = &*name, framing, elapsed_ms, last_event:?, runs; "stream_ended");
         let idle_timeout = reply.facts.idle_timeout;
         keep_connection(&self.gateway, server, reply.body, idle_timeout);
     }
-
-    /// Resumes the stream at another engine, if the route allows it.
-    async fn resume(&mut self, error: CallError) -> Result<(), RelayError> {
-        let request = &*self.req.facts.id;
-        let last_event = self.events.last_id();
-        let Some(failed) = self.current.take() else { return Err(RelayError::Broken) };
-        let server = failed.0.guard.server;
-        let (name, framing) = (self.gateway.server_name(server), failed.0.body.framing_name());
-        self.gateway.record_call_failure(server, &error);
-        drop(failed);
-        if !self.has_event {
-            self.attempts.check_crash(&self.gateway, &self.req, server, &error).await;
-        }
-        let remaining = self.req.remaining(self.gateway.clock.now());
-        let runs = self.attempts.runs;
-        let is_allowed = self.req.route.allows_retry(runs);
-        let has_event = self.has_event;
-        let parts = display_parts(&self.req.parts);
-        log::warn!(request, server = &*name, framing, reason:% = error, last_event:?, has_event, parts, runs, is_allowed; "stream_broke");
-        let kind = self.req.route.kind.as_str();
-        if !is_allowed || remaining.is_zero() {
-            self.gateway.metrics.count_request(kind, "broken");
-            return Err(RelayError::Broken);
-        }
-        self.events.discard_partial();
-        match self.attempts.start(&self.gateway, &self.req, last_event).await {
-            Ok(Start::Stream(reply, placement)) => {
-                self.gateway.metrics.resumptions.inc();
-                log::info!(request, last_event:?; "stream_resumed");
-                self.has_event = false;
-                self.is_continuation = last_event.is_some();
-                self.current = Some((*reply, placement));
-                Ok(())
-            }
-            Ok(Start::Failed(failure)) => {
-                let status = failure.response.status().as_u16();
-                log::warn!(request, status; "stream_not_resumed");
-                self.gateway.metrics.count_request(kind, "broken");
-                Err(RelayError::Broken)
-            }
-            Err(refusal) => {
-                log::warn!(request, reason:% = refusal; "stream_not_resumed");
-                self.gateway.metrics.count_request(kind, "broken");
-                Err(RelayError::Broken)
-            }
-        }
-    }
 }
 
 /// Returns whether a silent server is gone or refuses new connections.
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -1,18 +1,22 @@
 //! Requests whose response is a single body, for services other than model engines.
 
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header;
 use actix_http::{Response, ResponseHead};
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use magnoliaspar_core::ServerKey;
 
-use crate::call::{CallSpec, Incoming, call, strip_connection_headers};
+use crate::call::{CallSpec, Incoming, call, record_silence, strip_connection_headers};
 use crate::evidence::promises_not_run;
 use crate::exchange::CallError;
 use crate::gateway::Gateway;
+use crate::hedge::{Patience, ReservedRetry, Tally};
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::refusal::Refusal;
 use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
@@ -20,7 +24,7 @@
 /// Maximum length of a response that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
-/// Share of the latency target after which an idempotent request is retried at another server.
+/// Share of the latency target after which an idempotent request is sent to another server, too.
 const ATTEMPT_TIMEOUT_SHARE: f64 = 0.6;
 
 /// Result of forwarding a request.
@@ -31,62 +35,72 @@
     Refused(Refusal),
 }
 
-/// Sends a request to servers of its service until one responds or no further attempt is allowed.
+/// Sends a request to servers of its service until one responds or no further attempt is allowed. A server that
+/// is silent for too long is awaited beside another one.
 pub async fn forward(gateway: &Rc<Gateway>, req: &Incoming) -> Outcome {
-    let mut tried: Vec<ServerKey> = Vec::new();
-    let mut dispatches = 0_u32;
-    let mut runs = 0_u32;
+    let in_flight = InFlightAttempts::default();
+    let mut attempts = FuturesUnordered::new();
+    let mut tally = Tally::default();
+    let mut patience = Patience::new(req.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE));
     let mut failure: Option<(Response<BoxBody>, Box<str>)> = None;
+    let mut last_error = Refusal::MayHaveRun;
     let refusal = loop {
-        let now = gateway.clock.now();
-        let remaining = req.remaining(now);
-        if remaining.is_zero() {
-            break if runs > 0 { Refusal::Deadline } else { Refusal::DeadlineBeforeStart };
-        }
-        // The budget is checked first, so that no permit is obtained for a retry that is not made.
-        if dispatches > 0 && !gateway.take_retry(&req.service) {
-            break if runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
+        if attempts.is_empty() {
+            if req.remaining(gateway.clock.now()).is_zero() {
+                break if tally.runs > 0 {
+                    Refusal::Deadline
+                } else {
+                    Refusal::DeadlineBeforeStart
+                };
+            }
+            if !tally.allows_attempt(&req.route) {
+                break last_error;
+            }
+            // The budget is checked first, so that no permit is obtained for a retry that is not made.
+            let Ok(retry) = reserve_retry(gateway, req, tally) else {
+                break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
+            };
+            tally.start();
+            attempts.push(attempt(gateway, req, &in_flight, retry));
         }
-        let Choice { server, has_alternative } = match choose(gateway, req, &tried).await {
-            Ok(choice) => choice,
-            Err(refusal) => {
-                if dispatches > 0 {
-                    gateway.return_retry(&req.service);
+        let (may_hedge, count) = (tally.allows_attempt(&req.route), attempts.len());
+        let ended = tokio::select! {
+            biased;
+            Some(ended) = attempts.next() => ended,
+            silent = in_flight.wait(gateway, count, patience), if may_hedge => {
+                patience.asked_at = Some(gateway.clock.now());
+                let retry = reserve_retry(gateway, req, tally);
+                report_silent(gateway, req, silent, retry.is_ok());
+                if let Ok(retry) = retry {
+                    tally.start();
+                    attempts.push(attempt(gateway, req, &in_flight, retry));
                 }
-                break if runs == 0 { refusal } else { Refusal::MayHaveRun };
+                continue;
             }
         };
-        let remaining = req.remaining(gateway.clock.now());
-        tried.push(server);
-        let can_retry = req.route.allows_retry(runs + 1) && has_alternative;
-        let timeout = match can_retry {
-            true => remaining.min(req.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE)),
-            false => remaining,
-        };
-        match attempt(gateway, req, server, timeout).await {
-            Ok(Attempt::NotRun) => dispatches += 1,
-            Ok(Attempt::Answered(response)) => {
-                let is_failure = response.status().is_server_error();
+        match ended {
+            Ended::Refused(refusal) => {
+                tally.take_back();
+                patience.asked_at = Some(gateway.clock.now());
+                if attempts.is_empty() {
+                    break if tally.runs == 0 { refusal } else { last_error };
+                }
+                log::info!(request = &*req.facts.id, won = "first", reason:% = refusal; "hedge_ended");
+            }
+            Ended::NotSent => tally.take_back(),
+            Ended::NotRun => tally.refuse(),
+            Ended::Answered { response, server, has_alternative } => {
+                let may_improve = has_alternative && tally.allows_attempt(&req.route);
                 let name = gateway.server_name(server);
-                if !is_failure || !can_retry {
+                let is_final = attempts.is_empty() && !may_improve;
+                if !response.status().is_server_error() || is_final {
+                    report_winner(gateway, req, &name, &in_flight);
                     return Outcome::Response(response, name);
                 }
-                dispatches += 1;
-                runs += 1;
                 failure = Some((response, name));
             }
-            Err(error) if error.is_not_sent() => {}
-            Err(error) => {
-                dispatches += 1;
-                runs += 1;
-                let is_final = !req.route.allows_retry(runs);
-                if is_final && error == CallError::TimedOut {
-                    break Refusal::Deadline;
-                }
-                if is_final {
-                    break Refusal::MayHaveRun;
-                }
-            }
+            Ended::Failed(CallError::TimedOut) => last_error = Refusal::Deadline,
+            Ended::Failed(_) => last_error = Refusal::MayHaveRun,
         }
     };
     // An error response of a server is more specific than the refusal to retry.
@@ -96,6 +110,81 @@
     }
 }
 
+/// The retry budget of a service is used up.
+struct BudgetUsedUp;
+
+/// Takes a retry out of the budget, unless the request has reached no server so far.
+fn reserve_retry<'a>(
+    gateway: &'a Gateway,
+    req: &'a Incoming,
+    tally: Tally,
+) -> Result<Option<ReservedRetry<'a>>, BudgetUsedUp> {
+    if tally.dispatches == 0 {
+        return Ok(None);
+    }
+    ReservedRetry::take(gateway, &req.service).map(Some).ok_or(BudgetUsedUp)
+}
+
+/// The servers of the attempts of one request.
+#[derive(Default)]
+struct InFlightAttempts {
+    /// All servers that were chosen.
+    tried: RefCell<Vec<ServerKey>>,
+    /// The servers that have not responded, and the times at which the request was sent, in order.
+    awaited: RefCell<Vec<(ServerKey, Instant)>>,
+}
+
+impl InFlightAttempts {
+    /// Waits until another attempt is due beside `count` ones; returns the server that was sent the request last,
+    /// and for how long it has been silent. None is due while a server is being chosen for one of them.
+    async fn wait(
+        &self,
+        gateway: &Gateway,
+        count: usize,
+        patience: Patience,
+    ) -> (ServerKey, Duration) {
+        loop {
+            let now = gateway.clock.now();
+            let last = self.awaited.borrow().last().copied();
+            let is_sent = self.awaited.borrow().len() == count;
+            let left = match last {
+                Some((server, sent_at)) if is_sent => {
+                    let left = patience.left(sent_at, now);
+                    if left.is_zero() {
+                        return (server, now - sent_at);
+                    }
+                    left
+                }
+                _ => patience.limit,
+            };
+            tokio::time::sleep(left).await;
+        }
+    }
+}
+
+/// Records and logs that a server is silent.
+fn report_silent(
+    gateway: &Rc<Gateway>,
+    req: &Incoming,
+    (server, silent): (ServerKey, Duration),
+    is_allowed: bool,
+) {
+    record_silence(gateway, server, silent);
+    let name = gateway.server_name(server);
+    let silent_ms = silent.as_millis() as u64;
+    let request = &*req.facts.id;
+    let event = if is_allowed { "hedge_started" } else { "hedge_not_allowed" };
+    log::info!(request, server = &*name, reason = "silent", silent_ms; "{event}");
+}
+
+/// Logs which of several attempts has won.
+fn report_winner(gateway: &Gateway, req: &Incoming, name: &str, in_flight: &InFlightAttempts) {
+    let dropped = in_flight.awaited.borrow().len();
+    let Some((first, _)) = in_flight.awaited.borrow().first().copied() else { return };
+    let given_up = gateway.server_name(first);
+    log::info!(request = &*req.facts.id, server = name, given_up = &*given_up, dropped, reason = "it was sooner"; "hedge_ended");
+}
+
 /// Maximum wait for a permit of a limited server or for the end of a rest, as a share of the latency target. It halves with each
 /// rank of the route, so that the routes of the highest priority are served first.
 const START_WAIT_SHARE: f64 = 0.6;
@@ -182,25 +271,72 @@
     servers
 }
 
-enum Attempt {
+/// The end of an attempt.
+enum Ended {
+    /// There is no server for the attempt.
+    Refused(Refusal),
+    /// The request was not sent.
+    NotSent,
+    /// The server has refused the request without running it.
     NotRun,
-    Answered(Response<BoxBody>),
+    /// The server has responded.
+    Answered {
+        response: Response<BoxBody>,
+        server: ServerKey,
+        /// Whether there was another server.
+        has_alternative: bool,
+    },
+    /// The request may have run, and has no response.
+    Failed(CallError),
+}
+
+/// Sends a request to a server that it has not been sent to.
+async fn attempt<'a>(
+    gateway: &'a Rc<Gateway>,
+    req: &'a Incoming,
+    in_flight: &'a InFlightAttempts,
+    mut retry: Option<ReservedRetry<'a>>,
+) -> Ended {
+    let tried = in_flight.tried.borrow().clone();
+    let Choice { server, has_alternative } = match choose(gateway, req, &tried).await {
+        Ok(choice) => choice,
+        Err(refusal) => return Ended::Refused(refusal),
+    };
+    in_flight.tried.borrow_mut().push(server);
+    in_flight.awaited.borrow_mut().push((server, gateway.clock.now()));
+    if let Some(retry) = &mut retry {
+        retry.is_used = true;
+    }
+    let result = fetch(gateway, req, server).await;
+    in_flight.awaited.borrow_mut().retain(|(awaited, _)| *awaited != server);
+    match result {
+        Ok(Some(response)) => Ended::Answered { response, server, has_alternative },
+        Ok(None) => Ended::NotRun,
+        Err(error) if error.is_not_sent() => {
+            if let Some(retry) = &mut retry {
+                retry.is_used = false;
+            }
+            Ended::NotSent
+        }
+        Err(error) => Ended::Failed(error),
+    }
 }
 
-async fn attempt(
+/// Sends a request to a server and returns its whole response, or `None` if the server refused the request without
+/// running it.
+async fn fetch(
     gateway: &Rc<Gateway>,
     req: &Incoming,
     server: ServerKey,
-    timeout: Duration,
-) -> Result<Attempt, CallError> {
+) -> Result<Option<Response<BoxBody>>, CallError> {
     let started = gateway.clock.now();
-    let deadline = started + timeout;
-    let mut reply = call(gateway, req, server, &CallSpec::default(), timeout, None).await?;
+    let remaining = req.remaining(started);
+    let mut reply = call(gateway, req, server, &CallSpec::default(), remaining, None).await?;
     if reply.proves_not_run() {
         reply.finish_refusal().await;
-        return Ok(Attempt::NotRun);
+        return Ok(None);
     }
-    let rest = deadline.saturating_duration_since(gateway.clock.now());
+    let rest = req.remaining(gateway.clock.now());
     let read = tokio::time::timeout(rest, reply.read_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
     let body = read.unwrap_or(Err(CallError::TimedOut)).inspect_err(|error| {
         log::warn!(request = &*req.facts.id, reason:% = error; "answer_incomplete");
@@ -218,7 +354,7 @@
     }
     let response = build_response(&reply.head, body);
     reply.finish();
-    Ok(Attempt::Answered(response))
+    Ok(Some(response))
 }
 
 /// Message for a response whose status promises that its request has not run, which it does not state.
