Await the report that confirms a response for longer than a server may be silent

A caller got 502 for a whole answer without a length, or a stream that was cut at its end: its server was silent for a second just when it was asked whether the process that sent the answer lives, and the question was given up after 500 ms.

--- a/crates/magnoliaspar-gateway/src/engine_stream.rs
+++ b/crates/magnoliaspar-gateway/src/engine_stream.rs
@@ -59,8 +59,11 @@
             let remaining = req.remaining(gateway.clock.now());
             let read = tokio::time::timeout(remaining, self.reply.body.chunk()).await;
             let Some(chunk) = read.unwrap_or(Err(CallError::TimedOut))? else {
-                self.reply.confirm_end(self.ending()).await?;
-                return Ok(None);
+                let remaining = req.remaining(gateway.clock.now());
+                let ending = self.ending();
+                let confirm = self.reply.confirm_end(ending);
+                let confirmed = tokio::time::timeout(remaining, confirm).await;
+                return confirmed.unwrap_or(Err(CallError::TimedOut)).map(|()| None);
             };
             self.heard_at.set(gateway.clock.now());
             if let Some(events) = self.events.push(&chunk) {
