Await the own response for longer than a server may be silent

A caller got 502 for an order while its server, which had first sent a response that names no request, was silent for a second before the own one.

--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -46,8 +46,9 @@
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 2;
 
-/// Time for which the own response is awaited after one that may have been it.
-const OWN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which the own response is awaited after one that may have been it. A server may be silent for a second
+/// and then go on.
+const OWN_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Message for a response that may belong to an earlier request on its connection.
 const NAMELESS_RESPONSE: &str = "a response on a kept connection names no request";
