Use engines that are only silent if there are no others

A completion got 503 with seconds left while the only engine was silent in the stream of another caller: for that silence the engine was avoided, and avoided engines are left out of requests for admission, even if none is left. Engines that are avoided for silence only are left out now while there is another decode engine; those that broke off or refused as before.

The new test failed before with '(503, true)' instead of '(200, true)' for the second completion.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -550,7 +550,7 @@
         directory.record_latency(server, silent, now);
         return None;
     }
-    let avoided = directory.record_failure(server, now);
+    let avoided = directory.record_silence(server, now);
     if !was_avoided {
         let gateway = gateway.clone();
         actix_rt::spawn(async move { can_connect(&gateway, server).await });
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -134,6 +134,8 @@
     answered_at: Option<Instant>,
     consecutive_failures: u32,
     avoided_until: Option<Instant>,
+    /// Whether the server is avoided for its silence only.
+    is_silent: bool,
     full_until: Option<Instant>,
     notices: Notices,
     unclear: Option<Unclear>,
@@ -167,6 +169,11 @@
 }
 
 impl Server {
+    /// Returns whether the server is avoided for its silence only, and may go on at any time.
+    pub fn is_only_silent(&self, now: Instant) -> bool {
+        self.is_silent && self.full_until.is_none_or(|until| now >= until)
+    }
+
     /// Returns whether the server has responded to another call recently, so that a timeout only
     /// shows load.
     pub fn has_answered_recently(&self, now: Instant) -> bool {
@@ -349,6 +356,7 @@
             answered_at: None,
             consecutive_failures: 0,
             avoided_until: None,
+            is_silent: false,
             full_until: None,
             notices,
             unclear,
@@ -442,9 +450,20 @@
         let avoidance = AVOIDANCE_BACKOFF.ceiling(server.consecutive_failures);
         server.consecutive_failures += 1;
         server.avoided_until = Some(now + avoidance);
+        server.is_silent = false;
         Some(avoidance)
     }
 
+    /// Records that a server is silent in a response; returns the duration for which it is avoided.
+    pub fn record_silence(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
+        let was_avoided = self.servers.get(key)?.is_avoided(now);
+        let avoided = self.record_failure(key, now);
+        if !was_avoided {
+            self.servers.get_mut(key)?.is_silent = true;
+        }
+        avoided
+    }
+
     /// Updates the limit of a server with `update`; returns the change, if there is one.
     ///
     /// `share` is the part of the limit up to now that the permits were issued by.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -588,17 +588,35 @@
         self.admit_queued();
     }
 
-    /// Returns the servers of a service that this instance has tried, avoids or cannot use.
+    /// Returns the servers of a service that this instance has tried, avoids or cannot use. Those that are only
+    /// silent are among them while there is another decode engine.
     pub fn unusable_servers(&self, service: &str, tried: &[ServerKey]) -> Vec<Box<str>> {
         let now = self.clock.now();
         let mut unusable_servers = Vec::new();
+        let mut silent_servers = Vec::new();
+        let mut has_engine = false;
         for (key, server) in self.directory.borrow().iter() {
-            let is_leaving = server.record.is_draining;
+            if &*server.record.service != service {
+                continue;
+            }
+            let id = server.record.id.clone();
             let rests = !server.wait_left(now).is_zero();
-            let is_failing = is_leaving || rests || server.is_unreachable || server.is_avoided(now);
-            if &*server.record.service == service && (is_failing || tried.contains(&key)) {
-                unusable_servers.push(server.record.id.clone());
+            let is_unusable = server.record.is_draining || rests || server.is_unreachable;
+            if is_unusable || tried.contains(&key) {
+                unusable_servers.push(id);
+                continue;
             }
+            if !server.is_avoided(now) {
+                has_engine |= server.record.role == Some(EngineRole::Decode);
+                continue;
+            }
+            match server.is_only_silent(now) {
+                true => silent_servers.push(id),
+                false => unusable_servers.push(id),
+            }
+        }
+        if has_engine {
+            unusable_servers.extend(silent_servers);
         }
         unusable_servers
     }
