Count a stream that is silent until its deadline as silent, not as broken

At its deadline a silent stream was recorded as a failure of its engine, which left even the only engine out of use for other completions. It is recorded as silence now, as in all other places. The log tells, too, that a successor is the retry when the first attempt of two fails. No caller's request is known to have failed for it.

--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -348,10 +348,10 @@
             () = wait_for_overlap(cx, &mut course) => HedgeEnd::Overlap,
         };
         match end {
-            HedgeEnd::First(out) if is_failure(&out) => match successor.await {
-                Ok(opened) => Ok(Raced::Successor(opened)),
-                Err(_) => Ok(Raced::First(out)),
-            },
+            HedgeEnd::First(out) if is_failure(&out) => {
+                log::info!(request, won = "second", reason = "the first failed"; "hedge_ended");
+                Ok(successor.await.map_or(Raced::First(out), Raced::Successor))
+            }
             HedgeEnd::First(out) => {
                 log::info!(request, won = "first", reason = "it went on"; "hedge_ended");
                 Ok(Raced::First(out))
@@ -618,7 +618,13 @@
 fn report_broken(cx: Context<'_>, engine: &EngineStream, tally: Tally, error: &CallError) {
     let Context { gateway, req } = cx;
     let server = engine.reply.guard.server;
-    gateway.record_call_failure(server, error);
+    match error {
+        CallError::TimedOut => {
+            let silent = gateway.clock.now() - engine.heard_at.get();
+            record_silence(gateway, server, silent);
+        }
+        _ => drop(gateway.record_call_failure(server, error)),
+    }
     let (request, name) = (&*req.facts.id, gateway.server_name(server));
     let framing = engine.reply.body.framing_name();
     let (last_event, has_event) = (engine.events.last_id(), engine.has_event);
