--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -376,6 +376,7 @@
         }
     }
 
+    /// Reports the course of this attempt to the race in which it is the successor, if there is one.
     fn report_course(&self, course: Course) {
         self.course.send_replace(course);
     }
@@ -530,7 +531,7 @@
     }
 }
 
-/// What has happened first while an engine and its successor run.
+/// The first end in a race between a silent engine and its successor.
 enum HedgeEnd<T> {
     /// The engine has responded or failed.
     First(T),
