Start in a stop only what ends before the process, and answer the rest at its end

Requests that a stopping instance had taken late were cut when the process ended, after they had been passed on, among them calls that may run at most once.

The check compared the time left with how long a call usually takes: a second for a plain call, the expected decode time for a stream. A server that is silent for a second or more in its answer takes longer. The check was made once, before the wait for admission, a permit or a rest. And the process ended without a word to what was left.

A request counts as in flight until its whole answer has been handed to the connection. `cut_by_stop` names what is still in flight then, and `refused` the time left.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -19,6 +19,7 @@
 use crate::notices::Notices;
 use crate::request_limit::{LimitNotice, LimitState};
 use crate::route::{Route, ServiceName};
+use crate::shutdown::RequestState;
 
 /// Timeout of a new connection to a server. A longer wait means a lost packet or a lost server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -56,6 +57,8 @@
     pub received: Instant,
     /// The end of the caller's or of the route's timeout, whichever is earlier.
     pub deadline: Instant,
+    /// What is known of the request in flight.
+    pub state: Rc<RequestState>,
 }
 
 impl Incoming {
@@ -316,6 +319,9 @@
     let result = tokio::time::timeout(timeout, exchange).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
     if let Ok(reply) = &result {
+        if reply.proves_not_run() && !spec.is_prefill {
+            req.state.record_not_run();
+        }
         observe_limit(gateway, server, reply.head.status, &reply.facts, started);
         end_trial(gateway, server);
     }
@@ -353,7 +359,9 @@
         resume_after: spec.resume_after.filter(|_| !is_disabled(Guarantee::EventOrder)),
     };
     gateway.dialect.write_dispatch(&mut head.headers, &dispatch);
-    if let Some(reason) = gateway.reason_not_to_send(server) {
+    let reason = gateway.reason_not_to_send(server);
+    let stops = (!gateway.may_start(req)).then_some("the instance stops");
+    if let Some(reason) = reason.or(stops) {
         gateway.keep_unused(server, connection);
         return Err(CallError::NotSent(reason.into()));
     }
@@ -362,7 +370,14 @@
     };
     count_limited(gateway, server);
     let mut witness = Witness::new(gateway, server);
-    let (head, mut body) = connection.send(head, &req.body, examine).await?;
+    if !spec.is_prefill {
+        req.state.record_sent(&id);
+    }
+    let sent = connection.send(head, &req.body, examine).await;
+    if !spec.is_prefill && matches!(&sent, Err(error) if error.is_not_sent()) {
+        req.state.record_not_run();
+    }
+    let (head, mut body) = sent?;
     let facts = gateway.dialect.read_response(&head);
     if facts.request_id.is_none() {
         // On a kept connection the next response of the server could not be told from this one.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -13,10 +13,11 @@
 use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::call::Incoming;
 use crate::coordinator::{
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
-use crate::dialect::{Dialect, RequestFacts};
+use crate::dialect::Dialect;
 use crate::directory::{Directory, EngineRole, RecordChange, Server, ServerRecord};
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
@@ -33,6 +34,7 @@
 use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
 use crate::selection::{Candidate, without_resting};
 use crate::settings::GatewaySettings;
+use crate::shutdown::{Extent, RequestState, Shutdown};
 
 /// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
 /// use.
@@ -59,10 +61,6 @@
 /// Maximum wait of any other instance's feed call; long, since each call to the store is charged.
 const FEED_WAIT: Duration = Duration::from_secs(15);
 
-/// Time before the shutdown deadline from which a stopping instance accepts no unary requests. They
-/// take about ten milliseconds, the slowest a hundred.
-const MAX_UNARY_DURATION: Duration = Duration::from_secs(1);
-
 /// Ratio of the duration on a slow engine to the mean.
 const SLOW_ENGINE_FACTOR: f64 = 1.3;
 
@@ -112,9 +110,11 @@
     routing: RefCell<Option<Rc<Routing>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     rng: RefCell<StdRng>,
-    in_flight: Cell<usize>,
-    is_stopping: Cell<bool>,
-    shutdown_deadline: Cell<Option<Instant>>,
+    in_flight: RefCell<BTreeMap<u64, Rc<RequestState>>>,
+    next_in_flight: Cell<u64>,
+    shutdown: Cell<Option<Shutdown>>,
+    /// Notified when the instance begins to stop.
+    stop_begun: Notify,
     knows_servers: Cell<bool>,
     servers_regained_at: Cell<Option<Instant>>,
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
@@ -140,9 +140,10 @@
             routing: RefCell::default(),
             budgets: RefCell::default(),
             rng: RefCell::new(StdRng::from_os_rng()),
-            in_flight: Cell::new(0),
-            is_stopping: Cell::new(false),
-            shutdown_deadline: Cell::new(None),
+            in_flight: RefCell::default(),
+            next_in_flight: Cell::new(0),
+            shutdown: Cell::new(None),
+            stop_begun: Notify::new(),
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
             removed_during_outage: RefCell::default(),
@@ -405,46 +406,104 @@
 
     /// Returns whether the instance is ready for new connections.
     pub fn is_ready(&self) -> bool {
-        self.routing.borrow().is_some() && self.knows_servers.get() && !self.is_stopping.get()
+        self.routing.borrow().is_some() && self.knows_servers.get() && !self.is_stopping()
     }
 
     /// Returns whether the instance is stopping or has stopped.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.shutdown.get().is_some()
     }
 
-    /// Marks the instance as stopping, with `end` as its shutdown deadline.
+    /// Marks the instance as stopping, with `end` as the latest end of the process.
     pub fn stop(&self, end: Instant) {
-        self.is_stopping.set(true);
-        self.shutdown_deadline.set(Some(end));
+        self.shutdown.set(Some(Shutdown { end }));
+        self.stop_begun.notify_waiters();
+    }
+
+    /// Returns the time until the process ends at the latest, if the instance is stopping.
+    pub fn stops_in(&self) -> Option<Duration> {
+        let shutdown = self.shutdown.get()?;
+        Some(shutdown.end.saturating_duration_since(self.clock.now()))
+    }
+
+    /// Returns whether a request may be sent to a server: it is sure to end before the process, or it may have run
+    /// and can no longer be refused as not run.
+    pub fn may_start(&self, req: &Incoming) -> bool {
+        let Some(shutdown) = self.shutdown.get() else { return true };
+        req.state.may_have_run() || shutdown.can_finish(self.extent(req), self.clock.now())
+    }
+
+    /// Waits until a request that no server may have run must not be started any more.
+    pub async fn closed_for(&self, req: &Incoming) {
+        let shutdown = self.stopping().await;
+        match shutdown.closes_at(self.extent(req)) {
+            Some(closes_at) if !req.state.may_have_run() => self.wait_until(closes_at).await,
+            _ => std::future::pending().await,
+        }
+    }
+
+    /// Waits until requests without a response have to get one, since the process ends.
+    pub async fn final_responses_due(&self) {
+        let shutdown = self.stopping().await;
+        self.wait_until(shutdown.responses_due()).await;
+    }
+
+    async fn stopping(&self) -> Shutdown {
+        loop {
+            let begun = self.stop_begun.notified();
+            if let Some(shutdown) = self.shutdown.get() {
+                return shutdown;
+            }
+            begun.await;
+        }
+    }
+
+    async fn wait_until(&self, at: Instant) {
+        tokio::time::sleep(at.saturating_duration_since(self.clock.now())).await;
     }
 
-    /// Returns whether a request completes before the shutdown deadline even at its maximum length.
+    /// Returns the longest time that a request takes.
     ///
-    /// The callers' estimates of the length are too inaccurate: streams would be cut.
-    pub fn can_finish(&self, kind: RouteKind, facts: &RequestFacts) -> bool {
-        let Some(end) = self.shutdown_deadline.get() else { return true };
-        let expected = match kind {
+    /// The callers' estimates of the length of a stream are too inaccurate: streams would be cut.
+    fn extent(&self, req: &Incoming) -> Extent {
+        match req.route.kind {
             RouteKind::Stream { .. } => {
-                let reservations = self.reservations.borrow();
-                START_LATENCY
-                    + reservations.duration_of(facts.max_tokens).mul_f64(SLOW_ENGINE_FACTOR)
+                let duration = self.reservations.borrow().duration_of(req.facts.max_tokens);
+                let longest = START_LATENCY + duration.mul_f64(SLOW_ENGINE_FACTOR);
+                Extent::of_stream(req.received, longest)
             }
-            RouteKind::Idempotent | RouteKind::AtMostOnce => MAX_UNARY_DURATION,
-        };
-        self.clock.now() + expected < end
+            RouteKind::Idempotent | RouteKind::AtMostOnce => {
+                Extent::of_call(req.received, req.deadline)
+            }
+        }
     }
 
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.in_flight.borrow().len()
+    }
+
+    /// Logs each request that is still in flight when the process ends.
+    pub fn log_cut_requests(&self) {
+        let now = self.clock.now();
+        for state in self.in_flight.borrow().values() {
+            let request = &**state.id.borrow();
+            let server = &**state.server.borrow();
+            let has_responded = state.has_responded.get();
+            let may_have_run = state.may_have_run();
+            let elapsed_ms = now.saturating_duration_since(state.received).as_millis() as u64;
+            log::error!(request, server, has_responded, may_have_run, elapsed_ms; "cut_by_stop");
+        }
     }
 
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(self: &Rc<Self>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
+        let key = self.next_in_flight.get();
+        self.next_in_flight.set(key + 1);
+        let state = Rc::new(RequestState::new(self.clock.now()));
+        self.in_flight.borrow_mut().insert(key, state.clone());
         self.metrics.in_flight.inc();
-        InFlight(self.clone())
+        InFlight { gateway: self.clone(), key, state }
     }
 
     /// Returns a random number in `0.0..1.0`.
@@ -1071,11 +1130,16 @@
 }
 
 /// A request in flight.
-pub struct InFlight(Rc<Gateway>);
+pub struct InFlight {
+    gateway: Rc<Gateway>,
+    key: u64,
+    /// What is known of the request.
+    pub state: Rc<RequestState>,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-        self.0.metrics.in_flight.dec();
+        self.gateway.in_flight.borrow_mut().remove(&self.key);
+        self.gateway.metrics.in_flight.dec();
     }
 }
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -1,9 +1,12 @@
 //! Handles a request of a caller: checks it, forwards it, and logs and counts its result.
 
+use std::error::Error;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header;
 use actix_http::{ConnectionType, Request, RequestHead, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -12,9 +15,10 @@
 
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, InFlight};
 use crate::refusal::Refusal;
 use crate::route::{CallerLimits, Route, RouteKind, Routing, ServiceName};
+use crate::shutdown::RequestState;
 use crate::stream;
 use crate::unary::{self, Outcome};
 
@@ -24,25 +28,52 @@
 /// Serves one request.
 pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
     let guard = gateway.track_request();
-    let received = gateway.clock.now();
-    let mut cx = RequestContext { received, ..RequestContext::default() };
-    let outcome = match check(&gateway, &mut req, &mut cx).await {
-        Ok(incoming) => {
-            let incoming = Rc::new(incoming);
-            match incoming.route.kind {
-                RouteKind::Stream { .. } => stream::forward(&gateway, incoming, guard).await,
-                RouteKind::Idempotent | RouteKind::AtMostOnce => {
-                    unary::forward(&gateway, &incoming).await
-                }
-            }
-        }
-        Err(refusal) => Outcome::Refused(refusal),
+    let state = guard.state.clone();
+    let mut cx = RequestContext::new(state.clone());
+    let outcome = tokio::select! {
+        biased;
+        outcome = forward(&gateway, &mut req, &mut cx) => outcome,
+        () = gateway.final_responses_due() => Outcome::Refused(state.final_refusal()),
     };
     let mut response = finish(&gateway, &cx, outcome);
     if gateway.is_stopping() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
-    response
+    state.has_responded.set(true);
+    response.map_body(|_, body| GuardedBody { body, _guard: guard }.boxed())
+}
+
+/// Checks a request and forwards it to servers.
+async fn forward(gateway: &Rc<Gateway>, req: &mut Request, cx: &mut RequestContext) -> Outcome {
+    let incoming = match check(gateway, req, cx).await {
+        Ok(incoming) => Rc::new(incoming),
+        Err(refusal) => return Outcome::Refused(refusal),
+    };
+    match incoming.route.kind {
+        RouteKind::Stream { .. } => stream::forward(gateway, incoming).await,
+        RouteKind::Idempotent | RouteKind::AtMostOnce => unary::forward(gateway, &incoming).await,
+    }
+}
+
+/// A body whose request counts as in flight until it has been handed to the connection.
+struct GuardedBody {
+    body: BoxBody,
+    _guard: InFlight,
+}
+
+impl MessageBody for GuardedBody {
+    type Error = Box<dyn Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(cx)
+    }
 }
 
 /// Results of the checks so far.
@@ -53,22 +84,22 @@
     service: Option<ServiceName>,
     parts: Box<[PartId]>,
     version: u64,
+    state: Rc<RequestState>,
 }
 
-impl Default for RequestContext {
-    fn default() -> Self {
+impl RequestContext {
+    fn new(state: Rc<RequestState>) -> Self {
         Self {
-            received: Instant::now(),
+            received: state.received,
             facts: None,
             route: None,
             service: None,
             parts: Box::default(),
             version: 0,
+            state,
         }
     }
-}
 
-impl RequestContext {
     /// Returns the time for which every instance refuses the request.
     fn quarantined_for(&self, gateway: &Gateway) -> Duration {
         let service = self.service.as_deref().unwrap_or_default();
@@ -82,6 +113,10 @@
         if refusal.status() != StatusCode::SERVICE_UNAVAILABLE {
             return None;
         }
+        // Other instances can take the request immediately.
+        if refusal == Refusal::Stopping {
+            return Some(Duration::ZERO);
+        }
         let elapsed = gateway.clock.now() - self.received;
         let timeout = self.facts.as_ref().and_then(|facts| facts.timeout);
         let remaining = timeout.unwrap_or_default().saturating_sub(elapsed);
@@ -89,8 +124,6 @@
         let spread = gateway.retry_after(route, remaining);
         let service = self.service.as_deref().unwrap_or_default();
         Some(match refusal {
-            // Other instances can take the request immediately.
-            Refusal::Stopping => Duration::ZERO,
             // Until then every instance refuses the request.
             Refusal::Quarantined => spread.max(self.quarantined_for(gateway)),
             Refusal::ServerLimit => {
@@ -116,24 +149,25 @@
 ) -> Result<Incoming, Refusal> {
     let facts = gateway.dialect.read_request(req.head());
     cx.facts.clone_from(&facts);
-    let routing = gateway.routing().ok_or(Refusal::NoConfiguration)?;
+    if let Some(facts) = &facts {
+        cx.state.id.replace(facts.id.clone());
+    }
+    let unconfigured =
+        if gateway.is_stopping() { Refusal::Stopping } else { Refusal::NoConfiguration };
+    let routing = gateway.routing().ok_or(unconfigured)?;
     cx.version = routing.version;
     let facts = facts.ok_or(Refusal::NoIdentifier)?;
     let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
     cx.route = Some(route.clone());
     let body = read_body(req, &routing.limits).await?;
     // The configuration may have changed while the body was received.
-    let routing = gateway.routing().ok_or(Refusal::NoConfiguration)?;
+    let routing = gateway.routing().ok_or(unconfigured)?;
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
-    if !gateway.can_finish(route.kind, &facts) {
-        return Err(Refusal::Stopping);
-    }
     let service =
         route.choose_service(gateway.random_fraction()).cloned().ok_or(Refusal::NoServer)?;
     cx.service = Some(service.clone());
-    gateway.fund_retries(&service);
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
@@ -141,7 +175,13 @@
     let parts = parts_of(&facts, req.head(), &body);
     cx.parts.clone_from(&parts);
     let deadline = received + timeout;
-    Ok(Incoming { facts, route, service, parts, head, body, received, deadline })
+    let state = cx.state.clone();
+    let incoming = Incoming { facts, route, service, parts, head, body, received, deadline, state };
+    if !gateway.may_start(&incoming) {
+        return Err(Refusal::Stopping);
+    }
+    gateway.fund_retries(&incoming.service);
+    Ok(incoming)
 }
 
 /// Returns the shared parts of a prompt and a fingerprint, by which a request that is sent again is
@@ -200,7 +240,8 @@
             gateway.metrics.count_request(kind, "refused");
             gateway.metrics.count_refusal(refusal);
             let retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64);
-            log::warn!(request, route, service, version, servers_revision, status, reason:% = refusal, elapsed_ms, retry_after_ms:?; "refused");
+            let stops_in_ms = gateway.stops_in().map(|left| left.as_millis() as u64);
+            log::warn!(request, route, service, version, servers_revision, status, reason:% = refusal, elapsed_ms, retry_after_ms:?, stops_in_ms:?; "refused");
             let mut response = refusal.response(retry_after);
             gateway.dialect.write_refusal(response.headers_mut(), request);
             response
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -159,6 +159,7 @@
         }
         gateway.is_stopped.set(true);
         gateway.announce_end(true);
+        gateway.log_cut_requests();
         log::info!(instance, in_flight = gateway.in_flight(); "stopped");
     }
 }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod route;
 pub mod selection;
 mod settings;
+pub mod shutdown;
 mod stored_quarantine;
 pub mod stream;
 pub mod unary;
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::engine_stream::EngineStream;
 use crate::evidence::promises_not_run;
 use crate::exchange::CallError;
-use crate::gateway::{Gateway, InFlight, display_parts};
+use crate::gateway::{Gateway, display_parts};
 use crate::hedge::{Course, Patience, ReservedRetry, Tally};
 use crate::refusal::Refusal;
 use crate::selection::Plan;
@@ -38,7 +38,7 @@
 const START_TIMEOUT_SHARE: f64 = 0.5;
 
 /// Runs a completion and returns its stream once an engine has started to respond.
-pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>, guard: InFlight) -> Outcome {
+pub async fn forward(gateway: &Rc<Gateway>, req: Rc<Incoming>) -> Outcome {
     let mut attempts = Attempts::default();
     let cx = Context { gateway, req: &req };
     let resume_after = req.facts.resume_after;
@@ -63,7 +63,6 @@
         attempts,
         current: Some(engine),
         ready,
-        _guard: guard,
     };
     Outcome::Response(relay.into_response(response), server)
 }
@@ -167,6 +166,9 @@
             if gateway.quarantined_for(&req.service, &req.parts).is_some() {
                 return Err(self.refuse(Refusal::Quarantined, Refusal::MayHaveRun));
             }
+            if !gateway.may_start(req) {
+                return Err(Refusal::Stopping);
+            }
             let is_resumption = resume_after != req.facts.resume_after;
             // The budget is checked before admission: a completion that may not be retried must
             // neither wait for engine memory nor reserve it.
@@ -179,7 +181,11 @@
                 }
             }
             let history = History { is_resumption, has_crashed: self.has_crashed.get() };
-            let placement = match admit(gateway, req, &self.tried, history).await {
+            let admitted = tokio::select! {
+                admitted = admit(gateway, req, &self.tried, history) => admitted,
+                () = gateway.closed_for(req) => Err(Refusal::Stopping),
+            };
+            let placement = match admitted {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.refuse(refusal, Refusal::MayHaveRun)),
             };
@@ -683,7 +689,6 @@
     /// Events of the engine that were read before its stream is forwarded; the inner value is `None` after the
     /// last one.
     ready: Option<Option<Bytes>>,
-    _guard: InFlight,
 }
 
 impl Relay {
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -56,6 +56,9 @@
             if !tally.allows_attempt(&req.route) {
                 break last_error;
             }
+            if !gateway.may_start(req) {
+                break Refusal::Stopping;
+            }
             // The budget is checked first, so that no permit is obtained for a retry that is not made.
             let Ok(retry) = reserve_retry(gateway, req, tally) else {
                 break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
