Refuse a completion at once that could not start in time after its engine's rest

While the only decode engine asked for rest again and again, callers of completions waited for up to 1.4 s and were then refused. Plain calls were refused at once.

A completion waited for the end of a rest as long as it would wait for memory, 3.3 latency targets. After the rest the engine refused it again, and often it waited once more. It now waits only if it can start within its latency target afterwards; a stream that has started waits as before, since it cannot come back.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -92,6 +92,11 @@
     let max_wait = req.route.target_latency.mul_f64(MAX_WAIT_IN_TARGETS);
     let start = if history.is_resumption { gateway.clock.now() } else { req.received };
     let expires_at = (start + max_wait).min(req.deadline);
+    // A stream that has started cannot be refused; any other completion can come back after the rest.
+    let starts_by = match history.is_resumption {
+        true => expires_at,
+        false => expires_at.min(req.received + req.route.target_latency),
+    };
     let mut excluded = Vec::new();
     loop {
         let mut admission =
@@ -101,7 +106,7 @@
             && let Some(rest) = gateway.rest_of_service(&req.service, tried)
         {
             drop(admission);
-            wait_for_rest(gateway, req, rest, expires_at).await?;
+            wait_for_rest(gateway, req, rest, starts_by).await?;
             continue;
         }
         let Some(Decision::Granted(grant)) = &decision else {
@@ -126,16 +131,17 @@
     }
 }
 
-/// Waits until the first of the engines ends its rest, or refuses the completion if it could not start then.
+/// Waits until the first of the engines ends its rest, or refuses the completion if it could not start by
+/// `starts_by` then.
 async fn wait_for_rest(
     gateway: &Gateway,
     req: &Incoming,
     rest: Duration,
-    expires_at: Instant,
+    starts_by: Instant,
 ) -> Result<(), Refusal> {
     let request = &*req.facts.id;
     let rest_ms = rest.as_millis() as u64;
-    let is_in_time = gateway.clock.now() + rest + START_LATENCY < expires_at;
+    let is_in_time = gateway.clock.now() + rest + START_LATENCY < starts_by;
     log::info!(request, rest_ms, is_in_time; "engines_rest");
     if !is_in_time {
         return Err(Refusal::ServersResting);
