Serve the connections that were made before a stopping instance closes its listener

A connection that the kernel had accepted when the listener closed was reset with its request unread. The accept loop chose at random between the next connection and the stop.

--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -236,8 +236,12 @@
     let start = gateway.clock.now();
     tokio::time::sleep(CLOSE_DELAY.min(limit)).await;
     stop_handle.stop();
-    while gateway.in_flight() > 0 && gateway.clock.now() - start < limit {
+    loop {
+        // Connections that were made before have time to send their requests.
         tokio::time::sleep(DRAIN_POLL).await;
+        if gateway.in_flight() == 0 || gateway.clock.now() - start >= limit {
+            return;
+        }
     }
 }
 
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -86,16 +86,23 @@
         self.stop.clone()
     }
 
-    /// Accepts connections until the server is stopped, and serves each in its own task.
+    /// Accepts connections until the server is stopped, with those that were made before, and serves each in its
+    /// own task.
     pub async fn run(self) {
         let mut limits = self.limits.get();
         let Some(mut service) = build_service(&self.handler, limits).await else { return };
         loop {
             let accepted = tokio::select! {
+                // Connections that the kernel has accepted before the stop are served: closing the listener
+                // resets them.
+                biased;
                 accepted = self.listener.accept() => accepted,
                 () = self.stop.stopped() => return,
             };
             let Ok((stream, _)) = accepted else {
+                if self.stop.0.is_stopped.get() {
+                    return;
+                }
                 // The process is out of file descriptors; wait for connections to close.
                 actix_rt::time::sleep(Duration::from_millis(10)).await;
                 continue;
