Test stops with pipelined requests, slow readers and routes of two attempts

An answer of 7 MiB whose caller began to read it 4 s after the signal was cut after 3,994,338 bytes on: a plain request did not count as in flight while its answer was written. Requests that follow on the same connection were answered before, and still are; this guards it. Lookups and resumable streams now have two attempts, so that successors of silent ones are started inside a stop, too.

--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -9,10 +9,11 @@
 
 use magnoliaspar_platform_standin::{
     BreakPoint, Caller, Fault, Framing, GatewayProcess, Pause, Response, Role, ServerSpec,
-    StandinServer, StandinStore, write_settings,
+    StandinServer, StandinStore, read_head, write_settings,
 };
 use serde_json::json;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_instance");
@@ -217,10 +218,11 @@
     let mut routes = Vec::new();
     for (name, kind) in ROUTES {
         let service = if kind == "streaming" { "engines" } else { "shop" };
+        let attempts = if matches!(name, "lookup" | "summary") { 2 } else { 1 };
         routes.push(json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
             "timeout_ms": timeout.as_millis() as u64, "target_latency_ms": 500, "gap_target_ms": 200,
-            "service": service, "max_attempts": 1, "resumable": name == "summary",
+            "service": service, "max_attempts": attempts, "resumable": name == "summary",
         }));
     }
     json!({
@@ -321,3 +323,78 @@
     let runs = deployment.runs();
     assert!(runs.contains("order-502") && !runs.contains("order-503"), "{runs:?}");
 }
+
+/// Requests that are sent on one connection before the first response is read.
+#[actix_rt::test]
+async fn requests_behind_the_last_answer_on_a_connection_are_answered_too() {
+    let deployment = Deployment::start("pipelined", ROUTE_TIMEOUT).await;
+    deployment.servers.iter().for_each(pause_in_responses(Duration::from_millis(600)));
+    let mut stream = TcpStream::connect(deployment.gateway.requests).await.unwrap();
+    for number in 0..4 {
+        let call = deployment.call("lookup", &format!("pipelined-{number}"));
+        call.caller.send_on(&mut stream).await.unwrap();
+    }
+    sleep(Duration::from_millis(100)).await;
+    deployment.gateway.signal("-TERM");
+    for number in 0..4 {
+        let response = Response::read(&mut stream).await;
+        let response = response.unwrap_or_else(|| panic!("request {number} has no answer"));
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+}
+
+/// Length of a response that does not fit into the buffers of its connections, in bytes.
+const LONG_BODY: usize = 7 << 20;
+
+/// Bytes that a slow caller reads at once.
+const SLOW_READ: usize = 128 << 10;
+
+/// Starts a server that answers each request with a long body, and registers it.
+async fn start_long_server(store: &StandinStore) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let entry = json!({
+        "service": "shop", "address": address.to_string(), "zone": "a", "version": "v1", "slots": 8,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+    });
+    store.put("servers", "long", &entry);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let Some(head) = read_head(&mut stream).await else { return };
+                let id = head.get("request-id").unwrap_or_default();
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal\r\nContent-Length: {LONG_BODY}\r\n\r\n"
+                );
+                let _ = stream.write_all(text.as_bytes()).await;
+                let _ = stream.write_all(&vec![b'a'; LONG_BODY]).await;
+            });
+        }
+    });
+}
+
+#[actix_rt::test]
+async fn an_answer_that_its_caller_reads_slowly_is_not_cut_by_a_stop() {
+    let deployment = Deployment::start("slow-reader", ROUTE_TIMEOUT).await;
+    start_long_server(&deployment.store).await;
+    deployment.servers.iter().for_each(|server| server.register(&deployment.store, "draining"));
+    sleep(Duration::from_millis(500)).await;
+    let socket = TcpSocket::new_v4().expect("a socket can be opened");
+    socket.set_recv_buffer_size(SLOW_READ as u32).expect("the buffer can be set");
+    let call = deployment.call("lookup", "slow-reader");
+    let mut stream = socket.connect(call.address).await.expect("the instance accepts");
+    call.caller.send_on(&mut stream).await.expect("the request can be sent");
+    let head = read_head(&mut stream).await.expect("the instance answers");
+    assert_eq!(head.word(1), "200");
+    deployment.gateway.signal("-TERM");
+    // Without requests in flight the process would end meanwhile.
+    sleep(Duration::from_secs(4)).await;
+    let mut length = 0;
+    let mut buf = vec![0; SLOW_READ];
+    while length < LONG_BODY {
+        sleep(Duration::from_millis(20)).await;
+        let count = stream.read(&mut buf).await.unwrap_or(0);
+        assert!(count > 0, "cut after {length} bytes");
+        length += count;
+    }
+}
