--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -9,7 +9,7 @@
 
 use magnoliaspar_platform_standin::{
     BreakPoint, Caller, Fault, Framing, GatewayProcess, Pause, Response, Role, ServerSpec,
-    StandinServer, StandinStore, read_head, write_settings,
+    StandinServer, StandinStore, read_events, read_head, write_settings,
 };
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -398,3 +398,27 @@
         length += count;
     }
 }
+
+#[actix_rt::test]
+async fn a_stream_that_is_cut_at_the_end_of_a_stop_does_not_look_complete_and_is_logged() {
+    let mut deployment = Deployment::start("cut", 4 * GRACE).await;
+    let (at, framing, lasts) = (BreakPoint::After(3), Framing::Chunks, 4 * GRACE);
+    let pause = Fault::Pauses(Pause { at, framing, lasts });
+    deployment.servers.iter().for_each(|server| server.set_fault(pause));
+    let mut call = deployment.call("review", "cut-stream");
+    call.caller.timeout = 4 * GRACE;
+    let mut stream = call.caller.send(call.address).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    deployment.gateway.signal("-TERM");
+    let response = Response::read(&mut stream).await.unwrap();
+    assert_eq!((response.status, response.is_complete), (200, false));
+    assert_eq!(read_events(&response.body).len(), 3);
+    while deployment.gateway.exit_status().is_none() {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    let log = deployment.gateway.log();
+    let line = log.lines().find(|line| line.contains("cut_by_stop")).expect("it is logged");
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    assert_eq!((&line["request"], &line["has_responded"]), (&json!("cut-stream"), &json!(true)));
+}
