Choose the free port for other instances by TCP

A test that starts 61 gateways failed once beside other tests and soaks: 'loopback ports are free: Bind { address: 127.0.0.1:57342, message: Address already in use }'. A port 0 was chosen free for datagrams and then tried for TCP, ten times. Connections that were closed keep their port for a minute: 13,811 of 28,232 ports some minutes later, and connections take one half of the range first. The port is now chosen by TCP, and few datagram ports are taken.

--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -215,18 +215,19 @@
     let settings = gateway.settings();
     let mut attempts = 0;
     loop {
+        // Free ports are chosen for TCP, where closed connections keep thousands of them for a minute.
+        let copies = Server::bind(settings.peers, copy_handler(gateway)).await?;
+        let address = copies.address();
         let servers_position = gateway.servers_position.clone();
-        let bound = Peers::bind(&settings, servers_position, gateway.clock.now()).await;
-        let peers = bound.map_err(|error| {
-            let message = error.to_string().into();
-            ServerError::Bind { address: settings.peers, message }
-        })?;
+        let now = gateway.clock.now();
         attempts += 1;
-        match Server::bind(peers.address(), copy_handler(gateway)).await {
-            Ok(copies) => return Ok((Rc::new(peers), copies)),
-            // A port that is free for datagrams may be taken for TCP.
+        match Peers::bind(&settings, address, servers_position, now).await {
+            Ok(peers) => return Ok((Rc::new(peers), copies)),
+            // A port that is free for TCP may be taken for datagrams.
             Err(_) if settings.peers.port() == 0 && attempts < MAX_BIND_ATTEMPTS => {}
-            Err(error) => return Err(error),
+            Err(error) => {
+                return Err(ServerError::Bind { address, message: error.to_string().into() });
+            }
         }
     }
 }
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -326,14 +326,14 @@
 }
 
 impl Peers {
-    /// Binds the socket to the address in the settings.
+    /// Binds the socket to `address`, whose port is free for TCP.
     pub async fn bind(
         settings: &GatewaySettings,
+        address: SocketAddr,
         servers_position: Rc<FeedPosition>,
         now: Instant,
     ) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(settings.peers).await?;
-        let address = socket.local_addr()?;
+        let socket = UdpSocket::bind(address).await?;
         let peers = RefCell::default();
         let seeds = RefCell::new(settings.seeds.clone());
         Ok(Self {
