Leave time between two requests for a successor whatever the latency target

With a latency target of zero an instance stopped serving and used a whole core: the wait before a successor was over at once each time, so that the loop never yielded.

--- a/crates/magnoliaspar-gateway/src/hedge.rs
+++ b/crates/magnoliaspar-gateway/src/hedge.rs
@@ -41,6 +41,9 @@
     }
 }
 
+/// Minimum time between two attempts to start a successor, also for a route whose latency target is zero.
+const MIN_PATIENCE: Duration = Duration::from_millis(10);
+
 /// Time after which another attempt is started beside a silent one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
@@ -53,7 +56,7 @@
 impl Patience {
     /// Creates the patience for an attempt without a successor so far.
     pub fn new(limit: Duration) -> Self {
-        Self { limit, asked_at: None }
+        Self { limit: limit.max(MIN_PATIENCE), asked_at: None }
     }
 
     /// Returns the time left before a successor is started for an attempt that is silent since `silent_since`.
@@ -166,6 +169,13 @@
         assert_eq!(patience.left(at(350), at(400)), Duration::from_millis(250));
     }
 
+    #[test]
+    fn a_latency_target_of_zero_leaves_time_between_two_requests_for_a_successor() {
+        let now = Instant::now();
+        let patience = Patience { asked_at: Some(now), ..Patience::new(Duration::ZERO) };
+        assert!(!patience.left(now, now).is_zero());
+    }
+
     #[test]
     fn a_silent_stream_is_kept_beyond_the_overlap_only_if_its_engine_is_known_to_live() {
         let now = Instant::now();
