Compare positions in the store by epoch first, and read the rows whole in a new one

After the store had returned from a copy some seconds old, changes that it had acknowledged since did not come into force: a route of an acknowledged version got 404, requests were sent by a version that was replaced, and a server that was draining was still used. The store assigns revisions again after a restore. Each instance compared them with the ones that it had reached before and dropped what it read as stale until the store had made up for the lost revisions; a store that had overtaken them already was asked only for the changes since. What peers report was compared in the same way, so that no copy helped.

A position is now a pair of epoch and revision. Each batch has the epoch of the response that it came in. One of an earlier epoch is dropped, one of a later epoch is applied, and if it holds changes since a position of another epoch, or any response names a later epoch, the rows are read whole at once. Heartbeats and copies carry epochs; former versions send none, which compares as the earliest. The version of the configuration counts across epochs; of two with the same version the one of the later epoch holds.

--- a/crates/magnoliaspar-core/src/lib.rs
+++ b/crates/magnoliaspar-core/src/lib.rs
@@ -10,7 +10,7 @@
 mod prefix;
 
 pub use self::clock::{Clock, ManualClock, SystemClock};
-pub use self::epoch::Epoch;
+pub use self::epoch::{Epoch, Position};
 pub use self::finding::{Finding, Findings, Place};
 pub use self::id::{
     AttemptId, IdempotencyKey, Incarnation, InstanceName, ModelName, NameError, PoolName,
--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -114,7 +114,7 @@
         // instance cannot use the engine.
         let request = &*req.facts.id;
         let coordinator = admission.coordinator_name();
-        let servers_revision = gateway.servers_position.last_change();
+        let servers_revision = gateway.servers_position.last_change().revision;
         log::warn!(request, home = &*coordinator, engine = &*engine, servers_revision; "grant_unusable");
         let key = gateway.directory.borrow().key(&engine);
         if key.is_some_and(|key| gateway.must_wait_for(key)) {
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -10,6 +10,7 @@
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{Request, RequestHead, Response, StatusCode, Uri, header};
 use bytes::Bytes;
+use magnoliaspar_core::{Epoch, Position};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +44,9 @@
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct Copy<T> {
+    /// The epoch of the store in which the rows were read; former versions of the gateway do not send it.
+    #[serde(default)]
+    epoch: Epoch,
     /// The revision of the store that the instance has reached.
     revision: u64,
     /// The rows by key.
@@ -68,8 +72,9 @@
 
 fn configuration_copy(gateway: &Gateway) -> Option<Copy<Rc<Routing>>> {
     let routing = gateway.routing()?;
-    let revision = gateway.routing_position.applied();
-    Some(Copy { revision, rows: vec![("".into(), routing)] })
+    let epoch = gateway.configuration_epoch();
+    let revision = gateway.routing_position.applied().revision;
+    Some(Copy { epoch, revision, rows: vec![("".into(), routing)] })
 }
 
 fn servers_copy(gateway: &Gateway) -> Option<Copy<ServerRecord>> {
@@ -80,22 +85,24 @@
     for (_, server) in gateway.directory.borrow().iter() {
         rows.push((server.record.id.clone(), server.record.clone()));
     }
-    Some(Copy { revision: gateway.servers_position.applied(), rows })
+    let Position { epoch, revision } = gateway.servers_position.applied();
+    Some(Copy { epoch, revision, rows })
 }
 
 /// Copies newer configurations from peers for as long as the process runs.
 pub async fn copy_configuration(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let follower = RoutingFollower(gateway.clone());
-    let mark = |revisions: &FeedRevisions| revisions.version;
+    let mark = FeedRevisions::configuration;
     loop {
-        let source = wait_for_source(&gateway, &peers, mark, || revisions(&gateway).version).await;
+        let source = wait_for_source(&gateway, &peers, mark, || mark(&revisions(&gateway))).await;
         let copy = fetch::<Routing>(&peers, &source, CONFIGURATION_PATH).await;
         let Some(copy) = copy else { continue };
         // The position stays: the peer's revision does not prove that it has every change up to it.
         let batch = to_batch(copy);
-        log::info!(peer = &*source.instance, revision = batch.revision; "configuration_copied");
+        let Position { epoch, revision } = batch.position;
+        log::info!(peer = &*source.instance, epoch = epoch.0, revision; "configuration_copied");
         follower.apply(batch, false);
-        if revisions(&gateway).version < mark(&source.reported) {
+        if mark(&revisions(&gateway)) < mark(&source.reported) {
             peers.forget_revisions(&source.instance);
         }
     }
@@ -103,31 +110,33 @@
 
 /// Copies newer lists of servers from peers for as long as the process runs.
 pub async fn copy_servers(gateway: Rc<Gateway>, peers: Rc<Peers>) {
-    let mark = |revisions: &FeedRevisions| revisions.servers;
+    let mark = FeedRevisions::servers_position;
     let position = gateway.servers_position.clone();
     loop {
         let source = wait_for_source(&gateway, &peers, mark, || position.applied()).await;
         let copy = fetch::<ServerRecord>(&peers, &source, SERVERS_PATH).await;
         let Some(copy) = copy else { continue };
-        if copy.revision <= position.applied() {
+        let batch = to_batch(copy);
+        if batch.position <= position.applied() {
             peers.forget_revisions(&source.instance);
             continue;
         }
-        let batch = to_batch(copy);
-        log::info!(peer = &*source.instance, revision = batch.revision, servers = batch.rows.len(); "servers_copied");
-        position.advance(batch.revision, true);
+        let Position { epoch, revision } = batch.position;
+        let servers = batch.rows.len();
+        log::info!(peer = &*source.instance, epoch = epoch.0, revision, servers; "servers_copied");
+        position.advance(batch.position, true);
         gateway.apply(batch, true);
     }
 }
 
 /// Waits until a peer has been ahead of this instance for longer than the store takes to answer.
-async fn wait_for_source(
+async fn wait_for_source<M: Ord>(
     gateway: &Gateway,
     peers: &Peers,
-    mark: fn(&FeedRevisions) -> u64,
-    own: impl Fn() -> u64,
+    mark: fn(&FeedRevisions) -> M,
+    own: impl Fn() -> M,
 ) -> Source {
-    let find = || gateway.with_rng(|rng| peers.source_ahead(own(), mark, rng));
+    let find = || gateway.with_rng(|rng| peers.source_ahead(&own(), mark, rng));
     loop {
         while find().is_none() {
             peers.wait_for_report().await;
@@ -173,5 +182,5 @@
 
 fn to_batch<T>(copy: Copy<T>) -> Batch<T> {
     let rows = copy.rows.into_iter().map(|(key, row)| (key, Some(row))).collect();
-    Batch { revision: copy.revision, rows }
+    Batch { position: Position { epoch: copy.epoch, revision: copy.revision }, rows }
 }
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 use displaydoc::Display;
+use magnoliaspar_core::{Epoch, Position};
 use magnoliaspar_retry::Backoff;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -25,15 +26,23 @@
     /// Reads all rows.
     async fn read(&self) -> Result<Batch<T>, FeedError>;
 
-    /// Waits up to `wait` for changes after a revision; an empty batch means that there were none.
-    async fn changes(&self, after: u64, wait: Duration) -> Result<Batch<T>, FeedError>;
+    /// Waits up to `wait` for changes after a position; an empty batch means that there were none.
+    ///
+    /// The batch may be of another epoch than the position.
+    async fn changes(&self, after: Position, wait: Duration) -> Result<Batch<T>, FeedError>;
+
+    /// Returns the highest epoch that a response of the store has named, whatever it responded to.
+    fn epoch(&self) -> Epoch;
+
+    /// Waits until a response of the store has named a later epoch.
+    async fn later_epoch(&self, epoch: Epoch);
 }
 
 /// Rows that were read together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Batch<T> {
-    /// The revision that the reader has reached with the batch.
-    pub revision: u64,
+    /// The position that the reader has reached with the batch, in the epoch of the response that it came in.
+    pub position: Position,
     /// The rows by key; `None` for a row that was removed or is not usable.
     pub rows: Vec<(Box<str>, Option<T>)>,
 }
@@ -44,6 +53,8 @@
 pub enum FeedError {
     /// the changes since the last batch are no longer known
     Compacted,
+    /// the store was restored from a copy
+    Restored,
     /// no complete answer came: {0}
     Incomplete(Box<str>),
     /// {0}
@@ -73,40 +84,40 @@
 /// Position in a feed, on this instance and on its peers.
 #[derive(Debug, Default)]
 pub struct FeedPosition {
-    applied: Cell<u64>,
-    last_change: Cell<u64>,
-    highest_remote: Cell<u64>,
+    applied: Cell<Position>,
+    last_change: Cell<Position>,
+    highest_remote: Cell<Position>,
     remote_advanced: Notify,
-    /// Peers that have applied changes which this instance lacks: the revision that they have
+    /// Peers that have applied changes which this instance lacks: the position that they have
     /// reached, and the time since when they are ahead.
-    peers_ahead: RefCell<BTreeMap<Box<str>, (u64, Instant)>>,
+    peers_ahead: RefCell<BTreeMap<Box<str>, (Position, Instant)>>,
 }
 
 impl FeedPosition {
-    /// Returns the revision that this instance has reached.
-    pub fn applied(&self) -> u64 {
+    /// Returns the position that this instance has reached.
+    pub fn applied(&self) -> Position {
         self.applied.get()
     }
 
-    /// Returns a revision that covers the last change applied here.
-    pub fn last_change(&self) -> u64 {
+    /// Returns a position that covers the last change applied here.
+    pub fn last_change(&self) -> Position {
         self.last_change.get()
     }
 
-    /// Records that another instance has applied a change that `revision` covers.
-    pub fn observe_remote(&self, revision: u64) {
-        if revision > self.highest_remote.get() {
-            self.highest_remote.set(revision);
+    /// Records that another instance has applied a change that `position` covers.
+    pub fn observe_remote(&self, position: Position) {
+        if position > self.highest_remote.get() {
+            self.highest_remote.set(position);
             self.remote_advanced.notify_waiters();
         }
     }
 
-    /// Records the revision that a peer has reached.
-    pub fn observe_peer(&self, instance: &str, revision: u64, now: Instant) {
-        self.observe_remote(revision);
+    /// Records the position that a peer has reached.
+    pub fn observe_peer(&self, instance: &str, position: Position, now: Instant) {
+        self.observe_remote(position);
         let mut peers_ahead = self.peers_ahead.borrow_mut();
-        if revision > self.applied.get() {
-            peers_ahead.entry(instance.into()).or_insert((revision, now)).0 = revision;
+        if position > self.applied.get() {
+            peers_ahead.entry(instance.into()).or_insert((position, now)).0 = position;
         } else {
             peers_ahead.remove(instance);
         }
@@ -116,7 +127,7 @@
     /// here.
     pub fn peers_ahead(&self, now: Instant) -> usize {
         let mut peers_ahead = self.peers_ahead.borrow_mut();
-        peers_ahead.retain(|_, (revision, _)| *revision > self.applied.get());
+        peers_ahead.retain(|_, (position, _)| *position > self.applied.get());
         let is_overdue = |since: Instant| now.saturating_duration_since(since) >= BEHIND_THRESHOLD;
         peers_ahead.values().filter(|(_, since)| is_overdue(*since)).count()
     }
@@ -126,11 +137,11 @@
         self.peers_ahead.borrow_mut().remove(instance);
     }
 
-    /// Moves the position to a later revision.
-    pub(crate) fn advance(&self, revision: u64, has_changes: bool) {
-        self.applied.set(revision);
-        if has_changes {
-            self.last_change.set(revision);
+    /// Moves to a later position. A new epoch counts as a change even without rows, so that peers learn of it.
+    pub(crate) fn advance(&self, position: Position, has_changes: bool) {
+        let applied = self.applied.replace(position);
+        if has_changes || position.epoch > applied.epoch {
+            self.last_change.set(position);
         }
     }
 
@@ -160,13 +171,37 @@
 /// enough for several attempts to read it.
 const BEHIND_THRESHOLD: Duration = Duration::from_millis(1_000);
 
+/// What a batch is good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// The batch is applied.
+    Apply,
+    /// The batch is older than what this instance has.
+    Drop,
+    /// The batch holds changes since a position of another epoch: what the store lost or got in between is not
+    /// among them.
+    ReadAll,
+}
+
+/// Judges a batch that reaches `position`, by what this instance has `applied`. `since` is the position after
+/// which changes were requested; `None` if all rows were.
+fn judge(position: Position, since: Option<Position>, applied: Position) -> Verdict {
+    if position < applied {
+        return Verdict::Drop;
+    }
+    match since {
+        Some(since) if since.epoch != position.epoch => Verdict::ReadAll,
+        _ => Verdict::Apply,
+    }
+}
+
 /// Follows a feed for as long as the process runs.
 pub async fn follow<T>(name: &'static str, feed: Rc<dyn Feed<T>>, follower: Rc<dyn Follower<T>>) {
     let mut rng = StdRng::from_os_rng();
     let position = follower.position();
     let mut is_complete = true;
     let mut failures = 0_u32;
-    let mut compactions = 0_u32;
+    let mut repeated_reads = 0_u32;
     loop {
         // A copy from a peer may have moved the position since the last call.
         let after = position.applied();
@@ -174,49 +209,56 @@
             true => feed.read().await,
             false => tokio::select! {
                 read = feed.changes(after, follower.max_wait()) => read,
+                () = feed.later_epoch(after.epoch) => Err(FeedError::Restored),
                 () = position.wait_until_behind() => {
-                    log::info!(feed = name, revision = after; "feed_behind");
+                    log::info!(feed = name, epoch = after.epoch.0, revision = after.revision; "feed_behind");
                     feed.changes(after, Duration::ZERO).await
                 }
             },
         };
-        match read {
+        let since = (!is_complete).then_some(after);
+        match read.and_then(|batch| judged(name, batch, since, position.applied())) {
             Ok(batch) => {
                 if failures > 0 {
-                    log::info!(feed = name, failures, revision = batch.revision; "feed_regained");
+                    let revision = position.applied().revision;
+                    log::info!(feed = name, failures, revision; "feed_regained");
                     follower.recovered();
                 }
                 failures = 0;
                 let was_complete = std::mem::replace(&mut is_complete, false);
                 if !was_complete {
-                    compactions = 0;
-                }
-                if batch.revision < position.applied() {
-                    let (revision, applied) = (batch.revision, position.applied());
-                    log::info!(feed = name, revision, applied; "feed_stale");
-                    continue;
+                    repeated_reads = 0;
                 }
+                let Some(batch) = batch else { continue };
                 let has_changes = !batch.rows.is_empty();
-                position.advance(batch.revision, has_changes);
+                position.advance(batch.position, has_changes);
                 follower.apply(batch, was_complete);
                 if has_changes && !was_complete {
                     // Changes often come in series; one call returns those that follow soon.
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
             }
-            Err(FeedError::Compacted) => {
-                log::info!(feed = name, revision = after, compactions; "feed_compacted");
+            Err(error @ (FeedError::Compacted | FeedError::Restored)) => {
+                let Position { epoch, revision } = after;
+                let current = feed.epoch();
+                log::info!(
+                    feed = name, epoch = epoch.0, revision, current = current.0, repeated_reads,
+                    reason:% = error;
+                    "feed_compacted"
+                );
                 is_complete = true;
-                if compactions > 0 {
-                    // The store returned rows that are older than its history. Without a pause,
-                    // reads would follow each other in a busy loop.
-                    tokio::time::sleep(BACKOFF.wait(compactions, &mut rng)).await;
+                if repeated_reads > 0 {
+                    // The store returned rows that are older than its history or its epoch. Without a
+                    // pause, reads would follow each other in a busy loop.
+                    let wait = BACKOFF.wait(repeated_reads, &mut rng);
+                    wait_for_retry(&*feed, current, wait).await;
                 }
-                compactions = compactions.saturating_add(1);
+                repeated_reads = repeated_reads.saturating_add(1);
             }
             Err(error) => {
                 if failures == 0 {
-                    log::warn!(feed = name, revision = after, reason:% = error; "feed_lost");
+                    let Position { epoch, revision } = after;
+                    log::warn!(feed = name, epoch = epoch.0, revision, reason:% = error; "feed_lost");
                 }
                 follower.call_failed(&error);
                 failures = failures.saturating_add(1);
@@ -227,8 +269,88 @@
                     continue;
                 }
                 let wait = BACKOFF.wait(failures, &mut rng);
-                tokio::time::sleep(wait).await;
+                wait_for_retry(&*feed, feed.epoch(), wait).await;
             }
         }
     }
 }
+
+/// Returns a batch that is to be applied, or `None` if it is dropped.
+fn judged<T>(
+    name: &'static str,
+    batch: Batch<T>,
+    since: Option<Position>,
+    applied: Position,
+) -> Result<Option<Batch<T>>, FeedError> {
+    match judge(batch.position, since, applied) {
+        Verdict::Apply => Ok(Some(batch)),
+        Verdict::ReadAll => Err(FeedError::Restored),
+        Verdict::Drop => {
+            let Position { epoch, revision } = batch.position;
+            let (applied_epoch, applied) = (applied.epoch.0, applied.revision);
+            log::info!(feed = name, epoch = epoch.0, revision, applied_epoch, applied; "feed_stale");
+            Ok(None)
+        }
+    }
+}
+
+/// Waits before a call is repeated. The wait ends early if a response names a later epoch than `epoch`, since
+/// the store is back then.
+async fn wait_for_retry<T>(feed: &dyn Feed<T>, epoch: Epoch, wait: Duration) {
+    tokio::select! {
+        () = tokio::time::sleep(wait) => {}
+        () = feed.later_epoch(epoch) => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use magnoliaspar_core::{Epoch, Position};
+
+    use super::{FeedPosition, Verdict, judge};
+
+    fn at(epoch: u64, revision: u64) -> Position {
+        Position { epoch: Epoch(epoch), revision }
+    }
+
+    #[test]
+    fn rows_of_a_later_epoch_are_applied_whatever_their_revision() {
+        assert_eq!(judge(at(2, 40), None, at(1, 90)), Verdict::Apply);
+        assert_eq!(judge(at(3, 40), None, at(1, 40)), Verdict::Apply);
+        assert_eq!(judge(at(2, 95), None, at(2, 40)), Verdict::Apply);
+        assert_eq!(judge(at(2, 39), None, at(2, 40)), Verdict::Drop);
+    }
+
+    #[test]
+    fn a_response_of_the_former_epoch_that_arrives_late_is_dropped() {
+        assert_eq!(judge(at(1, 95), None, at(2, 40)), Verdict::Drop);
+        assert_eq!(judge(at(1, 95), Some(at(1, 90)), at(2, 40)), Verdict::Drop);
+    }
+
+    #[test]
+    fn changes_since_a_position_of_another_epoch_are_not_applied() {
+        // The restored store may have reached the revision already, so that nothing looks stale.
+        assert_eq!(judge(at(2, 95), Some(at(1, 90)), at(1, 90)), Verdict::ReadAll);
+        assert_eq!(judge(at(2, 95), Some(at(1, 90)), at(2, 40)), Verdict::ReadAll);
+        assert_eq!(judge(at(2, 95), Some(at(2, 90)), at(2, 90)), Verdict::Apply);
+        assert_eq!(judge(at(0, 95), Some(at(0, 90)), at(0, 90)), Verdict::Apply);
+    }
+
+    #[test]
+    fn a_peer_of_a_later_epoch_is_ahead_and_one_of_an_earlier_epoch_is_not() {
+        let start = Instant::now();
+        let later = start + Duration::from_secs(2);
+        let position = FeedPosition::default();
+        position.advance(at(1, 90), true);
+        position.observe_peer("restored", at(2, 40), start);
+        assert_eq!(position.peers_ahead(later), 1);
+        assert!(position.is_behind());
+        position.advance(at(2, 40), false);
+        assert_eq!(position.last_change(), at(2, 40));
+        position.observe_peer("former", at(1, 95), start);
+        assert_eq!(position.peers_ahead(later), 0);
+        assert!(!position.is_behind());
+    }
+}
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -6,13 +6,14 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{Clock, ServerKey};
+use magnoliaspar_core::{Clock, Epoch, Position, ServerKey};
 use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::configuration_age::ConfigurationAge;
 use crate::coordinator::{
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
@@ -110,6 +111,8 @@
     pub servers_position: Rc<FeedPosition>,
     this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
+    /// Epoch of the store in which the configuration was read last.
+    configuration_epoch: Cell<Epoch>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     rng: RefCell<StdRng>,
     in_flight: Cell<usize>,
@@ -138,6 +141,7 @@
             directory: RefCell::default(),
             pool: RefCell::default(),
             routing: RefCell::default(),
+            configuration_epoch: Cell::default(),
             budgets: RefCell::default(),
             rng: RefCell::new(StdRng::from_os_rng()),
             in_flight: Cell::new(0),
@@ -371,6 +375,12 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the epoch of the store in which the configuration was read last, here or by the peer that it was
+    /// copied from.
+    pub fn configuration_epoch(&self) -> Epoch {
+        self.configuration_epoch.get()
+    }
+
     /// Returns whether a complete list of servers has been received.
     pub fn knows_servers(&self) -> bool {
         self.knows_servers.get()
@@ -389,8 +399,8 @@
         self.metrics.outdated_ms.set(outdated_for.as_millis() as i64);
         match since {
             None if newest > version => {
-                let revision = self.routing_position.applied();
-                log::warn!(version, newest, peer = &*peer, revision; "configuration_outdated");
+                let Position { epoch, revision } = self.routing_position.applied();
+                log::warn!(version, newest, peer = &*peer, epoch = epoch.0, revision; "configuration_outdated");
                 self.outdated_since.set(Some(now));
             }
             Some(_) if newest <= version => {
@@ -996,22 +1006,29 @@
     }
 }
 
-/// Applies the configuration; a version that is not newer than the current one is ignored.
+/// Applies the configuration; one that is not newer than the current one is ignored.
 pub struct RoutingFollower(pub Rc<Gateway>);
 
 impl Follower<Routing> for RoutingFollower {
     fn apply(&self, batch: Batch<Routing>, _: bool) {
         self.0.metrics.count_feed("configuration", "ok");
+        let epoch = batch.position.epoch;
         for (_, routing) in batch.rows {
             let Some(routing) = routing else { continue };
-            let current = self.0.routing().map(|routing| routing.version);
+            let current = self.0.routing();
+            let current = current.as_deref().map(|current| (current, self.0.configuration_epoch()));
+            let age = ConfigurationAge::of(current, (&routing, epoch));
+            let previous = current.map(|(current, _)| current.version);
             let version = routing.version;
-            let is_older = current.is_some_and(|current| version <= current);
-            if is_older && !is_disabled(Guarantee::Configuration) {
-                log::debug!(version, current:?; "configuration_not_newer");
+            if age != ConfigurationAge::NotNewer {
+                self.0.configuration_epoch.set(epoch);
+            }
+            if !age.replaces() && !is_disabled(Guarantee::Configuration) {
+                log::debug!(version, previous:?, epoch = epoch.0, age:?; "configuration_not_newer");
                 continue;
             }
-            log::info!(version, previous:? = current, routes = routing.len(); "configuration_taken");
+            let routes = routing.len();
+            log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
             self.0.metrics.configuration_version.set(version as i64);
             self.0.routing.replace(Some(Rc::new(routing)));
         }
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -182,7 +182,7 @@
     let route = cx.route.as_ref().map_or("", |route| route.name.as_str());
     let service = cx.service.as_deref().unwrap_or_default();
     let version = cx.version;
-    let servers_revision = gateway.servers_position.last_change();
+    let servers_revision = gateway.servers_position.last_change().revision;
     match outcome {
         Outcome::Response(response, server) => {
             let status = response.status().as_u16();
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 pub mod call;
+mod configuration_age;
 pub mod coordinator;
 mod copy;
 pub mod dialect;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_core::{Epoch, Position};
 use magnoliaspar_retry::{CrashId, PartId};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
@@ -176,6 +177,32 @@
     /// Version of the configuration; former versions of the gateway do not send it.
     #[serde(default)]
     pub(crate) version: u64,
+    /// Epoch of the revision of the configuration; former versions of the gateway send no epochs.
+    #[serde(default)]
+    pub(crate) routing_epoch: Epoch,
+    /// Epoch of the revision of the list of servers.
+    #[serde(default)]
+    pub(crate) servers_epoch: Epoch,
+    /// Epoch in which the configuration was read last.
+    #[serde(default)]
+    pub(crate) version_epoch: Epoch,
+}
+
+impl FeedRevisions {
+    /// Returns the position in the feed of the configuration.
+    pub(crate) fn routing_position(&self) -> Position {
+        Position { epoch: self.routing_epoch, revision: self.routing }
+    }
+
+    /// Returns the position in the feed of the list of servers.
+    pub(crate) fn servers_position(&self) -> Position {
+        Position { epoch: self.servers_epoch, revision: self.servers }
+    }
+
+    /// Returns what orders configurations: the version, and for equal ones the epoch.
+    pub(crate) fn configuration(&self) -> (u64, Epoch) {
+        (self.version, self.version_epoch)
+    }
 }
 
 /// Description of an instance, sent by itself or by another one.
@@ -680,15 +707,15 @@
 
     /// Returns a peer among those with the highest mark, if that is above `own`; `mark` reads the
     /// mark out of the revisions that a peer has reported.
-    pub fn source_ahead(
+    pub fn source_ahead<M: Ord>(
         &self,
-        own: u64,
-        mark: fn(&FeedRevisions) -> u64,
+        own: &M,
+        mark: fn(&FeedRevisions) -> M,
         rng: &mut dyn RngCore,
     ) -> Option<Source> {
         let peers = self.peers.borrow();
         let highest = peers.values().map(|peer| mark(&peer.revisions)).max()?;
-        if highest <= own {
+        if highest <= *own {
             return None;
         }
         let ahead = peers.iter().filter(|(_, peer)| mark(&peer.revisions) == highest);
@@ -744,8 +771,9 @@
                 }
                 gateway.reservations.borrow_mut().replace(&sender, entries, now);
                 self.observe_revisions(&sender, peer_revisions);
-                gateway.routing_position.observe_remote(peer_revisions.routing);
-                gateway.servers_position.observe_peer(&sender, peer_revisions.servers, now);
+                gateway.routing_position.observe_remote(peer_revisions.routing_position());
+                let servers_position = peer_revisions.servers_position();
+                gateway.servers_position.observe_peer(&sender, servers_position, now);
                 let members = self.members(&zone, now);
                 let live = self.peers.borrow().len() + 1;
                 self.send_payload(
@@ -768,8 +796,8 @@
                 merge_refused(gateway, &sender, refused, now);
                 self.record_live_count(live, now);
                 gateway.update_max_instances();
-                gateway.routing_position.observe_remote(revisions.routing);
-                gateway.servers_position.observe_remote(revisions.servers);
+                gateway.routing_position.observe_remote(revisions.routing_position());
+                gateway.servers_position.observe_remote(revisions.servers_position());
                 for member in members {
                     self.observe_member(member, now);
                 }
@@ -816,8 +844,15 @@
 /// Returns the feed revisions that this instance has reached.
 pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
-    let version = gateway.routing().map_or(0, |routing| routing.version);
-    FeedRevisions { routing, servers: gateway.servers_position.last_change(), version }
+    let servers = gateway.servers_position.last_change();
+    FeedRevisions {
+        routing: routing.revision,
+        servers: servers.revision,
+        version: gateway.routing().map_or(0, |routing| routing.version),
+        routing_epoch: routing.epoch,
+        servers_epoch: servers.epoch,
+        version_epoch: gateway.configuration_epoch(),
+    }
 }
 
 fn refused_prompts(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -13,7 +13,7 @@
 pub type ServiceName = Box<str>;
 
 /// A validated configuration of routes and services.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Routing {
     /// Version set by the operator, which only increases.
