Order the entries of a restored list of servers by the counters of their processes

A store that returns from a copy lists servers that have left since, and lacks those that have registered since. Instances ordered entries by the versions that the store assigns, which are assigned again: a server whose entry had been removed got requests again, and a live server that the copy lacked was dropped at once, before it could register again.

An entry of a restored list is now compared with what is known last of its server, also if it has departed, by the start time of the process and by the number of the entry among those of the process. An older one is ignored. If nothing tells whether the entry of a departed process is older, the server is asked before it is used. Changes in the new epoch were written after the restore and are taken as they are.

--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -83,6 +83,10 @@
     }
     let mut rows = Vec::new();
     for (_, server) in gateway.directory.borrow().iter() {
+        // A server that has vanished is only used for so long, which the copy does not tell.
+        if gateway.has_vanished(&server.record.id) {
+            continue;
+        }
         rows.push((server.record.id.clone(), server.record.clone()));
     }
     let Position { epoch, revision } = gateway.servers_position.applied();
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::ServerKey;
+use magnoliaspar_core::{Epoch, Position, ServerKey};
 use magnoliaspar_retry::Backoff;
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use crate::entry_age::{EntryAge, EntrySource, EntryStamp};
 use crate::notices::Notices;
 use crate::request_limit::{LimitState, PermitBucket, RequestLimit};
 use crate::route::ServiceName;
@@ -58,11 +59,25 @@
     pub role: Option<EngineRole>,
     /// Start time that the process reports, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// Version of the entry; a later entry has a higher one.
+    /// Number of the entry among those of its process; `None` if it has none.
+    #[serde(default)]
+    pub sequence: Option<u64>,
+    /// Epoch of the store in which the entry was read.
+    #[serde(default)]
+    pub epoch: Epoch,
+    /// Version of the entry; a later entry of the same epoch has a higher one.
     #[serde(default)]
     pub revision: u64,
 }
 
+impl ServerRecord {
+    /// Returns what orders the entry among those of its server.
+    pub fn stamp(&self) -> EntryStamp {
+        let position = Position { epoch: self.epoch, revision: self.revision };
+        EntryStamp { position, started_ms: self.started_ms, sequence: self.sequence }
+    }
+}
+
 /// Stage of a completion that an engine runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -89,8 +104,7 @@
 struct Departed {
     key: ServerKey,
     address: SocketAddr,
-    started_ms: u64,
-    revision: u64,
+    stamp: EntryStamp,
     is_draining: bool,
     notices: Notices,
 }
@@ -215,6 +229,10 @@
     Updated,
     /// The entry is older than the last one, and was ignored.
     Outdated,
+    /// The entry is one of the process before, and was ignored.
+    FormerProcess,
+    /// The server has departed, and its entry may be older than that.
+    Unclear,
 }
 
 /// A change of the limit of a server.
@@ -237,19 +255,20 @@
 }
 
 impl Directory {
-    /// Applies an entry of a server, unless it is older than the last one: a store that lags behind returns
-    /// former entries.
+    /// Applies an entry of a server, unless it is older than the last one: a store that lags behind or was
+    /// restored returns former entries.
     ///
     /// A process that has started to drain never accepts requests again; an entry that says
     /// otherwise is stale.
-    pub fn put(&mut self, mut record: ServerRecord) -> RecordChange {
-        let departed = self.departed.get(&record.id);
-        let known = self.find(&record.id).map(|server| server.record.revision);
-        let last = known.or(departed.map(|departed| departed.revision));
-        if last.is_some_and(|last| record.revision < last) {
-            return RecordChange::Outdated;
+    pub fn put(&mut self, mut record: ServerRecord, source: EntrySource) -> RecordChange {
+        let age = self.age(&record, source);
+        match age {
+            EntryAge::Current | EntryAge::Unclear => {}
+            EntryAge::Outdated => return RecordChange::Outdated,
+            EntryAge::FormerProcess => return RecordChange::FormerProcess,
         }
-        let same = departed.filter(|departed| departed.started_ms == record.started_ms);
+        let departed = self.departed.get(&record.id);
+        let same = departed.filter(|departed| departed.stamp.started_ms == record.started_ms);
         record.is_draining |= same.is_some_and(|departed| departed.is_draining);
         let Some(key) = self.by_id.get(&record.id).copied() else {
             let notices = same.map(|departed| departed.notices.clone()).unwrap_or_default();
@@ -260,7 +279,10 @@
                     notices: departed.notices.clone(),
                 });
             self.insert(record, notices, unclear);
-            return RecordChange::Added;
+            return match age {
+                EntryAge::Unclear => RecordChange::Unclear,
+                _ => RecordChange::Added,
+            };
         };
         let server = &mut self.servers[key];
         let old = &server.record;
@@ -279,6 +301,17 @@
         if is_leaving { RecordChange::Draining } else { RecordChange::Updated }
     }
 
+    /// Compares an entry with what is known last of its server.
+    fn age(&self, record: &ServerRecord, source: EntrySource) -> EntryAge {
+        let departed = self.departed.get(&record.id);
+        let (last, has_departed) = match (self.find(&record.id), departed) {
+            (Some(server), _) => (server.record.stamp(), false),
+            (None, Some(departed)) => (departed.stamp, true),
+            (None, None) => return EntryAge::Current,
+        };
+        record.stamp().age(last, has_departed, source)
+    }
+
     /// Returns whether a server has to be asked whether it leaves or rests, since notices in force came from its
     /// address before its entry was known.
     pub fn has_unclear_notices(&self, key: ServerKey, now: Instant) -> bool {
@@ -356,9 +389,9 @@
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(key) = self.by_id.remove(id) else { return false };
         let Some(server) = self.forget(key) else { return false };
-        let ServerRecord { started_ms, revision, is_draining, address, .. } = server.record;
-        let notices = server.notices;
-        let departed = Departed { key, address, started_ms, revision, is_draining, notices };
+        let stamp = server.record.stamp();
+        let ServerRecord { is_draining, address, .. } = server.record;
+        let departed = Departed { key, address, stamp, is_draining, notices: server.notices };
         self.departed.insert(id.into(), departed);
         while self.departed.len() > MAX_DEPARTED {
             self.departed.pop_first();
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 };
 use crate::dialect::{Dialect, RequestFacts};
 use crate::directory::{Directory, EngineRole, RecordChange, Server, ServerRecord};
+use crate::entry_age::{EntrySource, EntryStamp};
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
@@ -120,6 +121,10 @@
     shutdown_deadline: Cell<Option<Instant>>,
     knows_servers: Cell<bool>,
     servers_regained_at: Cell<Option<Instant>>,
+    /// Epoch of the store in which the list of servers was read last.
+    servers_epoch: Cell<Epoch>,
+    /// Time at which the list of a restored store was read first.
+    servers_restored_at: Cell<Option<Instant>>,
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
     /// Time since when a peer has had a newer configuration.
     outdated_since: Cell<Option<Instant>>,
@@ -149,6 +154,8 @@
             shutdown_deadline: Cell::new(None),
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
+            servers_epoch: Cell::default(),
+            servers_restored_at: Cell::new(None),
             removed_during_outage: RefCell::default(),
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
@@ -909,19 +916,33 @@
         }
     }
 
+    /// Returns whether the entry of a server has vanished, and the server is used until it had time to register
+    /// again.
+    pub(crate) fn has_vanished(&self, id: &str) -> bool {
+        self.removed_during_outage.borrow().contains_key(id)
+    }
+
+    /// Returns the time until which a server may register again whose entry is gone; `None` if it had its time.
+    fn reregistration_deadline(&self, now: Instant) -> Option<Instant> {
+        let deadline = |since: Option<Instant>| since.map(|since| since + REREGISTRATION_GRACE);
+        let regained = deadline(self.servers_regained_at.get());
+        // What a restored store lacks was not removed, but written after its copy.
+        let restored = deadline(self.servers_restored_at.get());
+        let until = restored.max(regained.map(|until| until.min(now + MAX_REMOVED_USE)));
+        until.filter(|until| now < *until)
+    }
+
     /// Removes a server whose entry is gone; shortly after an outage of the store, only if it does
     /// not register again.
     fn handle_removal(&self, id: &str) {
         let now = self.clock.now();
         let is_draining =
             self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
-        let until = self.servers_regained_at.get().map(|at| at + REREGISTRATION_GRACE);
-        match until {
-            Some(until) if now < until && !is_draining => {
+        match self.reregistration_deadline(now) {
+            Some(until) if !is_draining => {
                 if self.directory.borrow().find(id).is_none() {
                     return;
                 }
-                let until = until.min(now + MAX_REMOVED_USE);
                 log::warn!(server = id; "server_vanished_during_outage");
                 self.removed_during_outage.borrow_mut().entry(id.into()).or_insert(until);
                 let this = self.this.clone();
@@ -936,40 +957,67 @@
         }
     }
 
-    fn put_server(&self, record: ServerRecord) {
+    /// Applies the entry of a server, and returns its effect.
+    fn put_server(&self, record: ServerRecord, source: EntrySource) -> RecordChange {
         let id = record.id.clone();
+        let EntryStamp { position: Position { epoch, revision }, sequence, .. } = record.stamp();
         let address = record.address;
         let service = record.service.clone();
         let zone = record.zone.clone();
         let started_ms = record.started_ms;
-        let change = self.directory.borrow_mut().put(record);
-        if change == RecordChange::Outdated {
-            log::info!(server = id, started_ms; "entry_outdated");
-            return;
+        let change = self.directory.borrow_mut().put(record, source);
+        if matches!(change, RecordChange::Outdated | RecordChange::FormerProcess) {
+            let epoch = epoch.0;
+            log::info!(server = id, started_ms, sequence:?, epoch, revision, change:?; "entry_outdated");
+            return change;
         }
         self.removed_during_outage.borrow_mut().remove(&id);
         let unclear = {
             let directory = self.directory.borrow();
-            let key = directory.key(&id);
-            key.filter(|key| directory.has_unclear_notices(*key, self.clock.now()))
+            let is_unclear = |key: &ServerKey| {
+                change == RecordChange::Unclear
+                    || directory.has_unclear_notices(*key, self.clock.now())
+            };
+            directory.key(&id).filter(is_unclear)
         };
         if let (Some(this), Some(unclear)) = (self.this.upgrade(), unclear) {
             ask_before_use(&this, unclear);
         }
         if change != RecordChange::Updated {
-            log::info!(server = id, service, zone, address:%, started_ms, change:?; "server_changed");
+            log::info!(
+                server = id, service, zone, address:%, started_ms, sequence:?, epoch = epoch.0, revision, change:?;
+                "server_changed"
+            );
+        }
+        change
+    }
+
+    /// Records the epoch of a batch of servers.
+    fn observe_servers_epoch(&self, epoch: Epoch) {
+        let previous = self.servers_epoch.get();
+        if epoch <= previous {
+            return;
+        }
+        self.servers_epoch.set(epoch);
+        self.metrics.store_epoch.set(epoch.0 as i64);
+        if self.knows_servers.get() {
+            self.servers_restored_at.set(Some(self.clock.now()));
+            log::warn!(epoch = epoch.0, previous = previous.0; "servers_restored");
         }
     }
 }
 
 impl Follower<ServerRecord> for Gateway {
     fn apply(&self, batch: Batch<ServerRecord>, is_complete: bool) {
+        self.observe_servers_epoch(batch.position.epoch);
+        let source = if is_complete { EntrySource::List } else { EntrySource::Change };
         let mut known = std::collections::BTreeSet::new();
         for (id, record) in batch.rows {
             match record {
                 Some(record) => {
-                    known.insert(id);
-                    self.put_server(record);
+                    if self.put_server(record, source) != RecordChange::FormerProcess {
+                        known.insert(id);
+                    }
                 }
                 None => self.handle_removal(&id),
             }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod copy;
 pub mod dialect;
 pub mod directory;
+pub mod entry_age;
 pub mod events;
 pub mod evidence;
 pub mod exchange;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub outdated_ms: IntGauge,
     /// Number of known servers.
     pub servers: IntGauge,
+    /// Epoch of the store in which the list of servers was read last.
+    pub store_epoch: IntGauge,
     /// Number of servers that name a limit.
     pub limited_servers: IntGauge,
     limited_calls: IntCounterVec,
@@ -122,6 +124,7 @@
                 "Time for which a peer has had a newer version.",
             ),
             servers: gauge("gateway_servers", "Known backend servers."),
+            store_epoch: gauge("gateway_store_epoch", "Epoch of the store by its list of servers."),
             limited_servers: gauge("gateway_limited_servers", "Servers that name a limit."),
             limited_calls: vec(
                 "gateway_limited_calls_total",
