--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -922,23 +922,28 @@
         self.removed_during_outage.borrow().contains_key(id)
     }
 
-    /// Returns the time until which a server may register again whose entry is gone; `None` if it had its time.
-    fn reregistration_deadline(&self, now: Instant) -> Option<Instant> {
+    /// Returns the time until which a server may register again whose entry is gone by `source`; `None` if it
+    /// had its time.
+    fn reregistration_deadline(&self, source: EntrySource, now: Instant) -> Option<Instant> {
         let deadline = |since: Option<Instant>| since.map(|since| since + REREGISTRATION_GRACE);
+        let capped = |until: Option<Instant>| until.map(|until| until.min(now + MAX_REMOVED_USE));
         let regained = deadline(self.servers_regained_at.get());
-        // What a restored store lacks was not removed, but written after its copy.
         let restored = deadline(self.servers_restored_at.get());
-        let until = restored.max(regained.map(|until| until.min(now + MAX_REMOVED_USE)));
+        let until = match source {
+            // What the list of a restored store lacks was not removed, but written after its copy.
+            EntrySource::List => restored.max(capped(regained)),
+            EntrySource::Change => capped(restored.max(regained)),
+        };
         until.filter(|until| now < *until)
     }
 
     /// Removes a server whose entry is gone; shortly after an outage of the store, only if it does
     /// not register again.
-    fn handle_removal(&self, id: &str) {
+    fn handle_removal(&self, id: &str, source: EntrySource) {
         let now = self.clock.now();
         let is_draining =
             self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
-        match self.reregistration_deadline(now) {
+        match self.reregistration_deadline(source, now) {
             Some(until) if !is_draining => {
                 if self.directory.borrow().find(id).is_none() {
                     return;
@@ -1019,14 +1024,14 @@
                         known.insert(id);
                     }
                 }
-                None => self.handle_removal(&id),
+                None => self.handle_removal(&id, source),
             }
         }
         if is_complete {
             let ids = self.directory.borrow().ids();
             for id in ids {
                 if !known.contains(&id) {
-                    self.handle_removal(&id);
+                    self.handle_removal(&id, source);
                 }
             }
             if !self.knows_servers.replace(true) {
