--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{Clock, ServerKey};
+use magnoliaspar_core::{Clock, Epoch, Position, ServerKey};
 use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -14,11 +14,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::Incoming;
+use crate::configuration_age::ConfigurationAge;
 use crate::coordinator::{
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
 use crate::dialect::Dialect;
 use crate::directory::{Directory, EngineRole, RecordChange, Server, ServerRecord};
+use crate::entry_age::{EntrySource, EntryStamp};
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
@@ -108,6 +110,8 @@
     pub servers_position: Rc<FeedPosition>,
     this: Weak<Gateway>,
     routing: RefCell<Option<Rc<Routing>>>,
+    /// Epoch of the store in which the configuration was read last.
+    configuration_epoch: Cell<Epoch>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     rng: RefCell<StdRng>,
     in_flight: RefCell<BTreeMap<u64, Rc<RequestState>>>,
@@ -117,6 +121,10 @@
     stop_begun: Notify,
     knows_servers: Cell<bool>,
     servers_regained_at: Cell<Option<Instant>>,
+    /// Epoch of the store in which the list of servers was read last.
+    servers_epoch: Cell<Epoch>,
+    /// Time at which the list of a restored store was read first.
+    servers_restored_at: Cell<Option<Instant>>,
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
     /// Time since when a peer has had a newer configuration.
     outdated_since: Cell<Option<Instant>>,
@@ -138,6 +146,7 @@
             directory: RefCell::default(),
             pool: RefCell::default(),
             routing: RefCell::default(),
+            configuration_epoch: Cell::default(),
             budgets: RefCell::default(),
             rng: RefCell::new(StdRng::from_os_rng()),
             in_flight: RefCell::default(),
@@ -146,6 +155,8 @@
             stop_begun: Notify::new(),
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
+            servers_epoch: Cell::default(),
+            servers_restored_at: Cell::new(None),
             removed_during_outage: RefCell::default(),
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
@@ -372,6 +383,12 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the epoch of the store in which the configuration was read last, here or by the peer that it was
+    /// copied from.
+    pub fn configuration_epoch(&self) -> Epoch {
+        self.configuration_epoch.get()
+    }
+
     /// Returns whether a complete list of servers has been received.
     pub fn knows_servers(&self) -> bool {
         self.knows_servers.get()
@@ -390,8 +407,8 @@
         self.metrics.outdated_ms.set(outdated_for.as_millis() as i64);
         match since {
             None if newest > version => {
-                let revision = self.routing_position.applied();
-                log::warn!(version, newest, peer = &*peer, revision; "configuration_outdated");
+                let Position { epoch, revision } = self.routing_position.applied();
+                log::warn!(version, newest, peer = &*peer, epoch = epoch.0, revision; "configuration_outdated");
                 self.outdated_since.set(Some(now));
             }
             Some(_) if newest <= version => {
@@ -981,19 +998,38 @@
         }
     }
 
+    /// Returns whether the entry of a server has vanished, and the server is used until it had time to register
+    /// again.
+    pub(crate) fn has_vanished(&self, id: &str) -> bool {
+        self.removed_during_outage.borrow().contains_key(id)
+    }
+
+    /// Returns the time until which a server may register again whose entry is gone by `source`; `None` if it
+    /// had its time.
+    fn reregistration_deadline(&self, source: EntrySource, now: Instant) -> Option<Instant> {
+        let deadline = |since: Option<Instant>| since.map(|since| since + REREGISTRATION_GRACE);
+        let capped = |until: Option<Instant>| until.map(|until| until.min(now + MAX_REMOVED_USE));
+        let regained = deadline(self.servers_regained_at.get());
+        let restored = deadline(self.servers_restored_at.get());
+        let until = match source {
+            // What the list of a restored store lacks was not removed, but written after its copy.
+            EntrySource::List => restored.max(capped(regained)),
+            EntrySource::Change => capped(restored.max(regained)),
+        };
+        until.filter(|until| now < *until)
+    }
+
     /// Removes a server whose entry is gone; shortly after an outage of the store, only if it does
     /// not register again.
-    fn handle_removal(&self, id: &str) {
+    fn handle_removal(&self, id: &str, source: EntrySource) {
         let now = self.clock.now();
         let is_draining =
             self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
-        let until = self.servers_regained_at.get().map(|at| at + REREGISTRATION_GRACE);
-        match until {
-            Some(until) if now < until && !is_draining => {
+        match self.reregistration_deadline(source, now) {
+            Some(until) if !is_draining => {
                 if self.directory.borrow().find(id).is_none() {
                     return;
                 }
-                let until = until.min(now + MAX_REMOVED_USE);
                 log::warn!(server = id; "server_vanished_during_outage");
                 self.removed_during_outage.borrow_mut().entry(id.into()).or_insert(until);
                 let this = self.this.clone();
@@ -1008,49 +1044,76 @@
         }
     }
 
-    fn put_server(&self, record: ServerRecord) {
+    /// Applies the entry of a server, and returns its effect.
+    fn put_server(&self, record: ServerRecord, source: EntrySource) -> RecordChange {
         let id = record.id.clone();
+        let EntryStamp { position: Position { epoch, revision }, sequence, .. } = record.stamp();
         let address = record.address;
         let service = record.service.clone();
         let zone = record.zone.clone();
         let started_ms = record.started_ms;
-        let change = self.directory.borrow_mut().put(record);
-        if change == RecordChange::Outdated {
-            log::info!(server = id, started_ms; "entry_outdated");
-            return;
+        let change = self.directory.borrow_mut().put(record, source);
+        if matches!(change, RecordChange::Outdated | RecordChange::FormerProcess) {
+            let epoch = epoch.0;
+            log::info!(server = id, started_ms, sequence:?, epoch, revision, change:?; "entry_outdated");
+            return change;
         }
         self.removed_during_outage.borrow_mut().remove(&id);
         let unclear = {
             let directory = self.directory.borrow();
-            let key = directory.key(&id);
-            key.filter(|key| directory.has_unclear_notices(*key, self.clock.now()))
+            let is_unclear = |key: &ServerKey| {
+                change == RecordChange::Unclear
+                    || directory.has_unclear_notices(*key, self.clock.now())
+            };
+            directory.key(&id).filter(is_unclear)
         };
         if let (Some(this), Some(unclear)) = (self.this.upgrade(), unclear) {
             ask_before_use(&this, unclear);
         }
         if change != RecordChange::Updated {
-            log::info!(server = id, service, zone, address:%, started_ms, change:?; "server_changed");
+            log::info!(
+                server = id, service, zone, address:%, started_ms, sequence:?, epoch = epoch.0, revision, change:?;
+                "server_changed"
+            );
+        }
+        change
+    }
+
+    /// Records the epoch of a batch of servers.
+    fn observe_servers_epoch(&self, epoch: Epoch) {
+        let previous = self.servers_epoch.get();
+        if epoch <= previous {
+            return;
+        }
+        self.servers_epoch.set(epoch);
+        self.metrics.store_epoch.set(epoch.0 as i64);
+        if self.knows_servers.get() {
+            self.servers_restored_at.set(Some(self.clock.now()));
+            log::warn!(epoch = epoch.0, previous = previous.0; "servers_restored");
         }
     }
 }
 
 impl Follower<ServerRecord> for Gateway {
     fn apply(&self, batch: Batch<ServerRecord>, is_complete: bool) {
+        self.observe_servers_epoch(batch.position.epoch);
+        let source = if is_complete { EntrySource::List } else { EntrySource::Change };
         let mut known = std::collections::BTreeSet::new();
         for (id, record) in batch.rows {
             match record {
                 Some(record) => {
-                    known.insert(id);
-                    self.put_server(record);
+                    if self.put_server(record, source) != RecordChange::FormerProcess {
+                        known.insert(id);
+                    }
                 }
-                None => self.handle_removal(&id),
+                None => self.handle_removal(&id, source),
             }
         }
         if is_complete {
             let ids = self.directory.borrow().ids();
             for id in ids {
                 if !known.contains(&id) {
-                    self.handle_removal(&id);
+                    self.handle_removal(&id, source);
                 }
             }
             if !self.knows_servers.replace(true) {
@@ -1078,22 +1141,29 @@
     }
 }
 
-/// Applies the configuration; a version that is not newer than the current one is ignored.
+/// Applies the configuration; one that is not newer than the current one is ignored.
 pub struct RoutingFollower(pub Rc<Gateway>);
 
 impl Follower<Routing> for RoutingFollower {
     fn apply(&self, batch: Batch<Routing>, _: bool) {
         self.0.metrics.count_feed("configuration", "ok");
+        let epoch = batch.position.epoch;
         for (_, routing) in batch.rows {
             let Some(routing) = routing else { continue };
-            let current = self.0.routing().map(|routing| routing.version);
+            let current = self.0.routing();
+            let current = current.as_deref().map(|current| (current, self.0.configuration_epoch()));
+            let age = ConfigurationAge::of(current, (&routing, epoch));
+            let previous = current.map(|(current, _)| current.version);
             let version = routing.version;
-            let is_older = current.is_some_and(|current| version <= current);
-            if is_older && !is_disabled(Guarantee::Configuration) {
-                log::debug!(version, current:?; "configuration_not_newer");
+            if age != ConfigurationAge::NotNewer {
+                self.0.configuration_epoch.set(epoch);
+            }
+            if !age.replaces() && !is_disabled(Guarantee::Configuration) {
+                log::debug!(version, previous:?, epoch = epoch.0, age:?; "configuration_not_newer");
                 continue;
             }
-            log::info!(version, previous:? = current, routes = routing.len(); "configuration_taken");
+            let routes = routing.len();
+            log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
             self.0.metrics.configuration_version.set(version as i64);
             self.0.routing.replace(Some(Rc::new(routing)));
         }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod admission;
 pub mod call;
+mod configuration_age;
 pub mod coordinator;
 mod copy;
 pub mod dialect;
 pub mod directory;
 mod engine_stream;
+pub mod entry_age;
 pub mod events;
 pub mod evidence;
 pub mod exchange;
