Wait out a lease after its table was restored, and order fencing tokens by epoch

After the store had come back from a copy, two instances could order engines to change their role at the same time, with the same fencing token or a lower one after a higher one. The next token was the one in the row plus one, and a restore takes the row back; an absent or released row, or one's own, was free at once; the age of another's row was told by its version, which a restored store assigns again.

What is held or observed now ends with the epoch of the table. After a restore the lease is waited out in full from the first read in the new epoch, unless a fencing token of that epoch shows that its writer has done so. A fencing token holds the epoch in its bits from 40 on, and below them the newest version of the whole table, which no restore, deletion or overwritten row makes lower within an epoch. It stays below 2^52. A write that is answered in a later epoch than that of its condition gives no lease. A row that vanishes or cannot be decoded is waited out, too.

The table for tests can be restored, and its clones are clients that learn of epochs by their calls.

--- a/crates/magnoliaspar-core/src/epoch.rs
+++ b/crates/magnoliaspar-core/src/epoch.rs
@@ -9,3 +9,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// The epoch of a store that was never restored and tells its epoch.
+    pub const FIRST: Self = Self(1);
+}
--- a/crates/magnoliaspar-fake/src/table.rs
+++ b/crates/magnoliaspar-fake/src/table.rs
@@ -1,12 +1,12 @@
 //! An in-memory table service with fault injection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::rc::Rc;
 
 use async_trait::async_trait;
-use magnoliaspar_core::Clock;
+use magnoliaspar_core::{Clock, Epoch};
 use magnoliaspar_store::{
     Condition, PlatformError, Row, RowKey, RowVersion, TableService, Transaction, Write,
     WriteOutcome,
@@ -14,18 +14,29 @@
 
 use crate::fault::{Fault, Faults, ambiguous};
 
-/// A transactional table service in memory; clones share their state.
+/// A transactional table service in memory; clones are clients of the same table.
 #[derive(Clone)]
 pub struct MemoryTable {
     store: Rc<RefCell<Store>>,
     faults: Faults,
+    /// The epoch and newest version that the last call of this client has met.
+    met: Cell<(Epoch, RowVersion)>,
 }
 
 #[derive(Default)]
 struct Store {
+    content: Content,
+    /// The content as of the last call of [`MemoryTable::save_copy`].
+    copy: Content,
+    epoch: Epoch,
+    late_writes: Vec<LateWrite>,
+}
+
+/// What a copy of the table holds.
+#[derive(Clone, Default)]
+struct Content {
     rows: BTreeMap<RowKey, Row>,
     last_version: u64,
-    late_writes: Vec<LateWrite>,
 }
 
 /// A transaction that takes effect just before the last of the next `calls_left` calls.
@@ -40,7 +51,8 @@
 impl MemoryTable {
     /// Creates an empty table.
     pub fn new(clock: Rc<dyn Clock>) -> Self {
-        Self { store: Rc::default(), faults: Faults::new(clock) }
+        let met = Cell::new((Epoch::default(), RowVersion(0)));
+        Self { store: Rc::default(), faults: Faults::new(clock), met }
     }
 
     /// Returns the fault injector of the table.
@@ -50,7 +62,43 @@
 
     /// Returns the rows whose keys start with `prefix`, without injecting faults.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
-        self.store.borrow().scan(prefix, None, usize::MAX)
+        self.store.borrow().content.scan(prefix, None, usize::MAX)
+    }
+
+    /// Returns another client of the table, which has made no call.
+    pub fn client(&self) -> Self {
+        let met = Cell::new((Epoch::default(), RowVersion(0)));
+        Self { met, ..self.clone() }
+    }
+
+    /// Begins the first epoch that the table tells its clients.
+    pub fn tell_epochs(&self) {
+        self.store.borrow_mut().epoch = Epoch::FIRST;
+    }
+
+    /// Keeps a copy of the rows, from which [`Self::restore`] restores the table.
+    pub fn save_copy(&self) {
+        let mut store = self.store.borrow_mut();
+        store.copy = store.content.clone();
+    }
+
+    /// Restores the table from its copy and begins a new epoch: what was written since is gone, and its
+    /// versions are assigned again.
+    pub fn restore(&self) {
+        let mut store = self.store.borrow_mut();
+        store.content = store.copy.clone();
+        store.epoch.0 += 1;
+    }
+
+    /// Writes a row as another writer would, or removes it.
+    pub fn overwrite(&self, key: &str, value: Option<serde_json::Value>) {
+        let key = RowKey(key.into());
+        self.store.borrow_mut().content.apply(&Write { key, condition: Condition::Always, value });
+    }
+
+    /// Records what a call has met.
+    fn meet(&self, store: &Store) {
+        self.met.set((store.epoch, RowVersion(store.content.last_version)));
     }
 
     /// Makes all late writes take effect now.
@@ -65,7 +113,8 @@
         self.faults.before_read().await?;
         let mut store = self.store.borrow_mut();
         store.apply_late(1);
-        Ok(store.rows.get(key).cloned())
+        self.meet(&store);
+        Ok(store.content.rows.get(key).cloned())
     }
 
     async fn scan(
@@ -77,7 +126,8 @@
         self.faults.before_read().await?;
         let mut store = self.store.borrow_mut();
         store.apply_late(1);
-        Ok(store.scan(prefix, after, limit))
+        self.meet(&store);
+        Ok(store.content.scan(prefix, after, limit))
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<WriteOutcome, PlatformError> {
@@ -86,9 +136,13 @@
         let mut store = self.store.borrow_mut();
         store.apply_late(1);
         match fault {
-            Fault::None => Ok(store.commit(transaction)),
+            Fault::None => {
+                let outcome = store.content.commit(transaction);
+                self.meet(&store);
+                Ok(outcome)
+            }
             Fault::LostAnswer => {
-                store.commit(transaction);
+                store.content.commit(transaction);
                 Err(ambiguous())
             }
             Fault::LateEffect => {
@@ -99,9 +153,17 @@
             Fault::LostRequest | Fault::Unavailable => Err(ambiguous()),
         }
     }
+
+    fn epoch(&self) -> Epoch {
+        self.met.get().0
+    }
+
+    fn newest_version(&self) -> RowVersion {
+        self.met.get().1
+    }
 }
 
-impl Store {
+impl Content {
     fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Vec<Row> {
         let first = RowKey(prefix.into());
         let start = match after {
@@ -151,7 +213,9 @@
         }
         version
     }
+}
 
+impl Store {
     /// Counts `calls` calls and applies the late writes that are due.
     fn apply_late(&mut self, calls: u32) {
         let mut pending = Vec::new();
@@ -161,7 +225,7 @@
                 pending.push(write);
                 continue;
             }
-            self.commit(&write.transaction);
+            self.content.commit(&write.transaction);
         }
         self.late_writes = pending;
     }
--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
-use magnoliaspar_core::{Clock, Incarnation, InstanceName};
+use magnoliaspar_core::{Clock, Epoch, Incarnation, InstanceName};
 use magnoliaspar_store::{
     Backoff, CommitOutcome, Condition, PlatformError, Row, RowKey, RowVersion, TableService,
     Transaction, Write, WriteToken, commit_idempotent,
@@ -19,6 +19,10 @@
 /// it sent its write. Others measure it from when they first saw the row, which is later. As clocks
 /// may run at different rates, the holder subtracts [`CLOCK_MARGIN`](Self::CLOCK_MARGIN) and the
 /// others add it.
+///
+/// An epoch of the table ends all that was held and observed in it: its versions are assigned again, and
+/// rows that were written last may be lost. So a lease that may have been taken in a former epoch is
+/// waited out in full, from the first read in the current one.
 pub struct LeaseController {
     settings: LeaseSettings,
     key: RowKey,
@@ -83,8 +87,8 @@
     Ambiguous,
     /// the table cannot be used: {0}
     Platform(PlatformError),
-    /// the row of the lease cannot be parsed
-    Unreadable,
+    /// the lease may be held by an instance whose row was lost or overwritten
+    MayBeHeld,
 }
 
 impl std::error::Error for LeaseError {}
@@ -112,7 +116,8 @@
     /// Returns the lease if it is held now.
     pub fn current(&self) -> Option<Lease> {
         let held = self.state.borrow().held?;
-        let is_valid = held.lease.expires > self.settings.clock.now();
+        let is_of_epoch = held.epoch == self.settings.table.epoch();
+        let is_valid = is_of_epoch && held.lease.expires > self.settings.clock.now();
         is_valid.then_some(held.lease)
     }
 
@@ -137,33 +142,24 @@
     /// Acquires the lease if no other instance holds it.
     ///
     /// Another holder's lease counts as expired once its row was observed unchanged for its
-    /// duration, so at least two calls are needed: one before and one after that time.
+    /// duration, so at least two calls are needed: one before and one after that time. The same holds
+    /// for a row that was lost.
     pub async fn acquire(&self) -> Result<Lease, LeaseError> {
         let _write_guard = self.write_lock.lock().await;
         if let Some(lease) = self.current() {
             return Ok(lease);
         }
-        let row = self.settings.table.read(&self.key).await.map_err(LeaseError::Platform)?;
-        let (condition, fencing_token) = match row {
-            None => (Condition::Absent, FIRST_FENCING_TOKEN),
-            Some(row) => {
-                let current = LeaseRow::from_row(&row)?;
-                if !self.is_free(row.version, &current) {
-                    return Err(LeaseError::Held {
-                        holder: current.holder,
-                        fencing_token: current.fencing_token,
-                    });
-                }
-                (Condition::Version(row.version), current.fencing_token + 1)
-            }
-        };
-        self.write(condition, fencing_token, self.settings.duration).await
+        let (row, epoch) = self.read_row().await?;
+        self.check_free(row.as_ref(), epoch)?;
+        let fencing_token = self.next_token(row.as_ref(), epoch);
+        let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
+        self.write(condition, epoch, fencing_token, self.settings.duration).await
     }
 
     /// Renews the lease for its duration, or for `at_least` if that is longer.
     pub async fn renew(&self, at_least: Duration) -> Result<Lease, LeaseError> {
         let _write_guard = self.write_lock.lock().await;
-        let held = self.state.borrow().held.ok_or(LeaseError::Lost)?;
+        let held = self.held()?;
         self.rewrite(held, held.lease.fencing_token, at_least).await
     }
 
@@ -179,20 +175,15 @@
     /// Raises the fencing token above one that a backend server has seen.
     pub async fn raise_token_above(&self, seen: u64) -> Result<Lease, LeaseError> {
         let _write_guard = self.write_lock.lock().await;
-        let held = self.state.borrow().held.ok_or(LeaseError::Lost)?;
+        let held = self.held()?;
         self.rewrite(held, held.lease.fencing_token.max(seen) + 1, Duration::ZERO).await
     }
 
     /// Reads the row and returns the lease if it is still held with the same fencing token.
     pub async fn confirm(&self) -> Result<Lease, LeaseError> {
-        let row = self.settings.table.read(&self.key).await.map_err(LeaseError::Platform)?;
+        let (row, _) = self.read_row().await?;
         let lease = self.current().ok_or(LeaseError::Lost)?;
-        let row = row.ok_or(LeaseError::Lost)?;
-        let written = LeaseRow::from_row(&row)?;
-        if !self.is_own(&written, lease.fencing_token) {
-            self.state.borrow_mut().held = None;
-            return Err(LeaseError::Lost);
-        }
+        self.check_own(row.as_ref(), lease.fencing_token)?;
         Ok(lease)
     }
 
@@ -202,6 +193,9 @@
     pub async fn release(&self) {
         let _write_guard = self.write_lock.lock().await;
         let Some(held) = self.state.borrow_mut().held.take() else { return };
+        if held.epoch != self.settings.table.epoch() {
+            return;
+        }
         let row = self.row(held.lease.fencing_token, self.settings.duration, true);
         // If the write fails, the lease still expires after its duration.
         self.commit(Condition::Version(held.version), &row).await;
@@ -220,22 +214,47 @@
         // A write whose result stays unknown must not shorten the lease that the holder relies on.
         let remaining_with_margin = self.remaining().mul_f64(1.0 / (1.0 - Self::CLOCK_MARGIN));
         let duration = self.settings.duration.max(at_least).max(remaining_with_margin);
-        match self.write(Condition::Version(held.version), fencing_token, duration).await {
+        let condition = Condition::Version(held.version);
+        match self.write(condition, held.epoch, fencing_token, duration).await {
             Err(LeaseError::Lost) => {}
             result => return result,
         }
-        let row = self.settings.table.read(&self.key).await.map_err(LeaseError::Platform)?;
-        let row = row.ok_or(LeaseError::Lost)?;
-        if !self.is_own(&LeaseRow::from_row(&row)?, held.lease.fencing_token) {
-            self.state.borrow_mut().held = None;
-            return Err(LeaseError::Lost);
+        let (row, epoch) = self.read_row().await?;
+        self.held()?;
+        let version = self.check_own(row.as_ref(), held.lease.fencing_token)?;
+        self.write(Condition::Version(version), epoch, fencing_token, duration).await
+    }
+
+    /// Returns the lease as last written, which may have expired; fails in another epoch of the table.
+    fn held(&self) -> Result<HeldLease, LeaseError> {
+        let held = self.state.borrow().held.ok_or(LeaseError::Lost)?;
+        match held.epoch == self.settings.table.epoch() {
+            true => Ok(held),
+            false => Err(LeaseError::Lost),
+        }
+    }
+
+    /// Reads the row, and forgets what belongs to a former epoch. Returns the epoch in which it was read.
+    async fn read_row(&self) -> Result<(Option<Row>, Epoch), LeaseError> {
+        let table = &self.settings.table;
+        for _ in 0..MAX_READS {
+            let epoch = table.epoch();
+            let row = table.read(&self.key).await.map_err(LeaseError::Platform)?;
+            // Else another call has met a new epoch meanwhile, and the row may be of either.
+            if table.epoch() == epoch {
+                self.state.borrow_mut().enter(epoch);
+                return Ok((row, epoch));
+            }
         }
-        self.write(Condition::Version(row.version), fencing_token, duration).await
+        Err(LeaseError::Ambiguous)
     }
 
+    /// Writes the row under a condition that was met in an epoch; the lease is only held if the write
+    /// was answered in the same one.
     async fn write(
         &self,
         condition: Condition,
+        epoch: Epoch,
         fencing_token: u64,
         duration: Duration,
     ) -> Result<Lease, LeaseError> {
@@ -246,8 +265,11 @@
                 let lease = Lease { fencing_token, expires };
                 let version = versions[0];
                 let is_overwritten = version == RowVersion::OVERWRITTEN;
-                self.state.borrow_mut().held =
-                    (!is_overwritten).then_some(HeldLease { lease, version });
+                let mut state = self.state.borrow_mut();
+                state.held = (!is_overwritten).then_some(HeldLease { lease, version, epoch });
+                state.has_met_row = true;
+                state.highest_token = state.highest_token.max(fencing_token);
+                drop(state);
                 self.current().ok_or(LeaseError::Lost)
             }
             CommitOutcome::Conflict { .. } => Err(LeaseError::Lost),
@@ -271,45 +293,112 @@
         LeaseRow { holder: self.holder.clone(), fencing_token, duration_ms, is_released }
     }
 
-    /// Returns true if a row allows taking the lease. Remembers when the row was first seen.
-    fn is_free(&self, version: RowVersion, row: &LeaseRow) -> bool {
-        if row.is_released || row.holder == self.holder {
-            return true;
+    /// Checks that nobody can hold the lease. Remembers when the row was first seen as it is.
+    fn check_free(&self, row: Option<&Row>, epoch: Epoch) -> Result<(), LeaseError> {
+        let current = row.and_then(LeaseRow::from_row);
+        if self.is_free_at_once(row, current.as_ref(), epoch) {
+            return Ok(());
         }
         let now = self.settings.clock.now();
         let mut state = self.state.borrow_mut();
-        let since = match state.observed {
-            Some(observed) if observed.version == version => observed.since,
-            _ => {
-                state.observed = Some(ObservedRow { version, since: now });
-                now
+        let version = row.map(|row| row.version);
+        let observed = match state.observed {
+            Some(observed) if observed.version == version => observed,
+            _ => ObservedRow { version, since: now },
+        };
+        state.observed = Some(observed);
+        state.has_met_row |= row.is_some();
+        // A row that was lost, overwritten or is of another epoch does not tell for how long the lease holds.
+        let stated = current.as_ref().map_or(Duration::ZERO, LeaseRow::duration);
+        let duration = stated.max(self.settings.duration);
+        if now.saturating_duration_since(observed.since)
+            > duration.mul_f64(1.0 + Self::CLOCK_MARGIN)
+        {
+            return Ok(());
+        }
+        Err(match current {
+            Some(LeaseRow { holder, fencing_token, is_released: false, .. })
+                if holder != self.holder =>
+            {
+                LeaseError::Held { holder, fencing_token }
             }
+            _ => LeaseError::MayBeHeld,
+        })
+    }
+
+    /// Returns whether the row shows that nobody holds the lease, however long it has been there.
+    fn is_free_at_once(&self, row: Option<&Row>, current: Option<&LeaseRow>, epoch: Epoch) -> bool {
+        let Some(current) = current else {
+            let was_never_written = row.is_none() && !self.state.borrow().has_met_row;
+            return was_never_written && epoch <= Epoch::FIRST;
         };
-        let duration = Duration::from_millis(row.duration_ms);
-        now.saturating_duration_since(since) > duration.mul_f64(1.0 + Self::CLOCK_MARGIN)
+        current.proves_epoch(epoch) && (current.is_released || current.holder == self.holder)
     }
 
-    fn is_own(&self, row: &LeaseRow, fencing_token: u64) -> bool {
-        row.holder == self.holder && row.fencing_token == fencing_token && !row.is_released
+    /// Returns a fencing token above all that were given out.
+    ///
+    /// It orders by the epoch, then by the newest version of the table at the time of the read, which is
+    /// above that of each earlier read whose lease was written, also if its row is lost.
+    fn next_token(&self, row: Option<&Row>, epoch: Epoch) -> u64 {
+        let of_row = row.and_then(LeaseRow::from_row).map_or(0, |row| row.fencing_token);
+        let version = self.settings.table.newest_version().0.min(MAX_TOKEN_VERSION);
+        let of_table = first_token(epoch) | version;
+        let highest = self.state.borrow().highest_token.max(of_row);
+        of_table.max(highest + 1)
+    }
+
+    /// Checks that a row is that of the held lease; returns its version.
+    fn check_own(&self, row: Option<&Row>, fencing_token: u64) -> Result<RowVersion, LeaseError> {
+        let version = row.and_then(|row| {
+            let written = LeaseRow::from_row(row)?;
+            let is_own = written.holder == self.holder && written.fencing_token == fencing_token;
+            (is_own && !written.is_released).then_some(row.version)
+        });
+        if version.is_none() {
+            self.state.borrow_mut().held = None;
+        }
+        version.ok_or(LeaseError::Lost)
     }
 }
 
 #[derive(Default)]
 struct LeaseState {
+    /// The epoch of the last read.
+    epoch: Epoch,
     held: Option<HeldLease>,
     observed: Option<ObservedRow>,
+    /// Whether the row has existed.
+    has_met_row: bool,
+    /// The highest fencing token that this instance has given out.
+    highest_token: u64,
+}
+
+impl LeaseState {
+    /// Forgets what was held and observed in a former epoch.
+    fn enter(&mut self, epoch: Epoch) {
+        if self.epoch == epoch {
+            return;
+        }
+        if self.held.is_some() {
+            log::info!(epoch = epoch.0, previous = self.epoch.0; "lease_forgotten");
+        }
+        *self = Self { epoch, held: None, observed: None, ..*self };
+    }
 }
 
 #[derive(Clone, Copy)]
 struct HeldLease {
     lease: Lease,
     version: RowVersion,
+    /// The epoch in which the row was written.
+    epoch: Epoch,
 }
 
-/// Another holder's row and the time when it was first seen.
+/// The row as it was first seen, and the time of that.
 #[derive(Clone, Copy)]
 struct ObservedRow {
-    version: RowVersion,
+    /// The version; `None` if the row did not exist.
+    version: Option<RowVersion>,
     since: Instant,
 }
 
@@ -325,14 +414,46 @@
 }
 
 impl LeaseRow {
-    fn from_row(row: &Row) -> Result<Self, LeaseError> {
-        serde_json::from_value(row.value.clone()).map_err(|_| LeaseError::Unreadable)
+    /// Decodes a row; `None` if no holder of this lease can have written it.
+    fn from_row(row: &Row) -> Option<Self> {
+        serde_json::from_value(row.value.clone()).ok()
+    }
+
+    fn duration(&self) -> Duration {
+        Duration::from_millis(self.duration_ms)
+    }
+
+    /// Returns whether the lease was taken in an epoch; always true in a table that was never restored.
+    ///
+    /// Whoever takes it has waited out all leases of former epochs.
+    fn proves_epoch(&self, epoch: Epoch) -> bool {
+        epoch <= Epoch::FIRST || self.fencing_token >= first_token(epoch)
+    }
+}
+
+/// Returns the lowest fencing token of an epoch.
+fn first_token(epoch: Epoch) -> u64 {
+    match epoch <= Epoch::FIRST {
+        true => FIRST_FENCING_TOKEN,
+        false => epoch.0.min(MAX_TOKEN_EPOCH) << TOKEN_VERSION_BITS,
     }
 }
 
 /// Fencing token of the first holder.
 const FIRST_FENCING_TOKEN: u64 = 1;
 
+/// The number of low bits of a fencing token that hold a version of the table; the epoch is above them.
+const TOKEN_VERSION_BITS: u32 = 40;
+
+/// The highest version of the table in a fencing token.
+const MAX_TOKEN_VERSION: u64 = (1 << TOKEN_VERSION_BITS) - 1;
+
+/// The highest epoch in a fencing token, so that each of them is exact in JSON.
+const MAX_TOKEN_EPOCH: u64 = (1 << 11) - 1;
+
+/// Maximum number of reads of the row until one lies within one epoch.
+const MAX_READS: u32 = 4;
+
 /// Fraction of its duration below which the remaining time of a lease triggers a renewal.
 const RENEW_BELOW_FRACTION: f64 = 2.0 / 3.0;
 
--- a/crates/magnoliaspar-order/tests/orders/common.rs
+++ b/crates/magnoliaspar-order/tests/orders/common.rs
@@ -6,14 +6,14 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use async_trait::async_trait;
-use magnoliaspar_core::{Clock, Incarnation, ManualClock};
+use magnoliaspar_core::{Clock, Epoch, Incarnation, ManualClock};
 use magnoliaspar_engine::{
     CacheEvents, DecodeCall, Engine, EngineError, EngineStatus, HeldStream, LoadSnapshot, Order,
     OrderKind, PrefillCall, Prefilled, StreamId, TokenStream,
 };
 use magnoliaspar_order::{DesiredRole, DesiredState};
 use magnoliaspar_store::{
-    Backoff, PlatformError, Row, RowKey, Sleep, TableService, Transaction, WriteOutcome,
+    Backoff, PlatformError, Row, RowKey, RowVersion, Sleep, TableService, Transaction, WriteOutcome,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -116,6 +116,14 @@
         self.gate.wait_while_paused().await;
         result
     }
+
+    fn epoch(&self) -> Epoch {
+        self.inner.epoch()
+    }
+
+    fn newest_version(&self) -> RowVersion {
+        self.inner.newest_version()
+    }
 }
 
 /// A model engine that implements only orders and status; a clone is a handle to the same engine.
--- a/crates/magnoliaspar-order/tests/orders/main.rs
+++ b/crates/magnoliaspar-order/tests/orders/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod leases;
 mod reconciliation;
+mod restored_leases;
 mod stale_leases;
--- a/crates/magnoliaspar-store/src/share.rs
+++ b/crates/magnoliaspar-store/src/share.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 
 use async_trait::async_trait;
-use magnoliaspar_core::Clock;
+use magnoliaspar_core::{Clock, Epoch};
 
-use crate::{PlatformError, Row, RowKey, TableService, TokenBucket, Transaction, WriteOutcome};
+use crate::{
+    PlatformError, Row, RowKey, RowVersion, TableService, TokenBucket, Transaction, WriteOutcome,
+};
 
 /// The platform's rate limits, which instances divide without coordination.
 ///
@@ -109,6 +111,14 @@
         self.take(&self.writes)?;
         self.inner.commit(transaction).await
     }
+
+    fn epoch(&self) -> Epoch {
+        self.inner.epoch()
+    }
+
+    fn newest_version(&self) -> RowVersion {
+        self.inner.newest_version()
+    }
 }
 
 /// Returns the burst for a rate: the calls of one second, at least [`MIN_BURST`].
--- a/crates/magnoliaspar-store/src/table.rs
+++ b/crates/magnoliaspar-store/src/table.rs
@@ -28,6 +28,12 @@
     fn epoch(&self) -> Epoch {
         Epoch::default()
     }
+
+    /// Returns the newest version of the table that a call has met in this epoch; 0 if the table does not
+    /// tell. It rises with each write to any row, also if the row is deleted later.
+    fn newest_version(&self) -> RowVersion {
+        RowVersion(0)
+    }
 }
 
 /// The key of a row, as a path such as `claim/midlands/voucher-17`.
