Believe no fencing token or duration of a lease that is out of range

Such rows, with tokens from 2^52 or more than an hour, are now waited out like those that cannot be decoded. A token of 2^52 or more that an engine claims to have seen is an error.

On the code before, a_row_that_another_writer_removes_or_spoils_is_waited_out, with these rows added, and a_number_that_an_engine_claims_to_have_seen_does_not_end_the_process failed with "attempt to add with overflow".

--- a/crates/magnoliaspar-order/src/lease.rs
+++ b/crates/magnoliaspar-order/src/lease.rs
@@ -89,6 +89,8 @@
     Platform(PlatformError),
     /// the lease may be held by an instance whose row was lost or overwritten
     MayBeHeld,
+    /// the fencing token {0} is out of range
+    TokenOutOfRange(u64),
 }
 
 impl std::error::Error for LeaseError {}
@@ -176,6 +178,9 @@
     pub async fn raise_token_above(&self, seen: u64) -> Result<Lease, LeaseError> {
         let _write_guard = self.write_lock.lock().await;
         let held = self.held()?;
+        if seen >= MAX_FENCING_TOKEN {
+            return Err(LeaseError::TokenOutOfRange(seen));
+        }
         self.rewrite(held, held.lease.fencing_token.max(seen) + 1, Duration::ZERO).await
     }
 
@@ -344,7 +349,10 @@
         let version = self.settings.table.newest_version().0.min(MAX_TOKEN_VERSION);
         let of_table = first_token(epoch) | version;
         let highest = self.state.borrow().highest_token.max(of_row);
-        of_table.max(highest + 1)
+        match highest + 1 {
+            next if next < MAX_FENCING_TOKEN => of_table.max(next),
+            _ => of_table,
+        }
     }
 
     /// Checks that a row is that of the held lease; returns its version.
@@ -416,7 +424,10 @@
 impl LeaseRow {
     /// Decodes a row; `None` if no holder of this lease can have written it.
     fn from_row(row: &Row) -> Option<Self> {
-        serde_json::from_value(row.value.clone()).ok()
+        let decoded: Self = serde_json::from_value(row.value.clone()).ok()?;
+        let is_sound =
+            decoded.fencing_token < MAX_FENCING_TOKEN && decoded.duration() <= MAX_DURATION;
+        is_sound.then_some(decoded)
     }
 
     fn duration(&self) -> Duration {
@@ -448,9 +459,15 @@
 /// The highest version of the table in a fencing token.
 const MAX_TOKEN_VERSION: u64 = (1 << TOKEN_VERSION_BITS) - 1;
 
-/// The highest epoch in a fencing token, so that each of them is exact in JSON.
+/// The highest epoch in a fencing token.
 const MAX_TOKEN_EPOCH: u64 = (1 << 11) - 1;
 
+/// Fencing tokens are lower than this, so that each of them and its successors are exact in JSON.
+const MAX_FENCING_TOKEN: u64 = 1 << 52;
+
+/// Maximum duration of a lease in a row.
+const MAX_DURATION: Duration = Duration::from_secs(3_600);
+
 /// Maximum number of reads of the row until one lies within one epoch.
 const MAX_READS: u32 = 4;
 
--- a/crates/magnoliaspar-order/tests/orders/restored_leases.rs
+++ b/crates/magnoliaspar-order/tests/orders/restored_leases.rs
@@ -277,7 +277,12 @@
         Some(json!([])),
         Some(json!({ "holder": 7 })),
         Some(row(json!(-1), json!(15_000))),
+        Some(row(json!(u64::MAX), json!(15_000))),
+        Some(row(json!(1_u64 << 53), json!(15_000))),
+        Some(row(json!(7), json!(u64::MAX))),
+        Some(row(json!(7), json!(1e300))),
         Some(row(json!(0), json!(0))),
+        Some(row(json!((1_u64 << 52) - 1), json!(15_000))),
     ] {
         let setup = Setup::new(2);
         setup.order(0).await.unwrap();
@@ -290,3 +295,12 @@
         setup.order_after_waiting(0).await;
     }
 }
+
+#[actix_rt::test]
+async fn a_number_that_an_engine_claims_to_have_seen_does_not_end_the_process() {
+    let setup = Setup::new(1);
+    setup.order(0).await.unwrap();
+    assert!(setup.leases[0].raise_token_above(u64::MAX).await.is_err());
+    setup.leases[0].raise_token_above(100).await.unwrap();
+    assert!(setup.order(0).await.unwrap() > 100);
+}
