Store refused prompts again after the store was restored from a copy

Refused prompts that a copy had lost were missing from the row until another prompt was refused, so that instances which all restarted then let them crash engines anew. The coordinator now looks at the epoch of the table each second, without a call, and stores what it refuses in a new one. The write merges the row as it is; if it is answered in a later epoch than that of the read, its version may have belonged to another row, and it is repeated.

On the code before, refused_prompts_that_the_copy_has_lost_are_stored_again failed: the prompt was not in the row within 5 s. The prompts that the copy or another instance has in the row stay there.

--- a/crates/magnoliaspar-gateway/src/stored_quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -23,23 +23,37 @@
 /// Maximum number of parts of one refused prompt in the row.
 const MAX_STORED_PARTS: usize = 64;
 
+/// Interval at which it is checked whether the table was restored from a copy, without a call to it.
+const EPOCH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Backoff between two calls to the table after one failed.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(250), longest: Duration::from_secs(4) };
 
 /// Reads the refused prompts at the start, then writes those that this instance learns as coordinator,
-/// for as long as the process runs.
+/// for as long as the process runs. Writes them again after the table was restored from a copy.
 pub async fn keep_quarantine(gateway: Rc<Gateway>, table: Rc<dyn TableService>) {
     repeat(async || read(&gateway, &*table).await).await;
+    let mut stored_in = table.epoch();
     loop {
-        gateway.prompts_refused.notified().await;
-        if gateway.coordinator().is_some() {
+        let is_due = tokio::select! {
+            () = gateway.prompts_refused.notified() => true,
+            () = tokio::time::sleep(EPOCH_CHECK_INTERVAL) => table.epoch() != stored_in,
+        };
+        if !is_due || gateway.coordinator().is_some() || !refuses_prompts(&gateway) {
             continue;
         }
         repeat(async || write(&gateway, &*table).await).await;
+        stored_in = table.epoch();
     }
 }
 
+fn refuses_prompts(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let quarantines = gateway.prompt_quarantines.borrow();
+    quarantines.values().any(|quarantine| !quarantine.refused(now).is_empty())
+}
+
 /// Repeats a call to the table until it succeeds.
 async fn repeat(call: impl AsyncFn() -> Result<(), CallFailure>) {
     let mut failures = 0;
@@ -58,6 +72,8 @@
     Table(PlatformError),
     /// another instance has written the row meanwhile
     Conflict,
+    /// the table was restored from a copy meanwhile
+    Restored,
 }
 
 impl From<PlatformError> for CallFailure {
@@ -97,6 +113,7 @@
 /// Adds the prompts that this instance refuses to the stored ones, and drops those whose time is over.
 async fn write(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
     let key = RowKey(ROW.into());
+    let epoch = table.epoch();
     let row = table.read(&key).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
     let mut prompts = stored_prompts(row.as_ref());
@@ -114,7 +131,12 @@
     let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
     let value = Some(serde_json::to_value(&prompts).expect("the prompts have text keys"));
     let transaction = Transaction { writes: vec![Write { key, condition, value }] };
-    match table.commit(&transaction).await? {
+    let outcome = table.commit(&transaction).await?;
+    // The version in the condition may belong to another row in a new epoch.
+    if table.epoch() != epoch {
+        return Err(CallFailure::Restored);
+    }
+    match outcome {
         WriteOutcome::Applied(_) => {
             log::info!(prompts = prompts.len(); "quarantine_stored");
             Ok(())
