Believe no stored refusal of a prompt that lasts longer than one can

A row of another writer with until_ms of 2^64 - 1 refused its prompts for an hour at each start, and each write of the row kept it there for ever. A refusal lasts an hour at most; those whose end is more than two hours ahead, which leaves room for clocks that differ, are dropped on reads and writes.

On the code before, odd_rows_of_refused_prompts_refuse_nothing_for_ever failed with Some(3599.893708135s). Rows that are no list, of other types, or with ends that are no number refused nothing before either.

--- a/crates/magnoliaspar-gateway/src/stored_quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -26,6 +26,9 @@
 /// Interval at which it is checked whether the table was restored from a copy, without a call to it.
 const EPOCH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum time until the end of a stored refusal: an hour, and one more for clocks that differ.
+const MAX_STORED_REFUSAL_MS: u64 = 2 * 3_600_000;
+
 /// Backoff between two calls to the table after one failed.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(250), longest: Duration::from_secs(4) };
@@ -95,11 +98,8 @@
 async fn read(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
     let row = table.read(&RowKey(ROW.into())).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
-    for prompt in stored_prompts(row.as_ref()) {
-        let remaining_ms = prompt.until_ms.saturating_sub(wall_ms);
-        if remaining_ms == 0 {
-            continue;
-        }
+    for prompt in stored_prompts(row.as_ref(), wall_ms) {
+        let remaining_ms = prompt.until_ms - wall_ms;
         let names = display_parts(&prompt.parts);
         log::info!(service = &*prompt.service, parts = &*names, remaining_ms; "prompt_part_restored");
         let remaining = Duration::from_millis(remaining_ms);
@@ -116,8 +116,7 @@
     let epoch = table.epoch();
     let row = table.read(&key).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
-    let mut prompts = stored_prompts(row.as_ref());
-    prompts.retain(|prompt| prompt.until_ms > wall_ms);
+    let mut prompts = stored_prompts(row.as_ref(), wall_ms);
     for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
         for (parts, remaining) in quarantine.refused(now) {
             prompts.retain(|prompt| prompt.service != *service || prompt.parts != parts);
@@ -145,18 +144,25 @@
     }
 }
 
-/// Returns the prompts of a row; none if the row cannot be read.
-fn stored_prompts(row: Option<&Row>) -> Vec<StoredPrompt> {
+/// Returns the prompts of a row whose refusal has not ended; none if the row cannot be read.
+fn stored_prompts(row: Option<&Row>, wall_ms: u64) -> Vec<StoredPrompt> {
     let Some(row) = row else { return Vec::new() };
-    match serde_json::from_value(row.value.clone()) {
+    let mut prompts: Vec<StoredPrompt> = match serde_json::from_value(row.value.clone()) {
         Ok(prompts) => prompts,
         Err(error) => {
-            log::warn!(key = ROW, reason:% = error; "row_unreadable");
-            Vec::new()
+            let reason: String = error.to_string().chars().take(MAX_REASON_CHARS).collect();
+            log::warn!(key = ROW, reason:%; "row_unreadable");
+            return Vec::new();
         }
-    }
+    };
+    let last_ms = wall_ms.saturating_add(MAX_STORED_REFUSAL_MS);
+    prompts.retain(|prompt| (wall_ms + 1..=last_ms).contains(&prompt.until_ms));
+    prompts
 }
 
+/// Maximum length of the logged reason why the row is unreadable, which may quote it.
+const MAX_REASON_CHARS: usize = 200;
+
 fn unix_ms(wall: SystemTime) -> u64 {
     wall.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
