Refuse a request that goes round because of an entry with an instance's address

An entry of another writer with the address of an instance made a request go round between the instances until its time was over, each time as a new request of a caller: one lookup was 265 requests at once at one instance, and its caller got 502. An instance sends the server's identifier with each request; one that receives a request for a server whose entry has its own address now answers 421, which the sender takes for another server's refusal, and goes on elsewhere.

On the code before, an_entry_with_the_address_of_an_instance_makes_no_request_go_round failed with "265 requests at once for one, then Some(502)". Now there are two at most, and beside a sound server 40 of 40 calls succeed and reach it once each.

--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -54,6 +54,8 @@
     pub resume_after: Option<u64>,
     /// The parts of the prompt that other requests may share, in order.
     pub shared_parts: Box<[PartId]>,
+    /// Identifier of the server that the request is meant for; instances set it on what they send.
+    pub intended_server: Option<Box<str>>,
 }
 
 /// Parameters of a request to a server.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -113,6 +113,8 @@
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     rng: RefCell<StdRng>,
     in_flight: Cell<usize>,
+    /// The address on which callers' requests are accepted.
+    pub(crate) request_address: Cell<Option<SocketAddr>>,
     is_stopping: Cell<bool>,
     shutdown_deadline: Cell<Option<Instant>>,
     knows_servers: Cell<bool>,
@@ -141,6 +143,7 @@
             budgets: RefCell::default(),
             rng: RefCell::new(StdRng::from_os_rng()),
             in_flight: Cell::new(0),
+            request_address: Cell::new(None),
             is_stopping: Cell::new(false),
             shutdown_deadline: Cell::new(None),
             knows_servers: Cell::new(false),
@@ -275,6 +278,18 @@
         quarantine.is_some_and(|quarantine| quarantine.is_suspected(self.clock.now(), parts))
     }
 
+    /// Returns whether the entry of a server has the address of this instance, so that requests to it
+    /// would go round.
+    pub fn has_address_of(&self, server: &str) -> bool {
+        let Some(own) = self.request_address.get() else { return false };
+        let directory = self.directory.borrow();
+        let Some(address) = directory.find(server).map(|server| server.record.address) else {
+            return false;
+        };
+        let is_own_ip = own.ip().is_unspecified() || own.ip() == address.ip();
+        is_own_ip && own.port() == address.port()
+    }
+
     /// Calls `run` with the quarantine of a service.
     pub fn with_quarantine<T>(
         &self,
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -119,6 +119,9 @@
     let routing = gateway.routing().ok_or(Refusal::NoConfiguration)?;
     cx.version = routing.version;
     let facts = facts.ok_or(Refusal::NoIdentifier)?;
+    if facts.intended_server.as_deref().is_some_and(|server| gateway.has_address_of(server)) {
+        return Err(Refusal::SentByInstance);
+    }
     let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
     cx.route = Some(route.clone());
     let body = read_body(req, &routing.limits).await?;
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -104,6 +104,7 @@
         let metrics = Server::bind(settings.metrics, metrics_handler(&gateway)).await?;
         let (peers, copies) = bind_peers(&gateway).await?;
         gateway.set_peers(peers.clone());
+        gateway.request_address.set(Some(requests.address()));
         Ok(Self { gateway, requests, readiness, metrics, peers, copies, limits })
     }
 
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -23,6 +23,8 @@
     BodyIncomplete,
     /// no_configuration
     NoConfiguration,
+    /// sent_by_instance
+    SentByInstance,
     /// no_server
     NoServer,
     /// no_capacity
@@ -49,6 +51,8 @@
         match self {
             Self::NoIdentifier | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            // An instance takes it for the response of another server than the intended one.
+            Self::SentByInstance => StatusCode::MISDIRECTED_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
             | Self::NoServer
