--- a/crates/magnoliaspar-core/src/epoch.rs
+++ b/crates/magnoliaspar-core/src/epoch.rs
@@ -10,6 +10,11 @@
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
+impl Epoch {
+    /// The epoch of a store that was never restored and tells its epoch.
+    pub const FIRST: Self = Self(1);
+}
+
 /// A position in the sequence of changes of the platform's store.
 ///
 /// A position of a later epoch is later, whatever its revision.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -119,6 +119,8 @@
     shutdown: Cell<Option<Shutdown>>,
     /// Notified when the instance begins to stop.
     stop_begun: Notify,
+    /// The address on which callers' requests are accepted.
+    pub(crate) request_address: Cell<Option<SocketAddr>>,
     knows_servers: Cell<bool>,
     servers_regained_at: Cell<Option<Instant>>,
     /// Epoch of the store in which the list of servers was read last.
@@ -153,6 +155,7 @@
             next_in_flight: Cell::new(0),
             shutdown: Cell::new(None),
             stop_begun: Notify::new(),
+            request_address: Cell::new(None),
             knows_servers: Cell::new(false),
             servers_regained_at: Cell::new(None),
             servers_epoch: Cell::default(),
@@ -287,6 +290,18 @@
         quarantine.is_some_and(|quarantine| quarantine.is_suspected(self.clock.now(), parts))
     }
 
+    /// Returns whether the entry of a server has the address of this instance, so that requests to it
+    /// would go round.
+    pub fn has_address_of(&self, server: &str) -> bool {
+        let Some(own) = self.request_address.get() else { return false };
+        let directory = self.directory.borrow();
+        let Some(address) = directory.find(server).map(|server| server.record.address) else {
+            return false;
+        };
+        let is_own_ip = own.ip().is_unspecified() || own.ip() == address.ip();
+        is_own_ip && own.port() == address.port()
+    }
+
     /// Calls `run` with the quarantine of a service.
     pub fn with_quarantine<T>(
         &self,
