--- a/crates/magnoliaspar-gateway/src/stored_quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -23,23 +23,40 @@
 /// Maximum number of parts of one refused prompt in the row.
 const MAX_STORED_PARTS: usize = 64;
 
+/// Interval at which it is checked whether the table was restored from a copy, without a call to it.
+const EPOCH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum time until the end of a stored refusal: an hour, and one more for clocks that differ.
+const MAX_STORED_REFUSAL_MS: u64 = 2 * 3_600_000;
+
 /// Backoff between two calls to the table after one failed.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(250), longest: Duration::from_secs(4) };
 
 /// Reads the refused prompts at the start, then writes those that this instance learns as coordinator,
-/// for as long as the process runs.
+/// for as long as the process runs. Writes them again after the table was restored from a copy.
 pub async fn keep_quarantine(gateway: Rc<Gateway>, table: Rc<dyn TableService>) {
     repeat(async || read(&gateway, &*table).await).await;
+    let mut stored_in = table.epoch();
     loop {
-        gateway.prompts_refused.notified().await;
-        if gateway.coordinator().is_some() {
+        let is_due = tokio::select! {
+            () = gateway.prompts_refused.notified() => true,
+            () = tokio::time::sleep(EPOCH_CHECK_INTERVAL) => table.epoch() != stored_in,
+        };
+        if !is_due || gateway.coordinator().is_some() || !refuses_prompts(&gateway) {
             continue;
         }
         repeat(async || write(&gateway, &*table).await).await;
+        stored_in = table.epoch();
     }
 }
 
+fn refuses_prompts(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let quarantines = gateway.prompt_quarantines.borrow();
+    quarantines.values().any(|quarantine| !quarantine.refused(now).is_empty())
+}
+
 /// Repeats a call to the table until it succeeds.
 async fn repeat(call: impl AsyncFn() -> Result<(), CallFailure>) {
     let mut failures = 0;
@@ -58,6 +75,8 @@
     Table(PlatformError),
     /// another instance has written the row meanwhile
     Conflict,
+    /// the table was restored from a copy meanwhile
+    Restored,
 }
 
 impl From<PlatformError> for CallFailure {
@@ -79,11 +98,8 @@
 async fn read(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
     let row = table.read(&RowKey(ROW.into())).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
-    for prompt in stored_prompts(row.as_ref()) {
-        let remaining_ms = prompt.until_ms.saturating_sub(wall_ms);
-        if remaining_ms == 0 {
-            continue;
-        }
+    for prompt in stored_prompts(row.as_ref(), wall_ms) {
+        let remaining_ms = prompt.until_ms - wall_ms;
         let names = display_parts(&prompt.parts);
         log::info!(service = &*prompt.service, parts = &*names, remaining_ms; "prompt_part_restored");
         let remaining = Duration::from_millis(remaining_ms);
@@ -97,10 +113,10 @@
 /// Adds the prompts that this instance refuses to the stored ones, and drops those whose time is over.
 async fn write(gateway: &Gateway, table: &dyn TableService) -> Result<(), CallFailure> {
     let key = RowKey(ROW.into());
+    let epoch = table.epoch();
     let row = table.read(&key).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
-    let mut prompts = stored_prompts(row.as_ref());
-    prompts.retain(|prompt| prompt.until_ms > wall_ms);
+    let mut prompts = stored_prompts(row.as_ref(), wall_ms);
     for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
         for (parts, remaining) in quarantine.refused(now) {
             prompts.retain(|prompt| prompt.service != *service || prompt.parts != parts);
@@ -114,7 +130,12 @@
     let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
     let value = Some(serde_json::to_value(&prompts).expect("the prompts have text keys"));
     let transaction = Transaction { writes: vec![Write { key, condition, value }] };
-    match table.commit(&transaction).await? {
+    let outcome = table.commit(&transaction).await?;
+    // The version in the condition may belong to another row in a new epoch.
+    if table.epoch() != epoch {
+        return Err(CallFailure::Restored);
+    }
+    match outcome {
         WriteOutcome::Applied(_) => {
             log::info!(prompts = prompts.len(); "quarantine_stored");
             Ok(())
@@ -123,18 +144,25 @@
     }
 }
 
-/// Returns the prompts of a row; none if the row cannot be read.
-fn stored_prompts(row: Option<&Row>) -> Vec<StoredPrompt> {
+/// Returns the prompts of a row whose refusal has not ended; none if the row cannot be read.
+fn stored_prompts(row: Option<&Row>, wall_ms: u64) -> Vec<StoredPrompt> {
     let Some(row) = row else { return Vec::new() };
-    match serde_json::from_value(row.value.clone()) {
+    let mut prompts: Vec<StoredPrompt> = match serde_json::from_value(row.value.clone()) {
         Ok(prompts) => prompts,
         Err(error) => {
-            log::warn!(key = ROW, reason:% = error; "row_unreadable");
-            Vec::new()
+            let reason: String = error.to_string().chars().take(MAX_REASON_CHARS).collect();
+            log::warn!(key = ROW, reason:%; "row_unreadable");
+            return Vec::new();
         }
-    }
+    };
+    let last_ms = wall_ms.saturating_add(MAX_STORED_REFUSAL_MS);
+    prompts.retain(|prompt| (wall_ms + 1..=last_ms).contains(&prompt.until_ms));
+    prompts
 }
 
+/// Maximum length of the logged reason why the row is unreadable, which may quote it.
+const MAX_REASON_CHARS: usize = 200;
+
 fn unix_ms(wall: SystemTime) -> u64 {
     wall.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
