Use departed servers again whose entries a restored store keeps

A server whose entry had expired while it was out of reach counts as departed. If the store was then restored from a copy with that entry, the entry was taken for an older one, and since a live server does not change an entry that is there already, its instances did not use it again until it restarted. The entry of a server that has really left looks the same at first, but expires within three heartbeats, as nobody writes it.

Such entries are withheld for five seconds. A response of the store after that time, without the removal, proves that the server writes its entry; it is asked for its report first and used again.

a_departed_server_whose_entry_the_restored_store_keeps_is_used_again failed before with 'timeout after 10 s: the server that is alive is used'; the 11 tests of restored_store and the 43 of the gateway crate pass now (one run).

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -37,6 +37,7 @@
 use crate::selection::{Candidate, without_resting};
 use crate::settings::GatewaySettings;
 use crate::shutdown::{Extent, RequestState, Shutdown};
+use crate::withheld::WithheldEntries;
 
 /// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
 /// use.
@@ -128,6 +129,7 @@
     /// Time at which the list of a restored store was read first.
     servers_restored_at: Cell<Option<Instant>>,
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
+    withheld_entries: RefCell<WithheldEntries>,
     /// Time since when a peer has had a newer configuration.
     outdated_since: Cell<Option<Instant>>,
 }
@@ -161,6 +163,7 @@
             servers_epoch: Cell::default(),
             servers_restored_at: Cell::new(None),
             removed_during_outage: RefCell::default(),
+            withheld_entries: RefCell::default(),
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
@@ -1038,6 +1041,7 @@
     /// not register again.
     fn handle_removal(&self, id: &str, source: EntrySource) {
         let now = self.clock.now();
+        self.withheld_entries.borrow_mut().remove(id);
         let is_draining =
             self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
         match self.reregistration_deadline(source, now) {
@@ -1067,9 +1071,16 @@
         let service = record.service.clone();
         let zone = record.zone.clone();
         let started_ms = record.started_ms;
-        let change = self.directory.borrow_mut().put(record, source);
+        let change = self.directory.borrow_mut().put(record.clone(), source);
+        if change != RecordChange::Outdated {
+            self.withheld_entries.borrow_mut().remove(&id);
+        }
         if matches!(change, RecordChange::Outdated | RecordChange::FormerProcess) {
             let epoch = epoch.0;
+            let has_departed = self.directory.borrow().find(&id).is_none();
+            if change == RecordChange::Outdated && source == EntrySource::List && has_departed {
+                self.withheld_entries.borrow_mut().add(record, self.clock.now());
+            }
             log::info!(server = id, started_ms, sequence:?, epoch, revision, change:?; "entry_outdated");
             return change;
         }
@@ -1094,6 +1105,21 @@
         change
     }
 
+    /// Uses departed servers again whose entries the restored store has kept for longer than those of servers that
+    /// are gone. They are asked first.
+    fn use_withheld_entries(&self) {
+        let due = self.withheld_entries.borrow_mut().take_due(self.clock.now());
+        for record in due {
+            let id = record.id.clone();
+            log::info!(server = id; "departed_server_is_back");
+            self.put_server(record, EntrySource::Change);
+            let key = self.directory.borrow().key(&id);
+            if let (Some(this), Some(key)) = (self.this.upgrade(), key) {
+                ask_before_use(&this, key);
+            }
+        }
+    }
+
     /// Records the epoch of a batch of servers.
     fn observe_servers_epoch(&self, epoch: Epoch) {
         let previous = self.servers_epoch.get();
@@ -1125,6 +1151,7 @@
             }
         }
         if is_complete {
+            self.withheld_entries.borrow_mut().retain(&known);
             let ids = self.directory.borrow().ids();
             for id in ids {
                 if !known.contains(&id) {
@@ -1135,6 +1162,8 @@
                 log::info!(servers = self.directory.borrow().len(); "servers_known");
             }
         }
+        // The response that brought the batch would have told of removals.
+        self.use_withheld_entries();
         self.metrics.servers.set(self.directory.borrow().len() as i64);
         self.metrics.count_feed("servers", "ok");
     }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod stored_quarantine;
 pub mod stream;
 pub mod unary;
+mod withheld;
 
 pub use self::dialect::Dialect;
 pub use self::feed::Feed;
