Forget the earliest departures of servers first, not those with the first names

What is known of departed processes decides about the entries of a restored list. Beyond 1,000 departures those with the lowest identifiers were forgotten, even one that had just been added. Found by review; no run showed it.

--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -95,6 +95,8 @@
     by_id: BTreeMap<Box<str>, ServerKey>,
     /// What still holds for processes whose entries were removed, by server identifier.
     departed: BTreeMap<Box<str>, Departed>,
+    /// Number of departures so far.
+    departures: u64,
     /// The processes that were removed or replaced.
     former: BTreeMap<ServerKey, Former>,
 }
@@ -102,6 +104,8 @@
 /// What still holds for a process whose entry was removed, should the entry return.
 #[derive(Debug, Clone)]
 struct Departed {
+    /// Number of the departure among all of this instance.
+    number: u64,
     key: ServerKey,
     address: SocketAddr,
     stamp: EntryStamp,
@@ -404,14 +408,22 @@
         let Some(server) = self.forget(key) else { return false };
         let stamp = server.record.stamp();
         let ServerRecord { is_draining, address, .. } = server.record;
-        let departed = Departed { key, address, stamp, is_draining, notices: server.notices };
+        self.departures += 1;
+        let (number, notices) = (self.departures, server.notices);
+        let departed = Departed { number, key, address, stamp, is_draining, notices };
         self.departed.insert(id.into(), departed);
-        while self.departed.len() > MAX_DEPARTED {
-            self.departed.pop_first();
+        if self.departed.len() > MAX_DEPARTED {
+            self.forget_first_departure();
         }
         true
     }
 
+    fn forget_first_departure(&mut self) {
+        let first = self.departed.iter().min_by_key(|(_, departed)| departed.number);
+        let Some(id) = first.map(|(id, _)| id.clone()) else { return };
+        self.departed.remove(&id);
+    }
+
     /// Returns a server, unless it was removed or restarted.
     pub fn get(&self, key: ServerKey) -> Option<&Server> {
         self.servers.get(key)
