Wait longer for each further successor of a silent attempt

With the retry budget used up, a silent request asked for a successor in each latency target, or each 10 ms with a target of zero, and logged each refusal. The time doubles after each refusal now.

--- a/crates/magnoliaspar-gateway/src/hedge.rs
+++ b/crates/magnoliaspar-gateway/src/hedge.rs
@@ -48,9 +48,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
     /// The time for which an attempt may be silent.
-    pub limit: Duration,
+    limit: Duration,
     /// The end of the last attempt to start a successor, if there was one.
-    pub asked_at: Option<Instant>,
+    asked_at: Option<Instant>,
 }
 
 impl Patience {
@@ -59,10 +59,32 @@
         Self { limit: limit.max(MIN_PATIENCE), asked_at: None }
     }
 
+    /// Returns the time for which an attempt may be silent.
+    pub fn limit(&self) -> Duration {
+        self.limit
+    }
+
+    /// Returns whether a successor was asked for.
+    pub fn has_asked(&self) -> bool {
+        self.asked_at.is_some()
+    }
+
+    /// Starts again after a successor was started.
+    pub fn renew(&mut self, now: Instant) {
+        self.asked_at = Some(now);
+    }
+
+    /// Starts again after there was no successor, and waits twice as long.
+    pub fn back_off(&mut self, now: Instant) {
+        self.renew(now);
+        self.limit = self.limit.saturating_mul(2);
+    }
+
     /// Returns the time left before a successor is started for an attempt that is silent since `silent_since`.
     pub fn left(&self, silent_since: Instant, now: Instant) -> Duration {
         let since = self.asked_at.map_or(silent_since, |asked_at| asked_at.max(silent_since));
-        (since + self.limit).saturating_duration_since(now)
+        let waited = now.saturating_duration_since(since);
+        self.limit.saturating_sub(waited)
     }
 }
 
@@ -164,15 +186,20 @@
         let mut patience = Patience::new(Duration::from_millis(300));
         assert_eq!(patience.left(at(0), at(100)), Duration::from_millis(200));
         assert!(patience.left(at(0), at(300)).is_zero());
-        patience.asked_at = Some(at(300));
+        patience.renew(at(300));
         assert_eq!(patience.left(at(0), at(400)), Duration::from_millis(200));
         assert_eq!(patience.left(at(350), at(400)), Duration::from_millis(250));
+        patience.back_off(at(400));
+        assert_eq!(patience.left(at(0), at(400)), Duration::from_millis(600));
+        patience.back_off(at(1_000));
+        assert_eq!(patience.left(at(0), at(1_000)), Duration::from_millis(1_200));
     }
 
     #[test]
     fn a_latency_target_of_zero_leaves_time_between_two_requests_for_a_successor() {
         let now = Instant::now();
-        let patience = Patience { asked_at: Some(now), ..Patience::new(Duration::ZERO) };
+        let mut patience = Patience::new(Duration::ZERO);
+        patience.renew(now);
         assert!(!patience.left(now, now).is_zero());
     }
 
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -331,7 +331,7 @@
                 Ok(raced) => return raced,
                 Err(alone) => first = alone,
             }
-            patience.asked_at = Some(cx.gateway.clock.now());
+            patience.back_off(cx.gateway.clock.now());
         }
     }
 
@@ -570,7 +570,7 @@
                 tokio::time::sleep(left).await;
                 continue;
             };
-            let is_due = now - self.silent_since.get() >= interval && patience.asked_at.is_none();
+            let is_due = now - self.silent_since.get() >= interval && !patience.has_asked();
             if is_due && is_lost(cx.gateway, self.server).await {
                 return "unreachable";
             }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -71,12 +71,14 @@
             biased;
             Some(ended) = attempts.next() => ended,
             silent = in_flight.wait(gateway, count, patience), if may_hedge => {
-                patience.asked_at = Some(gateway.clock.now());
                 let retry = reserve_retry(gateway, req, tally);
                 report_silent(gateway, req, silent, retry.is_ok());
                 if let Ok(retry) = retry {
+                    patience.renew(gateway.clock.now());
                     tally.start();
                     attempts.push(attempt(gateway, req, &in_flight, retry));
+                } else {
+                    patience.back_off(gateway.clock.now());
                 }
                 continue;
             }
@@ -84,7 +86,7 @@
         match ended {
             Ended::Refused(refusal) => {
                 tally.take_back();
-                patience.asked_at = Some(gateway.clock.now());
+                patience.back_off(gateway.clock.now());
                 if attempts.is_empty() {
                     break if tally.runs == 0 { refusal } else { last_error };
                 }
@@ -158,7 +160,7 @@
                     }
                     left
                 }
-                _ => patience.limit,
+                _ => patience.limit(),
             };
             tokio::time::sleep(left).await;
         }
