Count a prefill before its call, so that one that is dropped is counted too

The prefill of a successor is dropped when the silent engine goes on. It was not counted then, and the next successor's prefill was free of the retry budget again. Found by review; the budget's tests pass.

--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -505,13 +505,14 @@
         timeout: Duration,
     ) -> Option<HeldKvCache> {
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
+        // Counted before the call, which is dropped if the engine beside which it was started goes on.
+        self.prefill_attempts += 1;
         let called = call(gateway, req, prefill, &spec, timeout, None).await;
-        let is_accepted = matches!(&called, Ok(reply) if !reply.proves_not_run());
-        if !matches!(&called, Err(error) if error.is_not_sent()) {
-            if self.prefill_attempts == 0 && !is_accepted {
-                gateway.charge_retry(&req.service);
-            }
-            self.prefill_attempts += 1;
+        match &called {
+            Err(error) if error.is_not_sent() => self.prefill_attempts -= 1,
+            Ok(reply) if !reply.proves_not_run() => {}
+            _ if self.prefill_attempts == 1 => gateway.charge_retry(&req.service),
+            _ => {}
         }
         let mut reply = called.ok()?;
         let body =
