Return a client error of a silent engine without waiting for its successor

A caller whose request an engine had refused with 400 after a second engine was started waited for that one, at worst until the deadline.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -11,7 +11,7 @@
 use magnoliaspar_retry::{Backoff, PartId};
 
 use crate::dialect::{Dispatch, RequestFacts, ResponseFacts};
-use crate::evidence::{Ending, Owner, proves_not_run};
+use crate::evidence::{Ending, Owner, promises_not_run, proves_not_run};
 use crate::exchange::{CallError, Connection, ResponseBody};
 use crate::gateway::{Gateway, OWN_RESPONSE};
 use crate::guarantees::{Guarantee, is_disabled};
@@ -151,6 +151,11 @@
         proves_not_run(self.head.status, self.facts.states_not_run)
     }
 
+    /// Returns whether the response is a failure that every other server would give too.
+    pub fn is_client_error(&self) -> bool {
+        self.head.status.is_client_error() && !promises_not_run(self.head.status)
+    }
+
     /// Reads the body of a refusal, which proves nothing more, and returns the connection to the pool.
     pub async fn finish_refusal(mut self) {
         let read = self.body.read_whole(MAX_REFUSAL_BYTES);
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -211,9 +211,7 @@
                 }
                 Ok(reply) => {
                     drop(placement);
-                    let status = reply.head.status;
-                    let may_succeed_elsewhere =
-                        !status.is_client_error() || promises_not_run(status);
+                    let may_succeed_elsewhere = !reply.is_client_error();
                     self.failure = Failure::read(gateway, req, reply).await;
                     if !may_succeed_elsewhere || !self.tally.allows_attempt(&req.route) {
                         return Err(Refusal::MayHaveRun);
@@ -442,7 +440,7 @@
             (result, placement, kv_cache)
         };
         let has_not_begun = |(result, ..): &(Result<Reply, CallError>, _, _)| {
-            !result.as_ref().is_ok_and(Reply::is_sealed_success)
+            !result.as_ref().is_ok_and(|reply| reply.is_sealed_success() || reply.is_client_error())
         };
         match self.race(cx, &watched, resume_after, first, has_not_begun).await {
             Raced::First((result, placement, kv_cache)) => {
