Let builds for tests break the keeping of attempts and the end of requests in a stop

KeptAttempt abandons an attempt at a silent plain server when another one is due, and FinishBeforeEnd lets a stopping instance start requests that may outlast it.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -465,7 +465,9 @@
     /// and can no longer be refused as not run.
     pub fn may_start(&self, req: &Incoming) -> bool {
         let Some(shutdown) = self.shutdown.get() else { return true };
-        req.state.may_have_run() || shutdown.can_finish(self.extent(req), self.clock.now())
+        req.state.may_have_run()
+            || shutdown.can_finish(self.extent(req), self.clock.now())
+            || is_disabled(Guarantee::FinishBeforeEnd)
     }
 
     /// Waits until a request that no server may have run must not be started any more.
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -27,6 +27,10 @@
     Limit,
     /// A stopping instance ends before its deadline.
     Stop,
+    /// An attempt at a silent server is kept until another one has succeeded.
+    KeptAttempt,
+    /// A stopping instance starts only what ends before it.
+    FinishBeforeEnd,
 }
 
 /// Returns whether a test has disabled a guarantee.
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -16,6 +16,7 @@
 use crate::evidence::promises_not_run;
 use crate::exchange::CallError;
 use crate::gateway::Gateway;
+use crate::guarantees::{Guarantee, is_disabled};
 use crate::hedge::{Patience, ReservedRetry, Tally};
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::refusal::Refusal;
@@ -71,6 +72,9 @@
             biased;
             Some(ended) = attempts.next() => ended,
             silent = in_flight.wait(gateway, count, patience), if may_hedge => {
+                if is_disabled(Guarantee::KeptAttempt) {
+                    attempts.clear();
+                }
                 let retry = reserve_retry(gateway, req, tally);
                 report_silent(gateway, req, silent, retry.is_ok());
                 if let Ok(retry) = retry {
