--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -13,6 +13,8 @@
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
+use crate::guarantees::{Guarantee, is_disabled};
+
 /// Backoff between calls to a store that does not answer.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(100), longest: Duration::from_secs(1) };
@@ -186,7 +188,11 @@
 /// Judges a batch that reaches `position`, by what this instance has `applied`. `since` is the position after
 /// which changes were requested; `None` if all rows were.
 fn judge(position: Position, since: Option<Position>, applied: Position) -> Verdict {
-    if position < applied {
+    let is_former = match is_disabled(Guarantee::StoreEpoch) {
+        true => position.revision < applied.revision,
+        false => position < applied,
+    };
+    if is_former {
         return Verdict::Drop;
     }
     match since {
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -29,6 +29,8 @@
     Stop,
     /// An attempt at a silent server is kept until another one has succeeded.
     KeptAttempt,
+    /// Positions in the store are compared by its epochs first.
+    StoreEpoch,
     /// A stopping instance starts only what ends before it.
     FinishBeforeEnd,
 }
