--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -0,0 +1,261 @@
+//! Applies the configuration and the list of servers that an instance follows.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_core::{Epoch, Position, ServerKey};
+
+use super::Gateway;
+use crate::configuration_age::ConfigurationAge;
+use crate::directory::{RecordChange, ServerRecord};
+use crate::entry_age::{EntrySource, EntryStamp};
+use crate::feed::{Batch, FeedError, FeedPosition, Follower};
+use crate::guarantees::{Guarantee, is_disabled};
+use crate::liveness::ask_before_use;
+use crate::route::Routing;
+
+/// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
+/// use.
+///
+/// The store gives a live server about two seconds to register again.
+const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
+
+/// Maximum time for which a server is used after its removal was noticed. A single failed call to the store
+/// looks like an outage, and a server that was removed on purpose must be out of use within two seconds.
+const MAX_REMOVED_USE: Duration = Duration::from_millis(1_500);
+
+impl Gateway {
+    /// Removes the servers that had time to register again after an outage and did not.
+    pub(super) fn remove_overdue_servers(&self) {
+        let now = self.clock.now();
+        let mut gone = Vec::new();
+        self.removed_during_outage.borrow_mut().retain(|id, until| {
+            if now < *until {
+                return true;
+            }
+            gone.push(id.clone());
+            false
+        });
+        for id in gone {
+            self.remove_server(&id, "not_back_in_time");
+        }
+    }
+
+    fn remove_server(&self, id: &str, cause: &'static str) {
+        if self.directory.borrow_mut().remove(id) {
+            self.metrics.forget_server(id);
+            log::info!(server = id, cause; "server_gone");
+        }
+    }
+
+    /// Returns whether the entry of a server has vanished, and the server is used until it had time to register
+    /// again.
+    pub(crate) fn has_vanished(&self, id: &str) -> bool {
+        self.removed_during_outage.borrow().contains_key(id)
+    }
+
+    /// Returns the time until which a server may register again whose entry is gone by `source`; `None` if it
+    /// had its time.
+    fn reregistration_deadline(&self, source: EntrySource, now: Instant) -> Option<Instant> {
+        let deadline = |since: Option<Instant>| since.map(|since| since + REREGISTRATION_GRACE);
+        let capped = |until: Option<Instant>| until.map(|until| until.min(now + MAX_REMOVED_USE));
+        let regained = deadline(self.servers_regained_at.get());
+        let restored = deadline(self.servers_restored_at.get());
+        let until = match source {
+            // What the list of a restored store lacks was not removed, but written after its copy.
+            EntrySource::List => restored.max(capped(regained)),
+            EntrySource::Change => capped(restored.max(regained)),
+        };
+        until.filter(|until| now < *until)
+    }
+
+    /// Removes a server whose entry is gone; shortly after an outage of the store, only if it does
+    /// not register again.
+    fn handle_removal(&self, id: &str, source: EntrySource) {
+        let now = self.clock.now();
+        self.withheld_entries.borrow_mut().remove(id);
+        let is_draining =
+            self.directory.borrow().find(id).is_some_and(|server| server.record.is_draining);
+        match self.reregistration_deadline(source, now) {
+            Some(until) if !is_draining => {
+                if self.directory.borrow().find(id).is_none() {
+                    return;
+                }
+                log::warn!(server = id; "server_vanished_during_outage");
+                self.removed_during_outage.borrow_mut().entry(id.into()).or_insert(until);
+                let this = self.this.clone();
+                actix_rt::spawn(async move {
+                    tokio::time::sleep(until - now).await;
+                    if let Some(gateway) = this.upgrade() {
+                        gateway.remove_overdue_servers();
+                    }
+                });
+            }
+            _ => self.remove_server(id, "removed"),
+        }
+    }
+
+    /// Applies the entry of a server, and returns its effect.
+    fn put_server(&self, record: ServerRecord, source: EntrySource) -> RecordChange {
+        let id = record.id.clone();
+        let EntryStamp { position: Position { epoch, revision }, sequence, .. } = record.stamp();
+        let address = record.address;
+        let service = record.service.clone();
+        let zone = record.zone.clone();
+        let started_ms = record.started_ms;
+        let change = self.directory.borrow_mut().put(record.clone(), source);
+        if change != RecordChange::Outdated {
+            self.withheld_entries.borrow_mut().remove(&id);
+        }
+        if matches!(change, RecordChange::Outdated | RecordChange::FormerProcess) {
+            let epoch = epoch.0;
+            let has_departed = self.directory.borrow().find(&id).is_none();
+            if change == RecordChange::Outdated && source == EntrySource::List && has_departed {
+                self.withheld_entries.borrow_mut().add(record, self.clock.now());
+            }
+            log::info!(server = id, started_ms, sequence:?, epoch, revision, change:?; "entry_outdated");
+            return change;
+        }
+        self.removed_during_outage.borrow_mut().remove(&id);
+        let unclear = {
+            let directory = self.directory.borrow();
+            let is_unclear = |key: &ServerKey| {
+                change == RecordChange::Unclear
+                    || directory.has_unclear_notices(*key, self.clock.now())
+            };
+            directory.key(&id).filter(is_unclear)
+        };
+        if let (Some(this), Some(unclear)) = (self.this.upgrade(), unclear) {
+            ask_before_use(&this, unclear);
+        }
+        if change != RecordChange::Updated {
+            log::info!(
+                server = id, service, zone, address:%, started_ms, sequence:?, epoch = epoch.0, revision, change:?;
+                "server_changed"
+            );
+        }
+        change
+    }
+
+    /// Uses departed servers again whose entries the restored store has kept for longer than those of servers that
+    /// are gone. They are asked first.
+    fn use_withheld_entries(&self) {
+        let due = self.withheld_entries.borrow_mut().take_due(self.clock.now());
+        for record in due {
+            let id = record.id.clone();
+            log::info!(server = id; "departed_server_is_back");
+            self.put_server(record, EntrySource::Change);
+            let key = self.directory.borrow().key(&id);
+            if let (Some(this), Some(key)) = (self.this.upgrade(), key) {
+                ask_before_use(&this, key);
+            }
+        }
+    }
+
+    /// Records the epoch of a batch of servers.
+    fn observe_servers_epoch(&self, epoch: Epoch) {
+        let previous = self.servers_epoch.get();
+        if epoch <= previous {
+            return;
+        }
+        self.servers_epoch.set(epoch);
+        self.metrics.store_epoch.set(epoch.0 as i64);
+        if self.knows_servers.get() {
+            self.servers_restored_at.set(Some(self.clock.now()));
+            log::warn!(epoch = epoch.0, previous = previous.0; "servers_restored");
+        }
+    }
+}
+
+impl Follower<ServerRecord> for Gateway {
+    fn apply(&self, batch: Batch<ServerRecord>, is_complete: bool) {
+        self.observe_servers_epoch(batch.position.epoch);
+        let source = if is_complete { EntrySource::List } else { EntrySource::Change };
+        let mut known = std::collections::BTreeSet::new();
+        for (id, record) in batch.rows {
+            match record {
+                Some(record) => {
+                    if self.put_server(record, source) != RecordChange::FormerProcess {
+                        known.insert(id);
+                    }
+                }
+                None => self.handle_removal(&id, source),
+            }
+        }
+        if is_complete {
+            self.withheld_entries.borrow_mut().retain(&known);
+            let ids = self.directory.borrow().ids();
+            for id in ids {
+                if !known.contains(&id) {
+                    self.handle_removal(&id, source);
+                }
+            }
+            if !self.knows_servers.replace(true) {
+                log::info!(servers = self.directory.borrow().len(); "servers_known");
+            }
+        }
+        // The response that brought the batch would have told of removals.
+        self.use_withheld_entries();
+        self.metrics.servers.set(self.directory.borrow().len() as i64);
+        self.metrics.count_feed("servers", "ok");
+    }
+
+    fn call_failed(&self, _: &FeedError) {
+        self.metrics.count_feed("servers", "failed");
+    }
+
+    fn recovered(&self) {
+        self.servers_regained_at.set(Some(self.clock.now()));
+    }
+
+    fn max_wait(&self) -> Duration {
+        self.feed_max_wait()
+    }
+
+    fn position(&self) -> &FeedPosition {
+        &self.servers_position
+    }
+}
+
+/// Applies the configuration; one that is not newer than the current one is ignored.
+pub struct RoutingFollower(pub Rc<Gateway>);
+
+impl Follower<Routing> for RoutingFollower {
+    fn apply(&self, batch: Batch<Routing>, _: bool) {
+        self.0.metrics.count_feed("configuration", "ok");
+        let epoch = batch.position.epoch;
+        for (_, routing) in batch.rows {
+            let Some(routing) = routing else { continue };
+            let current = self.0.routing();
+            let current = current.as_deref().map(|current| (current, self.0.configuration_epoch()));
+            let age = ConfigurationAge::of(current, (&routing, epoch));
+            let previous = current.map(|(current, _)| current.version);
+            let version = routing.version;
+            if age != ConfigurationAge::NotNewer {
+                self.0.configuration_epoch.set(epoch);
+            }
+            if !age.replaces() && !is_disabled(Guarantee::Configuration) {
+                log::debug!(version, previous:?, epoch = epoch.0, age:?; "configuration_not_newer");
+                continue;
+            }
+            let routes = routing.len();
+            log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
+            self.0.metrics.configuration_version.set(version as i64);
+            self.0.routing.replace(Some(Rc::new(routing)));
+        }
+    }
+
+    fn call_failed(&self, _: &FeedError) {
+        self.0.metrics.count_feed("configuration", "failed");
+    }
+
+    fn recovered(&self) {}
+
+    fn max_wait(&self) -> Duration {
+        self.0.feed_max_wait()
+    }
+
+    fn position(&self) -> &FeedPosition {
+        &self.0.routing_position
+    }
+}
