--- a/crates/magnoliaspar-fake/src/table.rs
+++ b/crates/magnoliaspar-fake/src/table.rs
@@ -32,7 +32,7 @@
     late_writes: Vec<LateWrite>,
 }
 
-/// What a copy of the table holds.
+/// Content of a copy of the table.
 #[derive(Clone, Default)]
 struct Content {
     rows: BTreeMap<RowKey, Row>,
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -57,7 +57,7 @@
     pub received: Instant,
     /// The end of the caller's or of the route's timeout, whichever is earlier.
     pub deadline: Instant,
-    /// What is known of the request in flight.
+    /// State of the request in flight.
     pub state: Rc<RequestState>,
 }
 
--- a/crates/magnoliaspar-gateway/src/entry_age.rs
+++ b/crates/magnoliaspar-gateway/src/entry_age.rs
@@ -4,7 +4,7 @@
 
 use magnoliaspar_core::Position;
 
-/// Where an entry comes from.
+/// Source of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntrySource {
     /// A change of the list of servers, which was written after the position that this instance had reached.
@@ -13,7 +13,7 @@
     List,
 }
 
-/// What orders the entries of a server.
+/// Order of an entry among those of its server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EntryStamp {
     /// Position of the store at which the entry was written, in the epoch in which it was read.
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -173,7 +173,7 @@
 /// enough for several attempts to read it.
 const BEHIND_THRESHOLD: Duration = Duration::from_millis(1_000);
 
-/// What a batch is good for.
+/// Use of a batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Verdict {
     /// The batch is applied.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -1010,7 +1010,7 @@
 pub struct InFlight {
     gateway: Rc<Gateway>,
     key: u64,
-    /// What is known of the request.
+    /// State of the request.
     pub state: Rc<RequestState>,
 }
 
--- a/crates/magnoliaspar-gateway/src/shutdown.rs
+++ b/crates/magnoliaspar-gateway/src/shutdown.rs
@@ -66,13 +66,13 @@
 
     /// Returns the extent of a stream that takes at most `longest` if its engine is not silent.
     ///
-    /// The deadline does not count: a stream whose engine goes on after it is not ended.
+    /// The deadline is left out: an engine that does not pause may send events after it.
     pub fn of_stream(received: Instant, longest: Duration) -> Self {
         Self { received, latest_end: None, duration: longest + MAX_SILENCE }
     }
 }
 
-/// What is known of a request in flight.
+/// State of a request in flight.
 #[derive(Debug)]
 pub struct RequestState {
     /// The caller's identifier.
