Bound the memory of all responses together

Cause: each response was bounded, at 1 to 8 MiB, all together were not. 80 requests to servers that send without end brought a process in a build for tests to 109 to 264 MB with bodies, 135 to 209 MB with events and streams (machine: 88 MB). Chunk sizes, extensions and trailers without end took the processor instead: 0 to 4 of 120 requests of other callers were answered in 2 s. Streams that always have bytes ready went on beyond their deadline, and so did those of callers that do not read.

Change: one memory for responses (`response_memory.rs`), in which each call has a share. When it is used up, reading stops; if that does not help, the calls that are furthest from the end of their response give way. Framing without content, and a stream without further events, end after 64 KiB and 1 MiB. A task reads each stream, and gives its engine up at the deadline. Bytes are kept in blocks of one size: with buffers that double, the same account let 67 MB be resident.

Ruled out: a leak in the connections (events that are dropped hold nothing; the memory was that of the plain bodies beside them).

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -15,6 +15,7 @@
 use crate::exchange::{CallError, Connection, ResponseBody};
 use crate::gateway::{Gateway, OWN_RESPONSE};
 use crate::guarantees::{Guarantee, is_disabled};
+use crate::held_body::HeldBody;
 use crate::liveness::{Witness, ask_before_use};
 use crate::notices::Notices;
 use crate::request_limit::{LimitNotice, LimitState};
@@ -96,7 +97,8 @@
     pub resume_after: Option<u64>,
 }
 
-/// Maximum length of the body of a refusal after which its connection is kept, in bytes.
+/// Maximum length of the body of a refusal, or of the response to a release, after which its connection is kept, in
+/// bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
 /// Timeout for the body of a refusal. Opening another connection takes no longer.
@@ -135,10 +137,10 @@
     }
 
     /// Reads the rest of the response, up to `limit` bytes; fails unless it is whole.
-    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallError> {
-        let body = self.body.read_whole(limit).await?;
+    pub async fn read_body(&mut self, limit: usize) -> Result<HeldBody, CallError> {
+        let blocks = self.body.read_blocks(limit).await?;
         self.confirm_end(Ending::of_body(self.body.is_delimited())).await?;
-        Ok(body)
+        Ok(HeldBody::new(blocks, self.body.split_share(limit)))
     }
 
     /// Returns an error unless the response, which has ended in order, is whole.
@@ -158,7 +160,7 @@
 
     /// Reads the body of a refusal, which proves nothing more, and returns the connection to the pool.
     pub async fn finish_refusal(mut self) {
-        let read = self.body.read_whole(MAX_REFUSAL_BYTES);
+        let read = self.body.discard(MAX_REFUSAL_BYTES);
         if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await {
             self.finish();
         }
@@ -383,6 +385,7 @@
         req.state.record_not_run();
     }
     let (head, mut body) = sent?;
+    body.hold_in(&gateway.response_memory);
     let facts = gateway.dialect.read_response(&head);
     if facts.request_id.is_none() {
         // On a kept connection the next response of the server could not be told from this one.
@@ -546,6 +549,7 @@
                 CallError::Broken(_) => "broken",
                 CallError::Malformed(_) => "garbled",
                 CallError::TimedOut => "timed_out",
+                CallError::GaveWay { .. } => "gave_way",
             });
             let avoided_ms = avoided.map_or(0, |avoided| avoided.as_millis() as u64);
             log::warn!(request, server = name, prefill, reason:% = error, elapsed_ms, avoided_ms; "call_failed");
@@ -618,7 +622,7 @@
     let (head, mut body) = connection.send(head, &Bytes::new(), examine).await?;
     let facts = gateway.dialect.read_response(&head);
     observe_limit(gateway, server, head.status, &facts, called_at);
-    while body.chunk().await?.is_some() {}
+    body.discard(MAX_REFUSAL_BYTES).await?;
     keep_connection(gateway, server, body, facts.idle_timeout);
     Ok(())
 }
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -99,7 +99,7 @@
     let mark = FeedRevisions::configuration;
     loop {
         let source = wait_for_source(&gateway, &peers, mark, || mark(&revisions(&gateway))).await;
-        let copy = fetch::<Routing>(&peers, &source, CONFIGURATION_PATH).await;
+        let copy = fetch::<Routing>(&gateway, &peers, &source, CONFIGURATION_PATH).await;
         let Some(copy) = copy else { continue };
         // The position stays: the peer's revision does not prove that it has every change up to it.
         let batch = to_batch(copy);
@@ -118,7 +118,7 @@
     let position = gateway.servers_position.clone();
     loop {
         let source = wait_for_source(&gateway, &peers, mark, || position.applied()).await;
-        let copy = fetch::<ServerRecord>(&peers, &source, SERVERS_PATH).await;
+        let copy = fetch::<ServerRecord>(&gateway, &peers, &source, SERVERS_PATH).await;
         let Some(copy) = copy else { continue };
         let batch = to_batch(copy);
         if batch.position <= position.applied() {
@@ -153,8 +153,13 @@
 }
 
 /// Fetches a copy from a peer. A peer that fails is not asked again before its next report.
-async fn fetch<T: DeserializeOwned>(peers: &Peers, source: &Source, path: &str) -> Option<Copy<T>> {
-    let request = request_copy(source.address, path);
+async fn fetch<T: DeserializeOwned>(
+    gateway: &Gateway,
+    peers: &Peers,
+    source: &Source,
+    path: &str,
+) -> Option<Copy<T>> {
+    let request = request_copy(gateway, source.address, path);
     let fetched = tokio::time::timeout(COPY_TIMEOUT, request).await;
     match fetched.unwrap_or(Err(CallError::TimedOut)) {
         Ok(copy) => Some(copy),
@@ -167,6 +172,7 @@
 }
 
 async fn request_copy<T: DeserializeOwned>(
+    gateway: &Gateway,
     address: SocketAddr,
     path: &str,
 ) -> Result<Copy<T>, CallError> {
@@ -180,6 +186,7 @@
     if head.status != StatusCode::OK {
         return Err(malformed(format!("status {}", head.status)));
     }
+    body.hold_in(&gateway.response_memory);
     let bytes = body.read_whole(MAX_COPY_BYTES).await?;
     serde_json::from_slice(&bytes).map_err(|error| malformed(error.to_string()))
 }
--- a/crates/magnoliaspar-gateway/src/engine_stream.rs
+++ b/crates/magnoliaspar-gateway/src/engine_stream.rs
@@ -57,6 +57,10 @@
     ) -> Result<Option<Bytes>, CallError> {
         loop {
             let remaining = req.remaining(gateway.clock.now());
+            if remaining.is_zero() {
+                // A timeout does not end a stream that always has bytes ready.
+                return Err(CallError::TimedOut);
+            }
             let read = tokio::time::timeout(remaining, self.reply.body.chunk()).await;
             let Some(chunk) = read.unwrap_or(Err(CallError::TimedOut))? else {
                 let remaining = req.remaining(gateway.clock.now());
@@ -66,13 +70,22 @@
                 return confirmed.unwrap_or(Err(CallError::TimedOut)).map(|()| None);
             };
             self.heard_at.set(gateway.clock.now());
-            if let Some(events) = self.events.push(&chunk) {
+            let (held, length) = (self.events.held(), chunk.len());
+            let remaining = req.remaining(gateway.clock.now());
+            let hold = tokio::time::timeout(remaining, self.reply.body.hold(length));
+            hold.await.unwrap_or(Err(CallError::TimedOut))?;
+            let events = self.events.push(chunk);
+            let delivered = events.as_ref().map_or(0, Bytes::len);
+            // What is neither delivered nor a part of the next event was dropped.
+            let dropped = held + length - delivered - self.events.held();
+            self.reply.body.release(dropped);
+            if self.events.lacks_progress() {
+                return Err(CallError::Malformed("a stream without further events".into()));
+            }
+            if let Some(events) = events {
                 self.record_events(gateway, req);
                 return Ok(Some(events));
             }
-            if self.events.is_too_long() {
-                return Err(CallError::Malformed("an event exceeds the length limit".into()));
-            }
         }
     }
 
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -19,7 +20,9 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::blocks::Blocks;
 use crate::evidence::Owner;
+use crate::response_memory::{GaveWay, ResponseMemory, Share};
 
 /// Time for which sent bytes may stay unacknowledged before the connection counts as broken.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -39,10 +42,15 @@
 /// Maximum number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
-/// Maximum number of bytes that are read of a response to an earlier request, or after a failed
-/// write.
+/// Maximum number of bytes that are read of a response to an earlier request.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
+/// Maximum number of bytes that are read after a failed write; no head is longer.
+const MAX_UNSOLICITED_BYTES: usize = 128 << 10;
+
+/// Maximum number of bytes between two pieces of a body, such as the sizes of its chunks.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 2;
 
@@ -65,6 +73,13 @@
     Malformed(Box<str>),
     /// no answer came in time
     TimedOut,
+    /// the memory for responses is used up: {held} of {used} bytes are for this one
+    GaveWay {
+        /// Bytes that were held for the response.
+        held: usize,
+        /// Bytes that were held for all responses.
+        used: usize,
+    },
 }
 
 impl std::error::Error for CallError {}
@@ -80,6 +95,12 @@
     }
 }
 
+impl From<GaveWay> for CallError {
+    fn from(gave_way: GaveWay) -> Self {
+        Self::GaveWay { held: gave_way.held, used: gave_way.used }
+    }
+}
+
 /// An open connection without a pending request.
 #[derive(Debug)]
 pub struct Connection {
@@ -177,7 +198,7 @@
             if strays > MAX_STRAY_RESPONSES {
                 return Err(CallError::Malformed("responses to other requests".into()));
             }
-            response_body.read_whole(MAX_DISCARDED_BYTES).await?;
+            response_body.discard(MAX_DISCARDED_BYTES).await?;
             let Some(connection) = response_body.into_next_response() else {
                 return Err(CallError::Broken(
                     "closed after the response to another request".into(),
@@ -251,6 +272,8 @@
     framing: Framing,
     is_reusable: bool,
     is_delimited: bool,
+    /// The memory for what is held of the body, once there is some.
+    share: Option<Share>,
 }
 
 /// Framing of a response body.
@@ -305,7 +328,50 @@
         let framing = if has_no_body { Framing::Complete } else { Framing::of(head, codec) };
         let is_delimited = !matches!(framing, Framing::UntilClose);
         let is_reusable = was_sent && is_delimited && !is_closing(head.headers());
-        Self { connection, framing, is_reusable, is_delimited }
+        Self { connection, framing, is_reusable, is_delimited, share: None }
+    }
+
+    /// Counts what is held of the body as a part of the memory for responses.
+    pub fn hold_in(&mut self, memory: &Rc<ResponseMemory>) {
+        let share = memory.share();
+        share.announce(self.announced());
+        self.share = Some(share);
+    }
+
+    /// Returns the number of bytes that the body still announces, if it does.
+    fn announced(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(left) => Some(left),
+            Framing::Complete => Some(0),
+            Framing::Chunks(_) | Framing::Unknown | Framing::UntilClose => None,
+        }
+    }
+
+    /// Counts bytes of the body as held. Waits while the memory for responses is used up.
+    pub async fn hold(&self, bytes: usize) -> Result<(), CallError> {
+        let Some(share) = &self.share else { return Ok(()) };
+        share.announce(self.announced());
+        Ok(share.hold(bytes).await?)
+    }
+
+    /// Counts bytes of the body as released.
+    pub fn release(&self, bytes: usize) {
+        if let Some(share) = &self.share {
+            share.release(bytes);
+        }
+    }
+
+    /// Moves the memory of bytes of the body to a share that outlives it.
+    pub fn split_share(&self, bytes: usize) -> Option<Share> {
+        self.share.as_ref().map(|share| share.split_off(bytes))
+    }
+
+    /// Waits until the body has to give way to others, as the memory for responses is used up.
+    pub async fn must_give_way(&self) -> CallError {
+        match &self.share {
+            Some(share) => share.must_give_way().await.into(),
+            None => std::future::pending().await,
+        }
     }
 
     /// Returns whether a length or chunks tell where the body ends, and not only its connection.
@@ -320,6 +386,7 @@
 
     /// Returns the next bytes, or `None` after the last ones.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallError> {
+        let mut framing_bytes = 0;
         loop {
             match &mut self.framing {
                 Framing::Complete => return Ok(None),
@@ -349,7 +416,20 @@
                 },
             }
             let (mut reader, _) = self.connection.stream.split();
-            if read_some(&mut reader, &mut self.connection.buf).await? > 0 {
+            let read = read_some(&mut reader, &mut self.connection.buf);
+            let count = match &self.share {
+                None => read.await?,
+                Some(share) => tokio::select! {
+                    biased;
+                    gave_way = share.must_give_way() => return Err(gave_way.into()),
+                    count = read => count?,
+                },
+            };
+            if count > 0 {
+                framing_bytes += count;
+                if framing_bytes > MAX_FRAMING_BYTES {
+                    return Err(CallError::Malformed("framing without content".into()));
+                }
                 continue;
             }
             if !matches!(self.framing, Framing::UntilClose) {
@@ -363,14 +443,35 @@
 
     /// Reads the rest of the body, up to `limit` bytes.
     pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, CallError> {
-        let mut whole = BytesMut::new();
-        while let Some(chunk) = self.chunk().await? {
-            if whole.len() + chunk.len() > limit {
-                return Err(CallError::Malformed("the response exceeds the length limit".into()));
+        Ok(self.read_blocks(limit).await?.take_joined())
+    }
+
+    /// Reads the rest of the body, up to `limit` bytes, into blocks.
+    pub async fn read_blocks(&mut self, limit: usize) -> Result<Blocks, CallError> {
+        if self.announced().is_some_and(|length| length > limit as u64) {
+            return Err(too_long());
+        }
+        let mut blocks = Blocks::default();
+        while let Some(piece) = self.chunk().await? {
+            if blocks.len() + piece.len() > limit {
+                return Err(too_long());
+            }
+            self.hold(piece.len()).await?;
+            blocks.append(&piece);
+        }
+        Ok(blocks)
+    }
+
+    /// Reads the rest of the body, up to `limit` bytes, and keeps none of it.
+    pub async fn discard(&mut self, limit: usize) -> Result<(), CallError> {
+        let mut length = 0;
+        while let Some(piece) = self.chunk().await? {
+            length += piece.len();
+            if length > limit {
+                return Err(too_long());
             }
-            whole.extend_from_slice(&chunk);
         }
-        Ok(whole.freeze())
+        Ok(())
     }
 
     /// Closes the connection after the response.
@@ -401,6 +502,10 @@
     socket.set_tcp_keepalive(&keep_alive)
 }
 
+fn too_long() -> CallError {
+    CallError::Malformed("the response exceeds the length limit".into())
+}
+
 fn is_closing(headers: &HeaderMap) -> bool {
     let Some(value) = headers.get(header::CONNECTION) else { return false };
     value.as_bytes().to_ascii_lowercase().windows(5).any(|word| word == b"close")
@@ -424,7 +529,7 @@
 
 /// Reads the bytes that arrived before the connection ended.
 async fn drain_reader(reader: &mut ReadHalf<'_>, buf: &mut BytesMut) {
-    while buf.len() < MAX_DISCARDED_BYTES
+    while buf.len() < MAX_UNSOLICITED_BYTES
         && read_some(reader, buf).await.is_ok_and(|count| count > 0)
     {}
 }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::pool::{MAX_IDLE, Pool};
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
+use crate::response_memory::ResponseMemory;
 use crate::roles::{ROLE_CHANGE_TIMEOUT, Sizes};
 use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
 use crate::selection::{Candidate, without_resting};
@@ -74,6 +75,8 @@
     pub directory: RefCell<Directory>,
     /// Idle connections to the servers.
     pub pool: RefCell<Pool>,
+    /// Memory of all responses.
+    pub response_memory: Rc<ResponseMemory>,
     /// Engine memory reserved by all instances.
     pub reservations: RefCell<Reservations>,
     /// Engines that several instances failed to use.
@@ -139,6 +142,7 @@
             metrics: Metrics::new(),
             directory: RefCell::default(),
             pool: RefCell::default(),
+            response_memory: ResponseMemory::new(settings.response_memory),
             routing: RefCell::default(),
             configuration_epoch: Cell::default(),
             budgets: RefCell::default(),
@@ -967,6 +971,10 @@
     pub fn sweep(&self) {
         let now = self.clock.now();
         self.metrics.queued.set(self.queue.len() as i64);
+        self.response_memory.set_limit(self.settings().response_memory);
+        self.metrics.response_bytes.set(self.response_memory.used() as i64);
+        let given_up = &self.metrics.responses_given_up;
+        given_up.inc_by(self.response_memory.given_up() - given_up.get());
         for (service, budget) in &*self.budgets.borrow() {
             self.metrics.set_budget_left(service, budget.left());
         }
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -33,6 +33,8 @@
     StoreEpoch,
     /// A stopping instance starts only what ends before it.
     FinishBeforeEnd,
+    /// The memory for responses is bounded.
+    ResponseMemory,
 }
 
 /// Returns whether a test has disabled a guarantee.
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform's headers, and the sources of the configuration and of the list of servers.
 
 mod admission;
+mod blocks;
 pub mod call;
 mod configuration_age;
 pub mod coordinator;
@@ -23,6 +24,7 @@
 mod guarantees;
 pub mod handler;
 mod hedge;
+mod held_body;
 mod instance;
 mod liveness;
 pub mod metrics;
@@ -34,6 +36,7 @@
 pub mod refusal;
 pub mod request_limit;
 pub mod reservations;
+pub mod response_memory;
 pub mod roles;
 pub mod route;
 pub mod selection;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -47,6 +47,10 @@
     pub peer_messages: IntCounter,
     /// Bytes of these messages.
     pub peer_bytes: IntCounter,
+    /// Bytes held for responses.
+    pub response_bytes: IntGauge,
+    /// Responses that were given up as the memory for responses was used up.
+    pub responses_given_up: IntCounter,
     /// Completions queued here for engine memory.
     pub queued: IntGauge,
     /// Retries left in the budget, by service.
@@ -141,6 +145,11 @@
             connections: counter("gateway_connections_total", "Connections opened to servers."),
             peer_messages: counter("gateway_peer_messages_total", "Messages sent to instances."),
             peer_bytes: counter("gateway_peer_bytes_total", "Bytes of messages to instances."),
+            response_bytes: gauge("gateway_response_bytes", "Bytes held for responses."),
+            responses_given_up: counter(
+                "gateway_responses_given_up_total",
+                "Responses given up for lack of memory.",
+            ),
             queued: gauge("gateway_queued", "Completions that wait here for engine memory."),
             budget_left,
             log_lines_dropped: gauges("gateway_log_lines_dropped", "Dropped log lines.", "kind"),
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use magnoliaspar_core::Findings;
-use magnoliaspar_json::{Cursor, Source, read_value};
+use magnoliaspar_json::{Cursor, Object, Source, read_value};
 use magnoliaspar_retry::RetryBudgetConfig;
 
 /// Log filter if the settings have none.
@@ -23,6 +23,22 @@
 /// Valid numbers of cores.
 const CORES: RangeInclusive<f64> = 0.001..=1_000.0;
 
+/// Valid memory sizes, in megabytes.
+const MEGABYTES: RangeInclusive<f64> = 1.0..=1e6;
+
+/// Memory of the machine if the settings have none, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 88.0;
+
+/// Share of the machine's memory for responses if the settings have none. The rest is for the program, for
+/// connections and for what the system holds of the same responses.
+const DEFAULT_RESPONSE_SHARE: f64 = 0.25;
+
+/// Maximum share of the machine's memory for responses.
+const MAX_RESPONSE_SHARE: f64 = 0.5;
+
+/// Number of bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Number of cores if the settings have none.
 const DEFAULT_CORES: f64 = 1.0;
 
@@ -52,6 +68,8 @@
     pub store: SocketAddr,
     /// Capacity of the instance, in thousandths of a core.
     pub capacity: u32,
+    /// Memory for responses, in bytes.
+    pub response_memory: usize,
     /// Retry budget of each service, shared by all instances.
     pub budget: SharedBudget,
     /// Time from the stop signal within which the process must exit.
@@ -104,6 +122,7 @@
     let seeds = object.with_default("seeds", [].into(), |field| field.list(Cursor::address));
     let store = object.required("store").and_then(|field| field.address());
     let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
+    let response_memory = read_response_memory(&object);
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
     let log = object.with_default("log", DEFAULT_LOG_FILTER, |field| field.non_empty_text());
@@ -118,12 +137,24 @@
         seeds: seeds?,
         store: store?,
         capacity: (cores? * 1_000.0) as u32,
+        response_memory: response_memory?,
         budget: budget?,
         grace: Duration::from_secs_f64(grace?),
         log: log?.into(),
     })
 }
 
+/// Reads the memory of the machine and the part of it that is for responses; returns the latter in bytes.
+fn read_response_memory(object: &Object) -> Option<usize> {
+    let memory_mb =
+        object.with_default("memory_mb", DEFAULT_MEMORY_MB, |field| field.number(MEGABYTES))?;
+    let (least, most) = (*MEGABYTES.start(), (memory_mb * MAX_RESPONSE_SHARE).max(1.0));
+    let default_mb = (memory_mb * DEFAULT_RESPONSE_SHARE).max(least);
+    let response_mb = object
+        .with_default("response_memory_mb", default_mb, |field| field.number(least..=most))?;
+    Some((response_mb * BYTES_PER_MB) as usize)
+}
+
 fn read_budget(cursor: &Cursor) -> Option<SharedBudget> {
     let object = cursor.object()?;
     let ratio = object.required("ratio").and_then(|field| field.number(RETRY_RATIOS));
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -1,25 +1,24 @@
 //! Completions, whose responses are streams of events.
 
 mod race;
+mod relay;
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::Response;
-use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BoxBody, MessageBody};
 use bytes::Bytes;
-use displaydoc::Display;
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream::unfold;
 use magnoliaspar_core::ServerKey;
 use tokio::sync::watch;
 
 use self::race::{Raced, Watched};
+use self::relay::Relay;
 use crate::admission::{History, Placement, admit};
 use crate::call::{
-    CallSpec, Incoming, Reply, acquire, call, can_connect, keep_connection, record_silence,
-    release_kv_cache,
+    CallSpec, Incoming, Reply, acquire, call, can_connect, record_silence, release_kv_cache,
 };
 use crate::engine_stream::EngineStream;
 use crate::evidence::promises_not_run;
@@ -111,7 +110,9 @@
         let body = match read.unwrap_or(Err(CallError::TimedOut)) {
             Ok(body) => body,
             Err(error) => {
-                log::warn!(request, reason:% = error; "answer_incomplete");
+                let server = gateway.server_name(reply.guard.server);
+                log::warn!(request, server = &*server, reason:% = error; "answer_incomplete");
+                let _ = gateway.record_call_failure(reply.guard.server, &error);
                 return None;
             }
         };
@@ -421,13 +422,21 @@
             _ => {}
         }
         let mut reply = called.ok()?;
-        let body =
-            match tokio::time::timeout(timeout, reply.body.read_whole(MAX_BUFFERED_BODY_BYTES))
-                .await
-            {
-                Ok(Ok(body)) => body,
-                _ => return None,
-            };
+        let body = match tokio::time::timeout(
+            timeout,
+            reply.body.read_whole(MAX_BUFFERED_BODY_BYTES),
+        )
+        .await
+        {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
+                let server = gateway.server_name(prefill);
+                log::warn!(request = &*req.facts.id, server = &*server, reason:% = error; "prefill_incomplete");
+                let _ = gateway.record_call_failure(prefill, &error);
+                return None;
+            }
+            Err(_) => return None,
+        };
         let is_success = reply.head.status.is_success();
         reply.finish();
         // A handle that can be read is whole, however its response ended.
@@ -512,104 +521,3 @@
         }
     }
 }
-
-/// Reason why a stream ends before its last event.
-#[derive(Debug, Clone, Copy)]
-#[derive(Display)]
-enum RelayError {
-    /// the stream broke off
-    Broken,
-}
-
-impl std::error::Error for RelayError {}
-
-/// A stream that is forwarded to the caller.
-struct Relay {
-    gateway: Rc<Gateway>,
-    req: Rc<Incoming>,
-    attempts: Attempts,
-    /// The engine that runs the completion.
-    current: Option<Box<EngineStream>>,
-    /// Events of the engine that were read before its stream is forwarded; the inner value is `None` after the
-    /// last one.
-    ready: Option<Option<Bytes>>,
-}
-
-impl Relay {
-    fn into_response(self, response: Response<BoxBody>) -> Response<BoxBody> {
-        let body = unfold(Some(self), |relay| async {
-            let mut relay = relay?;
-            match relay.next().await {
-                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
-                Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
-            }
-        });
-        response.set_body(BodyStream::new(Box::pin(body)).boxed())
-    }
-
-    /// Returns the next complete events, or `None` after the last one.
-    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let Some(engine) = self.current.take() else { return Ok(None) };
-        if let Some(events) = self.ready.take() {
-            return Ok(self.deliver(Opened { engine, events }));
-        }
-        let (gateway, req) = (self.gateway.clone(), self.req.clone());
-        let cx = Context { gateway: &gateway, req: &req };
-        let last_event = engine.events.last_id();
-        let resumed = match self.attempts.next_events(cx, engine).await {
-            Raced::First(Ok(opened)) => return Ok(self.deliver(opened)),
-            Raced::First(Err(_)) if self.may_resume() => self.attempts.open(cx, last_event).await,
-            Raced::First(Err(error)) => Err(final_refusal(&error)),
-            Raced::Successor(opened) => Ok(opened),
-            Raced::Lost(refusal) => Err(refusal),
-        };
-        match resumed {
-            Ok(opened) => {
-                gateway.metrics.resumptions.inc();
-                log::info!(request = &*req.facts.id, last_event:?; "stream_resumed");
-                Ok(self.deliver(opened))
-            }
-            Err(refusal) => {
-                let failure = self.attempts.failure.take();
-                let status = failure.map(|failure| failure.response.status().as_u16());
-                log::warn!(request = &*req.facts.id, reason:% = refusal, status:?; "stream_not_resumed");
-                gateway.metrics.count_request(req.route.kind.as_str(), "broken");
-                Err(RelayError::Broken)
-            }
-        }
-    }
-
-    /// Returns whether a stream that has failed may go on at another engine.
-    fn may_resume(&self) -> bool {
-        let remaining = self.req.remaining(self.gateway.clock.now());
-        self.attempts.tally.allows_attempt(&self.req.route) && !remaining.is_zero()
-    }
-
-    /// Returns the events of an engine, whose stream goes on unless they are the end.
-    fn deliver(&mut self, opened: Opened) -> Option<Bytes> {
-        match opened.events {
-            Some(_) => self.current = Some(opened.engine),
-            None => self.finish(opened.engine),
-        }
-        opened.events
-    }
-
-    /// Records the end of a whole stream, and keeps the connection to its engine.
-    fn finish(&self, engine: Box<EngineStream>) {
-        let now = self.gateway.clock.now();
-        let EngineStream { reply, events, placement: _placement, .. } = *engine;
-        let kind = self.req.route.kind.as_str();
-        self.gateway.metrics.observe(kind, "whole", now - self.req.received);
-        self.gateway.metrics.count_request(kind, "answered");
-        let elapsed_ms = (now - self.req.received).as_millis() as u64;
-        let last_event = events.last_id();
-        let server = reply.guard.server;
-        let name = self.gateway.server_name(server);
-        let framing = reply.body.framing_name();
-        let runs = self.attempts.tally.runs;
-        log::info!(request = &*self.req.facts.id, server = &*name, framing, elapsed_ms, last_event:?, runs; "stream_ended");
-        let idle_timeout = reply.facts.idle_timeout;
-        keep_connection(&self.gateway, server, reply.body, idle_timeout);
-    }
-}
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -7,7 +7,6 @@
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header;
 use actix_http::{Response, ResponseHead};
-use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use magnoliaspar_core::ServerKey;
@@ -18,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::hedge::{Patience, ReservedRetry, Tally};
+use crate::held_body::HeldBody;
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::refusal::Refusal;
 use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
@@ -348,7 +348,8 @@
     let rest = req.remaining(gateway.clock.now());
     let read = tokio::time::timeout(rest, reply.read_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
     let body = read.unwrap_or(Err(CallError::TimedOut)).inspect_err(|error| {
-        log::warn!(request = &*req.facts.id, reason:% = error; "answer_incomplete");
+        let name = gateway.server_name(server);
+        log::warn!(request = &*req.facts.id, server = &*name, reason:% = error; "answer_incomplete");
         gateway.directory.borrow_mut().record_failure(server, gateway.clock.now());
     })?;
     let now = gateway.clock.now();
@@ -369,7 +370,7 @@
 /// Message for a response whose status promises that its request has not run, which it does not state.
 const UNPROVEN_PROMISE: &str = "a status that promises what the response does not state";
 
-fn build_response(head: &ResponseHead, body: Bytes) -> Response<BoxBody> {
+fn build_response(head: &ResponseHead, body: HeldBody) -> Response<BoxBody> {
     copy_response_head(head).set_body(body.boxed())
 }
 
