Believe a role once it is reported, and avoid engines that refuse completions

A second after the start it ordered 22 of 91 decode engines to prefill, and 13 s later 39 back. - An engine lets its running work end before it changes. After 8 s it was taken for what it had been, and for empty, and got 57 to 87 completions, all of which it refused, after their prompts had been read. - Refusals stayed with the instance that got them: an engine that refuses everything looked emptiest to the coordinator. - Callers who were refused came back after 0.45 to 0.9 s, within the same burst, and were refused again.

Change: speeds are reported with the progress of streams, and the first samples count alike. An engine is out of use from an order until it reports the new role; after 8 s it is asked whether it still changes. Instances report refusals: two in a row without a start in between keep an engine out of use for 0.5 to 2 s. Three checks in a row must agree on a change, decode engines are ordered to prefill only at a known speed, and at most a tenth of them at once. A caller that is refused for lack of capacity, and can only be late, is told to come back as late as it still can.

Ruled out: differences of the books, such as blocks and caches.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -521,6 +521,11 @@
                 true => drop(directory.record_failure(server, now)),
                 false => directory.record_full(server, now),
             }
+            drop(directory);
+            // A wish for rest concerns this instance only.
+            if !prefill && reply.facts.rest.is_none() {
+                gateway.report_rejection(server);
+            }
             gateway.metrics.count_call("not_run");
             let status = reply.head.status.as_u16();
             log::warn!(request, server = name, prefill, status, elapsed_ms; "call_rejected");
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -328,6 +328,9 @@
         }
         Payload::Started(id, service, parts) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
+            if let Some(reservation) = gateway.reservations.borrow().reservation(from, *id) {
+                gateway.failing_engines.borrow_mut().record_start(&reservation.decode);
+            }
             gateway.with_quarantine(service, |quarantine| quarantine.record_start(parts));
         }
         Payload::Crashed(crash, service, parts) => {
@@ -354,6 +357,13 @@
                 log::warn!(server = &**engine, reporter = from, avoided_ms; "engine_avoided");
             }
         }
+        Payload::EngineRejected(engine) => {
+            let avoided = gateway.failing_engines.borrow_mut().report_rejection(engine, now);
+            if let Some(avoided) = avoided {
+                let avoided_ms = avoided.as_millis() as u64;
+                log::warn!(server = &**engine, reporter = from, avoided_ms, reason = "it rejects completions"; "engine_avoided");
+            }
+        }
         _ => {}
     }
 }
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 use actix_http::{RequestHead, ResponseHead};
 use magnoliaspar_retry::PartId;
 
+use crate::directory::EngineRole;
 use crate::request_limit::LimitNotice;
 
 /// Maps between the platform's headers and the data of the gateway.
@@ -33,10 +34,22 @@
     /// Reads the start time of a process from its report, in milliseconds since the Unix epoch.
     fn read_report(&self, body: &[u8]) -> Option<u64>;
 
+    /// Reads the role of an engine from its report.
+    fn read_engine_state(&self, body: &[u8]) -> Option<EngineState>;
+
     /// Returns the path of the request that releases a KV cache.
     fn release_path(&self, handle: &str) -> Box<str>;
 }
 
+/// What an engine reports of its role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineState {
+    /// The role.
+    pub role: EngineRole,
+    /// Whether it carries out an order.
+    pub is_changing: bool,
+}
+
 /// The caller's description of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RequestFacts {
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -135,8 +135,8 @@
     pub record: ServerRecord,
     /// Requests of this instance in flight at the server.
     pub in_flight: u32,
-    /// The role to which the server is changing, and the time until which the change may take.
-    pub changing: Option<(EngineRole, Instant)>,
+    /// The role to which the server was ordered to change and which it has not reported yet.
+    pub changing: Option<EngineRole>,
     /// Whether the last attempt to connect failed; a probe clears it once a connection opens.
     pub is_unreachable: bool,
     /// Whether the process may have said that it leaves or rests, and is asked before it gets requests.
@@ -204,9 +204,8 @@
     }
 
     /// Returns whether the server is out of use while it changes its role.
-    pub fn is_changing(&self, now: Instant) -> bool {
-        let Some((role, until)) = self.changing else { return false };
-        now < until && self.record.role != Some(role)
+    pub fn is_changing(&self) -> bool {
+        self.changing.is_some()
     }
 
     /// Returns the limit, or that it was lifted, and when that was observed.
@@ -313,6 +312,7 @@
         }
         let is_leaving = record.is_draining && !old.is_draining;
         record.is_draining |= old.is_draining;
+        server.changing = server.changing.filter(|role| record.role != Some(*role));
         server.record = record;
         if is_leaving { RecordChange::Draining } else { RecordChange::Updated }
     }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
 use crate::response_memory::ResponseMemory;
-use crate::roles::{ROLE_CHANGE_TIMEOUT, Sizes};
+use crate::roles::Sizes;
 use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
 use crate::selection::{Candidate, without_resting};
 use crate::settings::GatewaySettings;
@@ -55,6 +55,9 @@
 /// Maximum wait of any other instance's feed call; long, since each call to the store is charged.
 const FEED_WAIT: Duration = Duration::from_secs(15);
 
+/// Maximum `Retry-After` as a share of the caller's remaining time; callers wait for up to a third of it.
+const RETRY_AFTER_SHARE: f64 = 0.3;
+
 /// Ratio of the duration on a slow engine to the mean.
 const SLOW_ENGINE_FACTOR: f64 = 1.3;
 
@@ -226,6 +229,16 @@
         self.send_to_coordinators(Payload::EngineUnusable(id));
     }
 
+    /// Reports to the coordinators that an engine refused a completion which it was granted for.
+    pub fn report_rejection(&self, server: ServerKey) {
+        let directory = self.directory.borrow();
+        let engine =
+            directory.get(server).filter(|server| server.record.role == Some(EngineRole::Decode));
+        let Some(id) = engine.map(|engine| engine.record.id.clone()) else { return };
+        drop(directory);
+        self.send_to_coordinators(Payload::EngineRejected(id));
+    }
+
     /// Records that a server says in a response that it leaves. The coordinators are told of engines, which
     /// they choose for all instances.
     pub fn record_leaving(&self, server: ServerKey) {
@@ -556,7 +569,7 @@
         for (key, server) in directory.iter() {
             let record = &server.record;
             let is_leaving = record.is_draining && !is_disabled(Guarantee::Drain);
-            let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing(now);
+            let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing();
             if &*record.service != service || !is_usable || tried.contains(&key) {
                 continue;
             }
@@ -629,13 +642,11 @@
 
     /// Returns the usable engines of a service that have a role or are changing to it.
     pub fn engines_of_role(&self, service: &str, role: EngineRole) -> Vec<ServerKey> {
-        let now = self.clock.now();
         let mut engines = Vec::new();
         for (key, server) in self.directory.borrow().iter() {
             let record = &server.record;
             let is_usable = !record.is_draining && !server.is_unreachable;
-            let changing = server.changing.filter(|_| server.is_changing(now));
-            let current = changing.map_or(record.role, |(role, _)| Some(role));
+            let current = server.changing.or(record.role);
             if &*record.service == service && is_usable && current == Some(role) {
                 engines.push(key);
             }
@@ -662,15 +673,19 @@
         chosen
     }
 
-    /// Records that an engine was ordered to change its role.
+    /// Records that an engine is ordered to change its role. It is out of use until it reports that role.
     pub fn begin_role_change(&self, engine: ServerKey, role: EngineRole) {
-        let until = self.clock.now() + ROLE_CHANGE_TIMEOUT;
         if let Some(server) = self.directory.borrow_mut().get_mut(engine) {
-            server.changing = Some((role, until));
+            server.changing = Some(role).filter(|role| server.record.role != Some(*role));
         }
     }
 
-    /// Records that an engine refused to change its role.
+    /// Returns the role to which an engine was ordered to change, until it reports that role.
+    pub fn role_change(&self, engine: ServerKey) -> Option<EngineRole> {
+        self.directory.borrow().get(engine)?.changing
+    }
+
+    /// Records that an engine does not change its role.
     pub fn cancel_role_change(&self, engine: ServerKey) {
         if let Some(server) = self.directory.borrow_mut().get_mut(engine) {
             server.changing = None;
@@ -963,10 +978,19 @@
     /// Returns the `Retry-After` of a refused request.
     pub fn retry_after(&self, route: &Route, remaining: Duration) -> Duration {
         // The caller retries early enough to be served, and spread out from other callers.
-        let max_wait = remaining.mul_f64(0.3).min(route.target_latency);
+        let max_wait = remaining.mul_f64(RETRY_AFTER_SHARE).min(route.target_latency);
         max_wait.mul_f64(0.5 + 0.5 * self.random_fraction())
     }
 
+    /// Returns the `Retry-After` of a request that is refused since there is no capacity.
+    ///
+    /// A caller who returns within a burst is refused again, and one who returns after the latency target is late
+    /// whenever that is. So it returns as late as it still can, and leaves the capacity until then to others who can
+    /// be in time.
+    pub fn retry_after_overload(&self, remaining: Duration) -> Duration {
+        remaining.mul_f64(RETRY_AFTER_SHARE).mul_f64(0.5 + 0.5 * self.random_fraction())
+    }
+
     /// Closes unusable idle connections, and removes servers that did not register again.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -133,7 +133,11 @@
             }
             // The request itself may have led to the wish for rest. The callers of all instances would return at
             // once when it ends.
-            Refusal::ServersResting | Refusal::NoServer | Refusal::NoCapacity => {
+            Refusal::NoCapacity => {
+                gateway.retry_after_overload(remaining)
+                    + gateway.rest_of_service(service, &[]).unwrap_or_default()
+            }
+            Refusal::ServersResting | Refusal::NoServer => {
                 spread + gateway.rest_of_service(service, &[]).unwrap_or_default()
             }
             _ => spread,
--- a/crates/magnoliaspar-gateway/src/liveness.rs
+++ b/crates/magnoliaspar-gateway/src/liveness.rs
@@ -10,6 +10,7 @@
 use magnoliaspar_core::ServerKey;
 
 use crate::call::{PROBE_BACKOFF, connect_to, examine, gone};
+use crate::dialect::{EngineState, ResponseFacts};
 use crate::evidence::{Ending, ProcessReport, reaches_process};
 use crate::exchange::{CallError, Connection};
 use crate::gateway::Gateway;
@@ -114,12 +115,36 @@
     }
 }
 
-/// Requests the report of a server on a connection.
+/// Requests the report of an engine, and returns its role and whether that changes; `None` if it does not answer.
+pub async fn request_engine_state(gateway: &Rc<Gateway>, engine: ServerKey) -> Option<EngineState> {
+    if !gateway.directory.borrow_mut().take_report(engine, gateway.clock.now()) {
+        return None;
+    }
+    let read = async {
+        let connection = connect_to(gateway, engine).await?;
+        read_report(gateway, engine, connection).await
+    };
+    let (text, facts) = tokio::time::timeout(REPORT_TIMEOUT, read).await.ok()?.ok()?;
+    gateway.dialect.read_engine_state(&text).filter(|_| !facts.is_other_server)
+}
+
+/// Requests the report of a server on a connection, and returns what it says of its process.
 async fn request_report(
     gateway: &Rc<Gateway>,
     server: ServerKey,
     connection: Connection,
 ) -> Result<ProcessReport, CallError> {
+    let (text, facts) = read_report(gateway, server, connection).await?;
+    let started_ms = gateway.dialect.read_report(&text);
+    Ok(ProcessReport { started_ms, is_other_server: facts.is_other_server })
+}
+
+/// Requests the report of a server on a connection.
+async fn read_report(
+    gateway: &Rc<Gateway>,
+    server: ServerKey,
+    connection: Connection,
+) -> Result<(Bytes, ResponseFacts), CallError> {
     let (service, address, is_engine) = {
         let directory = gateway.directory.borrow();
         let Some(server) = directory.get(server) else { return Err(gone()) };
@@ -135,13 +160,13 @@
     head.headers.insert(header::HOST, host);
     let examine = |head: &ResponseHead, is_first| examine(gateway, server, None, head, is_first);
     let (head, mut body) = connection.send(head, &Bytes::new(), examine).await?;
+    body.hold_in(&gateway.response_memory);
     let facts = gateway.dialect.read_response(&head);
     let text = body.read_whole(MAX_REPORT_BYTES).await?;
     if let Some(connection) = body.into_connection() {
         gateway.keep_idle(server, connection, facts.idle_timeout);
     }
-    let started_ms = gateway.dialect.read_report(&text);
-    Ok(ProcessReport { started_ms, is_other_server: facts.is_other_server })
+    Ok((text, facts))
 }
 
 /// Maximum number of requests for a report before a server is used without one.
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -141,6 +141,8 @@
     Released(ReservationId),
     /// The sender could not use an engine: a connection to it failed to open, or a call broke.
     EngineUnusable(Box<str>),
+    /// An engine refused a completion that the sender was granted it for.
+    EngineRejected(Box<str>),
     /// The process of an engine that started at this time, in milliseconds since the Unix epoch, says in its
     /// responses that it leaves.
     EngineLeaving(Box<str>, u64),
@@ -247,6 +249,9 @@
     tokens: u64,
     /// Decode speed, in tokens per millisecond.
     speed: f64,
+    /// Whether the speed was measured; former versions of the gateway do not send it.
+    #[serde(default)]
+    is_measured: bool,
 }
 
 impl ReservationEntry {
@@ -257,6 +262,7 @@
             age_ms: millis_since(progress.at),
             tokens: progress.tokens,
             speed: progress.tokens_per_ms,
+            is_measured: progress.is_measured,
         });
         let starts_in = reservation.starts_at.saturating_duration_since(now);
         Self {
@@ -275,7 +281,12 @@
         let progress = self.progress.map(|progress| {
             let age = Duration::from_millis(progress.age_ms);
             let at = now.checked_sub(age).unwrap_or(now);
-            Progress { at, tokens: progress.tokens, tokens_per_ms: progress.speed }
+            Progress {
+                at,
+                tokens: progress.tokens,
+                tokens_per_ms: progress.speed,
+                is_measured: progress.is_measured,
+            }
         });
         Reservation {
             decode: self.decode,
@@ -836,6 +847,7 @@
             | Payload::Crashed(..)
             | Payload::Released(_)
             | Payload::EngineUnusable(_)
+            | Payload::EngineRejected(_)
             | Payload::EngineLeaving(..)) => apply_update(gateway, &sender, &payload),
         }
     }
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -37,6 +37,9 @@
 /// Weight of a new sample in the decode speed of its own stream.
 const STREAM_SPEED_SMOOTHING: f64 = 0.3;
 
+/// Number of samples from which on the decode speed counts as known.
+const MIN_SPEED_SAMPLES: u64 = 20;
+
 /// Minimum time between two events for a speed sample, in milliseconds.
 const MIN_SAMPLE_MS: f64 = 5.0;
 
@@ -79,6 +82,8 @@
     pub tokens: u64,
     /// Decode speed, in tokens per millisecond.
     pub tokens_per_ms: f64,
+    /// Whether the speed was measured on this stream, and not assumed.
+    pub is_measured: bool,
 }
 
 /// The reservations of all instances.
@@ -90,10 +95,34 @@
     own_instance: InstanceId,
     /// Times of the releases within the last `RATE_WINDOW`.
     release_times: Vec<Instant>,
-    /// Smoothed decode speed of all streams, assumed for new ones, in tokens per millisecond.
+    /// Decode speed of all streams, assumed for new ones.
+    speed: DecodeSpeed,
+}
+
+/// Moving average of the decode speeds of all streams.
+#[derive(Debug, Clone, Copy)]
+struct DecodeSpeed {
+    /// Number of samples.
+    samples: u64,
+    /// The speed, in tokens per millisecond.
     tokens_per_ms: f64,
 }
 
+impl Default for DecodeSpeed {
+    fn default() -> Self {
+        Self { samples: 0, tokens_per_ms: DEFAULT_TOKENS_PER_MS }
+    }
+}
+
+impl DecodeSpeed {
+    /// Adds the speed of a stream. The first samples count alike, so that the default is soon forgotten.
+    fn add(&mut self, tokens_per_ms: f64) {
+        self.samples += 1;
+        let gain = SPEED_SMOOTHING.max(1.0 / self.samples as f64);
+        self.tokens_per_ms += gain * (tokens_per_ms - self.tokens_per_ms);
+    }
+}
+
 /// Load of one engine according to the reservations.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct EngineLoad {
@@ -129,10 +158,15 @@
             last_report: BTreeMap::new(),
             own_instance,
             release_times: Vec::new(),
-            tokens_per_ms: DEFAULT_TOKENS_PER_MS,
+            speed: DecodeSpeed::default(),
         }
     }
 
+    /// Returns whether the decode speed was measured on enough streams.
+    pub fn knows_speed(&self) -> bool {
+        self.speed.samples >= MIN_SPEED_SAMPLES
+    }
+
     /// Adds or replaces a reservation.
     pub fn reserve(&mut self, instance: &str, id: ReservationId, reservation: Reservation) {
         self.reservations.insert((instance.into(), id), reservation);
@@ -150,18 +184,21 @@
     /// decode speeds.
     pub fn record_tokens(&mut self, instance: &str, id: ReservationId, tokens: u64, now: Instant) {
         let Some(reservation) = self.reservations.get_mut(&(instance.into(), id)) else { return };
-        let mut tokens_per_ms =
-            reservation.progress.map_or(self.tokens_per_ms, |progress| progress.tokens_per_ms);
-        if let Some(before) = reservation.progress {
-            let millis = now.saturating_duration_since(before.at).as_secs_f64() * 1_000.0;
-            let generated = tokens.saturating_sub(before.tokens);
-            if millis >= MIN_SAMPLE_MS {
-                let sample = generated as f64 / millis;
-                tokens_per_ms += STREAM_SPEED_SMOOTHING * (sample - tokens_per_ms);
-                self.tokens_per_ms += SPEED_SMOOTHING * (sample - self.tokens_per_ms);
-            }
+        let Some(before) = reservation.progress else {
+            let tokens_per_ms = self.speed.tokens_per_ms;
+            reservation.progress =
+                Some(Progress { at: now, tokens, tokens_per_ms, is_measured: false });
+            return;
+        };
+        let mut progress = Progress { at: now, tokens, ..before };
+        let millis = now.saturating_duration_since(before.at).as_secs_f64() * 1_000.0;
+        if millis >= MIN_SAMPLE_MS {
+            let sample = tokens.saturating_sub(before.tokens) as f64 / millis;
+            progress.tokens_per_ms += STREAM_SPEED_SMOOTHING * (sample - before.tokens_per_ms);
+            progress.is_measured = true;
+            self.speed.add(sample);
         }
-        reservation.progress = Some(Progress { at: now, tokens, tokens_per_ms });
+        reservation.progress = Some(progress);
     }
 
     /// Removes the reservation of a completion that has ended.
@@ -186,6 +223,10 @@
         self.reservations
             .retain(|(owner, _), reservation| &**owner != instance || is_fresh(reservation));
         for (id, reservation) in reservations {
+            // An instance sees only the streams of its own callers.
+            if let Some(progress) = reservation.progress.filter(|progress| progress.is_measured) {
+                self.speed.add(progress.tokens_per_ms);
+            }
             self.reserve(instance, id, reservation);
         }
         self.last_report.insert(instance.into(), now);
@@ -223,14 +264,16 @@
 
     /// Returns the mean decode time of completions whose expected output is `expected_tokens`.
     pub fn expected_duration(&self, expected_tokens: u64) -> Duration {
-        let millis =
-            expected_tokens as f64 * MEAN_TO_MEDIAN / self.tokens_per_ms.max(MIN_TOKENS_PER_MS);
+        let millis = expected_tokens as f64 * MEAN_TO_MEDIAN
+            / self.speed.tokens_per_ms.max(MIN_TOKENS_PER_MS);
         Duration::from_secs_f64(millis / 1_000.0)
     }
 
     /// Returns the decode time of an output of exactly `tokens` tokens.
     pub fn duration_of(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms.max(MIN_TOKENS_PER_MS) / 1_000.0)
+        Duration::from_secs_f64(
+            tokens as f64 / self.speed.tokens_per_ms.max(MIN_TOKENS_PER_MS) / 1_000.0,
+        )
     }
 
     /// Returns the predicted number of completions that end per second, from the expected durations
@@ -276,7 +319,7 @@
     fn generated(&self, reservation: &Reservation, now: Instant) -> u64 {
         let (since, tokens, tokens_per_ms) = match reservation.progress {
             Some(progress) => (progress.at, progress.tokens, progress.tokens_per_ms),
-            None => (reservation.starts_at, 0, self.tokens_per_ms),
+            None => (reservation.starts_at, 0, self.speed.tokens_per_ms),
         };
         let millis = now.saturating_duration_since(since).as_secs_f64() * 1_000.0;
         tokens + (millis * tokens_per_ms) as u64
--- a/crates/magnoliaspar-gateway/src/roles.rs
+++ b/crates/magnoliaspar-gateway/src/roles.rs
@@ -4,6 +4,7 @@
 //! therefore assigns as many engines to decode as the remaining ones can prefill prompts for.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use crate::dialect::ResponseFacts;
 use crate::directory::EngineRole;
 use crate::gateway::Gateway;
+use crate::liveness::request_engine_state;
 use crate::route::ServiceName;
 use crate::selection::DEFAULT_PREFILL_TOKENS_PER_MS;
 
@@ -44,10 +46,22 @@
 /// appears in the list of servers a moment later.
 const COOLDOWN: Duration = Duration::from_secs(12);
 
-/// Maximum time for which an engine that changes its role is out of use; it is used earlier if it
-/// reports its new role.
+/// Time after an order from which on an engine that has not reported its new role is asked whether it still
+/// changes.
 pub const ROLE_CHANGE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Interval at which it is asked.
+const ROLE_CHANGE_POLL: Duration = Duration::from_secs(2);
+
+/// Maximum number of reports that are requested of it. One that does not answer is as it was before.
+const MAX_ROLE_CHANGE_POLLS: u32 = 10;
+
+/// Number of checks in a row that must ask for more engines of a role. A burst is over before a change of role is.
+const MIN_AGREEING_CHECKS: u32 = 3;
+
+/// Maximum part of the decode engines that are ordered to prefill at once, since they are out of use meanwhile.
+const MAX_DECODE_ENGINES_PART: usize = 10;
+
 /// Sends orders to engines to change their role.
 #[async_trait(?Send)]
 pub trait RoleOrders {
@@ -166,14 +180,22 @@
     lease: LeaseController,
     orders: Rc<dyn RoleOrders>,
     cooldown_until: Cell<Option<Instant>>,
+    /// The role that each service has lacked engines of, and in how many checks in a row.
+    agreeing_checks: RefCell<BTreeMap<ServiceName, (EngineRole, u32)>>,
     last_lease_error: RefCell<Option<Box<str>>>,
 }
 
 impl RoleController {
     /// Creates a controller that has not sent any orders.
     pub fn new(gateway: Rc<Gateway>, lease: LeaseController, orders: Rc<dyn RoleOrders>) -> Self {
-        let (cooldown_until, last_lease_error) = (Cell::new(None), RefCell::default());
-        Self { gateway, lease, orders, cooldown_until, last_lease_error }
+        Self {
+            gateway,
+            lease,
+            orders,
+            cooldown_until: Cell::new(None),
+            agreeing_checks: RefCell::default(),
+            last_lease_error: RefCell::default(),
+        }
     }
 
     /// Checks the roles at an interval, for as long as the process runs.
@@ -201,11 +223,23 @@
         let prefill_engines = self.unlimited_engines(service, EngineRole::Prefill);
         let decode_engines = self.unlimited_engines(service, EngineRole::Decode);
         let change = prefill_engine_delta(prefill_engines.len(), decode_engines.len(), &demand);
+        let change = change.min(decode_engines.len().div_ceil(MAX_DECODE_ENGINES_PART) as isize);
         let (pool, role) = match change {
-            0 => return,
+            0 => {
+                self.agreeing_checks.borrow_mut().remove(service);
+                return;
+            }
             1.. => (decode_engines, EngineRole::Prefill),
             _ => (prefill_engines, EngineRole::Decode),
         };
+        if self.count_agreeing(service, role) < MIN_AGREEING_CHECKS {
+            return;
+        }
+        // Until the speed is known, engines count as fast, and their completions as needing more prefill than they
+        // may.
+        if role == EngineRole::Prefill && !self.gateway.reservations.borrow().knows_speed() {
+            return;
+        }
         let chosen = self.gateway.pick_across_zones(&pool, change.unsigned_abs());
         log::info!(service = &**service, change, chosen = chosen.len(), role:?, holding:?; "roles_reconsidered");
         for engine in chosen {
@@ -219,6 +253,17 @@
         self.cooldown_until.set(Some(self.gateway.clock.now() + COOLDOWN));
     }
 
+    /// Counts a check that asks for more engines of a role; returns how many in a row have.
+    fn count_agreeing(&self, service: &ServiceName, role: EngineRole) -> u32 {
+        let mut agreeing = self.agreeing_checks.borrow_mut();
+        let (last_role, checks) = agreeing.entry(service.clone()).or_insert((role, 0));
+        if *last_role != role {
+            (*last_role, *checks) = (role, 0);
+        }
+        *checks += 1;
+        *checks
+    }
+
     /// Returns the engines of a role that neither limit their requests nor rest.
     ///
     /// Such an engine does the work of a part of an engine, and gets no orders, which are requests too.
@@ -265,6 +310,9 @@
             Err(error) => Err(error),
         };
         log::info!(server = &*order.server, role:?, fencing = lease.fencing_token, outcome:? = result; "role_ordered");
+        if self.gateway.role_change(engine) == Some(role) {
+            actix_rt::spawn(watch_role_change(self.gateway.clone(), engine, role));
+        }
         result.map_err(OrderFailure::Order)
     }
 
@@ -277,6 +325,27 @@
     }
 }
 
+/// Asks an engine that takes long to change its role whether it still does. It is used as it was before only once it
+/// has said that it does not: one that changes rejects all requests, and so looks empty.
+async fn watch_role_change(gateway: Rc<Gateway>, engine: ServerKey, role: EngineRole) {
+    tokio::time::sleep(ROLE_CHANGE_TIMEOUT).await;
+    for _ in 0..MAX_ROLE_CHANGE_POLLS {
+        if gateway.role_change(engine) != Some(role) {
+            return;
+        }
+        let state = request_engine_state(&gateway, engine).await;
+        log::info!(server = gateway.server_name(engine), role:?, state:?; "role_change_asked");
+        if state.is_some_and(|state| !state.is_changing && state.role != role) {
+            break;
+        }
+        tokio::time::sleep(ROLE_CHANGE_POLL).await;
+    }
+    if gateway.role_change(engine) == Some(role) {
+        log::warn!(server = gateway.server_name(engine), role:?; "role_not_changed");
+        gateway.cancel_role_change(engine);
+    }
+}
+
 /// Reason why an engine was not ordered to change its role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(displaydoc::Display)]
