Follow the store by few instances of each zone

The latter pass changes on to their zone in datagrams, with the position before and after them, so that a gap is noticed and closed by a copy. Heartbeats say when the store last answered their sender; without such a report of the last 2 s an instance follows the store itself.

Ruled out: fewer reads by longer waits.

--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -66,6 +66,7 @@
 impl std::error::Error for FeedError {}
 
 /// Receives the batches of a feed.
+#[async_trait(?Send)]
 pub trait Follower<T> {
     /// Applies a batch. With `is_complete`, rows that are not in the batch do not exist.
     fn apply(&self, batch: Batch<T>, is_complete: bool);
@@ -81,6 +82,15 @@
 
     /// Returns the position in the feed.
     fn position(&self) -> &FeedPosition;
+
+    /// Waits until the store has to be called for changes, rather than other instances.
+    async fn wait_to_follow(&self);
+
+    /// Called after each answer of the store.
+    fn answered(&self);
+
+    /// Passes changes on to other instances; `since` covers all changes before them.
+    fn spread(&self, batch: &Batch<T>, since: Position);
 }
 
 /// Position in a feed, on this instance and on its peers.
@@ -151,14 +161,24 @@
         self.highest_remote.get() > self.applied.get()
     }
 
-    /// Waits until a change that a peer has applied is overdue here.
+    /// Waits until a change that a peer has applied is overdue at an instance that follows the store.
     async fn wait_until_behind(&self) {
+        self.wait_for_lag(REMOTE_CHANGE_GRACE).await;
+    }
+
+    /// Waits until a change that a peer has applied has reached this instance neither from others nor by a copy.
+    pub(crate) async fn wait_until_overdue(&self) {
+        self.wait_for_lag(BEHIND_THRESHOLD).await;
+    }
+
+    /// Waits until a change that a peer has applied is missing for `grace`.
+    async fn wait_for_lag(&self, grace: Duration) {
         loop {
             let advanced = self.remote_advanced.notified();
             if !self.is_behind() {
                 advanced.await;
             }
-            tokio::time::sleep(REMOTE_CHANGE_GRACE).await;
+            tokio::time::sleep(grace).await;
             if self.is_behind() {
                 return;
             }
@@ -209,6 +229,12 @@
     let mut failures = 0_u32;
     let mut repeated_reads = 0_u32;
     loop {
+        if !is_complete {
+            tokio::select! {
+                () = follower.wait_to_follow() => {}
+                () = feed.later_epoch(position.applied().epoch) => {}
+            }
+        }
         // A copy from a peer may have moved the position since the last call.
         let after = position.applied();
         let read = match is_complete {
@@ -231,13 +257,18 @@
                     follower.recovered();
                 }
                 failures = 0;
+                follower.answered();
                 let was_complete = std::mem::replace(&mut is_complete, false);
                 if !was_complete {
                     repeated_reads = 0;
                 }
                 let Some(batch) = batch else { continue };
                 let has_changes = !batch.rows.is_empty();
+                let since = position.last_change();
                 position.advance(batch.position, has_changes);
+                if has_changes && !was_complete {
+                    follower.spread(&batch, since);
+                }
                 follower.apply(batch, was_complete);
                 if has_changes && !was_complete {
                     // Changes often come in series; one call returns those that follow soon.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::FeedPosition;
+use crate::following::StoreContact;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers};
@@ -101,6 +102,8 @@
     next_reservation_id: Cell<ReservationId>,
     max_instances: Cell<usize>,
     created: Instant,
+    /// The last answers of the store.
+    pub(crate) store_contact: StoreContact,
     /// Position in the feed of the configuration.
     pub routing_position: FeedPosition,
     /// Position in the feed of the list of servers.
@@ -174,6 +177,7 @@
             sizes: RefCell::default(),
             next_reservation_id: Cell::new(0),
             max_instances: Cell::new(1),
+            store_contact: StoreContact::default(),
             routing_position: FeedPosition::default(),
             servers_position: Rc::default(),
             this: this.clone(),
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_trait::async_trait;
 use magnoliaspar_core::{Epoch, Position, ServerKey};
 
 use super::Gateway;
@@ -10,8 +11,10 @@
 use crate::directory::{RecordChange, ServerRecord};
 use crate::entry_age::{EntrySource, EntryStamp};
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
+use crate::following::Changes;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::liveness::ask_before_use;
+use crate::peers::Payload;
 use crate::route::Routing;
 
 /// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
@@ -48,6 +51,12 @@
         }
     }
 
+    /// Records that another instance got answers of the store again this long ago.
+    pub(crate) fn record_regained(&self, ago: Duration) {
+        let regained_at = self.clock.now().checked_sub(ago);
+        self.servers_regained_at.set(self.servers_regained_at.get().max(regained_at));
+    }
+
     /// Returns whether the entry of a server has vanished, and the server is used until it had time to register
     /// again.
     pub(crate) fn has_vanished(&self, id: &str) -> bool {
@@ -167,6 +176,7 @@
     }
 }
 
+#[async_trait(?Send)]
 impl Follower<ServerRecord> for Gateway {
     fn apply(&self, batch: Batch<ServerRecord>, is_complete: bool) {
         self.observe_servers_epoch(batch.position.epoch);
@@ -215,11 +225,27 @@
     fn position(&self) -> &FeedPosition {
         &self.servers_position
     }
+
+    async fn wait_to_follow(&self) {
+        Gateway::wait_to_follow(self, &self.servers_position).await;
+    }
+
+    fn answered(&self) {
+        self.store_contact.record_servers(self.clock.now());
+    }
+
+    fn spread(&self, batch: &Batch<ServerRecord>, since: Position) {
+        let Some(peers) = self.peers() else { return };
+        let now = self.clock.now();
+        let regained = self.servers_regained_at.get().map(|at| now.saturating_duration_since(at));
+        peers.send_to_zone(now, || Payload::ServerChanges(Changes::new(batch, since, regained)));
+    }
 }
 
 /// Applies the configuration; one that is not newer than the current one is ignored.
 pub struct RoutingFollower(pub Rc<Gateway>);
 
+#[async_trait(?Send)]
 impl Follower<Routing> for RoutingFollower {
     fn apply(&self, batch: Batch<Routing>, _: bool) {
         self.0.metrics.count_feed("configuration", "ok");
@@ -258,4 +284,18 @@
     fn position(&self) -> &FeedPosition {
         &self.0.routing_position
     }
+
+    async fn wait_to_follow(&self) {
+        self.0.wait_to_follow(&self.0.routing_position).await;
+    }
+
+    fn answered(&self) {
+        self.0.store_contact.record_routing(self.0.clock.now());
+    }
+
+    fn spread(&self, batch: &Batch<Routing>, since: Position) {
+        let Some(peers) = self.0.peers() else { return };
+        let now = self.0.clock.now();
+        peers.send_to_zone(now, || Payload::RoutingChanges(Changes::new(batch, since, None)));
+    }
 }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exchange;
 pub mod failing_engines;
 pub mod feed;
+mod following;
 mod gateway;
 mod guarantees;
 pub mod handler;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -25,7 +25,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
+use crate::directory::ServerRecord;
 use crate::feed::FeedPosition;
+use crate::following::{Changes, receive_routing, receive_servers};
 use crate::gateway::{Gateway, display_parts};
 use crate::permits::{
     LimitEntry, PermitDecision, PermitId, PermitRequest, all_limits, decide_permit, limits_digest,
@@ -33,7 +35,7 @@
 };
 use crate::presence::RecentMaximum;
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
-use crate::route::ServiceName;
+use crate::route::{Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
 /// Interval at which an instance reports all its reservations.
@@ -119,6 +121,10 @@
         #[serde(default)]
         limits_digest: u64,
     },
+    /// Changes of the list of servers, from an instance of the same zone that follows the store.
+    ServerChanges(Changes<ServerRecord>),
+    /// Changes of the configuration, from an instance of the same zone that follows the store.
+    RoutingChanges(Changes<Routing>),
     /// The sender requests admission of a completion.
     #[serde(rename = "Ask")]
     RequestAdmission(ReservationId, Box<AdmissionRequest>),
@@ -158,6 +164,18 @@
     Leaving,
 }
 
+impl Payload {
+    /// Returns the time since the store has answered the sender, in milliseconds, if the message says so.
+    fn store_age_ms(&self) -> Option<u64> {
+        match self {
+            Self::State { revisions, .. } | Self::Members { revisions, .. } => {
+                revisions.store_age_ms
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Parts of prompts that are refused if a prompt has all of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -188,6 +206,9 @@
     /// Epoch in which the configuration was read last.
     #[serde(default)]
     pub(crate) version_epoch: Epoch,
+    /// Time since the store has answered the sender, in milliseconds; former versions of the gateway do not send it.
+    #[serde(default)]
+    pub(crate) store_age_ms: Option<u64>,
 }
 
 impl FeedRevisions {
@@ -523,6 +544,33 @@
         self.ranked(now).iter().take(COORDINATORS).any(|(_, coordinator)| coordinator.is_none())
     }
 
+    /// Returns whether this instance follows the store for others: it is among the first of the ranking or of its
+    /// availability zone.
+    pub fn is_follower(&self, now: Instant) -> bool {
+        self.is_coordinator(now) || self.is_zone_coordinator(now)
+    }
+
+    /// Returns whether this instance is among the first `ZONE_COORDINATORS` of its availability zone.
+    fn is_zone_coordinator(&self, now: Instant) -> bool {
+        let ranked = self.ranked(now);
+        let of_zone = ranked.iter().filter(|(zone, _)| *zone == self.zone);
+        of_zone.take(ZONE_COORDINATORS).any(|(_, coordinator)| coordinator.is_none())
+    }
+
+    /// Sends a message to all known instances of this availability zone, if this one is among its first.
+    pub fn send_to_zone(&self, now: Instant, payload: impl Fn() -> Payload) {
+        if !self.is_zone_coordinator(now) {
+            return;
+        }
+        let message = Message { from: self.instance.clone(), payload: payload() };
+        let Some(bytes) = encode(&message) else { return };
+        for peer in self.peers.borrow().values() {
+            if peer.zone == self.zone {
+                self.send(peer.address, &bytes);
+            }
+        }
+    }
+
     /// Returns the coordinators that receive reports, without this instance.
     fn coordinators(&self, now: Instant) -> Vec<Coordinator> {
         let ranked = self.ranked(now);
@@ -704,7 +752,9 @@
     fn observe_revisions(&self, instance: &str, revisions: FeedRevisions) {
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(instance) else { return };
-        if std::mem::replace(&mut peer.revisions, revisions) != revisions {
+        let previous = std::mem::replace(&mut peer.revisions, revisions);
+        let with_same_age = FeedRevisions { store_age_ms: revisions.store_age_ms, ..previous };
+        if with_same_age != revisions {
             self.reported.notify_waiters();
         }
     }
@@ -764,6 +814,9 @@
         }
         let now = gateway.clock.now();
         let sender = message.from;
+        if let Some(age_ms) = message.payload.store_age_ms() {
+            gateway.store_contact.observe_remote(Duration::from_millis(age_ms), now);
+        }
         match message.payload {
             Payload::State {
                 member,
@@ -821,6 +874,8 @@
                 let decision = decide(gateway, &sender, id, *request);
                 self.send_payload(from, Payload::Decision(id, decision));
             }
+            Payload::ServerChanges(changes) => receive_servers(gateway, changes),
+            Payload::RoutingChanges(changes) => receive_routing(gateway, changes),
             Payload::Decision(id, decision) => gateway.receive_decision(id, decision),
             Payload::Reserved(id, entry) => {
                 gateway.reservations.borrow_mut().reserve(&sender, id, entry.into_reservation(now));
@@ -857,6 +912,7 @@
 pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
     let routing = gateway.routing_position.last_change();
     let servers = gateway.servers_position.last_change();
+    let age = gateway.store_contact.age(gateway.clock.now());
     FeedRevisions {
         routing: routing.revision,
         servers: servers.revision,
@@ -864,6 +920,7 @@
         routing_epoch: routing.epoch,
         servers_epoch: servers.epoch,
         version_epoch: gateway.configuration_epoch(),
+        store_age_ms: age.map(|age| age.as_millis() as u64),
     }
 }
 
