--- a/crates/magnoliaspar-gateway/src/following.rs
+++ b/crates/magnoliaspar-gateway/src/following.rs
@@ -16,7 +16,7 @@
 use crate::route::Routing;
 
 /// Number of instances up to which all follow the store.
-const MAX_FOLLOWING_FLEET: usize = 24;
+const MAX_FOLLOWING_FLEET: usize = 48;
 
 /// Maximum age of the last answer of the store that another instance has reported, for an instance that does not
 /// follow the store. The first of the ranking are answered each second and report each 0.8 s.
