Bound the copies that an instance sends at the same time

A change that is too long for a datagram, or whose datagram was lost, made each instance copy a list of a megabyte from one of the few that follow the store.

Change: an instance that lacks a change asks the store for it, as before there were followers; copies are for those that the store does not answer. An instance sends at most four copies at once and refuses others with 503, and hands them over block by block.

--- a/crates/magnoliaspar-gateway/src/blocks.rs
+++ b/crates/magnoliaspar-gateway/src/blocks.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum length of a block, in bytes.
-const BLOCK_BYTES: usize = 16 << 10;
+pub const BLOCK_BYTES: usize = 16 << 10;
 
 /// Bytes in the order in which they were added.
 #[derive(Debug, Default)]
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -3,11 +3,14 @@
 //! An instance whose own calls to the store fail would keep what it knew before. It learns from
 //! heartbeats that peers are ahead, and fetches a copy from one of them over TCP.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::{BoxBody, MessageBody};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Request, RequestHead, Response, StatusCode, Uri, header};
 use bytes::Bytes;
 use magnoliaspar_core::{Epoch, Position};
@@ -19,6 +22,7 @@
 use crate::exchange::{CallError, Connection};
 use crate::feed::{Batch, Follower};
 use crate::gateway::{Gateway, RoutingFollower};
+use crate::held_body::HeldBody;
 use crate::peers::{FeedRevisions, Peers, Source, revisions};
 use crate::route::Routing;
 
@@ -53,15 +57,25 @@
     rows: Vec<(Box<str>, T)>,
 }
 
-/// Responds to a peer that requests a copy; with 503 if this instance has none.
+/// Maximum number of copies that are sent at the same time. Each holds its rows until the peer has read them.
+const MAX_SENT_COPIES: usize = 4;
+
+/// Responds to a peer that requests a copy; with 503 if this instance has none, or sends many already.
 pub fn respond(gateway: &Gateway, req: &Request) -> Response<BoxBody> {
+    let sent = gateway.sent_copies.clone();
+    if Rc::strong_count(&sent) > MAX_SENT_COPIES + 1 {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let encoded = match req.path() {
         CONFIGURATION_PATH => configuration_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
         SERVERS_PATH => servers_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
         _ => return Response::new(StatusCode::NOT_FOUND),
     };
     match encoded {
-        Some(Ok(bytes)) => Response::new(StatusCode::OK).set_body(bytes.boxed()),
+        Some(Ok(bytes)) => {
+            let body = CopyBody { body: HeldBody::from(Bytes::from(bytes)), _sent: sent };
+            Response::new(StatusCode::OK).set_body(body.boxed())
+        }
         Some(Err(error)) => {
             log::warn!(path = req.path(), reason:% = error; "copy_not_encoded");
             Response::new(StatusCode::INTERNAL_SERVER_ERROR)
@@ -70,6 +84,27 @@
     }
 }
 
+/// The body of a copy, which counts as sent until it was handed to the connection.
+struct CopyBody {
+    body: HeldBody,
+    _sent: Rc<()>,
+}
+
+impl MessageBody for CopyBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        Pin::new(&mut self.body).poll_next(cx)
+    }
+}
+
 fn configuration_copy(gateway: &Gateway) -> Option<Copy<Rc<Routing>>> {
     let routing = gateway.routing()?;
     let epoch = gateway.configuration_epoch();
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -161,24 +161,14 @@
         self.highest_remote.get() > self.applied.get()
     }
 
-    /// Waits until a change that a peer has applied is overdue at an instance that follows the store.
-    async fn wait_until_behind(&self) {
-        self.wait_for_lag(REMOTE_CHANGE_GRACE).await;
-    }
-
-    /// Waits until a change that a peer has applied has reached this instance neither from others nor by a copy.
-    pub(crate) async fn wait_until_overdue(&self) {
-        self.wait_for_lag(BEHIND_THRESHOLD).await;
-    }
-
-    /// Waits until a change that a peer has applied is missing for `grace`.
-    async fn wait_for_lag(&self, grace: Duration) {
+    /// Waits until a change that a peer has applied is overdue here.
+    pub(crate) async fn wait_until_behind(&self) {
         loop {
             let advanced = self.remote_advanced.notified();
             if !self.is_behind() {
                 advanced.await;
             }
-            tokio::time::sleep(grace).await;
+            tokio::time::sleep(REMOTE_CHANGE_GRACE).await;
             if self.is_behind() {
                 return;
             }
--- a/crates/magnoliaspar-gateway/src/following.rs
+++ b/crates/magnoliaspar-gateway/src/following.rs
@@ -20,7 +20,7 @@
 
 /// Maximum age of the last answer of the store that another instance has reported, for an instance that does not
 /// follow the store. The first of the ranking are answered each second and report each 0.8 s.
-const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(2_000);
+const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(1_700);
 
 /// The last answers of the store, here and at other instances.
 #[derive(Debug, Default)]
@@ -107,7 +107,7 @@
 }
 
 /// Applies changes of the list of servers from another instance, unless it lacks changes before them: then it
-/// copies the list.
+/// asks the store.
 pub fn receive_servers(gateway: &Gateway, changes: Changes<ServerRecord>) {
     let position = &gateway.servers_position;
     if !changes.follow(position.applied()) || !gateway.knows_servers() {
@@ -140,7 +140,8 @@
     }
 
     /// Waits until this instance has to call the store: it is one of those that follow it, no other instance is
-    /// answered by the store, or it lacks changes that others have and that did not reach it otherwise.
+    /// answered by the store, or it lacks changes that were not passed on to it. The changes themselves are shorter than
+    /// a copy of all rows.
     pub(crate) async fn wait_to_follow(&self, position: &FeedPosition) {
         loop {
             let left = self.reliance();
@@ -149,7 +150,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(left) => {}
-                () = position.wait_until_overdue() => return,
+                () = position.wait_until_behind() => return,
             }
         }
     }
@@ -173,7 +174,8 @@
         let contact = StoreContact::default();
         assert_eq!(reliance(&contact, false, 295, now), Duration::ZERO);
         contact.observe_remote(Duration::from_millis(500), now);
-        assert_eq!(reliance(&contact, false, 295, now), Duration::from_millis(1_500));
+        let age = Duration::from_millis(500);
+        assert_eq!(reliance(&contact, false, 295, now), MAX_EVIDENCE_AGE - age);
         // An instance whose calls are no longer answered reports an answer that is older.
         contact.observe_remote(Duration::from_secs(9), now + Duration::from_secs(1));
         assert_eq!(reliance(&contact, false, 295, now + MAX_EVIDENCE_AGE), Duration::ZERO);
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -79,6 +79,8 @@
     pub directory: RefCell<Directory>,
     /// Idle connections to the servers.
     pub pool: RefCell<Pool>,
+    /// Referred to by each copy that is sent to a peer.
+    pub(crate) sent_copies: Rc<()>,
     /// Memory of all responses.
     pub response_memory: Rc<ResponseMemory>,
     /// Engine memory reserved by all instances.
@@ -148,6 +150,7 @@
             metrics: Metrics::new(),
             directory: RefCell::default(),
             pool: RefCell::default(),
+            sent_copies: Rc::default(),
             response_memory: ResponseMemory::new(settings.response_memory),
             routing: RefCell::default(),
             configuration_epoch: Cell::default(),
--- a/crates/magnoliaspar-gateway/src/held_body.rs
+++ b/crates/magnoliaspar-gateway/src/held_body.rs
@@ -8,7 +8,7 @@
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 
-use crate::blocks::Blocks;
+use crate::blocks::{BLOCK_BYTES, Blocks};
 use crate::response_memory::Share;
 
 /// A whole body that is handed to the connection of the caller block by block.
@@ -27,6 +27,18 @@
     }
 }
 
+impl From<Bytes> for HeldBody {
+    /// Creates a body that is not a part of the memory for responses. Its bytes are not copied.
+    fn from(mut bytes: Bytes) -> Self {
+        let length = bytes.len() as u64;
+        let mut blocks = VecDeque::new();
+        while !bytes.is_empty() {
+            blocks.push_back(bytes.split_to(bytes.len().min(BLOCK_BYTES)));
+        }
+        Self { blocks, length, share: None }
+    }
+}
+
 impl MessageBody for HeldBody {
     type Error = Infallible;
 
