Undo the refusal of late completions, and take no speed from streams without progress

Events whose identifier does not rise gave samples of zero to the decode speed, which is one for all services, so that every output seemed to take for ever.

A stream gives a sample only with new tokens; the speed also decides on roles and on the length of the queue. That a refusal in the queue reserves no engine stays.

Ruled out: load alone.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -168,7 +168,6 @@
     /// Engines that were granted and could not be used.
     excluded: Vec<Box<str>>,
     received: Instant,
-    deadline: Instant,
     expires_at: Instant,
     /// The coordinator that was asked last; `None` for this instance.
     coordinator: Option<Coordinator>,
@@ -198,7 +197,6 @@
             parts: req.parts.clone(),
             has_crashed: history.has_crashed,
             waited_ms: 0,
-            remaining_ms: None,
             target_ms: req.route.target_latency.as_millis() as u64,
             limit_ms: 0,
             excluded: Vec::new(),
@@ -210,7 +208,6 @@
             tried,
             excluded,
             received: req.received,
-            deadline: req.deadline,
             expires_at,
             coordinator: None,
             decisions,
@@ -228,8 +225,6 @@
                 return None;
             }
             self.request.waited_ms = (now - self.received).as_millis() as u64;
-            let remaining = self.deadline.saturating_duration_since(now);
-            self.request.remaining_ms = Some(remaining.as_millis() as u64);
             self.request.limit_ms = (self.expires_at - now).as_millis() as u64;
             self.send();
             let timeout = if is_queued { ADMISSION_RETRY_INTERVAL } else { ADMISSION_TIMEOUT };
@@ -312,10 +307,6 @@
                 log::warn!(request, home = &*coordinator, waited_ms, reason = "quarantined"; "not_placed");
                 Err(Refusal::Quarantined)
             }
-            Some(Decision::TooLate) => {
-                log::warn!(request, home = &*coordinator, waited_ms, reason = "too late to finish"; "not_placed");
-                Err(Refusal::DeadlineBeforeStart)
-            }
             Some(Decision::Queued | Decision::Hopeless) => {
                 log::warn!(request, home = &*coordinator, waited_ms, reason = "too many wait"; "not_placed");
                 Err(Refusal::NoCapacity)
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -140,8 +140,6 @@
             Refusal::ServersResting | Refusal::NoServer => {
                 spread + gateway.rest_of_service(service, &[]).unwrap_or_default()
             }
-            // There is not enough time left for another attempt.
-            Refusal::DeadlineBeforeStart => remaining,
             _ => spread,
         })
     }
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -192,8 +192,10 @@
         };
         let mut progress = Progress { at: now, tokens, ..before };
         let millis = now.saturating_duration_since(before.at).as_secs_f64() * 1_000.0;
-        if millis >= MIN_SAMPLE_MS {
-            let sample = tokens.saturating_sub(before.tokens) as f64 / millis;
+        let generated = tokens.saturating_sub(before.tokens);
+        // Events without a new identifier, as a faulty engine sends them, tell nothing of the speed of others.
+        if millis >= MIN_SAMPLE_MS && generated > 0 {
+            let sample = generated as f64 / millis;
             progress.tokens_per_ms += STREAM_SPEED_SMOOTHING * (sample - before.tokens_per_ms);
             progress.is_measured = true;
             self.speed.add(sample);
@@ -365,7 +367,7 @@
 mod tests {
     use std::time::{Duration, Instant};
 
-    use super::{EngineLoad, Growth, Reservation, Reservations, peak_usage};
+    use super::{EngineLoad, Growth, Progress, Reservation, Reservations, peak_usage};
 
     fn reservation(engine: &str, starts_at: Instant) -> Reservation {
         Reservation {
@@ -426,4 +428,24 @@
         reservations.expire(now + Duration::from_secs(4));
         assert_eq!(load(&reservations, now).running(), 0);
     }
+
+    #[test]
+    fn the_speed_is_that_of_the_streams_of_all_instances_that_make_progress() {
+        let start = Instant::now();
+        let mut reservations = Reservations::new("one".into());
+        reservations.reserve("one", 0, reservation("a", start));
+        for step in 0..100 {
+            // The identifiers of the events do not rise.
+            reservations.record_tokens("one", 0, 10, start + Duration::from_millis(20 * step));
+        }
+        assert!(!reservations.knows_speed());
+        let slow = Progress { at: start, tokens: 100, tokens_per_ms: 0.25, is_measured: true };
+        let reported = Reservation { progress: Some(slow), ..reservation("a", start) };
+        for report in 0..20 {
+            let reported = vec![(report, reported.clone())];
+            reservations.replace("two", reported, start + Duration::from_secs(report));
+        }
+        assert!(reservations.knows_speed());
+        assert_eq!(reservations.duration_of(1_000), Duration::from_secs(4));
+    }
 }
