Let an instance that has just started learn departed servers from its peers

An instance that starts after a server has left does not know of it. If the store is restored from an earlier copy, before or after the start, the copy's entry of that server is taken for that of a live one, for as long as the platform needs to remove it (3.1 s there). Instances that have followed the store withhold such entries.

Change: heartbeats tell for 20 s that the sender has read the list of a restored store. An instance that has run for less than a minute then requests the departures from such a peer, and treats its entries as the peer does.

Ruled out: asking each server before its first request. A server that left without notice goes on answering, and every start would cost a report of each server.

--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -17,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::departures::Departure;
 use crate::directory::ServerRecord;
 use crate::evidence::Owner;
 use crate::exchange::{CallError, Connection};
@@ -44,6 +45,9 @@
 /// Path of the copy of the list of servers.
 const SERVERS_PATH: &str = "/copies/servers";
 
+/// Path of the departures of servers.
+const DEPARTURES_PATH: &str = "/copies/departures";
+
 /// The rows of a feed as one instance has them.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -69,6 +73,7 @@
     let encoded = match req.path() {
         CONFIGURATION_PATH => configuration_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
         SERVERS_PATH => servers_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
+        DEPARTURES_PATH => departures_copy(gateway).map(|copy| serde_json::to_vec(&copy)),
         _ => return Response::new(StatusCode::NOT_FOUND),
     };
     match encoded {
@@ -128,6 +133,23 @@
     Some(Copy { epoch, revision, rows })
 }
 
+fn departures_copy(gateway: &Gateway) -> Option<Copy<Departure>> {
+    if !gateway.knows_servers() {
+        return None;
+    }
+    let Position { epoch, revision } = gateway.servers_position.applied();
+    Some(Copy { epoch, revision, rows: gateway.directory.borrow().departures() })
+}
+
+/// Fetches the departures of servers from a peer, by the identifiers of the servers.
+pub async fn fetch_departures(
+    gateway: &Gateway,
+    peers: &Peers,
+    source: &Source,
+) -> Option<Vec<(Box<str>, Departure)>> {
+    Some(fetch(gateway, peers, source, DEPARTURES_PATH).await?.rows)
+}
+
 /// Copies newer configurations from peers for as long as the process runs.
 pub async fn copy_configuration(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let follower = RoutingFollower(gateway.clone());
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/departures.rs
@@ -0,0 +1,53 @@
+//! Departures of servers that peers tell an instance that has just started.
+//!
+//! A restored store returns entries of servers that have left. An instance that has followed the store knows their
+//! departures; one that started after them takes such an entry for that of a live server, unless its peers tell.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliaspar_core::Epoch;
+use serde::{Deserialize, Serialize};
+
+use crate::copy::fetch_departures;
+use crate::entry_age::EntryStamp;
+use crate::gateway::Gateway;
+use crate::peers::Peers;
+
+/// Maximum age of a restore after which departures are of use. The platform has removed the entries of servers that
+/// are gone long before.
+pub const MAX_RESTORE_AGE: Duration = Duration::from_secs(20);
+
+/// Uptime after which an instance knows all departures since the copy that a store is restored from.
+const MAX_COPY_AGE: Duration = Duration::from_secs(60);
+
+/// A server whose last entry was removed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Departure {
+    /// Address at which the server accepted requests.
+    pub address: SocketAddr,
+    /// What orders its last entry.
+    pub stamp: EntryStamp,
+    /// Whether the process had said that it drains or leaves.
+    pub is_draining: bool,
+}
+
+/// Requests the departures of servers from a peer after each restore of the store, until the instance has run for
+/// long enough to know them itself.
+pub async fn learn_departures(gateway: Rc<Gateway>, peers: Rc<Peers>) {
+    let mut learned = Epoch::default();
+    while gateway.uptime() < MAX_COPY_AGE {
+        let source = gateway.with_rng(|rng| peers.source_of_departures(learned, rng));
+        let Some(source) = source else {
+            peers.wait_for_report().await;
+            continue;
+        };
+        let Some(departures) = fetch_departures(&gateway, &peers, &source).await else { continue };
+        learned = source.reported.servers_position().epoch;
+        let (peer, count) = (&*source.instance, departures.len());
+        log::info!(peer, epoch = learned.0, count; "departures_learned");
+        gateway.apply_departures(departures);
+    }
+}
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use crate::departures::Departure;
 use crate::entry_age::{EntryAge, EntrySource, EntryStamp};
 use crate::notices::Notices;
 use crate::request_limit::{LimitState, PermitBucket, RequestLimit};
@@ -418,6 +419,40 @@
         true
     }
 
+    /// Returns the departures of servers, by the identifiers of the servers.
+    pub fn departures(&self) -> Vec<(Box<str>, Departure)> {
+        let mut departures = Vec::new();
+        for (id, departed) in &self.departed {
+            let Departed { address, stamp, is_draining, .. } = *departed;
+            departures.push((id.clone(), Departure { address, stamp, is_draining }));
+        }
+        departures
+    }
+
+    /// Records a departure that this instance has not seen; returns the age of the present entry of that server, if
+    /// there is one.
+    pub fn learn_departure(&mut self, id: &str, departure: &Departure) -> Option<EntryAge> {
+        let Departure { address, stamp, is_draining } = *departure;
+        let is_known = self.departed.get(id).is_some_and(|departed| {
+            let known = departed.stamp;
+            (known.position.epoch, known.started_ms, known.sequence)
+                >= (stamp.position.epoch, stamp.started_ms, stamp.sequence)
+        });
+        if is_known {
+            return None;
+        }
+        self.departures += 1;
+        let (number, key) = (self.departures, ServerKey::default());
+        let notices = Notices::default();
+        let departed = Departed { number, key, address, stamp, is_draining, notices };
+        self.departed.insert(id.into(), departed);
+        if self.departed.len() > MAX_DEPARTED {
+            self.forget_first_departure();
+        }
+        let current = self.find(id)?.record.stamp();
+        Some(current.age(stamp, true, EntrySource::List))
+    }
+
     fn forget_first_departure(&mut self) {
         let first = self.departed.iter().min_by_key(|(_, departed)| departed.number);
         let Some(id) = first.map(|(id, _)| id.clone()) else { return };
--- a/crates/magnoliaspar-gateway/src/entry_age.rs
+++ b/crates/magnoliaspar-gateway/src/entry_age.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 
 use magnoliaspar_core::Position;
+use serde::{Deserialize, Serialize};
 
 /// Source of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +16,7 @@
 
 /// Order of an entry among those of its server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryStamp {
     /// Position of the store at which the entry was written, in the epoch in which it was read.
     pub position: Position,
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -976,9 +976,14 @@
         }
     }
 
+    /// Returns the time since the start of the instance.
+    pub fn uptime(&self) -> Duration {
+        self.clock.now() - self.created
+    }
+
     /// Returns whether an instance that knows no peers may not have discovered them yet.
     fn is_discovering(&self) -> bool {
-        let is_new = self.clock.now() - self.created < PEER_DISCOVERY_TIME;
+        let is_new = self.uptime() < PEER_DISCOVERY_TIME;
         is_new && self.peers().is_some_and(|peers| peers.has_seeds())
     }
 
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -8,8 +8,9 @@
 
 use super::Gateway;
 use crate::configuration_age::ConfigurationAge;
+use crate::departures::{Departure, MAX_RESTORE_AGE};
 use crate::directory::{RecordChange, ServerRecord};
-use crate::entry_age::{EntrySource, EntryStamp};
+use crate::entry_age::{EntryAge, EntrySource, EntryStamp};
 use crate::feed::{Batch, FeedError, FeedPosition, Follower};
 use crate::following::Changes;
 use crate::guarantees::{Guarantee, is_disabled};
@@ -146,6 +147,41 @@
         change
     }
 
+    /// Takes servers out of use whose entries are older than their departures.
+    pub(crate) fn apply_departures(&self, departures: Vec<(Box<str>, Departure)>) {
+        for (id, departure) in departures {
+            let age = self.directory.borrow_mut().learn_departure(&id, &departure);
+            match age {
+                None | Some(EntryAge::Current) => {}
+                Some(EntryAge::Outdated | EntryAge::FormerProcess) => self.withhold(&id, &departure),
+                Some(EntryAge::Unclear) => {
+                    let key = self.directory.borrow().key(&id);
+                    if let (Some(this), Some(key)) = (self.this.upgrade(), key) {
+                        ask_before_use(&this, key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a server out of use until its entry would have expired if it were not alive.
+    fn withhold(&self, id: &str, departure: &Departure) {
+        let record = self.directory.borrow().find(id).map(|server| server.record.clone());
+        let Some(record) = record else { return };
+        let is_same_process = record.started_ms == departure.stamp.started_ms;
+        self.remove_server(id, "departed_before_restore");
+        if is_same_process {
+            self.withheld_entries.borrow_mut().add(record, self.clock.now());
+        }
+    }
+
+    /// Returns the time since the list of a restored store was read first, if that was recently.
+    pub(crate) fn restore_age(&self) -> Option<Duration> {
+        let restored_at = self.servers_restored_at.get()?;
+        let age = self.clock.now().saturating_duration_since(restored_at);
+        Some(age).filter(|age| *age < MAX_RESTORE_AGE)
+    }
+
     /// Uses departed servers again whose entries the restored store has kept for longer than those of servers that
     /// are gone. They are asked first.
     fn use_withheld_entries(&self) {
--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -16,6 +16,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::copy::{copy_configuration, copy_servers};
+use crate::departures::learn_departures;
 use crate::directory::ServerRecord;
 use crate::feed::{Feed, follow};
 use crate::gateway::{Gateway, RoutingFollower};
@@ -138,6 +139,7 @@
         actix_rt::spawn(spread_limits(gateway.clone()));
         actix_rt::spawn(copy_configuration(gateway.clone(), peers.clone()));
         actix_rt::spawn(copy_servers(gateway.clone(), peers.clone()));
+        actix_rt::spawn(learn_departures(gateway.clone(), peers.clone()));
         actix_rt::spawn(peers::heartbeat(gateway.clone(), peers));
         match lease(&gateway, platform.table) {
             Some(lease) => {
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration_age;
 pub mod coordinator;
 mod copy;
+pub mod departures;
 pub mod dialect;
 pub mod directory;
 mod engine_stream;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -209,9 +209,18 @@
     /// Time since the store has answered the sender, in milliseconds; former versions of the gateway do not send it.
     #[serde(default)]
     pub(crate) store_age_ms: Option<u64>,
+    /// Time since the sender has read the list of servers of a restored store first, in milliseconds, if that was
+    /// recently; former versions of the gateway do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) restore_age_ms: Option<u64>,
 }
 
 impl FeedRevisions {
+    /// Returns the revisions without the ages, which are different in each report.
+    fn without_ages(self) -> Self {
+        Self { store_age_ms: None, restore_age_ms: self.restore_age_ms.map(|_| 0), ..self }
+    }
+
     /// Returns the position in the feed of the configuration.
     pub(crate) fn routing_position(&self) -> Position {
         Position { epoch: self.routing_epoch, revision: self.routing }
@@ -753,8 +762,7 @@
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(instance) else { return };
         let previous = std::mem::replace(&mut peer.revisions, revisions);
-        let with_same_age = FeedRevisions { store_age_ms: revisions.store_age_ms, ..previous };
-        if with_same_age != revisions {
+        if previous.without_ages() != revisions.without_ages() {
             self.reported.notify_waiters();
         }
     }
@@ -785,6 +793,18 @@
         Some(Source { instance, address, reported: peer.revisions })
     }
 
+    /// Returns a peer that has read the list of a restored store, of an epoch later than `known`, and so knows which
+    /// servers had departed before.
+    pub fn source_of_departures(&self, known: Epoch, rng: &mut dyn RngCore) -> Option<Source> {
+        let peers = self.peers.borrow();
+        let knows_departures = |(_, peer): &(&InstanceId, &Peer)| {
+            peer.revisions.restore_age_ms.is_some() && peer.revisions.servers_epoch > known
+        };
+        let (instance, peer) = peers.iter().filter(knows_departures).choose(rng)?;
+        let (instance, address) = (instance.clone(), peer.address);
+        Some(Source { instance, address, reported: peer.revisions })
+    }
+
     /// Forgets the revisions that an instance has reported, until it reports them again.
     pub fn forget_revisions(&self, instance: &str) {
         self.observe_revisions(instance, FeedRevisions::default());
@@ -921,6 +941,7 @@
         servers_epoch: servers.epoch,
         version_epoch: gateway.configuration_epoch(),
         store_age_ms: age.map(|age| age.as_millis() as u64),
+        restore_age_ms: gateway.restore_age().map(|age| age.as_millis() as u64),
     }
 }
 
