Log the longest pause of each stream

A stream is late when its caller waits too long between two events, and no line told so. The line `stream_ended` names the longest pause between events, of all engines that the stream had.

--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -153,7 +153,9 @@
             let age = self.directory.borrow_mut().learn_departure(&id, &departure);
             match age {
                 None | Some(EntryAge::Current) => {}
-                Some(EntryAge::Outdated | EntryAge::FormerProcess) => self.withhold(&id, &departure),
+                Some(EntryAge::Outdated | EntryAge::FormerProcess) => {
+                    self.withhold(&id, &departure)
+                }
                 Some(EntryAge::Unclear) => {
                     let key = self.directory.borrow().key(&id);
                     if let (Some(this), Some(key)) = (self.this.upgrade(), key) {
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use self::race::{Raced, Watched};
-use self::relay::Relay;
+use self::relay::{Pauses, Relay};
 use crate::admission::{History, Placement, admit};
 use crate::call::{
     CallSpec, Incoming, Reply, acquire, call, can_connect, record_silence, release_kv_cache,
@@ -63,6 +63,7 @@
         attempts,
         current: Some(engine),
         ready,
+        pauses: Pauses::default(),
     };
     Outcome::Response(relay.into_response(response), server)
 }
--- a/crates/magnoliaspar-gateway/src/stream/relay.rs
+++ b/crates/magnoliaspar-gateway/src/stream/relay.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
@@ -52,6 +53,24 @@
     /// Events of the engine that were read before its stream is forwarded; the inner value is `None` after the
     /// last one.
     pub ready: Option<Option<Bytes>>,
+    /// The pauses between the events so far.
+    pub pauses: Pauses,
+}
+
+/// The pauses between the events of a stream, of all its engines.
+#[derive(Debug, Default)]
+pub(super) struct Pauses {
+    last_events_at: Option<Instant>,
+    longest: Duration,
+}
+
+impl Pauses {
+    /// Records that events have arrived.
+    fn record_events(&mut self, now: Instant) {
+        if let Some(last) = self.last_events_at.replace(now) {
+            self.longest = self.longest.max(now.saturating_duration_since(last));
+        }
+    }
 }
 
 impl Relay {
@@ -158,7 +177,10 @@
     /// Returns the events of an engine, whose stream goes on unless they are the end.
     fn deliver(&mut self, opened: Opened) -> Option<Bytes> {
         match opened.events {
-            Some(_) => self.current = Some(opened.engine),
+            Some(_) => {
+                self.pauses.record_events(self.gateway.clock.now());
+                self.current = Some(opened.engine);
+            }
             None => self.finish(opened.engine),
         }
         opened.events
@@ -177,7 +199,8 @@
         let name = self.gateway.server_name(server);
         let framing = reply.body.framing_name();
         let runs = self.attempts.tally.runs;
-        log::info!(request = &*self.req.facts.id, server = &*name, framing, elapsed_ms, last_event:?, runs; "stream_ended");
+        let longest_pause_ms = self.pauses.longest.as_millis() as u64;
+        log::info!(request = &*self.req.facts.id, server = &*name, framing, elapsed_ms, longest_pause_ms, last_event:?, runs; "stream_ended");
         let idle_timeout = reply.facts.idle_timeout;
         keep_connection(&self.gateway, server, reply.body, idle_timeout);
     }
