Lend retries to the instances that need them

Cause: with 295 instances, each had one retry at hand of the budget that all share.

Change: the coordinator has a pool of the additional retries and lends them one at a time; instances keep one each and what their requests add.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, Epoch, Position, ServerKey};
-use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget};
+use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget, RetryBudgetConfig};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
@@ -34,6 +34,7 @@
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
 use crate::response_memory::ResponseMemory;
+use crate::retry_lending::{RetryLending, borrow_retry};
 use crate::roles::Sizes;
 use crate::route::{EngineSpec, Route, RouteKind, Routing, ServiceName};
 use crate::selection::{Candidate, without_resting};
@@ -97,6 +98,8 @@
     pub pending_admissions: RefCell<BTreeMap<ReservationId, mpsc::UnboundedSender<Decision>>>,
     /// Permits for requests to limited servers.
     pub(crate) permits: Permits,
+    /// Retries that this instance borrows and lends.
+    pub(crate) retry_lending: RetryLending,
     /// Whether the instance has stopped.
     pub is_stopped: Cell<bool>,
     peers: RefCell<Option<Rc<Peers>>>,
@@ -175,6 +178,7 @@
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             permits: Permits::new(rand::rng().random()),
+            retry_lending: RetryLending::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
             sizes: RefCell::default(),
@@ -919,7 +923,7 @@
         self.with_budget(service, |budget, _| budget.succeeded());
     }
 
-    /// Charges one retry to the budget of a service. Returns whether the budget allowed it.
+    /// Charges one retry to the own budget of a service. Returns whether that allowed it.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let is_allowed = self.with_budget(service, RetryBudget::take);
         if !is_allowed {
@@ -928,14 +932,41 @@
         is_allowed || is_disabled(Guarantee::Budget)
     }
 
+    /// Charges one retry to the own budget of a service, or borrows one from the coordinator. Returns whether there
+    /// was one.
+    pub async fn obtain_retry(self: &Rc<Self>, service: &ServiceName) -> bool {
+        self.take_retry(service) || borrow_retry(self, service).await
+    }
+
+    /// Returns the limits of the retries of each service that this instance lends as coordinator.
+    pub(crate) fn lendable_retries(&self) -> RetryBudgetConfig {
+        let pool = self.settings().budget.pool(self.budget_instances());
+        let share = self.limit_share();
+        RetryBudgetConfig {
+            retries_per_second: pool.retries_per_second * share,
+            burst: pool.burst * share,
+            ..pool
+        }
+    }
+
     /// Returns an unused retry to the budget.
     pub fn return_retry(&self, service: &ServiceName) {
         self.with_budget(service, |budget, _| budget.give_back());
     }
 
-    /// Charges a retry that was recognized as one only after it was sent.
+    /// Charges a retry that was recognized as one only after it was sent. If the own budget lacks it, one is borrowed.
     pub fn charge_retry(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::charge);
+        let Some(this) = self.this.upgrade().filter(|this| this.is_budget_overdrawn(service))
+        else {
+            return;
+        };
+        let service = service.clone();
+        actix_rt::spawn(async move {
+            if borrow_retry(&this, &service).await {
+                this.return_retry(&service);
+            }
+        });
     }
 
     /// Returns whether more retries of a service were charged than its budget allowed.
@@ -958,7 +989,7 @@
         run: impl FnOnce(&mut RetryBudget, Instant) -> T,
     ) -> T {
         let now = self.clock.now();
-        let cfg = self.settings().budget.share(self.budget_instances());
+        let cfg = self.settings().budget.local(self.budget_instances());
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
         // The settings and the number of instances may have changed.
--- a/crates/magnoliaspar-gateway/src/hedge.rs
+++ b/crates/magnoliaspar-gateway/src/hedge.rs
@@ -3,6 +3,7 @@
 //! An attempt in hand is given up only for a successor that has begun to respond, because a server that is
 //! silent may still go on.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use crate::gateway::Gateway;
@@ -124,10 +125,16 @@
 }
 
 impl<'a> ReservedRetry<'a> {
-    /// Takes a retry out of the budget of a service, if it has one.
+    /// Takes a retry out of the instance's own budget of a service, if it has one.
     pub fn take(gateway: &'a Gateway, service: &'a ServiceName) -> Option<Self> {
         gateway.take_retry(service).then(|| Self { gateway, service, is_used: false })
     }
+
+    /// Takes a retry out of the budget of a service that all instances share, if it has one.
+    pub async fn obtain(gateway: &'a Rc<Gateway>, service: &'a ServiceName) -> Option<Self> {
+        let is_obtained = gateway.obtain_retry(service).await;
+        is_obtained.then(|| Self { gateway, service, is_used: false })
+    }
 }
 
 impl Drop for ReservedRetry<'_> {
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     pub limited_servers: IntGauge,
     limited_calls: IntCounterVec,
     unannounced_ends: IntCounterVec,
+    loans: IntCounterVec,
     /// Streams that resumed at another engine.
     pub resumptions: IntCounter,
     /// Retries that the budget did not allow.
@@ -140,6 +141,11 @@
                 "Answers that only the end of their connection ended, by whether their server lived on.",
                 &["server_lived"],
             ),
+            loans: vec(
+                "gateway_retries_requested_total",
+                "Retries requested of the coordinator, by whether it has lent them.",
+                &["lent"],
+            ),
             resumptions: counter("gateway_resumptions_total", "Streams that went on elsewhere."),
             budget_exhausted: counter("gateway_budget_exhausted_total", "Retries without budget."),
             connections: counter("gateway_connections_total", "Connections opened to servers."),
@@ -185,6 +191,11 @@
         self.unannounced_ends.with_label_values(&[if is_alive { "yes" } else { "no" }]).inc();
     }
 
+    /// Counts a retry that was requested of the coordinator.
+    pub fn count_loan(&self, is_lent: bool) {
+        self.loans.with_label_values(&[if is_lent { "yes" } else { "no" }]).inc();
+    }
+
     /// Removes the counter of a server that is gone.
     pub fn forget_server(&self, server: &str) {
         // Fails if the server never named a limit.
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -35,6 +35,7 @@
 };
 use crate::presence::RecentMaximum;
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
+use crate::retry_lending::{LoanId, lend_retry, record_lent};
 use crate::route::{Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
@@ -160,6 +161,12 @@
     Permit(PermitId, PermitDecision),
     /// The sender has issued a permit for each of these limited servers.
     PermitsIssued(Vec<LimitEntry>),
+    /// The sender requests a retry of a service.
+    BorrowRetry(LoanId, ServiceName),
+    /// The sender has decided whether it lends a retry to the receiver.
+    RetryLoan(LoanId, bool),
+    /// The sender has lent a retry of a service.
+    RetryLent(ServiceName),
     /// The sender has stopped.
     Leaving,
 }
@@ -907,6 +914,12 @@
             }
             Payload::Permit(id, decision) => gateway.permits.receive(id, decision),
             Payload::PermitsIssued(entries) => record_issued(gateway, &sender, entries),
+            Payload::BorrowRetry(id, service) => {
+                let is_lent = lend_retry(gateway, &service);
+                self.send_payload(from, Payload::RetryLoan(id, is_lent));
+            }
+            Payload::RetryLoan(id, is_lent) => gateway.retry_lending.receive(id, is_lent),
+            Payload::RetryLent(service) => record_lent(gateway, &service),
             Payload::Leaving => {
                 let mut known = self.known.get();
                 known.forget_one();
--- /dev/null
+++ b/crates/magnoliaspar-gateway/src/retry_lending.rs
@@ -0,0 +1,127 @@
+//! Retries that the coordinator lends to instances whose own budget is used up.
+//!
+//! Servers that fail hit the requests of a few instances, while the budgets of all others lie idle. Of the retries that
+//! all instances share, each therefore has few to itself, and the coordinator lends the others, one at a time, to the
+//! instance that needs one. What is lent is reported to the other coordinators, so that a successor does not lend it
+//! again. Instances that are cut off from the others lend by their share of the instances.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magnoliaspar_retry::{RetryBudget, RetryBudgetConfig};
+use tokio::sync::oneshot;
+
+use crate::gateway::Gateway;
+use crate::peers::Payload;
+use crate::route::ServiceName;
+
+/// Number of a request for a retry, unique within its instance.
+pub type LoanId = u64;
+
+/// Timeout of a request to the coordinator for a retry: about ten round trips.
+const LOAN_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Time for which no retry of a service is requested after the coordinator has refused one or was silent.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// State of the retries that this instance borrows and lends.
+#[derive(Debug, Default)]
+pub struct RetryLending {
+    next_id: Cell<LoanId>,
+    pending: RefCell<BTreeMap<LoanId, oneshot::Sender<bool>>>,
+    /// The times until which no retry of a service is requested.
+    paused_until: RefCell<BTreeMap<ServiceName, Instant>>,
+    /// The retries that are left to lend.
+    pools: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+}
+
+impl RetryLending {
+    /// Delivers the decision of the coordinator to the request that waits for it.
+    pub fn receive(&self, id: LoanId, is_lent: bool) {
+        let waiter = self.pending.borrow_mut().remove(&id);
+        if waiter.is_none_or(|waiter| waiter.send(is_lent).is_err()) {
+            log::debug!(id; "loan_not_awaited");
+        }
+    }
+
+    fn is_paused(&self, service: &ServiceName, now: Instant) -> bool {
+        self.paused_until.borrow().get(service).is_some_and(|until| now < *until)
+    }
+
+    fn with_pool<T>(
+        &self,
+        service: &ServiceName,
+        cfg: RetryBudgetConfig,
+        now: Instant,
+        run: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, now));
+        pool.set_config(cfg);
+        run(pool)
+    }
+}
+
+/// Requests a retry of a service from the coordinator; returns whether it has lent one in time.
+pub async fn borrow_retry(gateway: &Rc<Gateway>, service: &ServiceName) -> bool {
+    let lending = &gateway.retry_lending;
+    if lending.is_paused(service, gateway.clock.now()) {
+        return false;
+    }
+    let is_lent = match gateway.coordinator() {
+        None => lend_retry(gateway, service),
+        Some(coordinator) => {
+            let id = lending.next_id.get();
+            lending.next_id.set(id.wrapping_add(1));
+            let (tx, decided) = oneshot::channel();
+            lending.pending.borrow_mut().insert(id, tx);
+            let _pending = PendingLoan { lending, id };
+            gateway.send(coordinator.address, Payload::BorrowRetry(id, service.clone()));
+            matches!(tokio::time::timeout(LOAN_TIMEOUT, decided).await, Ok(Ok(true)))
+        }
+    };
+    gateway.metrics.count_loan(is_lent);
+    if !is_lent {
+        let until = gateway.clock.now() + REFUSAL_PAUSE;
+        lending.paused_until.borrow_mut().insert(service.clone(), until);
+    }
+    is_lent
+}
+
+/// Removes a request for a retry on drop.
+struct PendingLoan<'a> {
+    lending: &'a RetryLending,
+    id: LoanId,
+}
+
+impl Drop for PendingLoan<'_> {
+    fn drop(&mut self) {
+        self.lending.pending.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Lends a retry of a service, if one is left, and reports it to the other coordinators.
+pub fn lend_retry(gateway: &Gateway, service: &ServiceName) -> bool {
+    let now = gateway.clock.now();
+    let cfg = gateway.lendable_retries();
+    let is_lent = gateway.retry_lending.with_pool(service, cfg, now, |pool| pool.take(now));
+    if is_lent {
+        gateway.send_to_other_coordinators(Payload::RetryLent(service.clone()), None);
+    }
+    log::debug!(service = &**service, is_lent; "retry_requested");
+    is_lent
+}
+
+/// Counts a retry that another coordinator has lent.
+pub fn record_lent(gateway: &Gateway, service: &ServiceName) {
+    let now = gateway.clock.now();
+    let cfg = gateway.lendable_retries();
+    // The two sides of a cut may have lent more than one pool holds.
+    gateway.retry_lending.with_pool(service, cfg, now, |pool| {
+        if !pool.is_overdrawn(now) {
+            pool.charge(now);
+        }
+    });
+}
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -6,7 +6,8 @@
 
 use magnoliaspar_core::Findings;
 use magnoliaspar_json::{Cursor, Object, Source, read_value};
-use magnoliaspar_retry::RetryBudgetConfig;
+
+use crate::shared_budget::SharedBudget;
 
 /// Log filter if the settings have none.
 const DEFAULT_LOG_FILTER: &str = "info";
@@ -42,11 +43,6 @@
 /// Number of cores if the settings have none.
 const DEFAULT_CORES: f64 = 1.0;
 
-/// Share of the retry budget that all instances together use.
-///
-/// The rest covers the delay with which the platform counts the window of the budget.
-const USABLE_BUDGET_SHARE: f64 = 0.8;
-
 /// Validated settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -78,31 +74,6 @@
     pub log: Box<str>,
 }
 
-/// Retry budget of one service, shared by all instances.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SharedBudget {
-    /// Retries that each request adds to the budget.
-    pub ratio: f64,
-    /// Additional retries per window.
-    pub extra: f64,
-    /// Length of the window.
-    pub window: Duration,
-}
-
-impl SharedBudget {
-    /// Returns the budget of one out of `instances`.
-    pub fn share(&self, instances: usize) -> RetryBudgetConfig {
-        let extra = self.extra * USABLE_BUDGET_SHARE / instances.max(1) as f64;
-        RetryBudgetConfig {
-            retries_per_success: self.ratio * USABLE_BUDGET_SHARE,
-            // Half of the fixed part accumulates for a burst; the other half is spread evenly over
-            // time.
-            retries_per_second: extra / 2.0 / self.window.as_secs_f64(),
-            burst: (extra / 2.0).max(1.0),
-        }
-    }
-}
-
 impl GatewaySettings {
     /// Parses settings from JSON, or returns all findings with their locations.
     pub fn read(text: &str, file: &str) -> Result<Self, Findings> {
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -167,7 +167,7 @@
             // neither wait for engine memory nor reserve it.
             let mut retry = None;
             if self.tally.dispatches > 0 {
-                retry = ReservedRetry::take(gateway, &req.service);
+                retry = ReservedRetry::obtain(gateway, &req.service).await;
                 if retry.is_none() {
                     log::info!(request = &*req.facts.id, reason = "the retry budget is used up"; "not_retried");
                     return Err(self.refuse(Refusal::NoCapacity, Refusal::MayHaveRun));
@@ -319,7 +319,7 @@
         if let Plan::Split { prefill, .. } = placement.plan {
             let now = gateway.clock.now();
             let is_needed = self.kv_cache.as_ref().is_none_or(|kv_cache| !kv_cache.is_valid(now));
-            if is_needed && self.may_prefill(gateway, req) {
+            if is_needed && self.may_prefill(gateway, req).await {
                 let timeout = placement.prefill_timeout.min(req.remaining(now));
                 self.kv_cache = self.run_prefill(gateway, req, prefill, timeout).await;
             }
@@ -397,10 +397,10 @@
     ///
     /// The first prefill counts as a retry only if it fails, and is charged then. Later ones are
     /// always charged.
-    fn may_prefill(&self, gateway: &Gateway, req: &Incoming) -> bool {
+    async fn may_prefill(&self, gateway: &Rc<Gateway>, req: &Incoming) -> bool {
         match self.prefill_attempts {
             0 => !gateway.is_budget_overdrawn(&req.service),
-            _ => gateway.take_retry(&req.service),
+            _ => gateway.obtain_retry(&req.service).await,
         }
     }
 
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -61,7 +61,7 @@
                 break Refusal::Stopping;
             }
             // The budget is checked first, so that no permit is obtained for a retry that is not made.
-            let Ok(retry) = reserve_retry(gateway, req, tally) else {
+            let Ok(retry) = obtain_retry(gateway, req, tally).await else {
                 break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
             };
             tally.start();
@@ -75,9 +75,10 @@
                 if is_disabled(Guarantee::KeptAttempt) {
                     attempts.clear();
                 }
-                let retry = reserve_retry(gateway, req, tally);
-                report_silent(gateway, req, silent, retry.is_ok());
-                if let Ok(retry) = retry {
+                // A silent server may only be busy, and more requests would keep it so: none is borrowed.
+                let retry = ReservedRetry::take(gateway, &req.service);
+                report_silent(gateway, req, silent, retry.is_some());
+                if retry.is_some() {
                     patience.renew(gateway.clock.now());
                     tally.start();
                     attempts.push(attempt(gateway, req, &in_flight, retry));
@@ -123,15 +124,15 @@
 struct BudgetUsedUp;
 
 /// Takes a retry out of the budget, unless the request has reached no server so far.
-fn reserve_retry<'a>(
-    gateway: &'a Gateway,
+async fn obtain_retry<'a>(
+    gateway: &'a Rc<Gateway>,
     req: &'a Incoming,
     tally: Tally,
 ) -> Result<Option<ReservedRetry<'a>>, BudgetUsedUp> {
     if tally.dispatches == 0 {
         return Ok(None);
     }
-    ReservedRetry::take(gateway, &req.service).map(Some).ok_or(BudgetUsedUp)
+    ReservedRetry::obtain(gateway, &req.service).await.map(Some).ok_or(BudgetUsedUp)
 }
 
 /// The servers of the attempts of one request.
