Prefill a prompt at another engine before its decode engine does

Cause: a decode engine that prefills a prompt sends no token of its streams meanwhile.

Change: after the failure of a first prefill engine the completion is placed again without it. A decode engine that runs streams is planned to prefill only a prompt that takes less than half of the pause that their callers bear; longer ones wait in the queue of a prefill engine.

Ruled out: more prefill engines. 17 of 83 read 200 prompts a second, and a burst asks for 190; the queues come from engines that are lost.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -198,6 +198,7 @@
             has_crashed: history.has_crashed,
             waited_ms: 0,
             target_ms: req.route.target_latency.as_millis() as u64,
+            max_gap_ms: req.route.max_gap.as_millis() as u64,
             limit_ms: 0,
             excluded: Vec::new(),
         };
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -44,6 +44,10 @@
     pub waited_ms: u64,
     /// Latency target of the first event, counted from the arrival of the request, in milliseconds.
     pub target_ms: u64,
+    /// Longest pause between two events of a stream that is in time, in milliseconds; zero if any is, and from former
+    /// versions of the gateway.
+    #[serde(default)]
+    pub max_gap_ms: u64,
     /// Remaining time for which the completion may be queued, in milliseconds.
     pub limit_ms: u64,
     /// Engines that the requesting instance cannot use.
@@ -280,6 +284,7 @@
     let prompt = Prompt {
         tokens: request.prompt_tokens,
         target: Duration::from_millis(request.target_ms),
+        max_gap: Duration::from_millis(request.max_gap_ms),
         prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
     };
     let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng))?;
@@ -388,6 +393,7 @@
             max_tokens: 1_300,
             is_resumption: false,
             waited_ms: 0,
+            max_gap_ms: 0,
             target_ms: 900,
             limit_ms: 3_000,
             excluded: Vec::new(),
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -19,6 +19,10 @@
 /// requests there.
 const PREFILL_WAIT_SHARE: f64 = 0.6;
 
+/// Maximum share of the pause between two events for which a decode engine that runs streams may prefill a prompt: it
+/// sends none of their tokens meanwhile.
+const PREFILL_PAUSE_SHARE: f64 = 0.5;
+
 /// Penalty on the fill of an engine in another availability zone, as a share of its memory. A
 /// transfer between zones takes longer and is lost if the zone is cut off.
 const REMOTE_ZONE_FILL_PENALTY: f64 = 0.06;
@@ -157,6 +161,8 @@
     pub tokens: u64,
     /// Latency target of the first event.
     pub target: Duration,
+    /// The longest pause between two events of a stream that is in time; zero if any is.
+    pub max_gap: Duration,
     /// Prefill speed of a prefill engine, in tokens per millisecond.
     pub prefill_tokens_per_ms: f64,
 }
@@ -207,7 +213,12 @@
     let alone_ms =
         prefill_ms(prompt.tokens, prompt.prefill_tokens_per_ms / DECODE_PREFILL_SLOWDOWN);
     let limit_ms = prompt.target.as_secs_f64() * 1_000.0 * PREFILL_WAIT_SHARE;
-    if prefill.is_avoided || (split_ms > limit_ms && alone_ms < split_ms) {
+    let is_sooner = split_ms > limit_ms && alone_ms < split_ms;
+    let runs_streams =
+        decode_engines.iter().any(|candidate| candidate.key == decode && candidate.fill > 0.0);
+    let pause_ms = prompt.max_gap.as_secs_f64() * 1_000.0 * PREFILL_PAUSE_SHARE;
+    let delays_streams = runs_streams && !prompt.max_gap.is_zero() && alone_ms > pause_ms;
+    if prefill.is_avoided || (is_sooner && !delays_streams) {
         return Ok(Plan::Decode(decode));
     }
     Ok(Plan::Split { prefill: prefill.key, decode })
@@ -246,3 +257,66 @@
     }
     best.map(|(_, key)| key)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use magnoliaspar_core::ServerKey;
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+    use slotmap::SlotMap;
+
+    use super::{Candidate, Plan, Prompt, choose_engines};
+    use crate::directory::EngineRole;
+
+    /// A decode engine with this fill and a prefill engine with so many tokens in its queue.
+    fn engines(fill: f64, queued_prefill_tokens: u64) -> [Candidate; 2] {
+        let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
+        let decode = Candidate {
+            key: keys.insert(()),
+            is_local: true,
+            is_avoided: false,
+            in_flight: 0,
+            slots: 24,
+            queued_prefill_tokens: 0,
+            latency: None,
+            fill,
+            role: Some(EngineRole::Decode),
+            permit_wait: None,
+            rest: Duration::ZERO,
+        };
+        let role = Some(EngineRole::Prefill);
+        let prefill =
+            Candidate { key: keys.insert(()), fill: 0.0, queued_prefill_tokens, role, ..decode };
+        [decode, prefill]
+    }
+
+    fn is_prefilled_apart(engines: &[Candidate], tokens: u64, max_gap_ms: u64) -> bool {
+        let prompt = Prompt {
+            tokens,
+            target: Duration::from_millis(900),
+            max_gap: Duration::from_millis(max_gap_ms),
+            prefill_tokens_per_ms: 50.0,
+        };
+        let plan = choose_engines(engines, prompt, &mut StdRng::seed_from_u64(1)).unwrap();
+        matches!(plan, Plan::Split { .. })
+    }
+
+    /// The load of a burst: prompts of 5,000 tokens and more, and prefill engines with 600 ms of work ahead.
+    #[test]
+    fn a_decode_engine_that_runs_streams_prefills_no_prompt_that_stops_them() {
+        let busy = engines(0.5, 30_000);
+        assert!(is_prefilled_apart(&busy, 5_200, 300));
+        assert!(!is_prefilled_apart(&busy, 2_000, 300), "a short prompt delays no stream");
+        let idle = engines(0.0, 30_000);
+        assert!(!is_prefilled_apart(&idle, 5_200, 300), "an idle engine delays no stream");
+        assert!(!is_prefilled_apart(&busy, 5_200, 0), "any pause is in time");
+    }
+
+    #[test]
+    fn a_prompt_goes_to_a_prefill_engine_that_is_soon_free() {
+        assert!(is_prefilled_apart(&engines(0.5, 0), 11_000, 300));
+        assert!(is_prefilled_apart(&engines(0.0, 10_000), 5_200, 300));
+    }
+}
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -124,6 +124,10 @@
     }
 }
 
+/// Number of prefill engines after whose failures the decode engine prefills the prompt itself, which delays the
+/// tokens of all that it runs.
+const MAX_FAILED_PREFILLS: u32 = 2;
+
 /// Maximum length of a buffered error or prefill response, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
 
@@ -134,6 +138,8 @@
     tally: Tally,
     /// Prefill requests that reached a server. The first one is charged only if it fails.
     prefill_attempts: u32,
+    /// Prefill engines that have not prefilled the prompt.
+    failed_prefills: u32,
     /// The KV cache of the prompt, until it is offered to an engine.
     kv_cache: Option<HeldKvCache>,
     /// Decode requests that an engine rejected; after the second, the KV cache is released.
@@ -322,6 +328,15 @@
             if is_needed && self.may_prefill(gateway, req).await {
                 let timeout = placement.prefill_timeout.min(req.remaining(now));
                 self.kv_cache = self.run_prefill(gateway, req, prefill, timeout).await;
+                if self.kv_cache.is_none() {
+                    self.failed_prefills += 1;
+                }
+                if self.kv_cache.is_none() && self.failed_prefills < MAX_FAILED_PREFILLS {
+                    self.tried.pop();
+                    self.tried.push(prefill);
+                    gateway.keep_unused(decode, connection);
+                    return Raced::First((Err(not_prefilled()), placement));
+                }
             }
             placement.finish_prefill();
         }
@@ -454,6 +469,11 @@
     }
 }
 
+/// Returns the error of an attempt whose prompt another prefill engine may prefill.
+fn not_prefilled() -> CallError {
+    CallError::NotSent("the prompt was not prefilled".into())
+}
+
 /// Returns the refusal after the failure of the last attempt that is allowed.
 fn final_refusal(error: &CallError) -> Refusal {
     if *error == CallError::TimedOut { Refusal::Deadline } else { Refusal::MayHaveRun }
