--- a/crates/magnoliaspar-gateway/src/departures.rs
+++ b/crates/magnoliaspar-gateway/src/departures.rs
@@ -15,8 +15,8 @@
 use crate::gateway::Gateway;
 use crate::peers::Peers;
 
-/// Maximum age of a restore after which departures are of use. The platform has removed the entries of servers that
-/// are gone long before.
+/// Maximum age of a restore for which instances tell departures. By then the platform has removed the entries of
+/// servers that are gone.
 pub const MAX_RESTORE_AGE: Duration = Duration::from_secs(20);
 
 /// Uptime after which an instance knows all departures since the copy that a store is restored from.
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -19,8 +19,8 @@
 /// requests there.
 const PREFILL_WAIT_SHARE: f64 = 0.6;
 
-/// Maximum share of the pause between two events for which a decode engine that runs streams may prefill a prompt: it
-/// sends none of their tokens meanwhile.
+/// Maximum duration of a prefill on a decode engine that runs streams, as a share of the longest pause that is in time.
+/// The engine sends no tokens of its streams meanwhile.
 const PREFILL_PAUSE_SHARE: f64 = 0.5;
 
 /// Penalty on the fill of an engine in another availability zone, as a share of its memory. A
--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -138,7 +138,7 @@
     tally: Tally,
     /// Prefill requests that reached a server. The first one is charged only if it fails.
     prefill_attempts: u32,
-    /// Prefill engines that have not prefilled the prompt.
+    /// Number of prefill engines that refused or failed to prefill the prompt.
     failed_prefills: u32,
     /// The KV cache of the prompt, until it is offered to an engine.
     kv_cache: Option<HeldKvCache>,
