Learn departed servers from all peers, and keep what orders them

By the logs an instance asked one peer, which had itself started after the departure. A test of six instances showed a second cause: a server that was withheld took the order of its restored entry for that of its departure, so that the next reading of the list brought it back.

Change: heartbeats tell how many departures their sender knows; an instance asks each peer that reports some, and asks it again when it has learned more. A withheld server keeps the order of its departure.

--- a/crates/magnoliaspar-gateway/src/departures.rs
+++ b/crates/magnoliaspar-gateway/src/departures.rs
@@ -3,6 +3,7 @@
 //! A restored store returns entries of servers that have left. An instance that has followed the store knows their
 //! departures; one that started after them takes such an entry for that of a live server, unless its peers tell.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::entry_age::EntryStamp;
 use crate::gateway::Gateway;
 use crate::peers::Peers;
+use crate::reservations::InstanceId;
 
 /// Maximum age of a restore for which instances tell departures. By then the platform has removed the entries of
 /// servers that are gone.
@@ -34,20 +36,34 @@
     pub is_draining: bool,
 }
 
-/// Requests the departures of servers from a peer after each restore of the store, until the instance has run for
-/// long enough to know them itself.
+/// Which departures an instance knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DeparturesMark {
+    /// Epoch of the store in which the instance has read the list of servers last.
+    pub epoch: Epoch,
+    /// Number of departed servers that it knows.
+    pub departures: usize,
+}
+
+/// Requests the departures of servers from peers after a restore of the store, until the instance has run for long
+/// enough to know them itself.
+///
+/// A peer that has just started, too, may know less than others, so that each one is asked, and asked again once it
+/// has learned more.
 pub async fn learn_departures(gateway: Rc<Gateway>, peers: Rc<Peers>) {
-    let mut learned = Epoch::default();
+    let mut known: BTreeMap<InstanceId, DeparturesMark> = BTreeMap::new();
     while gateway.uptime() < MAX_COPY_AGE {
-        let source = gateway.with_rng(|rng| peers.source_of_departures(learned, rng));
+        let is_known = |peer: &str, mark: &DeparturesMark| known.get(peer) == Some(mark);
+        let source = gateway.with_rng(|rng| peers.source_of_departures(is_known, rng));
         let Some(source) = source else {
             peers.wait_for_report().await;
             continue;
         };
         let Some(departures) = fetch_departures(&gateway, &peers, &source).await else { continue };
-        learned = source.reported.servers_position().epoch;
-        let (peer, count) = (&*source.instance, departures.len());
-        log::info!(peer, epoch = learned.0, count; "departures_learned");
+        let Some(mark) = source.reported.departures_mark() else { continue };
+        let (peer, epoch, count) = (&*source.instance, mark.epoch.0, departures.len());
+        log::info!(peer, epoch, count; "departures_learned");
+        known.insert(source.instance.clone(), mark);
         gateway.apply_departures(departures);
     }
 }
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -419,6 +419,11 @@
         true
     }
 
+    /// Returns the number of departed servers that are known.
+    pub fn known_departures(&self) -> usize {
+        self.departed.len()
+    }
+
     /// Returns the departures of servers, by the identifiers of the servers.
     pub fn departures(&self) -> Vec<(Box<str>, Departure)> {
         let mut departures = Vec::new();
@@ -453,6 +458,14 @@
         Some(current.age(stamp, true, EntrySource::List))
     }
 
+    /// Sets what orders the last entry of a departed server: a restored one says nothing of its departure, and would
+    /// be taken for a current one when the list is read again.
+    pub fn set_last_stamp(&mut self, id: &str, stamp: EntryStamp) {
+        if let Some(departed) = self.departed.get_mut(id) {
+            departed.stamp = stamp;
+        }
+    }
+
     fn forget_first_departure(&mut self) {
         let first = self.departed.iter().min_by_key(|(_, departed)| departed.number);
         let Some(id) = first.map(|(id, _)| id.clone()) else { return };
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -15,7 +15,7 @@
 use crate::following::Changes;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::liveness::ask_before_use;
-use crate::peers::Payload;
+use crate::peers::{Payload, RestoreReport};
 use crate::route::Routing;
 
 /// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
@@ -172,16 +172,21 @@
         let Some(record) = record else { return };
         let is_same_process = record.started_ms == departure.stamp.started_ms;
         self.remove_server(id, "departed_before_restore");
+        self.directory.borrow_mut().set_last_stamp(id, departure.stamp);
         if is_same_process {
             self.withheld_entries.borrow_mut().add(record, self.clock.now());
         }
     }
 
-    /// Returns the time since the list of a restored store was read first, if that was recently.
-    pub(crate) fn restore_age(&self) -> Option<Duration> {
+    /// Returns what this instance knows of a restore of the store, if that was recently.
+    pub(crate) fn restore_report(&self) -> Option<RestoreReport> {
         let restored_at = self.servers_restored_at.get()?;
         let age = self.clock.now().saturating_duration_since(restored_at);
-        Some(age).filter(|age| *age < MAX_RESTORE_AGE)
+        if age >= MAX_RESTORE_AGE {
+            return None;
+        }
+        let departures = self.directory.borrow().known_departures();
+        Some(RestoreReport { age_ms: age.as_millis() as u64, departures })
     }
 
     /// Uses departed servers again whose entries the restored store has kept for longer than those of servers that
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -25,6 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
+use crate::departures::DeparturesMark;
 use crate::directory::ServerRecord;
 use crate::feed::FeedPosition;
 use crate::following::{Changes, receive_routing, receive_servers};
@@ -216,16 +217,27 @@
     /// Time since the store has answered the sender, in milliseconds; former versions of the gateway do not send it.
     #[serde(default)]
     pub(crate) store_age_ms: Option<u64>,
-    /// Time since the sender has read the list of servers of a restored store first, in milliseconds, if that was
-    /// recently; former versions of the gateway do not send it.
+    /// What the sender knows of a restore of the store, if that was recently; former versions of the gateway do not
+    /// send it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) restore_age_ms: Option<u64>,
+    pub(crate) restore: Option<RestoreReport>,
+}
+
+/// What an instance knows of a restore of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RestoreReport {
+    /// Time since it has read the restored list of servers first, in milliseconds.
+    pub age_ms: u64,
+    /// Number of departed servers that it knows.
+    pub departures: usize,
 }
 
 impl FeedRevisions {
     /// Returns the revisions without the ages, which are different in each report.
     fn without_ages(self) -> Self {
-        Self { store_age_ms: None, restore_age_ms: self.restore_age_ms.map(|_| 0), ..self }
+        let restore = self.restore.map(|restore| RestoreReport { age_ms: 0, ..restore });
+        Self { store_age_ms: None, restore, ..self }
     }
 
     /// Returns the position in the feed of the configuration.
@@ -238,6 +250,12 @@
         Position { epoch: self.servers_epoch, revision: self.servers }
     }
 
+    /// Returns which departures the instance knows after a restore of the store, if there was one recently.
+    pub(crate) fn departures_mark(&self) -> Option<DeparturesMark> {
+        let departures = self.restore?.departures;
+        Some(DeparturesMark { epoch: self.servers_epoch, departures })
+    }
+
     /// Returns what orders configurations: the version, and for equal ones the epoch.
     pub(crate) fn configuration(&self) -> (u64, Epoch) {
         (self.version, self.version_epoch)
@@ -286,9 +304,9 @@
     tokens: u64,
     /// Decode speed, in tokens per millisecond.
     speed: f64,
-    /// Whether the speed was measured; former versions of the gateway do not send it.
+    /// Whether the speed is that of the stream's own events; false if the sender does not say so.
     #[serde(default)]
-    is_measured: bool,
+    is_own_speed: bool,
 }
 
 impl ReservationEntry {
@@ -299,7 +317,7 @@
             age_ms: millis_since(progress.at),
             tokens: progress.tokens,
             speed: progress.tokens_per_ms,
-            is_measured: progress.is_measured,
+            is_own_speed: progress.is_own_speed,
         });
         let starts_in = reservation.starts_at.saturating_duration_since(now);
         Self {
@@ -322,7 +340,7 @@
                 at,
                 tokens: progress.tokens,
                 tokens_per_ms: progress.speed,
-                is_measured: progress.is_measured,
+                is_own_speed: progress.is_own_speed,
             }
         });
         Reservation {
@@ -800,14 +818,19 @@
         Some(Source { instance, address, reported: peer.revisions })
     }
 
-    /// Returns a peer that has read the list of a restored store, of an epoch later than `known`, and so knows which
-    /// servers had departed before.
-    pub fn source_of_departures(&self, known: Epoch, rng: &mut dyn RngCore) -> Option<Source> {
+    /// Returns a peer that has read the list of a restored store and so may know which servers had departed before.
+    /// `is_known` tells whether this instance has what a peer reports.
+    pub fn source_of_departures(
+        &self,
+        is_known: impl Fn(&str, &DeparturesMark) -> bool,
+        rng: &mut dyn RngCore,
+    ) -> Option<Source> {
         let peers = self.peers.borrow();
-        let knows_departures = |(_, peer): &(&InstanceId, &Peer)| {
-            peer.revisions.restore_age_ms.is_some() && peer.revisions.servers_epoch > known
+        let is_new = |(instance, peer): &(&InstanceId, &Peer)| {
+            let mark = peer.revisions.departures_mark();
+            mark.is_some_and(|mark| mark.departures > 0 && !is_known(instance, &mark))
         };
-        let (instance, peer) = peers.iter().filter(knows_departures).choose(rng)?;
+        let (instance, peer) = peers.iter().filter(is_new).choose(rng)?;
         let (instance, address) = (instance.clone(), peer.address);
         Some(Source { instance, address, reported: peer.revisions })
     }
@@ -954,7 +977,7 @@
         servers_epoch: servers.epoch,
         version_epoch: gateway.configuration_epoch(),
         store_age_ms: age.map(|age| age.as_millis() as u64),
-        restore_age_ms: gateway.restore_age().map(|age| age.as_millis() as u64),
+        restore: gateway.restore_report(),
     }
 }
 
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -82,8 +82,8 @@
     pub tokens: u64,
     /// Decode speed, in tokens per millisecond.
     pub tokens_per_ms: f64,
-    /// Whether the speed was measured on this stream, and not assumed.
-    pub is_measured: bool,
+    /// Whether the speed is that of the stream's own events, rather than the mean of other streams.
+    pub is_own_speed: bool,
 }
 
 /// The reservations of all instances.
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Returns whether the decode speed was measured on enough streams.
+    /// Returns whether enough streams have contributed to the decode speed.
     pub fn knows_speed(&self) -> bool {
         self.speed.samples >= MIN_SPEED_SAMPLES
     }
@@ -187,7 +187,7 @@
         let Some(before) = reservation.progress else {
             let tokens_per_ms = self.speed.tokens_per_ms;
             reservation.progress =
-                Some(Progress { at: now, tokens, tokens_per_ms, is_measured: false });
+                Some(Progress { at: now, tokens, tokens_per_ms, is_own_speed: false });
             return;
         };
         let mut progress = Progress { at: now, tokens, ..before };
@@ -197,7 +197,7 @@
         if millis >= MIN_SAMPLE_MS && generated > 0 {
             let sample = generated as f64 / millis;
             progress.tokens_per_ms += STREAM_SPEED_SMOOTHING * (sample - before.tokens_per_ms);
-            progress.is_measured = true;
+            progress.is_own_speed = true;
             self.speed.add(sample);
         }
         reservation.progress = Some(progress);
@@ -226,7 +226,7 @@
             .retain(|(owner, _), reservation| &**owner != instance || is_fresh(reservation));
         for (id, reservation) in reservations {
             // An instance sees only the streams of its own callers.
-            if let Some(progress) = reservation.progress.filter(|progress| progress.is_measured) {
+            if let Some(progress) = reservation.progress.filter(|progress| progress.is_own_speed) {
                 self.speed.add(progress.tokens_per_ms);
             }
             self.reserve(instance, id, reservation);
@@ -439,7 +439,7 @@
             reservations.record_tokens("one", 0, 10, start + Duration::from_millis(20 * step));
         }
         assert!(!reservations.knows_speed());
-        let slow = Progress { at: start, tokens: 100, tokens_per_ms: 0.25, is_measured: true };
+        let slow = Progress { at: start, tokens: 100, tokens_per_ms: 0.25, is_own_speed: true };
         let reported = Reservation { progress: Some(slow), ..reservation("a", start) };
         for report in 0..20 {
             let reported = vec![(report, reported.clone())];
