Keep plain calls that crash servers from them

Cause: the quarantine is asked where completions are admitted, and told of crashes by streams only. Plain calls, which nobody admits, went past it, and one that may be repeated was sent to a second server at once. Evidence: the log of the case shows each crash as `call_failed` 41 ms after the call was sent, on two servers 1 ms apart for each request, and nothing that connects crashes with what was called.

Change: plain calls are recognized by method, target, body and caller and go through the same quarantine. Crashes are reported to the coordinators, and so are answers to calls that are suspected; new refusals go to all instances at once, and each instance refuses. After a crash a call is repeated only if the coordinator allows it. Since starts of plain calls are too many to be reported, the lifetime of the crashed process speaks against chance, and a crash counts if the call was sent after the one before. Two requests that the same crashes hit are refused for 3 s and tried one at a time; neither was refused before. A refusal that was lifted outweighs older reports of it. Requests to other instances whose replies are awaited have one type, `Replies`.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -48,7 +48,7 @@
     pub route: Rc<Route>,
     /// The service chosen by weight.
     pub service: ServiceName,
-    /// The shared parts of the prompt, and a fingerprint of the whole request.
+    /// The parts by which requests that crash servers are recognized.
     pub parts: Box<[PartId]>,
     /// The head without hop-by-hop headers.
     pub head: RequestHead,
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -10,12 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_retry::PartId;
+use magnoliaspar_retry::{CallRun, Crash, PartId};
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
 use crate::permits::issue_permits;
+use crate::quarantine::CallCrash;
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::ServiceName;
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan, PlanError, Prompt, choose_engines};
@@ -357,16 +358,17 @@
             if let Some(reservation) = gateway.reservations.borrow().reservation(from, *id) {
                 gateway.failing_engines.borrow_mut().record_start(&reservation.decode);
             }
-            gateway.with_quarantine(service, |quarantine| quarantine.record_start(parts));
+            record_start(gateway, from, service, parts);
         }
+        Payload::Answered(service, parts) => record_start(gateway, from, service, parts),
         Payload::Crashed(crash, service, parts) => {
-            let refused = gateway
-                .with_quarantine(service, |quarantine| quarantine.record_crash(now, *crash, parts));
-            if let Some(refused) = refused {
-                gateway.prompts_refused.notify_one();
-                let parts = display_parts(&refused);
-                log::warn!(reporter = from, service = &**service, parts = &*parts; "prompt_part_refused");
-            }
+            record_crash(gateway, from, (*crash).into(), service, parts);
+        }
+        Payload::CallCrashed(CallCrash { crash, service, parts, run_ms, survived }) => {
+            let run_time = Duration::from_millis(*run_ms);
+            let call = Some(CallRun { run_time, survived: *survived });
+            let crash = Crash { id: *crash, call };
+            record_crash(gateway, from, crash, service, parts);
         }
         Payload::Released(id) => {
             gateway.queue.remove(from, *id);
@@ -394,6 +396,34 @@
     }
 }
 
+/// Records that a request with these parts has started on a server.
+fn record_start(gateway: &Gateway, reporter: &str, service: &ServiceName, parts: &[PartId]) {
+    let is_lifted = gateway.with_quarantine(service, |quarantine| quarantine.record_start(parts));
+    if is_lifted {
+        gateway.spread_refusals();
+        let parts = display_parts(parts);
+        log::info!(reporter, service = &**service, parts; "refusal_lifted");
+    }
+}
+
+/// Records that a server crashed before a request with these parts had started on it.
+fn record_crash(
+    gateway: &Gateway,
+    reporter: &str,
+    crash: Crash,
+    service: &ServiceName,
+    parts: &[PartId],
+) {
+    let now = gateway.clock.now();
+    let refused =
+        gateway.with_quarantine(service, |quarantine| quarantine.record_crash(now, crash, parts));
+    if let Some(refused) = refused {
+        gateway.spread_refusals();
+        let parts = display_parts(&refused);
+        log::warn!(reporter, service = &**service, parts = &*parts; "prompt_part_refused");
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::collections::BTreeSet;
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -134,6 +134,8 @@
 pub struct Server {
     /// The latest entry of the server.
     pub record: ServerRecord,
+    /// Time at which this instance learned of the process.
+    pub known_since: Option<Instant>,
     /// Requests of this instance in flight at the server.
     pub in_flight: u32,
     /// The role to which the server was ordered to change and which it has not reported yet.
@@ -382,6 +384,7 @@
         let id = record.id.clone();
         let key = self.servers.insert(Server {
             record,
+            known_since: None,
             in_flight: 0,
             changing: None,
             is_unreachable: false,
@@ -403,6 +406,12 @@
         self.by_id.insert(id, key);
     }
 
+    /// Records the time at which this instance learned of the process of a server, unless it is recorded.
+    pub fn record_known(&mut self, id: &str, now: Instant) {
+        let Some(key) = self.by_id.get(id) else { return };
+        self.servers[*key].known_since.get_or_insert(now);
+    }
+
     /// Removes a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(key) = self.by_id.remove(id) else { return false };
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -13,7 +13,6 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
-use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::followers::RoutingFollower;
 use crate::admission::Eligible;
@@ -29,9 +28,10 @@
 use crate::following::StoreContact;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::metrics::Metrics;
-use crate::peers::{Coordinator, Payload, Peers};
+use crate::peers::{Coordinator, Payload, Peers, reported_refusals};
 use crate::permits::{Permits, mark_changed};
 use crate::pool::{MAX_IDLE, Pool};
+use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{EngineLoad, ReservationId, Reservations};
 use crate::response_memory::ResponseMemory;
@@ -89,10 +89,12 @@
     pub reservations: RefCell<Reservations>,
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
-    /// Prompts that crash engines, by service: the engines of one may fail for reasons of their own.
+    /// Requests that crash servers, by service: the servers of one may fail for reasons of their own.
     pub prompt_quarantines: RefCell<BTreeMap<ServiceName, PromptQuarantine>>,
-    /// Notified when prompts are refused that were not before, or for longer.
-    pub(crate) prompts_refused: Notify,
+    /// Notified when requests are refused that were not before, or for longer, and when a refusal was lifted.
+    pub(crate) refusals_changed: Notify,
+    /// Questions to the coordinator about requests that may crash a server, and whether these may run.
+    pub(crate) run_decisions: Replies<bool>,
     /// Completions of all instances that are queued here for engine memory.
     pub queue: Queue,
     /// Admission requests of this instance without a decision.
@@ -178,7 +180,8 @@
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
             prompt_quarantines: RefCell::default(),
-            prompts_refused: Notify::new(),
+            refusals_changed: Notify::new(),
+            run_decisions: Replies::default(),
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             permits: Permits::new(rand::rng().random()),
@@ -291,24 +294,37 @@
         drop(directory);
         let name = self.server_name(server);
         log::warn!(server = &*name, parts = &*display_parts(parts); "engine_crashed");
-        let crash = CrashId(xxh3_64(format!("{name}/{started_ms}").as_bytes()));
+        let crash = CrashId::of_process(&name, started_ms);
         self.send_to_coordinators(Payload::Crashed(crash, service.clone(), parts.into()));
     }
 
-    /// Returns for how long completions of a service with these parts are refused, if they are.
+    /// Returns for how long requests of a service with these parts are refused, if they are.
     pub fn quarantined_for(&self, service: &str, parts: &[PartId]) -> Option<Duration> {
         let quarantines = self.prompt_quarantines.borrow();
         quarantines.get(service)?.refused_for(self.clock.now(), parts)
     }
 
-    /// Returns whether a completion whose refusal has ended may be tried now; records the trial.
+    /// Returns whether requests of a service with these parts may only be tried one at a time.
+    pub fn is_on_trial(&self, service: &str, parts: &[PartId]) -> bool {
+        let quarantines = self.prompt_quarantines.borrow();
+        let quarantine = quarantines.get(service);
+        quarantine.is_some_and(|quarantine| quarantine.is_on_trial(self.clock.now(), parts))
+    }
+
+    /// Returns whether a start of a request of a service with these parts is to be reported.
+    pub fn concerns_quarantine(&self, service: &str, parts: &[PartId]) -> bool {
+        let quarantines = self.prompt_quarantines.borrow();
+        quarantines.get(service).is_some_and(|quarantine| quarantine.concerns(parts))
+    }
+
+    /// Returns whether a request whose refusal has ended may be tried now; records the trial.
     pub fn allows_trial(&self, service: &str, parts: &[PartId]) -> bool {
         let mut quarantines = self.prompt_quarantines.borrow_mut();
         let quarantine = quarantines.get_mut(service);
         quarantine.is_none_or(|quarantine| quarantine.allows_trial(self.clock.now(), parts))
     }
 
-    /// Returns whether a completion may not run once more after it has crashed an engine.
+    /// Returns whether a request may not run once more after it has crashed a server.
     pub fn is_suspected(&self, service: &str, parts: &[PartId]) -> bool {
         let quarantines = self.prompt_quarantines.borrow();
         let quarantine = quarantines.get(service);
@@ -336,6 +352,13 @@
         run(self.prompt_quarantines.borrow_mut().entry(service.into()).or_default())
     }
 
+    /// Stores refusals that have changed, and as coordinator sends them to all instances.
+    pub fn spread_refusals(&self) {
+        self.refusals_changed.notify_one();
+        let Some(peers) = self.peers().filter(|_| self.coordinator().is_none()) else { return };
+        peers.send_to_all(&Payload::Refusals(reported_refusals(self, self.clock.now())));
+    }
+
     /// Sends a message to all coordinators except one.
     pub fn send_to_other_coordinators(&self, payload: Payload, except: Option<&Coordinator>) {
         if let Some(peers) = self.peers() {
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -127,6 +127,7 @@
             return change;
         }
         self.removed_during_outage.borrow_mut().remove(&id);
+        self.directory.borrow_mut().record_known(&id, self.clock.now());
         let unclear = {
             let directory = self.directory.borrow();
             let is_unclear = |key: &ServerKey| {
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -19,6 +19,7 @@
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
 use crate::gateway::{Gateway, InFlight};
+use crate::quarantine::parts_of_call;
 use crate::refusal::Refusal;
 use crate::route::{CallerLimits, Route, RouteKind, Routing, ServiceName};
 use crate::shutdown::RequestState;
@@ -254,7 +255,10 @@
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
     let received = cx.received;
-    let parts = parts_of(&facts, req.head(), &body);
+    let parts = match route.kind {
+        RouteKind::Stream { .. } => parts_of(&facts, req.head(), &body),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => parts_of_call(req.head(), &body),
+    };
     cx.parts.clone_from(&parts);
     let deadline = received + timeout;
     let state = cx.state.clone();
@@ -266,7 +270,7 @@
     Ok(incoming)
 }
 
-/// Returns the shared parts of a prompt and a fingerprint, by which a request that is sent again is
+/// Returns the shared parts of a completion's prompt and a fingerprint, by which a request that is sent again is
 /// recognized.
 fn parts_of(facts: &RequestFacts, head: &RequestHead, body: &[u8]) -> Box<[PartId]> {
     let mut content = head.uri.path().as_bytes().to_vec();
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Epoch, Position};
-use magnoliaspar_retry::{CrashId, PartId};
+use magnoliaspar_retry::{CrashId, PartId, Refusal};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -35,8 +35,10 @@
     merge_limits, record_issued,
 };
 use crate::presence::RecentMaximum;
+use crate::quarantine::{CallCrash, RunQuestion, decide_run};
+use crate::replies::RequestNumber;
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
-use crate::retry_lending::{LoanId, lend_retry, record_lent};
+use crate::retry_lending::{lend_retry, record_lent};
 use crate::route::{Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
@@ -71,6 +73,9 @@
 /// Maximum length of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// Maximum number of suspected parts of a service in a message.
+const MAX_SUSPECTED_PARTS: usize = 64;
+
 /// Maximum number of refused prompts in a message.
 const MAX_REFUSED_PROMPTS: usize = 64;
 
@@ -122,6 +127,9 @@
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
         limits_digest: u64,
+        /// The parts that the sender suspects of crashing servers.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        suspected: Vec<SuspectedParts>,
     },
     /// Changes of the list of servers, from an instance of the same zone that follows the store.
     ServerChanges(Changes<ServerRecord>),
@@ -151,6 +159,16 @@
     EngineUnusable(Box<str>),
     /// An engine refused a completion that the sender was granted it for.
     EngineRejected(Box<str>),
+    /// A server of a service has responded to a plain call with these parts.
+    Answered(ServiceName, Box<[PartId]>),
+    /// A server has crashed before it had responded to a plain call.
+    CallCrashed(CallCrash),
+    /// The sender asks whether a request may run that may crash a server.
+    RequestRun(RequestNumber, RunQuestion),
+    /// The sender has decided whether a request of the receiver may run.
+    RunDecision(RequestNumber, bool),
+    /// Requests that the sender refuses since they crash servers.
+    Refusals(Vec<RefusedPrompt>),
     /// The process of an engine that started at this time, in milliseconds since the Unix epoch, says in its
     /// responses that it leaves.
     EngineLeaving(Box<str>, u64),
@@ -163,9 +181,9 @@
     /// The sender has issued a permit for each of these limited servers.
     PermitsIssued(Vec<LimitEntry>),
     /// The sender requests a retry of a service.
-    BorrowRetry(LoanId, ServiceName),
+    BorrowRetry(RequestNumber, ServiceName),
     /// The sender has decided whether it lends a retry to the receiver.
-    RetryLoan(LoanId, bool),
+    RetryLoan(RequestNumber, bool),
     /// The sender has lent a retry of a service.
     RetryLent(ServiceName),
     /// The sender has stopped.
@@ -184,14 +202,28 @@
     }
 }
 
-/// Parts of prompts that are refused if a prompt has all of them.
+/// Parts of requests of a service that are refused if a request has all of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RefusedPrompt {
     service: ServiceName,
     parts: BTreeSet<PartId>,
-    /// Time for which they are still refused, in milliseconds.
+    /// Time for which they are still refused, in milliseconds; zero once requests are tried one at a time.
     remaining_ms: u64,
+    /// Number of times that they were refused before; former versions of the gateway do not send it.
+    #[serde(default)]
+    version: u32,
+    /// Whether the refusal was lifted since.
+    #[serde(default)]
+    is_lifted: bool,
+}
+
+/// Parts of requests of a service that were hit by several crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SuspectedParts {
+    service: ServiceName,
+    parts: Box<[PartId]>,
 }
 
 /// Feed revisions that cover the last changes that an instance has applied.
@@ -519,7 +551,14 @@
                 let members = vec![self.member(now)];
                 let revisions = FeedRevisions::default();
                 let refused = Vec::new();
-                Payload::Members { members, live: 1, revisions, refused, limits_digest: 0 }
+                Payload::Members {
+                    members,
+                    live: 1,
+                    revisions,
+                    refused,
+                    limits_digest: 0,
+                    suspected: Vec::new(),
+                }
             }
         };
         let message = Message { from: self.instance.clone(), payload };
@@ -702,7 +741,7 @@
             member: self.member(now),
             reservations,
             revisions: revisions(gateway),
-            refused: refused_prompts(gateway, now),
+            refused: reported_refusals(gateway, now),
             limits_digest: limits_digest(gateway),
         };
         let message = Message { from: self.instance.clone(), payload };
@@ -896,18 +935,29 @@
                         members,
                         live,
                         revisions: revisions(gateway),
-                        refused: refused_prompts(gateway, now),
+                        refused: reported_refusals(gateway, now),
                         limits_digest: limits_digest(gateway),
+                        suspected: suspected_parts(gateway, now),
                     },
                 );
                 self.reconcile_limits(gateway, address, peer_digest);
             }
-            Payload::Members { members, live, revisions, refused, limits_digest: peer_digest } => {
+            Payload::Members {
+                members,
+                live,
+                revisions,
+                refused,
+                limits_digest: peer_digest,
+                suspected,
+            } => {
                 // An instance that announces its end sends no fingerprint.
                 if live > 1 {
                     self.reconcile_limits(gateway, from, peer_digest);
                 }
                 merge_refused(gateway, &sender, refused, now);
+                for SuspectedParts { service, parts } in suspected {
+                    gateway.with_quarantine(&service, |quarantine| quarantine.watch(now, &parts));
+                }
                 self.record_live_count(live, now);
                 gateway.update_max_instances();
                 gateway.routing_position.observe_remote(revisions.routing_position());
@@ -941,7 +991,15 @@
                 let is_lent = lend_retry(gateway, &service);
                 self.send_payload(from, Payload::RetryLoan(id, is_lent));
             }
-            Payload::RetryLoan(id, is_lent) => gateway.retry_lending.receive(id, is_lent),
+            Payload::RetryLoan(id, is_lent) => gateway.retry_lending.decisions.receive(id, is_lent),
+            Payload::RequestRun(number, question) => {
+                let is_allowed = decide_run(gateway, &question);
+                self.send_payload(from, Payload::RunDecision(number, is_allowed));
+            }
+            Payload::RunDecision(number, is_allowed) => {
+                gateway.run_decisions.receive(number, is_allowed);
+            }
+            Payload::Refusals(refused) => merge_refused(gateway, &sender, refused, now),
             Payload::RetryLent(service) => record_lent(gateway, &service),
             Payload::Leaving => {
                 let mut known = self.known.get();
@@ -956,6 +1014,8 @@
             payload @ (Payload::PrefillFinished(_)
             | Payload::Started(..)
             | Payload::Crashed(..)
+            | Payload::Answered(..)
+            | Payload::CallCrashed(_)
             | Payload::Released(_)
             | Payload::EngineUnusable(_)
             | Payload::EngineRejected(_)
@@ -981,26 +1041,42 @@
     }
 }
 
-fn refused_prompts(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
+/// Returns what this instance reports of refused requests.
+pub(crate) fn reported_refusals(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
     let mut refused = Vec::new();
     for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
-        for (parts, remaining) in quarantine.refused(now) {
+        for Refusal { parts, remaining, version, is_lifted } in quarantine.refusals(now) {
             let (service, remaining_ms) = (service.clone(), remaining.as_millis() as u64);
-            refused.push(RefusedPrompt { service, parts, remaining_ms });
+            refused.push(RefusedPrompt { service, parts, remaining_ms, version, is_lifted });
         }
     }
+    refused.sort_by_key(|refused| (refused.is_lifted, Reverse(refused.remaining_ms)));
     refused.truncate(MAX_REFUSED_PROMPTS);
     refused
 }
 
+/// Returns the parts that this instance suspects of crashing servers.
+fn suspected_parts(gateway: &Gateway, now: Instant) -> Vec<SuspectedParts> {
+    let mut suspected = Vec::new();
+    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+        let mut parts = quarantine.suspected(now);
+        parts.truncate(MAX_SUSPECTED_PARTS);
+        if !parts.is_empty() {
+            suspected.push(SuspectedParts { service: service.clone(), parts: parts.into() });
+        }
+    }
+    suspected
+}
+
 fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedPrompt>, now: Instant) {
-    for RefusedPrompt { service, parts, remaining_ms } in refused {
+    for RefusedPrompt { service, parts, remaining_ms, version, is_lifted } in refused {
         let names = display_parts(&parts);
         let remaining = Duration::from_millis(remaining_ms);
+        let refusal = Refusal { parts, remaining, version, is_lifted };
         let is_new =
-            gateway.with_quarantine(&service, |quarantine| quarantine.merge(now, parts, remaining));
+            gateway.with_quarantine(&service, |quarantine| quarantine.merge_refusal(now, refusal));
         if is_new {
-            gateway.prompts_refused.notify_one();
+            gateway.refusals_changed.notify_one();
             log::info!(peer = from, service, parts = &*names, remaining_ms; "prompt_part_refused");
         }
     }
--- a/crates/magnoliaspar-gateway/src/retry_lending.rs
+++ b/crates/magnoliaspar-gateway/src/retry_lending.rs
@@ -5,21 +5,18 @@
 //! instance that needs one. What is lent is reported to the other coordinators, so that a successor does not lend it
 //! again. Instances that are cut off from the others lend by their share of the instances.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use magnoliaspar_retry::{RetryBudget, RetryBudgetConfig};
-use tokio::sync::oneshot;
 
 use crate::gateway::Gateway;
 use crate::peers::Payload;
+use crate::replies::Replies;
 use crate::route::ServiceName;
 
-/// Number of a request for a retry, unique within its instance.
-pub type LoanId = u64;
-
 /// Timeout of a request to the coordinator for a retry: about ten round trips.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(40);
 
@@ -29,8 +26,8 @@
 /// State of the retries that this instance borrows and lends.
 #[derive(Debug, Default)]
 pub struct RetryLending {
-    next_id: Cell<LoanId>,
-    pending: RefCell<BTreeMap<LoanId, oneshot::Sender<bool>>>,
+    /// Requests to the coordinator, and whether it lends a retry.
+    pub(crate) decisions: Replies<bool>,
     /// The times until which no retry of a service is requested.
     paused_until: RefCell<BTreeMap<ServiceName, Instant>>,
     /// The retries that are left to lend.
@@ -38,14 +35,6 @@
 }
 
 impl RetryLending {
-    /// Delivers the decision of the coordinator to the request that waits for it.
-    pub fn receive(&self, id: LoanId, is_lent: bool) {
-        let waiter = self.pending.borrow_mut().remove(&id);
-        if waiter.is_none_or(|waiter| waiter.send(is_lent).is_err()) {
-            log::debug!(id; "loan_not_awaited");
-        }
-    }
-
     fn is_paused(&self, service: &ServiceName, now: Instant) -> bool {
         self.paused_until.borrow().get(service).is_some_and(|until| now < *until)
     }
@@ -73,13 +62,10 @@
     let is_lent = match gateway.coordinator() {
         None => lend_retry(gateway, service),
         Some(coordinator) => {
-            let id = lending.next_id.get();
-            lending.next_id.set(id.wrapping_add(1));
-            let (tx, decided) = oneshot::channel();
-            lending.pending.borrow_mut().insert(id, tx);
-            let _pending = PendingLoan { lending, id };
-            gateway.send(coordinator.address, Payload::BorrowRetry(id, service.clone()));
-            matches!(tokio::time::timeout(LOAN_TIMEOUT, decided).await, Ok(Ok(true)))
+            let send = |number| {
+                gateway.send(coordinator.address, Payload::BorrowRetry(number, service.clone()));
+            };
+            lending.decisions.request(LOAN_TIMEOUT, send).await.unwrap_or(false)
         }
     };
     gateway.metrics.count_loan(is_lent);
@@ -90,18 +76,6 @@
     is_lent
 }
 
-/// Removes a request for a retry on drop.
-struct PendingLoan<'a> {
-    lending: &'a RetryLending,
-    id: LoanId,
-}
-
-impl Drop for PendingLoan<'_> {
-    fn drop(&mut self) {
-        self.lending.pending.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Lends a retry of a service, if one is left, and reports it to the other coordinators.
 pub fn lend_retry(gateway: &Gateway, service: &ServiceName) -> bool {
     let now = gateway.clock.now();
--- a/crates/magnoliaspar-gateway/src/stored_quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -40,10 +40,10 @@
     let mut stored_in = table.epoch();
     loop {
         let is_due = tokio::select! {
-            () = gateway.prompts_refused.notified() => true,
+            () = gateway.refusals_changed.notified() => true,
             () = tokio::time::sleep(EPOCH_CHECK_INTERVAL) => table.epoch() != stored_in,
         };
-        if !is_due || gateway.coordinator().is_some() || !refuses_prompts(&gateway) {
+        if !is_due || gateway.coordinator().is_some() || !knows_refusals(&gateway) {
             continue;
         }
         repeat(async || write(&gateway, &*table).await).await;
@@ -51,10 +51,11 @@
     }
 }
 
-fn refuses_prompts(gateway: &Gateway) -> bool {
+/// Returns whether requests are refused, or were until a refusal was lifted.
+fn knows_refusals(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
     let quarantines = gateway.prompt_quarantines.borrow();
-    quarantines.values().any(|quarantine| !quarantine.refused(now).is_empty())
+    quarantines.values().any(|quarantine| !quarantine.refusals(now).is_empty())
 }
 
 /// Repeats a call to the table until it succeeds.
@@ -118,8 +119,10 @@
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
     let mut prompts = stored_prompts(row.as_ref(), wall_ms);
     for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+        for refusal in quarantine.refusals(now) {
+            prompts.retain(|prompt| prompt.service != *service || prompt.parts != refusal.parts);
+        }
         for (parts, remaining) in quarantine.refused(now) {
-            prompts.retain(|prompt| prompt.service != *service || prompt.parts != parts);
             let until_ms = wall_ms + remaining.as_millis() as u64;
             prompts.push(StoredPrompt { service: service.clone(), parts, until_ms });
         }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -19,6 +19,7 @@
 use crate::hedge::{Patience, ReservedRetry, Tally};
 use crate::held_body::HeldBody;
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
+use crate::quarantine::{CalledProcess, admit_call, may_repeat_call, report_answer};
 use crate::refusal::Refusal;
 use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
 
@@ -39,12 +40,16 @@
 /// Sends a request to servers of its service until one responds or no further attempt is allowed. A server that
 /// is silent for too long is awaited beside another one.
 pub async fn forward(gateway: &Rc<Gateway>, req: &Incoming) -> Outcome {
+    if let Err(refusal) = admit_call(gateway, req).await {
+        return Outcome::Refused(refusal);
+    }
     let in_flight = InFlightAttempts::default();
     let mut attempts = FuturesUnordered::new();
     let mut tally = Tally::default();
     let mut patience = Patience::new(req.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE));
     let mut failure: Option<(Response<BoxBody>, Box<str>)> = None;
     let mut last_error = Refusal::MayHaveRun;
+    let mut has_crashed = false;
     let refusal = loop {
         if attempts.is_empty() {
             if req.remaining(gateway.clock.now()).is_zero() {
@@ -60,6 +65,9 @@
             if !gateway.may_start(req) {
                 break Refusal::Stopping;
             }
+            if has_crashed && !may_repeat_call(gateway, req).await {
+                break last_error;
+            }
             // The budget is checked first, so that no permit is obtained for a retry that is not made.
             let Ok(retry) = obtain_retry(gateway, req, tally).await else {
                 break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
@@ -67,7 +75,9 @@
             tally.start();
             attempts.push(attempt(gateway, req, &in_flight, retry));
         }
-        let (may_hedge, count) = (tally.allows_attempt(&req.route), attempts.len());
+        // A call that has crashed a server is repeated only after the coordinator was asked.
+        let may_hedge = tally.allows_attempt(&req.route) && !has_crashed;
+        let count = attempts.len();
         let ended = tokio::select! {
             biased;
             Some(ended) = attempts.next() => ended,
@@ -111,6 +121,10 @@
             }
             Ended::Failed(CallError::TimedOut) => last_error = Refusal::Deadline,
             Ended::Failed(_) => last_error = Refusal::MayHaveRun,
+            Ended::Crashed => {
+                last_error = Refusal::MayHaveRun;
+                has_crashed = true;
+            }
         }
     };
     // An error response of a server is more specific than the refusal to retry.
@@ -298,6 +312,8 @@
     },
     /// The request may have run, and has no response.
     Failed(CallError),
+    /// The server has crashed, and the request may be the reason.
+    Crashed,
 }
 
 /// Sends a request to a server that it has not been sent to.
@@ -312,6 +328,11 @@
         Ok(choice) => choice,
         Err(refusal) => return Ended::Refused(refusal),
     };
+    // The choice may have waited while the request crashed other servers.
+    if gateway.quarantined_for(&req.service, &req.parts).is_some() {
+        return Ended::Refused(Refusal::Quarantined);
+    }
+    let process = CalledProcess::new(gateway, server);
     in_flight.tried.borrow_mut().push(server);
     in_flight.awaited.borrow_mut().push((server, gateway.clock.now()));
     if let Some(retry) = &mut retry {
@@ -320,7 +341,10 @@
     let result = fetch(gateway, req, server).await;
     in_flight.awaited.borrow_mut().retain(|(awaited, _)| *awaited != server);
     match result {
-        Ok(Some(response)) => Ended::Answered { response, server, has_alternative },
+        Ok(Some(response)) => {
+            report_answer(gateway, req);
+            Ended::Answered { response, server, has_alternative }
+        }
         Ok(None) => Ended::NotRun,
         Err(error) if error.is_not_sent() => {
             if let Some(retry) = &mut retry {
@@ -328,6 +352,7 @@
             }
             Ended::NotSent
         }
+        Err(error) if process.report_crash(gateway, req, &error).await => Ended::Crashed,
         Err(error) => Ended::Failed(error),
     }
 }
--- a/crates/magnoliaspar-retry/src/lib.rs
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -15,7 +15,7 @@
 pub use self::hedge::{HedgeConfig, HedgePolicy};
 pub use self::outlier::{Ejection, EjectionCause, OutlierConfig, OutlierDetector};
 pub use self::part::PartId;
-pub use self::prompt_quarantine::{CrashId, PromptQuarantine};
+pub use self::prompt_quarantine::{CallRun, Crash, CrashId, PromptQuarantine, Refusal};
 pub use self::quarantine::{
     Admission, Fingerprint, Quarantine, QuarantineConfig, QuarantineDelta, QuarantineEntry,
 };
