Blame prompts for the crashes of prefill engines, too

The same cause as of plain calls, on a related path: only calls of decode engines were looked at. A prefill whose connection breaks is now checked for a crash as a decode is, which also keeps the prompt from being repeated without a look at its parts.

--- a/crates/magnoliaspar-gateway/src/stream.rs
+++ b/crates/magnoliaspar-gateway/src/stream.rs
@@ -513,7 +513,7 @@
             let is_needed = self.kv_cache.as_ref().is_none_or(|kv_cache| !kv_cache.is_valid(now));
             if is_needed && self.may_prefill(gateway, req).await {
                 let timeout = placement.prefill_timeout.min(req.remaining(now));
-                self.kv_cache = self.run_prefill(gateway, req, prefill, timeout).await;
+                self.kv_cache = self.run_prefill(cx, prefill, timeout).await;
                 if self.kv_cache.is_none() {
                     self.failed_prefills += 1;
                 }
@@ -630,11 +630,11 @@
     /// Runs the prefill. Returns `None` if the decode engine has to prefill the prompt itself.
     async fn run_prefill(
         &mut self,
-        gateway: &Rc<Gateway>,
-        req: &Incoming,
+        cx: Context<'_>,
         prefill: ServerKey,
         timeout: Duration,
     ) -> Option<HeldKvCache> {
+        let Context { gateway, req } = cx;
         let spec = CallSpec { is_prefill: true, ..CallSpec::default() };
         let started = gateway.clock.now();
         // Counted before the call, which is dropped if the engine beside which it was started goes on.
@@ -646,6 +646,9 @@
             _ if self.prefill_attempts == 1 => gateway.charge_retry(&req.service),
             _ => {}
         }
+        if let Err(error) = &called {
+            check_crash(cx, prefill, error, &self.has_crashed).await;
+        }
         let mut reply = called.ok()?;
         if reply.proves_not_run() {
             reply.finish_refusal().await;
@@ -660,6 +663,7 @@
                 let server = gateway.server_name(prefill);
                 log::warn!(request = &*req.facts.id, server = &*server, reason:% = error; "prefill_incomplete");
                 let _ = gateway.record_call_failure(prefill, &error);
+                check_crash(cx, prefill, &error, &self.has_crashed).await;
                 return None;
             }
         };
