--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -300,6 +300,9 @@
 
     /// Returns for how long requests of a service with these parts are refused, if they are.
     pub fn quarantined_for(&self, service: &str, parts: &[PartId]) -> Option<Duration> {
+        if is_disabled(Guarantee::Quarantine) {
+            return None;
+        }
         let quarantines = self.prompt_quarantines.borrow();
         quarantines.get(service)?.refused_for(self.clock.now(), parts)
     }
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -33,6 +33,8 @@
     StoreEpoch,
     /// A stopping instance starts only what ends before it.
     FinishBeforeEnd,
+    /// Requests that crash servers are kept from them.
+    Quarantine,
     /// The memory for responses is bounded.
     ResponseMemory,
 }
