Let operators see refused requests and let them in again

Operators could see what is refused only in the logs, and had to wait for the end of a refusal after the servers were mended. GET /quarantine at the address of the metrics lists it, and DELETE /quarantine/PART lifts the refusals with a part on all instances and forgets what speaks against such requests.

Three faults of the reports between instances came up with it: - Evidence was kept for the parts that came in one request with a lifted one, so that the next crash refused the call again. Reports carry the time since the end. - An instance of a former version would have taken a lifted refusal for one in force. It now gets one without remaining time, which it ignores.

--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -22,6 +22,7 @@
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::peers::{self, Peers};
 use crate::permits::spread_limits;
+use crate::quarantine_page;
 use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
 use crate::stored_quarantine::keep_quarantine;
@@ -277,9 +278,11 @@
 
 fn metrics_handler(gateway: &Rc<Gateway>) -> Handler {
     let gateway = gateway.clone();
-    Rc::new(move |_: Request| -> ResponseFuture {
-        let text = gateway.metrics.encode();
-        Box::pin(async move { Response::new(StatusCode::OK).set_body(text.boxed()) })
+    Rc::new(move |req: Request| -> ResponseFuture {
+        let response = quarantine_page::respond(&gateway, &req).unwrap_or_else(|| {
+            Response::new(StatusCode::OK).set_body(gateway.metrics.encode().boxed())
+        });
+        Box::pin(async move { response })
     })
 }
 
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod pool;
 mod presence;
 pub mod quarantine;
+mod quarantine_page;
 pub mod refusal;
 mod replies;
 pub mod request_limit;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -210,12 +210,16 @@
     parts: BTreeSet<PartId>,
     /// Time for which they are still refused, in milliseconds; zero once requests are tried one at a time.
     remaining_ms: u64,
+    /// Time since the end of the refusal, in milliseconds.
+    #[serde(default)]
+    ended_ms: u64,
     /// Number of times that they were refused before; former versions of the gateway do not send it.
     #[serde(default)]
     version: u32,
-    /// Whether the refusal was lifted since.
+    /// Time for which they would still be refused if the refusal had not been lifted, in milliseconds; former versions
+    /// of the gateway then see a refusal without remaining time.
     #[serde(default)]
-    is_lifted: bool,
+    lifted_ms: Option<u64>,
 }
 
 /// Parts of requests of a service that were hit by several crashes.
@@ -1045,12 +1049,19 @@
 pub(crate) fn reported_refusals(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
     let mut refused = Vec::new();
     for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
-        for Refusal { parts, remaining, version, is_lifted } in quarantine.refusals(now) {
-            let (service, remaining_ms) = (service.clone(), remaining.as_millis() as u64);
-            refused.push(RefusedPrompt { service, parts, remaining_ms, version, is_lifted });
+        for Refusal { parts, remaining, ended, version, is_lifted } in quarantine.refusals(now) {
+            let remaining_ms = remaining.as_millis() as u64;
+            refused.push(RefusedPrompt {
+                service: service.clone(),
+                parts,
+                remaining_ms: if is_lifted { 0 } else { remaining_ms },
+                ended_ms: ended.as_millis() as u64,
+                version,
+                lifted_ms: is_lifted.then_some(remaining_ms),
+            });
         }
     }
-    refused.sort_by_key(|refused| (refused.is_lifted, Reverse(refused.remaining_ms)));
+    refused.sort_by_key(|refused| (refused.lifted_ms.is_some(), Reverse(refused.remaining_ms)));
     refused.truncate(MAX_REFUSED_PROMPTS);
     refused
 }
@@ -1069,15 +1080,23 @@
 }
 
 fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedPrompt>, now: Instant) {
-    for RefusedPrompt { service, parts, remaining_ms, version, is_lifted } in refused {
+    for RefusedPrompt { service, parts, remaining_ms, ended_ms, version, lifted_ms } in refused {
         let names = display_parts(&parts);
-        let remaining = Duration::from_millis(remaining_ms);
-        let refusal = Refusal { parts, remaining, version, is_lifted };
+        let is_lifted = lifted_ms.is_some();
+        let remaining = Duration::from_millis(lifted_ms.unwrap_or(remaining_ms));
+        let ended = Duration::from_millis(ended_ms);
+        let refusal = Refusal { parts, remaining, ended, version, is_lifted };
         let is_new =
             gateway.with_quarantine(&service, |quarantine| quarantine.merge_refusal(now, refusal));
-        if is_new {
-            gateway.refusals_changed.notify_one();
-            log::info!(peer = from, service, parts = &*names, remaining_ms; "prompt_part_refused");
+        if !is_new {
+            continue;
+        }
+        gateway.refusals_changed.notify_one();
+        match is_lifted {
+            true => log::info!(peer = from, service, parts = &*names; "refusal_lifted"),
+            false => {
+                log::info!(peer = from, service, parts = &*names, remaining_ms; "prompt_part_refused");
+            }
         }
     }
 }
--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/prompt_quarantine.rs
@@ -132,6 +132,8 @@
     pub parts: BTreeSet<PartId>,
     /// Time for which they are still refused; zero once requests are tried one at a time.
     pub remaining: Duration,
+    /// Time since its end; zero while it lasts.
+    pub ended: Duration,
     /// Number of times that the parts were refused before. Of two reports the one with more counts.
     pub version: u32,
     /// Whether a request with the parts has started since, which outweighs the refusal.
@@ -350,22 +352,33 @@
         is_lifted
     }
 
-    /// Lifts the refusals that contain one of these parts, and forgets what speaks against them; returns
-    /// whether there was one.
+    /// Lifts the refusals that contain one of these parts, and forgets what speaks against the requests with
+    /// them; returns whether there was one.
     pub fn release(&mut self, parts: &[PartId]) -> bool {
-        let mut is_lifted = false;
+        let mut released = Vec::new();
         for (refused, state) in &mut self.refused {
             if state.is_lifted || !parts.iter().any(|part| refused.contains(part)) {
                 continue;
             }
-            for part in refused {
-                self.suspects.remove(part);
-                self.watched.remove(part);
-            }
             state.lift();
-            is_lifted = true;
+            released.push(refused.clone());
+        }
+        for refused in &released {
+            self.forget_suspects(refused);
+        }
+        !released.is_empty()
+    }
+
+    /// Forgets what speaks against parts, and against those that came in one request with them.
+    fn forget_suspects(&mut self, parts: &BTreeSet<PartId>) {
+        for part in parts {
+            self.watched.remove(part);
+            let Some(suspect) = self.suspects.remove(part) else { continue };
+            for companion in &suspect.companions {
+                self.watched.remove(companion);
+                self.suspects.remove(companion);
+            }
         }
-        is_lifted
     }
 
     /// Adds a combination of parts that is refused for `remaining`, by no report of an instance; returns
@@ -374,30 +387,41 @@
         if remaining.is_zero() {
             return false;
         }
-        self.merge_refusal(now, Refusal { parts, remaining, version: 0, is_lifted: false })
+        self.merge_refusal(
+            now,
+            Refusal { parts, remaining, ended: Duration::ZERO, version: 0, is_lifted: false },
+        )
     }
 
-    /// Adds what another instance reports of a combination of parts; returns whether that is refused now
-    /// and was not before.
+    /// Adds what another instance reports of a combination of parts; returns whether it is news.
     pub fn merge_refusal(&mut self, now: Instant, refusal: Refusal) -> bool {
-        let Refusal { parts, remaining, version, is_lifted } = refusal;
+        let Refusal { parts, remaining, ended, version, is_lifted } = refusal;
+        let Some(ended_at) = now.checked_sub(ended) else { return false };
         if parts.is_empty() || parts.len() > MAX_COMBINED_PARTS {
             return false;
         }
-        let until = now + remaining.min(REFUSAL_BACKOFF.longest);
+        let until = ended_at + remaining.min(REFUSAL_BACKOFF.longest);
         let reported = RefusedState { until, trial_until: None, rounds: 0, version, is_lifted };
-        let Some(state) = self.refused.get_mut(&parts) else {
-            self.refused.insert(parts, reported);
-            self.evict(now);
-            return reported.is_in_force(now);
-        };
-        let is_new = reported.order() > state.order();
-        if is_new {
-            *state = RefusedState { rounds: state.rounds, ..reported };
-        } else if reported.order() == state.order() {
-            state.until = state.until.max(until);
+        if reported.is_expired(now) {
+            return false;
         }
-        is_new && reported.is_in_force(now)
+        if let Some(state) = self.refused.get_mut(&parts) {
+            if reported.order() <= state.order() {
+                if reported.order() == state.order() {
+                    state.until = state.until.max(until);
+                }
+                return false;
+            }
+            let rounds = state.rounds;
+            *state = RefusedState { rounds, ..reported };
+        } else {
+            self.refused.insert(parts.clone(), reported);
+        }
+        if is_lifted {
+            self.forget_suspects(&parts);
+        }
+        self.evict(now);
+        true
     }
 
     /// Returns all that is known of refused combinations of parts, for other instances.
@@ -410,6 +434,7 @@
             refusals.push(Refusal {
                 parts: parts.clone(),
                 remaining: state.until.saturating_duration_since(now),
+                ended: now.saturating_duration_since(state.until),
                 version: state.version,
                 is_lifted: state.is_lifted,
             });
@@ -579,7 +604,7 @@
 
     use super::{
         CallRun, Crash, CrashId, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine,
-        REFUSAL_BACKOFF, Refusal, SUSPICION_TTL, UNDECIDED_REFUSAL,
+        REFUSAL_BACKOFF, REFUSAL_MEMORY, Refusal, SUSPICION_TTL, UNDECIDED_REFUSAL,
     };
     use crate::part::PartId;
 
@@ -835,7 +860,7 @@
             assert!(!one.merge_refusal(now, refusal));
         }
         for refusal in one.refusals(now) {
-            assert!(!other.merge_refusal(now, refusal));
+            assert!(other.merge_refusal(now, refusal));
         }
         assert_eq!(one.refused_for(now, &[DEADLY]), None);
         assert_eq!(other.refused_for(now, &[DEADLY]), None);
@@ -846,6 +871,52 @@
         assert!(other.refused_for(now, &[DEADLY]).is_some());
     }
 
+    #[test]
+    fn instances_that_report_to_each_other_forget_a_refusal_in_the_end() {
+        let start = Instant::now();
+        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        crash(&mut one, start, &[DEADLY], 3);
+        crash(&mut one, start, &[COMMON], 3);
+        assert!(one.release(&[COMMON]));
+        let mut now = start + 3 * SECOND;
+        let end = now + REFUSAL_BACKOFF.first + REFUSAL_MEMORY;
+        while now < end {
+            now += 20 * SECOND;
+            let (of_one, of_other) = (one.refusals(now), other.refusals(now));
+            for refusal in of_one {
+                other.merge_refusal(now, refusal);
+            }
+            for refusal in of_other {
+                one.merge_refusal(now, refusal);
+            }
+        }
+        assert!(one.refusals(now).is_empty() && other.refusals(now).is_empty());
+    }
+
+    #[test]
+    fn a_released_call_is_refused_again_only_after_three_more_crashes_on_any_instance() {
+        let start = Instant::now();
+        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let mut crashes = 0;
+        let mut crash_both = |one: &mut PromptQuarantine, other: &mut PromptQuarantine| {
+            crashes += 1;
+            let now = start + SECOND * crashes;
+            let crash = crash_of_run(crashes.into(), SECOND / 20);
+            one.record_crash(now, crash, &[COMMON, DEADLY]);
+            other.record_crash(now, crash, &[COMMON, DEADLY]);
+            (one.refused(now).len(), other.refused(now).len())
+        };
+        for _ in 0..2 {
+            assert_eq!(crash_both(&mut one, &mut other), (0, 0));
+            assert_eq!(crash_both(&mut one, &mut other), (0, 0));
+            assert_eq!(crash_both(&mut one, &mut other), (1, 1));
+            assert!(one.release(&[COMMON]));
+            for refusal in one.refusals(start + 4 * SECOND) {
+                other.merge_refusal(start + 4 * SECOND, refusal);
+            }
+        }
+    }
+
     #[test]
     fn instances_that_hear_of_a_refusal_after_its_end_try_one_request_at_a_time() {
         let start = Instant::now();
@@ -853,8 +924,9 @@
         crash(&mut one, start, &[DEADLY], 3);
         let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
         for refusal in one.refusals(passed) {
-            assert!(!other.merge_refusal(passed, refusal));
+            assert!(other.merge_refusal(passed, refusal));
         }
+        assert_eq!(other.refused_for(passed, &[DEADLY]), None);
         assert!(other.is_on_trial(passed, &[DEADLY]) && other.allows_trial(passed, &[DEADLY]));
         assert!(!other.allows_trial(passed, &[DEADLY]));
         other.record_crash(passed, CrashId(50), &[DEADLY]);
