Rename the quarantine of prompts, which keeps other requests out, too

PromptQuarantine is RequestQuarantine, RefusedPrompt is RefusedRequests. Names in messages and logs stay. A refusal whose memory has ended asks for no trial any more.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::{Clock, Epoch, Position, ServerKey};
-use magnoliaspar_retry::{CrashId, PartId, PromptQuarantine, RetryBudget, RetryBudgetConfig};
+use magnoliaspar_retry::{CrashId, PartId, RequestQuarantine, RetryBudget, RetryBudgetConfig};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
@@ -90,7 +90,7 @@
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
     /// Requests that crash servers, by service: the servers of one may fail for reasons of their own.
-    pub prompt_quarantines: RefCell<BTreeMap<ServiceName, PromptQuarantine>>,
+    pub quarantines: RefCell<BTreeMap<ServiceName, RequestQuarantine>>,
     /// Notified when requests are refused that were not before, or for longer, and when a refusal was lifted.
     pub(crate) refusals_changed: Notify,
     /// Questions to the coordinator about requests that may crash a server, and whether these may run.
@@ -179,7 +179,7 @@
             outdated_since: Cell::new(None),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
-            prompt_quarantines: RefCell::default(),
+            quarantines: RefCell::default(),
             refusals_changed: Notify::new(),
             run_decisions: Replies::default(),
             queue: Queue::default(),
@@ -303,33 +303,33 @@
         if is_disabled(Guarantee::Quarantine) {
             return None;
         }
-        let quarantines = self.prompt_quarantines.borrow();
+        let quarantines = self.quarantines.borrow();
         quarantines.get(service)?.refused_for(self.clock.now(), parts)
     }
 
     /// Returns whether requests of a service with these parts may only be tried one at a time.
     pub fn is_on_trial(&self, service: &str, parts: &[PartId]) -> bool {
-        let quarantines = self.prompt_quarantines.borrow();
+        let quarantines = self.quarantines.borrow();
         let quarantine = quarantines.get(service);
         quarantine.is_some_and(|quarantine| quarantine.is_on_trial(self.clock.now(), parts))
     }
 
     /// Returns whether a start of a request of a service with these parts is to be reported.
     pub fn concerns_quarantine(&self, service: &str, parts: &[PartId]) -> bool {
-        let quarantines = self.prompt_quarantines.borrow();
+        let quarantines = self.quarantines.borrow();
         quarantines.get(service).is_some_and(|quarantine| quarantine.concerns(parts))
     }
 
     /// Returns whether a request whose refusal has ended may be tried now; records the trial.
     pub fn allows_trial(&self, service: &str, parts: &[PartId]) -> bool {
-        let mut quarantines = self.prompt_quarantines.borrow_mut();
+        let mut quarantines = self.quarantines.borrow_mut();
         let quarantine = quarantines.get_mut(service);
         quarantine.is_none_or(|quarantine| quarantine.allows_trial(self.clock.now(), parts))
     }
 
     /// Returns whether a request may not run once more after it has crashed a server.
     pub fn is_suspected(&self, service: &str, parts: &[PartId]) -> bool {
-        let quarantines = self.prompt_quarantines.borrow();
+        let quarantines = self.quarantines.borrow();
         let quarantine = quarantines.get(service);
         quarantine.is_some_and(|quarantine| quarantine.is_suspected(self.clock.now(), parts))
     }
@@ -350,9 +350,9 @@
     pub fn with_quarantine<T>(
         &self,
         service: &str,
-        run: impl FnOnce(&mut PromptQuarantine) -> T,
+        run: impl FnOnce(&mut RequestQuarantine) -> T,
     ) -> T {
-        run(self.prompt_quarantines.borrow_mut().entry(service.into()).or_default())
+        run(self.quarantines.borrow_mut().entry(service.into()).or_default())
     }
 
     /// Stores refusals that have changed, and as coordinator sends them to all instances.
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -77,7 +77,7 @@
 const MAX_SUSPECTED_PARTS: usize = 64;
 
 /// Maximum number of refused prompts in a message.
-const MAX_REFUSED_PROMPTS: usize = 64;
+const MAX_REFUSED_REQUESTS: usize = 64;
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq)]
@@ -107,7 +107,7 @@
         revisions: FeedRevisions,
         /// The prompts that the sender refuses since they crash engines.
         #[serde(default)]
-        refused: Vec<RefusedPrompt>,
+        refused: Vec<RefusedRequests>,
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
         limits_digest: u64,
@@ -123,7 +123,7 @@
         revisions: FeedRevisions,
         /// The prompts that the sender refuses since they crash engines.
         #[serde(default)]
-        refused: Vec<RefusedPrompt>,
+        refused: Vec<RefusedRequests>,
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
         limits_digest: u64,
@@ -168,7 +168,7 @@
     /// The sender has decided whether a request of the receiver may run.
     RunDecision(RequestNumber, bool),
     /// Requests that the sender refuses since they crash servers.
-    Refusals(Vec<RefusedPrompt>),
+    Refusals(Vec<RefusedRequests>),
     /// The process of an engine that started at this time, in milliseconds since the Unix epoch, says in its
     /// responses that it leaves.
     EngineLeaving(Box<str>, u64),
@@ -205,7 +205,7 @@
 /// Parts of requests of a service that are refused if a request has all of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct RefusedPrompt {
+pub struct RefusedRequests {
     service: ServiceName,
     parts: BTreeSet<PartId>,
     /// Time for which they are still refused, in milliseconds; zero once requests are tried one at a time.
@@ -1046,12 +1046,12 @@
 }
 
 /// Returns what this instance reports of refused requests.
-pub(crate) fn reported_refusals(gateway: &Gateway, now: Instant) -> Vec<RefusedPrompt> {
+pub(crate) fn reported_refusals(gateway: &Gateway, now: Instant) -> Vec<RefusedRequests> {
     let mut refused = Vec::new();
-    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+    for (service, quarantine) in &*gateway.quarantines.borrow() {
         for Refusal { parts, remaining, ended, version, is_lifted } in quarantine.refusals(now) {
             let remaining_ms = remaining.as_millis() as u64;
-            refused.push(RefusedPrompt {
+            refused.push(RefusedRequests {
                 service: service.clone(),
                 parts,
                 remaining_ms: if is_lifted { 0 } else { remaining_ms },
@@ -1062,14 +1062,14 @@
         }
     }
     refused.sort_by_key(|refused| (refused.lifted_ms.is_some(), Reverse(refused.remaining_ms)));
-    refused.truncate(MAX_REFUSED_PROMPTS);
+    refused.truncate(MAX_REFUSED_REQUESTS);
     refused
 }
 
 /// Returns the parts that this instance suspects of crashing servers.
 fn suspected_parts(gateway: &Gateway, now: Instant) -> Vec<SuspectedParts> {
     let mut suspected = Vec::new();
-    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+    for (service, quarantine) in &*gateway.quarantines.borrow() {
         let mut parts = quarantine.suspected(now);
         parts.truncate(MAX_SUSPECTED_PARTS);
         if !parts.is_empty() {
@@ -1079,8 +1079,8 @@
     suspected
 }
 
-fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedPrompt>, now: Instant) {
-    for RefusedPrompt { service, parts, remaining_ms, ended_ms, version, lifted_ms } in refused {
+fn merge_refused(gateway: &Gateway, from: &str, refused: Vec<RefusedRequests>, now: Instant) {
+    for RefusedRequests { service, parts, remaining_ms, ended_ms, version, lifted_ms } in refused {
         let names = display_parts(&parts);
         let is_lifted = lifted_ms.is_some();
         let remaining = Duration::from_millis(lifted_ms.unwrap_or(remaining_ms));
--- a/crates/magnoliaspar-gateway/src/quarantine_page.rs
+++ b/crates/magnoliaspar-gateway/src/quarantine_page.rs
@@ -47,7 +47,7 @@
 fn list(gateway: &Gateway) -> Response<BoxBody> {
     let mut entries = Vec::new();
     let now = gateway.clock.now();
-    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+    for (service, quarantine) in &*gateway.quarantines.borrow() {
         for refusal in quarantine.refusals(now) {
             if refusal.is_lifted {
                 continue;
@@ -71,7 +71,7 @@
 /// Lifts the refusals with a part, and tells all instances.
 fn release(gateway: &Gateway, part: PartId) -> Response<BoxBody> {
     let mut released = 0_u32;
-    for (service, quarantine) in &mut *gateway.prompt_quarantines.borrow_mut() {
+    for (service, quarantine) in &mut *gateway.quarantines.borrow_mut() {
         if quarantine.release(&[part]) {
             released += 1;
             log::info!(service = &**service, part:%; "refusal_released");
--- a/crates/magnoliaspar-gateway/src/stored_quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/stored_quarantine.rs
@@ -54,7 +54,7 @@
 /// Returns whether requests are refused, or were until a refusal was lifted.
 fn knows_refusals(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
-    let quarantines = gateway.prompt_quarantines.borrow();
+    let quarantines = gateway.quarantines.borrow();
     quarantines.values().any(|quarantine| !quarantine.refusals(now).is_empty())
 }
 
@@ -118,7 +118,7 @@
     let row = table.read(&key).await?;
     let (now, wall_ms) = (gateway.clock.now(), unix_ms(gateway.clock.wall()));
     let mut prompts = stored_prompts(row.as_ref(), wall_ms);
-    for (service, quarantine) in &*gateway.prompt_quarantines.borrow() {
+    for (service, quarantine) in &*gateway.quarantines.borrow() {
         for refusal in quarantine.refusals(now) {
             prompts.retain(|prompt| prompt.service != *service || prompt.parts != refusal.parts);
         }
--- a/crates/magnoliaspar-retry/src/prompt_quarantine.rs
+++ b/crates/magnoliaspar-retry/src/request_quarantine.rs
@@ -77,7 +77,7 @@
 /// parts: a part that crashes servers never lets one start. If other parts of the same requests were
 /// hit by all crashes of a part, only requests with all of them are refused.
 #[derive(Debug, Clone, Default)]
-pub struct PromptQuarantine {
+pub struct RequestQuarantine {
     suspects: BTreeMap<PartId, Suspect>,
     refused: BTreeMap<BTreeSet<PartId>, RefusedState>,
     /// The times until which suspects of other instances are watched.
@@ -179,7 +179,7 @@
 
     /// Returns whether the refusal has ended without a start, so that requests are tried one at a time.
     fn is_on_trial(&self, now: Instant) -> bool {
-        !self.is_lifted && now >= self.until
+        !self.is_lifted && now >= self.until && !self.is_expired(now)
     }
 
     fn lift(&mut self) {
@@ -199,7 +199,7 @@
     }
 }
 
-impl PromptQuarantine {
+impl RequestQuarantine {
     /// Returns for how long requests with these parts are still refused, if they are.
     pub fn refused_for(&self, now: Instant, parts: &[PartId]) -> Option<Duration> {
         let parts: BTreeSet<PartId> = parts.iter().copied().collect();
@@ -603,8 +603,8 @@
     use std::time::{Duration, Instant};
 
     use super::{
-        CallRun, Crash, CrashId, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, PromptQuarantine,
-        REFUSAL_BACKOFF, REFUSAL_MEMORY, Refusal, SUSPICION_TTL, UNDECIDED_REFUSAL,
+        CallRun, Crash, CrashId, MAX_COMBINED_PARTS, MAX_REFUSED, MAX_SUSPECTS, REFUSAL_BACKOFF,
+        REFUSAL_MEMORY, Refusal, RequestQuarantine, SUSPICION_TTL, UNDECIDED_REFUSAL,
     };
     use crate::part::PartId;
 
@@ -613,7 +613,7 @@
     const DEADLY: PartId = PartId(2);
 
     /// Lets requests with `parts` crash engines a second apart, while others start.
-    fn crash(quarantine: &mut PromptQuarantine, start: Instant, parts: &[PartId], count: u32) {
+    fn crash(quarantine: &mut RequestQuarantine, start: Instant, parts: &[PartId], count: u32) {
         for index in 0..count {
             let id = u64::from(index) + 100 * parts.len() as u64;
             quarantine.record_crash(start + index * SECOND, CrashId(id), parts);
@@ -626,7 +626,7 @@
     #[test]
     fn a_part_that_crashes_engines_is_refused_and_one_that_starts_is_not() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         crash(&mut quarantine, start, &[COMMON, DEADLY], 2);
         assert_eq!(quarantine.refused_for(start + 2 * SECOND, &[COMMON, DEADLY]), None);
         quarantine.record_start(&[COMMON]);
@@ -639,7 +639,7 @@
     #[test]
     fn parts_that_always_crash_together_are_refused_only_together_until_one_starts() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         crash(&mut quarantine, start, &[COMMON, DEADLY], 3);
         let now = start + 3 * SECOND;
         assert!(quarantine.refused_for(now, &[COMMON, DEADLY, PartId(5)]).is_some());
@@ -652,13 +652,13 @@
     #[test]
     fn engines_that_crash_together_or_while_nothing_starts_make_no_part_refused() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for request in 0..20 {
             quarantine.record_crash(start, CrashId(request), &[COMMON]);
             quarantine.record_start(&[DEADLY]);
         }
         assert!(quarantine.refused(start).is_empty());
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for request in 0..20 {
             quarantine.record_crash(start + SECOND * request, CrashId(request.into()), &[COMMON]);
         }
@@ -668,7 +668,7 @@
     #[test]
     fn a_part_whose_requests_crash_as_often_as_others_is_not_refused() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for request in 0..6 {
             let now = start + SECOND * request;
             quarantine.record_crash(now, CrashId(request.into()), &[COMMON]);
@@ -681,7 +681,7 @@
     #[test]
     fn a_process_that_fails_again_and_again_counts_as_one_crash() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for index in 0..10 {
             quarantine.record_crash(start + SECOND * index, CrashId(1), &[COMMON]);
             for other in 100..120 {
@@ -695,7 +695,7 @@
     fn a_part_of_requests_that_are_hit_by_the_crash_of_another_is_not_refused() {
         let start = Instant::now();
         for is_victim_first in [true, false] {
-            let mut quarantine = PromptQuarantine::default();
+            let mut quarantine = RequestQuarantine::default();
             for index in 0..5 {
                 let now = start + SECOND * index;
                 let crash = CrashId(index.into());
@@ -718,7 +718,7 @@
     #[test]
     fn a_refused_part_is_tried_again_and_refused_for_longer_if_it_crashes_an_engine() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         crash(&mut quarantine, start, &[DEADLY], 3);
         let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
         assert_eq!(quarantine.refused_for(passed, &[DEADLY]), None);
@@ -733,7 +733,7 @@
     #[test]
     fn evidence_expires_and_stays_within_its_limits() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         crash(&mut quarantine, start, &[DEADLY], 2);
         crash(&mut quarantine, start + 2 * SUSPICION_TTL, &[DEADLY], 2);
         assert!(quarantine.refused(start + 2 * SUSPICION_TTL + 2 * SECOND).is_empty());
@@ -748,7 +748,7 @@
     #[test]
     fn a_refused_combination_is_short_however_many_parts_a_prompt_has() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         let parts: Vec<PartId> = (100..164).map(PartId).collect();
         crash(&mut quarantine, start, &parts, 3);
         let now = start + 3 * SECOND;
@@ -762,7 +762,7 @@
     #[test]
     fn a_refusal_of_another_instance_holds_for_its_remaining_time() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         assert!(quarantine.merge(start, [DEADLY].into(), 5 * SECOND));
         assert!(!quarantine.merge(start, [DEADLY].into(), 2 * SECOND));
         assert_eq!(quarantine.refused_for(start + SECOND, &[DEADLY]), Some(4 * SECOND));
@@ -778,7 +778,7 @@
     fn a_call_whose_servers_had_lived_for_long_is_refused_without_any_other_call() {
         let start = Instant::now();
         let run_time = SECOND / 20;
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         // The second server got the call right after the crash of the first one.
         for (index, at) in [start, start + run_time * 2, start + SECOND].into_iter().enumerate() {
             assert_eq!(quarantine.refused_for(at, &[DEADLY]), None);
@@ -792,7 +792,7 @@
         let start = Instant::now();
         let (first, second) = (PartId(11), PartId(12));
         for is_other_answered in [true, false] {
-            let mut quarantine = PromptQuarantine::default();
+            let mut quarantine = RequestQuarantine::default();
             for index in 0..4 {
                 let now = start + SECOND * index as u32;
                 let crash = crash_of_run(index, SECOND / 20);
@@ -811,7 +811,7 @@
     #[test]
     fn a_call_that_is_under_way_when_servers_crash_together_is_not_refused() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for index in 0..10 {
             let now = start + SECOND / 200 * index as u32;
             quarantine.record_crash(now, crash_of_run(index, SECOND), &[COMMON]);
@@ -823,7 +823,7 @@
     #[test]
     fn calls_that_are_hit_by_the_same_crashes_are_refused_shortly_and_tried_one_at_a_time() {
         let start = Instant::now();
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for index in 0..4 {
             let now = start + SECOND * index as u32;
             for part in [COMMON, DEADLY] {
@@ -848,7 +848,7 @@
     #[test]
     fn a_refusal_that_was_lifted_is_not_taken_over_again_and_a_later_one_is() {
         let start = Instant::now();
-        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let (mut one, mut other) = (RequestQuarantine::default(), RequestQuarantine::default());
         crash(&mut one, start, &[DEADLY], 3);
         let now = start + 3 * SECOND;
         for refusal in one.refusals(now) {
@@ -874,7 +874,7 @@
     #[test]
     fn instances_that_report_to_each_other_forget_a_refusal_in_the_end() {
         let start = Instant::now();
-        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let (mut one, mut other) = (RequestQuarantine::default(), RequestQuarantine::default());
         crash(&mut one, start, &[DEADLY], 3);
         crash(&mut one, start, &[COMMON], 3);
         assert!(one.release(&[COMMON]));
@@ -896,9 +896,9 @@
     #[test]
     fn a_released_call_is_refused_again_only_after_three_more_crashes_on_any_instance() {
         let start = Instant::now();
-        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let (mut one, mut other) = (RequestQuarantine::default(), RequestQuarantine::default());
         let mut crashes = 0;
-        let mut crash_both = |one: &mut PromptQuarantine, other: &mut PromptQuarantine| {
+        let mut crash_both = |one: &mut RequestQuarantine, other: &mut RequestQuarantine| {
             crashes += 1;
             let now = start + SECOND * crashes;
             let crash = crash_of_run(crashes.into(), SECOND / 20);
@@ -920,7 +920,7 @@
     #[test]
     fn instances_that_hear_of_a_refusal_after_its_end_try_one_request_at_a_time() {
         let start = Instant::now();
-        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let (mut one, mut other) = (RequestQuarantine::default(), RequestQuarantine::default());
         crash(&mut one, start, &[DEADLY], 3);
         let passed = start + 3 * SECOND + REFUSAL_BACKOFF.first;
         for refusal in one.refusals(passed) {
@@ -936,7 +936,7 @@
     #[test]
     fn a_suspect_of_another_instance_is_watched_until_it_starts() {
         let start = Instant::now();
-        let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+        let (mut one, mut other) = (RequestQuarantine::default(), RequestQuarantine::default());
         crash(&mut one, start, &[DEADLY], 2);
         let now = start + SECOND;
         other.watch(now, &one.suspected(now));
