--- a/crates/magnoliaspar-declaration/src/declarations.rs
+++ b/crates/magnoliaspar-declaration/src/declarations.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 
 use magnoliaspar_core::{PoolName, RouteName, WorkspaceName};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
 
 use crate::{CompletionRoute, Route, RouteTarget, ServiceRoute};
@@ -135,6 +137,20 @@
     }
 }
 
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = Box::<str>::deserialize(deserializer)?;
+        Self::from_hex(&text)
+            .ok_or_else(|| D::Error::custom("not a digest of 64 hexadecimal digits"))
+    }
+}
+
 impl fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -7,6 +7,7 @@
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
 use bytes::Bytes;
+use magnoliaspar_access::Workspace;
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::{Backoff, PartId};
 
@@ -19,7 +20,7 @@
 use crate::liveness::{Witness, ask_before_use};
 use crate::notices::Notices;
 use crate::request_limit::{LimitNotice, LimitState};
-use crate::route::{Route, ServiceName};
+use crate::route::{Priority, Route, ServiceName};
 use crate::shutdown::RequestState;
 
 /// Timeout of a new connection to a server. A longer wait means a lost packet or a lost server.
@@ -46,6 +47,8 @@
     pub facts: RequestFacts,
     /// The matching route.
     pub route: Rc<Route>,
+    /// The workspace that the caller belongs to; `None` for an anonymous one.
+    pub workspace: Option<Rc<Workspace>>,
     /// The service chosen by weight.
     pub service: ServiceName,
     /// The parts by which requests that crash servers are recognized.
@@ -67,6 +70,12 @@
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
+
+    /// Returns the priority of the request.
+    pub fn priority(&self) -> Priority {
+        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        Priority { workspace: workspace.unwrap_or_default(), route: self.route.priority }
+    }
 }
 
 /// Copies the method, URI and headers of a request, without the state of its connection.
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_core::WorkspaceName;
 use magnoliaspar_retry::{CallRun, Crash, PartId};
 use serde::{Deserialize, Serialize};
 
@@ -18,7 +19,7 @@
 use crate::permits::issue_permits;
 use crate::quarantine::CallCrash;
 use crate::reservations::{InstanceId, Reservation, ReservationId};
-use crate::route::ServiceName;
+use crate::route::{Priority, ServiceName};
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan, PlanError, Prompt, choose_engines};
 
 /// Assumed time from the admission of a completion to its first event, until the event arrives.
@@ -62,6 +63,15 @@
     /// Whether an engine crashed before the completion had started on it.
     #[serde(default)]
     pub has_crashed: bool,
+    /// The workspace of the caller; `None` for an anonymous one.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceName>,
+    /// Priority of the completion.
+    #[serde(default)]
+    pub priority: Priority,
+    /// What the completion counts as against the limit of its workspace; zero for a further attempt.
+    #[serde(default)]
+    pub limit_cost: u64,
 }
 
 /// Decision of the coordinator on an admission request.
@@ -429,6 +439,8 @@
     use std::collections::BTreeSet;
     use std::time::{Duration, Instant};
 
+    use crate::route::Priority;
+
     use super::{AdmissionRequest, Queue, Waiter};
 
     const SECOND: Duration = Duration::from_secs(1);
@@ -449,6 +461,9 @@
             only: Vec::new(),
             parts: Box::default(),
             has_crashed: false,
+            workspace: None,
+            priority: Priority::default(),
+            limit_cost: 0,
         };
         Waiter { request, arrived_at: now - waited, expires_at: now + 3 * SECOND }
     }
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -262,7 +262,18 @@
     cx.parts.clone_from(&parts);
     let deadline = received + timeout;
     let state = cx.state.clone();
-    let incoming = Incoming { facts, route, service, parts, head, body, received, deadline, state };
+    let incoming = Incoming {
+        facts,
+        route,
+        workspace: None,
+        service,
+        parts,
+        head,
+        body,
+        received,
+        deadline,
+        state,
+    };
     if !gateway.may_start(&incoming) {
         return Err(Refusal::Stopping);
     }
--- a/crates/magnoliaspar-gateway/src/hedge.rs
+++ b/crates/magnoliaspar-gateway/src/hedge.rs
@@ -197,6 +197,7 @@
             priority: 0,
             split: [].into(),
             max_attempts,
+            is_anonymous: false,
         }
     }
 
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliaspar_access::Workspaces;
 use magnoliaspar_core::RouteName;
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +25,9 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// The workspaces whose callers authenticate with a key; `None` if no key is needed.
+    #[serde(default)]
+    pub workspaces: Option<Rc<Workspaces>>,
 }
 
 impl Routing {
@@ -41,7 +45,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version, hosts, services, limits }
+        Self { version, hosts, services, limits, workspaces: None }
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
@@ -101,6 +105,21 @@
     pub split: Box<[(ServiceName, u32)]>,
     /// Maximum number of servers that may run one request.
     pub max_attempts: u32,
+    /// Whether callers need no key, also where the configuration has workspaces.
+    #[serde(default)]
+    pub is_anonymous: bool,
+}
+
+/// Priority of a request; the lowest one goes first.
+///
+/// The priority of the workspace decides before that of the route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Priority {
+    /// Priority of the workspace; 0 without one.
+    pub workspace: u8,
+    /// Priority of the route.
+    pub route: u8,
 }
 
 impl Route {
