Authenticate callers by the keys of workspaces

Cause: where the configuration has workspaces, requests with any key or none ran, and servers received the key and a forged Tenant-Id. Change: routes that are not anonymous need a key of the configuration in force. Servers receive the name of the workspace and its priority, and no Authorization.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -373,6 +373,8 @@
         is_prefill: spec.is_prefill,
         kv_cache: holder.map(|(address, handle)| (address, &**handle)),
         resume_after: spec.resume_after.filter(|_| !is_disabled(Guarantee::EventOrder)),
+        workspace: req.workspace.as_ref().map(|workspace| workspace.name.as_str()),
+        priority: req.workspace.as_ref().and_then(|workspace| workspace.priority),
     };
     gateway.dialect.write_dispatch(&mut head.headers, &dispatch);
     let reason = gateway.reason_not_to_send(server);
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
+use magnoliaspar_access::Credentials;
 use magnoliaspar_retry::PartId;
 
 use crate::directory::EngineRole;
@@ -67,6 +68,8 @@
     pub resume_after: Option<u64>,
     /// The parts of the prompt that other requests may share, in order.
     pub shared_parts: Box<[PartId]>,
+    /// What the request says about its caller.
+    pub credentials: Credentials,
     /// Identifier of the server that the request is meant for; instances set it on what they send.
     pub intended_server: Option<Box<str>>,
 }
@@ -84,6 +87,10 @@
     pub kv_cache: Option<(SocketAddr, &'a str)>,
     /// Id of the last event that was delivered to the caller.
     pub resume_after: Option<u64>,
+    /// Name of the workspace that the caller belongs to.
+    pub workspace: Option<&'a str>,
+    /// Priority at the server; `None` for the server's default.
+    pub priority: Option<u8>,
 }
 
 /// The server's description of a response.
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -16,6 +16,7 @@
 use magnoliaspar_http::CallerEnd;
 use magnoliaspar_retry::PartId;
 
+use crate::access::authenticate;
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
 use crate::gateway::{Gateway, InFlight};
@@ -234,6 +235,7 @@
     }
     let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
     cx.route = Some(route.clone());
+    authenticate(gateway, &routing, &route, facts.credentials)?;
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     // A caller that still sends would lose an answer over an unread body, and a late body costs no server anything.
     let body_timeout = routing.limits.head_timeout.max(timeout);
@@ -248,32 +250,28 @@
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
+    let workspace = authenticate(gateway, &routing, &route, facts.credentials)?;
     let service =
         route.choose_service(gateway.random_fraction()).cloned().ok_or(Refusal::NoServer)?;
     cx.service = Some(service.clone());
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
+    if routing.workspaces.is_some() {
+        head.headers.remove(header::AUTHORIZATION);
+    }
     let received = cx.received;
     let parts = match route.kind {
         RouteKind::Stream { .. } => parts_of(&facts, req.head(), &body),
-        RouteKind::Idempotent | RouteKind::AtMostOnce => parts_of_call(req.head(), &body),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => {
+            parts_of_call(req.head(), workspace.as_deref(), &body)
+        }
     };
     cx.parts.clone_from(&parts);
     let deadline = received + timeout;
     let state = cx.state.clone();
-    let incoming = Incoming {
-        facts,
-        route,
-        workspace: None,
-        service,
-        parts,
-        head,
-        body,
-        received,
-        deadline,
-        state,
-    };
+    let incoming =
+        Incoming { facts, route, workspace, service, parts, head, body, received, deadline, state };
     if !gateway.may_start(&incoming) {
         return Err(Refusal::Stopping);
     }
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`selection`] chooses servers without any I/O. The traits [`Dialect`] and [`Feed`] hide the
 //! platform's headers, and the sources of the configuration and of the list of servers.
 
+pub mod access;
 mod admission;
 mod blocks;
 pub mod call;
--- a/crates/magnoliaspar-gateway/src/quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/quarantine.rs
@@ -9,6 +9,7 @@
 
 use actix_http::RequestHead;
 use actix_http::header;
+use magnoliaspar_access::Workspace;
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::{CrashId, PartId};
 use serde::{Deserialize, Serialize};
@@ -57,7 +58,11 @@
 ///
 /// Calls that differ in the caller only may differ in whether they crash a server, and the address of a caller may
 /// change between two attempts.
-pub fn parts_of_call(head: &RequestHead, body: &[u8]) -> Box<[PartId]> {
+pub fn parts_of_call(
+    head: &RequestHead,
+    workspace: Option<&Workspace>,
+    body: &[u8],
+) -> Box<[PartId]> {
     let mut content = head.method.as_str().as_bytes().to_vec();
     push_part(&mut content, head.uri.to_string().as_bytes());
     push_part(&mut content, body);
@@ -65,7 +70,15 @@
     if let Some(peer) = head.peer_addr {
         push_part(&mut content, peer.ip().to_string().as_bytes());
     }
-    for name in [header::AUTHORIZATION, header::COOKIE] {
+    // The name of the workspace stands for the key, from which nothing is derived.
+    let names = match workspace {
+        Some(workspace) => {
+            push_part(&mut content, workspace.name.as_str().as_bytes());
+            &[header::COOKIE][..]
+        }
+        None => &[header::AUTHORIZATION, header::COOKIE],
+    };
+    for name in names {
         for value in head.headers().get_all(name) {
             push_part(&mut content, value.as_bytes());
         }
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use actix_http::{Response, StatusCode};
 use displaydoc::Display;
 
@@ -17,6 +17,12 @@
     NoIdentifier,
     /// no_route
     NoRoute,
+    /// no_key
+    NoKey,
+    /// unknown_key
+    UnknownKey,
+    /// configuration_outdated
+    ConfigurationOutdated,
     /// body_too_large
     BodyTooLarge,
     /// body_late
@@ -57,11 +63,13 @@
         match self {
             Self::NoIdentifier | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             // An instance takes it for the response of another server than the intended one.
             Self::SentByInstance => StatusCode::MISDIRECTED_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
+            | Self::ConfigurationOutdated
             | Self::NoServer
             | Self::NoCapacity
             | Self::ServerLimit
@@ -87,6 +95,10 @@
             let value = HeaderValue::try_from(text).expect("a number is a header value");
             response.headers_mut().insert(RETRY_AFTER, value);
         }
+        if response.status() == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         response
     }
 }
