Accept keys only with a proof that the configuration is recent

Cause: an instance that is cut off from the store, frozen or just restarted would accept a key long after a configuration had revoked it. Change: where the settings ask for strict revocation, a key is accepted only while the instance can prove that its configuration was the newest less than the bound ago. A proof dates from the sending of a call to the store, or of a heartbeat whose answer passes a proof on, by CLOCK_BOOTTIME, which runs on while the machine is suspended. Heartbeats carry the number of the question and the proof, so that no further message or call is needed; an instance that follows the store and hears of no proof calls it once more. 401 is sent only with a proof, 503 otherwise. What instances report of their feeds moves to revisions.rs, and the comparison of versions to configuration_age.rs.

--- a/crates/magnoliaspar-core/src/clock.rs
+++ b/crates/magnoliaspar-core/src/clock.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant, SystemTime};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// A source of time.
 ///
 /// Code that measures time takes a clock as a parameter, so that tests can run in virtual time.
@@ -12,6 +14,11 @@
 
     /// Returns the current wall-clock time, which may step backwards.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the time since the system started, which includes the time for which it was suspended.
+    ///
+    /// The monotonic clock stops meanwhile.
+    fn since_boot(&self) -> Duration;
 }
 
 /// The operating system's clock.
@@ -26,6 +33,11 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has this clock");
+        time.into()
+    }
 }
 
 /// A clock that advances only through [`advance`](Self::advance).
@@ -66,4 +78,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed.get()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed.get()
+    }
 }
--- a/crates/magnoliaspar-gateway/src/configuration_age.rs
+++ b/crates/magnoliaspar-gateway/src/configuration_age.rs
@@ -1,7 +1,10 @@
 //! Decides whether a configuration that was read replaces the current one.
 
-use magnoliaspar_core::Epoch;
+use std::time::Duration;
 
+use magnoliaspar_core::{Epoch, Position};
+
+use crate::gateway::Gateway;
 use crate::route::Routing;
 
 /// Relation of a configuration that was read to the current one.
@@ -39,6 +42,35 @@
     }
 }
 
+impl Gateway {
+    /// Compares the configuration with those of the peers, and logs when it becomes outdated and
+    /// when it is current again.
+    pub fn check_version(&self) {
+        let now = self.clock.now();
+        let version = self.routing().map_or(0, |routing| routing.version);
+        let newest = self.peers().and_then(|peers| peers.newest_version());
+        let (newest, peer) = newest.unwrap_or_default();
+        self.metrics.newest_version.set(newest.max(version) as i64);
+        let since = self.outdated_since.get();
+        let outdated_for = since.map_or(Duration::ZERO, |since| now - since);
+        self.metrics.outdated_ms.set(outdated_for.as_millis() as i64);
+        match since {
+            None if newest > version => {
+                let Position { epoch, revision } = self.routing_position.applied();
+                log::warn!(version, newest, peer = &*peer, epoch = epoch.0, revision; "configuration_outdated");
+                self.outdated_since.set(Some(now));
+            }
+            Some(_) if newest <= version => {
+                let outdated_ms = outdated_for.as_millis() as u64;
+                log::info!(version, outdated_ms; "configuration_current");
+                self.outdated_since.set(None);
+                self.metrics.outdated_ms.set(0);
+            }
+            _ => {}
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::collections::BTreeMap;
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -24,7 +24,8 @@
 use crate::feed::{Batch, Follower};
 use crate::gateway::{Gateway, RoutingFollower};
 use crate::held_body::HeldBody;
-use crate::peers::{FeedRevisions, Peers, Source, revisions};
+use crate::peers::{Peers, Source};
+use crate::revisions::{FeedRevisions, revisions};
 use crate::route::Routing;
 
 /// Time for which a peer may be ahead before its copy is fetched; enough for a call to the store.
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -89,6 +89,15 @@
     /// Called after each answer of the store.
     fn answered(&self);
 
+    /// Called before each call; returns the time, which [`confirmed`](Self::confirmed) gets.
+    fn called(&self) -> Duration;
+
+    /// Waits until the store has to be called at once, whatever call is under way.
+    async fn wait_until_unproven(&self);
+
+    /// Called when what an answer holds has been applied: all that was written before the call was sent.
+    fn confirmed(&self, called: Duration);
+
     /// Passes changes on to other instances; `since` covers all changes before them.
     fn spread(&self, batch: &Batch<T>, since: Position);
 }
@@ -227,6 +236,7 @@
         }
         // A copy from a peer may have moved the position since the last call.
         let after = position.applied();
+        let mut called = follower.called();
         let read = match is_complete {
             true => feed.read().await,
             false => tokio::select! {
@@ -236,6 +246,10 @@
                     log::info!(feed = name, epoch = after.epoch.0, revision = after.revision; "feed_behind");
                     feed.changes(after, Duration::ZERO).await
                 }
+                () = follower.wait_until_unproven() => {
+                    called = follower.called();
+                    feed.changes(after, Duration::ZERO).await
+                }
             },
         };
         let since = (!is_complete).then_some(after);
@@ -260,6 +274,7 @@
                     follower.spread(&batch, since);
                 }
                 follower.apply(batch, was_complete);
+                follower.confirmed(called);
                 if has_changes && !was_complete {
                     // Changes often come in series; one call returns those that follow soon.
                     tokio::time::sleep(BATCH_DELAY).await;
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -8,13 +8,15 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{Clock, Epoch, Position, ServerKey};
+use magnoliaspar_access::Freshness;
+use magnoliaspar_core::{Clock, Epoch, ServerKey};
 use magnoliaspar_retry::{CrashId, PartId, RequestQuarantine, RetryBudget, RetryBudgetConfig};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
 
 pub use self::followers::RoutingFollower;
+use crate::access::is_isolated;
 use crate::admission::Eligible;
 use crate::call::Incoming;
 use crate::coordinator::{
@@ -140,7 +142,9 @@
     removed_during_outage: RefCell<BTreeMap<Box<str>, Instant>>,
     withheld_entries: RefCell<WithheldEntries>,
     /// Time since when a peer has had a newer configuration.
-    outdated_since: Cell<Option<Instant>>,
+    pub(crate) outdated_since: Cell<Option<Instant>>,
+    /// Whether the configuration is known to have been the newest one recently.
+    pub(crate) freshness: RefCell<Freshness>,
 }
 
 impl Gateway {
@@ -177,6 +181,7 @@
             removed_during_outage: RefCell::default(),
             withheld_entries: RefCell::default(),
             outdated_since: Cell::new(None),
+            freshness: RefCell::new(Freshness::new(rand::rng().random())),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
             quarantines: RefCell::default(),
@@ -460,36 +465,10 @@
         self.knows_servers.get()
     }
 
-    /// Compares the configuration with those of the peers, and logs when it becomes outdated and
-    /// when it is current again.
-    pub fn check_version(&self) {
-        let now = self.clock.now();
-        let version = self.routing().map_or(0, |routing| routing.version);
-        let newest = self.peers().and_then(|peers| peers.newest_version());
-        let (newest, peer) = newest.unwrap_or_default();
-        self.metrics.newest_version.set(newest.max(version) as i64);
-        let since = self.outdated_since.get();
-        let outdated_for = since.map_or(Duration::ZERO, |since| now - since);
-        self.metrics.outdated_ms.set(outdated_for.as_millis() as i64);
-        match since {
-            None if newest > version => {
-                let Position { epoch, revision } = self.routing_position.applied();
-                log::warn!(version, newest, peer = &*peer, epoch = epoch.0, revision; "configuration_outdated");
-                self.outdated_since.set(Some(now));
-            }
-            Some(_) if newest <= version => {
-                let outdated_ms = outdated_for.as_millis() as u64;
-                log::info!(version, outdated_ms; "configuration_current");
-                self.outdated_since.set(None);
-                self.metrics.outdated_ms.set(0);
-            }
-            _ => {}
-        }
-    }
-
     /// Returns whether the instance is ready for new connections.
     pub fn is_ready(&self) -> bool {
-        self.routing.borrow().is_some() && self.knows_servers.get() && !self.is_stopping()
+        let knows_all = self.routing.borrow().is_some() && self.knows_servers.get();
+        knows_all && !self.is_stopping() && !is_isolated(self)
     }
 
     /// Returns whether the instance is stopping or has stopped.
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -7,6 +7,7 @@
 use magnoliaspar_core::{Epoch, Position, ServerKey};
 
 use super::Gateway;
+use crate::access::{record_proof, wait_until_unproven};
 use crate::configuration_age::ConfigurationAge;
 use crate::departures::{Departure, MAX_RESTORE_AGE};
 use crate::directory::{RecordChange, ServerRecord};
@@ -15,7 +16,8 @@
 use crate::following::Changes;
 use crate::guarantees::{Guarantee, is_disabled};
 use crate::liveness::ask_before_use;
-use crate::peers::{Payload, RestoreReport};
+use crate::peers::Payload;
+use crate::revisions::RestoreReport;
 use crate::route::Routing;
 
 /// Time after an outage of the store for which a server whose entry disappeared meanwhile stays in
@@ -278,6 +280,16 @@
         self.store_contact.record_servers(self.clock.now());
     }
 
+    fn called(&self) -> Duration {
+        self.clock.since_boot()
+    }
+
+    async fn wait_until_unproven(&self) {
+        std::future::pending().await
+    }
+
+    fn confirmed(&self, _: Duration) {}
+
     fn spread(&self, batch: &Batch<ServerRecord>, since: Position) {
         let Some(peers) = self.peers() else { return };
         let now = self.clock.now();
@@ -337,6 +349,18 @@
         self.0.store_contact.record_routing(self.0.clock.now());
     }
 
+    fn called(&self) -> Duration {
+        self.0.clock.since_boot()
+    }
+
+    async fn wait_until_unproven(&self) {
+        wait_until_unproven(&self.0).await;
+    }
+
+    fn confirmed(&self, called: Duration) {
+        record_proof(&self.0, called);
+    }
+
     fn spread(&self, batch: &Batch<Routing>, since: Position) {
         let Some(peers) = self.0.peers() else { return };
         let now = self.0.clock.now();
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod reservations;
 pub mod response_memory;
 mod retry_lending;
+pub mod revisions;
 pub mod roles;
 pub mod route;
 pub mod selection;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,7 +15,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magnoliaspar_core::{Epoch, Position};
 use magnoliaspar_retry::{CrashId, PartId, Refusal};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
@@ -24,6 +23,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::access::{apply_proof, ask};
 use crate::coordinator::{AdmissionRequest, Decision, apply_update, decide, serve_queue};
 use crate::departures::DeparturesMark;
 use crate::directory::ServerRecord;
@@ -39,6 +39,7 @@
 use crate::replies::RequestNumber;
 use crate::reservations::{InstanceId, Progress, Reservation, ReservationId};
 use crate::retry_lending::{lend_retry, record_lent};
+use crate::revisions::{FeedRevisions, revisions};
 use crate::route::{Routing, ServiceName};
 use crate::settings::GatewaySettings;
 
@@ -230,74 +231,6 @@
     parts: Box<[PartId]>,
 }
 
-/// Feed revisions that cover the last changes that an instance has applied.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct FeedRevisions {
-    /// Revision of the configuration.
-    pub(crate) routing: u64,
-    /// Revision of the list of servers.
-    pub(crate) servers: u64,
-    /// Version of the configuration; former versions of the gateway do not send it.
-    #[serde(default)]
-    pub(crate) version: u64,
-    /// Epoch of the revision of the configuration; former versions of the gateway send no epochs.
-    #[serde(default)]
-    pub(crate) routing_epoch: Epoch,
-    /// Epoch of the revision of the list of servers.
-    #[serde(default)]
-    pub(crate) servers_epoch: Epoch,
-    /// Epoch in which the configuration was read last.
-    #[serde(default)]
-    pub(crate) version_epoch: Epoch,
-    /// Time since the store has answered the sender, in milliseconds; former versions of the gateway do not send it.
-    #[serde(default)]
-    pub(crate) store_age_ms: Option<u64>,
-    /// What the sender knows of a restore of the store, if that was recently; former versions of the gateway do not
-    /// send it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) restore: Option<RestoreReport>,
-}
-
-/// What an instance knows of a restore of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct RestoreReport {
-    /// Time since it has read the restored list of servers first, in milliseconds.
-    pub age_ms: u64,
-    /// Number of departed servers that it knows.
-    pub departures: usize,
-}
-
-impl FeedRevisions {
-    /// Returns the revisions without the ages, which are different in each report.
-    fn without_ages(self) -> Self {
-        let restore = self.restore.map(|restore| RestoreReport { age_ms: 0, ..restore });
-        Self { store_age_ms: None, restore, ..self }
-    }
-
-    /// Returns the position in the feed of the configuration.
-    pub(crate) fn routing_position(&self) -> Position {
-        Position { epoch: self.routing_epoch, revision: self.routing }
-    }
-
-    /// Returns the position in the feed of the list of servers.
-    pub(crate) fn servers_position(&self) -> Position {
-        Position { epoch: self.servers_epoch, revision: self.servers }
-    }
-
-    /// Returns which departures the instance knows after a restore of the store, if there was one recently.
-    pub(crate) fn departures_mark(&self) -> Option<DeparturesMark> {
-        let departures = self.restore?.departures;
-        Some(DeparturesMark { epoch: self.servers_epoch, departures })
-    }
-
-    /// Returns what orders configurations: the version, and for equal ones the epoch.
-    pub(crate) fn configuration(&self) -> (u64, Epoch) {
-        (self.version, self.version_epoch)
-    }
-}
-
 /// Description of an instance, sent by itself or by another one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -744,7 +677,7 @@
         let payload = Payload::State {
             member: self.member(now),
             reservations,
-            revisions: revisions(gateway),
+            revisions: FeedRevisions { question: ask(gateway), ..revisions(gateway) },
             refused: reported_refusals(gateway, now),
             limits_digest: limits_digest(gateway),
         };
@@ -938,7 +871,10 @@
                     Payload::Members {
                         members,
                         live,
-                        revisions: revisions(gateway),
+                        revisions: FeedRevisions {
+                            question: peer_revisions.question,
+                            ..revisions(gateway)
+                        },
                         refused: reported_refusals(gateway, now),
                         limits_digest: limits_digest(gateway),
                         suspected: suspected_parts(gateway, now),
@@ -964,6 +900,7 @@
                 }
                 self.record_live_count(live, now);
                 gateway.update_max_instances();
+                apply_proof(gateway, &revisions);
                 gateway.routing_position.observe_remote(revisions.routing_position());
                 gateway.servers_position.observe_remote(revisions.servers_position());
                 for member in members {
@@ -1028,23 +965,6 @@
     }
 }
 
-/// Returns the feed revisions that this instance has reached.
-pub(crate) fn revisions(gateway: &Gateway) -> FeedRevisions {
-    let routing = gateway.routing_position.last_change();
-    let servers = gateway.servers_position.last_change();
-    let age = gateway.store_contact.age(gateway.clock.now());
-    FeedRevisions {
-        routing: routing.revision,
-        servers: servers.revision,
-        version: gateway.routing().map_or(0, |routing| routing.version),
-        routing_epoch: routing.epoch,
-        servers_epoch: servers.epoch,
-        version_epoch: gateway.configuration_epoch(),
-        store_age_ms: age.map(|age| age.as_millis() as u64),
-        restore: gateway.restore_report(),
-    }
-}
-
 /// Returns what this instance reports of refused requests.
 pub(crate) fn reported_refusals(gateway: &Gateway, now: Instant) -> Vec<RefusedRequests> {
     let mut refused = Vec::new();
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -23,6 +23,8 @@
     UnknownKey,
     /// configuration_outdated
     ConfigurationOutdated,
+    /// configuration_unproven
+    ConfigurationUnproven,
     /// body_too_large
     BodyTooLarge,
     /// body_late
@@ -70,6 +72,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
             | Self::ConfigurationOutdated
+            | Self::ConfigurationUnproven
             | Self::NoServer
             | Self::NoCapacity
             | Self::ServerLimit
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use magnoliaspar_access::Revocation;
 use magnoliaspar_core::Findings;
 use magnoliaspar_json::{Cursor, Object, Source, read_value};
 
@@ -21,6 +22,9 @@
 /// Valid durations, in seconds.
 const SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
 
+/// Valid times until a revoked key is unusable, in milliseconds; zero for none.
+const REVOCATION_MILLIS: RangeInclusive<u64> = 0..=3_600_000;
+
 /// Valid numbers of cores.
 const CORES: RangeInclusive<f64> = 0.001..=1_000.0;
 
@@ -68,6 +72,8 @@
     pub response_memory: usize,
     /// Retry budget of each service, shared by all instances.
     pub budget: SharedBudget,
+    /// How keys become unusable that a configuration revokes.
+    pub revocation: Revocation,
     /// Time from the stop signal within which the process must exit.
     pub grace: Duration,
     /// Log filter.
@@ -95,6 +101,8 @@
     let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
     let response_memory = read_response_memory(&object);
     let budget = object.required("retries").and_then(|field| read_budget(&field));
+    let revocation =
+        object.with_default("revocation", Revocation::default(), |field| read_revocation(field));
     let grace = object.required("grace_s").and_then(|field| field.number(SECONDS));
     let log = object.with_default("log", DEFAULT_LOG_FILTER, |field| field.non_empty_text());
     object.finish();
@@ -110,6 +118,7 @@
         capacity: (cores? * 1_000.0) as u32,
         response_memory: response_memory?,
         budget: budget?,
+        revocation: revocation?,
         grace: Duration::from_secs_f64(grace?),
         log: log?.into(),
     })
@@ -126,6 +135,15 @@
     Some((response_mb * BYTES_PER_MB) as usize)
 }
 
+fn read_revocation(cursor: &Cursor) -> Option<Revocation> {
+    let object = cursor.object()?;
+    let is_strict = object.with_default("is_strict", false, |field| field.boolean());
+    let bound_ms = object.with_default("bound_ms", 0, |field| field.integer(REVOCATION_MILLIS));
+    object.finish();
+    let bound = Some(bound_ms?).filter(|millis| *millis > 0).map(Duration::from_millis);
+    Some(Revocation { is_strict: is_strict? && bound.is_some(), bound })
+}
+
 fn read_budget(cursor: &Cursor) -> Option<SharedBudget> {
     let object = cursor.object()?;
     let ratio = object.required("ratio").and_then(|field| field.number(RETRY_RATIOS));
--- a/crates/magnoliaspar-order/tests/orders/common.rs
+++ b/crates/magnoliaspar-order/tests/orders/common.rs
@@ -40,6 +40,10 @@
     fn wall(&self) -> SystemTime {
         self.base.wall()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.base.since_boot()
+    }
 }
 
 /// Sleeps until a clock, which others advance, reaches the end of the duration.
