--- a/crates/magnoliaspar-gateway/src/access.rs
+++ b/crates/magnoliaspar-gateway/src/access.rs
@@ -103,6 +103,22 @@
     }
 }
 
+/// Logs when the last proof becomes too old to accept keys, and when there is one again.
+pub fn report_proof_state(gateway: &Gateway) {
+    let age_ms = proof_age(gateway).map(|age| age.as_millis() as u64);
+    gateway.metrics.proof_age_ms.set(age_ms.map_or(-1, |age_ms| age_ms as i64));
+    let max_age = gateway.settings().revocation.max_proof_age();
+    let is_missing = needs_proof(gateway) && !is_proven(gateway, max_age);
+    if gateway.lacks_proof.replace(is_missing) == is_missing {
+        return;
+    }
+    let version = gateway.routing().map_or(0, |routing| routing.version);
+    match is_missing {
+        true => log::warn!(version, age_ms:?; "configuration_unproven"),
+        false => log::info!(version, age_ms:?; "configuration_proven"),
+    }
+}
+
 /// Returns the number of a question to other instances for their proofs.
 pub fn ask(gateway: &Gateway) -> Option<u64> {
     Some(gateway.freshness.borrow_mut().ask(gateway.clock.since_boot()))
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, mpsc};
 
 pub use self::followers::RoutingFollower;
-use crate::access::is_isolated;
+use crate::access::{is_isolated, report_proof_state};
 use crate::admission::Eligible;
 use crate::call::Incoming;
 use crate::coordinator::{
@@ -145,6 +145,8 @@
     pub(crate) outdated_since: Cell<Option<Instant>>,
     /// Whether the configuration is known to have been the newest one recently.
     pub(crate) freshness: RefCell<Freshness>,
+    /// Whether the last proof is too old to accept keys.
+    pub(crate) lacks_proof: Cell<bool>,
 }
 
 impl Gateway {
@@ -181,6 +183,7 @@
             removed_during_outage: RefCell::default(),
             withheld_entries: RefCell::default(),
             outdated_since: Cell::new(None),
+            lacks_proof: Cell::new(false),
             freshness: RefCell::new(Freshness::new(rand::rng().random())),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
             failing_engines: RefCell::default(),
@@ -1097,6 +1100,7 @@
             self.metrics.set_budget_left(service, budget.left());
         }
         self.update_max_instances();
+        report_proof_state(self);
         if let Some(peers) = self.peers() {
             let sent = peers.sent();
             let metrics = &self.metrics;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub newest_version: IntGauge,
     /// Time for which a peer has had a newer configuration, in milliseconds.
     pub outdated_ms: IntGauge,
+    /// Time since the configuration is known to have been the newest one, in milliseconds; -1 if it is not known.
+    pub proof_age_ms: IntGauge,
     /// Number of known servers.
     pub servers: IntGauge,
     /// Epoch of the store in which the list of servers was read last.
@@ -132,6 +134,10 @@
                 "gateway_configuration_outdated_ms",
                 "Time for which a peer has had a newer version.",
             ),
+            proof_age_ms: gauge(
+                "gateway_configuration_proof_age_ms",
+                "Time since the configuration is known to have been the newest one; -1 if it is not known.",
+            ),
             servers: gauge("gateway_servers", "Known backend servers."),
             store_epoch: gauge("gateway_store_epoch", "Epoch of the store by its list of servers."),
             limited_servers: gauge("gateway_limited_servers", "Servers that name a limit."),
