Share the limits of workspaces between all instances

Cause: rate_per_s and burst_size of a workspace had no effect, so that one workspace could take the engines of all. Change: the crate magnoliaspar-limit decides without a network: token buckets, the share of the limits that an instance issues while it does not hear from all others, and totals of what passed without a question. The coordinator charges a completion when it admits or queues it, before any engine prefills its prompt, and those that may succeed it learn of the charge with the reservation. Plain calls pass without a message each; heartbeats carry totals of their use, and the answers name the workspaces whose limit is overdrawn. Beyond the limit callers get 429 with the time until they fit. Ruled out: leases of plain calls for each instance.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::refusal::Refusal;
 use crate::reservations::{Reservation, ReservationId};
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan};
+use crate::shared_limits::Charge;
 
 /// Maximum time that a completion waits for admission, as a multiple of its latency target.
 ///
@@ -132,6 +133,7 @@
         let Some(engine) = unusable_engine(gateway, grant) else {
             return admission.resolve(decision, req);
         };
+        req.state.is_charged.set(true);
         // Either the coordinator's list of servers is stale or this instance's; in both cases this
         // instance cannot use the engine.
         let request = &*req.facts.id;
@@ -232,6 +234,16 @@
     is_placed: bool,
 }
 
+/// Returns what a completion counts as against the limit of its workspace; zero if it has been charged before.
+fn limit_cost(req: &Incoming) -> u64 {
+    match &req.workspace {
+        Some(workspace) if workspace.limit.is_some() && !req.state.is_charged.get() => {
+            workspace.cost(req.facts.size())
+        }
+        _ => 0,
+    }
+}
+
 impl<'a> PendingAdmission<'a> {
     fn new(
         gateway: &'a Rc<Gateway>,
@@ -255,7 +267,7 @@
             has_crashed: history.has_crashed,
             workspace: req.workspace.as_ref().map(|workspace| workspace.name.clone()),
             priority: req.priority(),
-            limit_cost: 0,
+            limit_cost: limit_cost(req),
             waited_ms: 0,
             target_ms: req.route.target_latency.as_millis() as u64,
             max_gap_ms: req.route.max_gap.as_millis() as u64,
@@ -356,6 +368,11 @@
         let coordinator = self.coordinator_name();
         let waited_ms = (self.gateway.clock.now() - req.received).as_millis() as u64;
         match decision {
+            Some(Decision::OverLimit { retry_after_ms }) => {
+                log::info!(request, home = &*coordinator, waited_ms, retry_after_ms, workspace = &*self.workspace_name(); "over_limit");
+                req.state.over_limit_for.set(Duration::from_millis(retry_after_ms));
+                Err(Refusal::OverLimit)
+            }
             Some(Decision::Granted(grant)) => {
                 let Grant { decode, prefill, tokens_ahead } = &grant;
                 log::info!(request, home = &*coordinator, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead; "placed");
@@ -377,6 +394,10 @@
         }
     }
 
+    fn workspace_name(&self) -> Box<str> {
+        self.request.workspace.clone().map(Into::into).unwrap_or_default()
+    }
+
     fn coordinator_name(&self) -> Box<str> {
         self.coordinator.as_ref().map_or("self".into(), |coordinator| coordinator.instance.clone())
     }
@@ -404,7 +425,10 @@
             reserved_at: now,
             progress: None,
         };
-        let payload = Payload::Reserved(self.id, ReservationEntry::new(&reservation, now));
+        let mut entry = ReservationEntry::new(&reservation, now);
+        entry.charge = Charge::of(&self.request);
+        req.state.is_charged.set(true);
+        let payload = Payload::Reserved(self.id, entry);
         let instance = self.gateway.settings().instance.clone();
         self.gateway.reservations.borrow_mut().reserve(&instance, self.id, reservation);
         self.gateway.send_to_other_coordinators(payload, self.coordinator.as_ref());
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -21,6 +21,7 @@
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::{Priority, ServiceName};
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan, PlanError, Prompt, choose_engines};
+use crate::shared_limits::{self, Charge, Verdict};
 
 /// Assumed time from the admission of a completion to its first event, until the event arrives.
 pub const START_LATENCY: Duration = Duration::from_millis(250);
@@ -88,6 +89,11 @@
     Hopeless,
     /// Prompts with these parts crash engines.
     Quarantined,
+    /// The limit of the workspace is used up.
+    OverLimit {
+        /// Time until the completion is within it, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 /// The engines that a completion may use.
@@ -204,13 +210,25 @@
         }
         return Decision::Queued;
     }
+    match shared_limits::judge(gateway, &request) {
+        Verdict::Within => {}
+        Verdict::Beyond(wait) => {
+            return Decision::OverLimit { retry_after_ms: wait.as_millis() as u64 };
+        }
+        // The instance asks again shortly, as it does for a queued completion.
+        Verdict::Unknown => return Decision::Queued,
+    }
+    let charge = Charge::of(&request);
     let granted = grant(gateway, instance, id, &request);
     if granted != Err(PlanError::NoEngine) {
         // A stream that has begun asks again and again while no engine can be used.
         gateway.record_sizes(&request);
     }
     match granted {
-        Ok(grant) => return Decision::Granted(grant),
+        Ok(grant) => {
+            charge_admitted(gateway, charge);
+            return Decision::Granted(grant);
+        }
         Err(PlanError::NoEngine) => return Decision::NoEngine,
         Err(PlanError::Quarantined) => return Decision::Quarantined,
         Err(PlanError::NoCapacity) => {}
@@ -234,9 +252,17 @@
     let arrived_at = now.checked_sub(Duration::from_millis(request.waited_ms)).unwrap_or(now);
     let waiter = Waiter { request, arrived_at, expires_at: now + limit };
     gateway.queue.waiters.borrow_mut().insert(key, waiter);
+    charge_admitted(gateway, charge);
     Decision::Queued
 }
 
+/// Charges a completion once, also if it is granted an engine after it was queued.
+fn charge_admitted(gateway: &Gateway, charge: Option<Charge>) {
+    if let Some(charge) = charge {
+        shared_limits::charge(gateway, &charge);
+    }
+}
+
 /// Returns whether a completion may not run, or not once more after it has crashed an engine.
 fn is_quarantined(gateway: &Gateway, request: &AdmissionRequest) -> bool {
     let AdmissionRequest { service, parts, .. } = request;
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -74,6 +74,13 @@
     pub intended_server: Option<Box<str>>,
 }
 
+impl RequestFacts {
+    /// Returns the number of prompt tokens and of output tokens at most; `None` if the caller states none.
+    pub fn size(&self) -> Option<u64> {
+        Some(self.prompt_tokens + self.max_tokens).filter(|size| *size > 0)
+    }
+}
+
 /// Parameters of a request to a server.
 #[derive(Debug, Clone)]
 pub struct Dispatch<'a> {
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::route::{EngineSpec, Route, RouteKind, Routing, Service, ServiceName};
 use crate::selection::{Candidate, without_resting};
 use crate::settings::GatewaySettings;
+use crate::shared_limits::{self, SharedLimits};
 use crate::shutdown::{DropCause, Extent, RequestState, Shutdown};
 use crate::withheld::WithheldEntries;
 
@@ -103,6 +104,8 @@
     pub pending_admissions: RefCell<BTreeMap<ReservationId, mpsc::UnboundedSender<Decision>>>,
     /// Permits for requests to limited servers.
     pub(crate) permits: Permits,
+    /// Limits of workspaces that all instances share.
+    pub(crate) limits: SharedLimits,
     /// Retries that this instance borrows and lends.
     pub(crate) retry_lending: RetryLending,
     /// Whether the instance has stopped.
@@ -193,6 +196,7 @@
             queue: Queue::default(),
             pending_admissions: RefCell::default(),
             permits: Permits::new(rand::rng().random()),
+            limits: SharedLimits::new(rand::rng().random()),
             retry_lending: RetryLending::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
@@ -853,12 +857,16 @@
     /// The others may be cut off and send requests by a coordinator of their own.
     pub fn limit_share(&self) -> f64 {
         let Some(peers) = self.peers() else { return 1.0 };
-        let now = self.clock.now();
-        let known = match peers.known(now) {
+        let known = self.known_instances();
+        peers.present(self.clock.now()).min(known) as f64 / known as f64
+    }
+
+    /// Returns the largest recent number of live instances, including this one.
+    pub(crate) fn known_instances(&self) -> usize {
+        match self.peers().map_or(1, |peers| peers.known(self.clock.now())) {
             1 if self.is_discovering() => ASSUMED_INSTANCES,
             known => known,
-        };
-        peers.present(now).min(known) as f64 / known as f64
+        }
     }
 
     /// Returns the time until a permit for one of the decode engines of a service is due; `None` if no
@@ -953,6 +961,7 @@
         for (name, service) in &routing.services {
             services.insert(name.clone(), service.clone());
         }
+        shared_limits::configure(self, &routing);
         self.routing.replace(Some(Rc::new(routing)));
     }
 
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -13,6 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use futures_util::{FutureExt, StreamExt};
+use magnoliaspar_access::Workspace;
 use magnoliaspar_http::CallerEnd;
 use magnoliaspar_retry::PartId;
 
@@ -151,6 +152,7 @@
     facts: Option<RequestFacts>,
     route: Option<Rc<Route>>,
     service: Option<ServiceName>,
+    workspace: Option<Rc<Workspace>>,
     parts: Box<[PartId]>,
     version: u64,
     state: Rc<RequestState>,
@@ -163,6 +165,7 @@
             facts: None,
             route: None,
             service: None,
+            workspace: None,
             parts: Box::default(),
             version: 0,
             state,
@@ -179,6 +182,9 @@
 impl RequestContext {
     /// Returns the time after which the caller may send a request again that was refused, if it may.
     fn retry_after(&self, gateway: &Gateway, refusal: Refusal) -> Option<Duration> {
+        if refusal == Refusal::OverLimit {
+            return Some(self.state.over_limit_for.get());
+        }
         if refusal.status() != StatusCode::SERVICE_UNAVAILABLE {
             return None;
         }
@@ -251,6 +257,7 @@
     cx.version = routing.version;
     cx.route = Some(route.clone());
     let workspace = authenticate(gateway, &routing, &route, facts.credentials)?;
+    cx.workspace.clone_from(&workspace);
     let service =
         route.choose_service(gateway.random_fraction()).cloned().ok_or(Refusal::NoServer)?;
     cx.service = Some(service.clone());
@@ -318,6 +325,11 @@
     let service = cx.service.as_deref().unwrap_or_default();
     let version = cx.version;
     let servers_revision = gateway.servers_position.last_change().revision;
+    if let Some(workspace) = &cx.workspace {
+        let is_refused = matches!(outcome, Outcome::Refused(_));
+        let outcome = if is_refused { "refused" } else { "answered" };
+        gateway.metrics.count_workspace_request(&workspace.name, outcome);
+    }
     match outcome {
         Outcome::Response(response, server) => {
             let status = response.status().as_u16();
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod selection;
 mod settings;
 mod shared_budget;
+pub mod shared_limits;
 pub mod shutdown;
 mod stored_quarantine;
 pub mod stream;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters, gauges and latency histograms in the Prometheus format.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use magnoliaspar_core::WorkspaceName;
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -14,6 +16,12 @@
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 15.0];
 
+/// Maximum number of workspaces with series of their own.
+const MAX_NAMED_WORKSPACES: usize = 64;
+
+/// Label of all further workspaces.
+const OTHER_WORKSPACES: &str = "other";
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -24,6 +32,10 @@
     feeds: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    workspace_requests: IntCounterVec,
+    workspace_tokens: IntCounterVec,
+    /// The names of workspaces that have series of their own.
+    workspaces: RefCell<BTreeSet<WorkspaceName>>,
     /// Version of the current configuration.
     pub configuration_version: IntGauge,
     /// Newest configuration version that this instance or a peer has.
@@ -119,6 +131,17 @@
                 &["reason"],
             ),
             calls: vec("gateway_calls_total", "Calls to servers by result.", &["result"]),
+            workspace_requests: vec(
+                "gateway_workspace_requests_total",
+                "Requests by workspace and outcome.",
+                &["workspace", "outcome"],
+            ),
+            workspace_tokens: vec(
+                "gateway_workspace_tokens_total",
+                "What instances have charged to the limits of workspaces, here or as told by others.",
+                &["workspace"],
+            ),
+            workspaces: RefCell::default(),
             feeds: vec(
                 "gateway_feed_calls_total",
                 "Calls to the store by feed and result.",
@@ -187,6 +210,25 @@
         self.requests.with_label_values(&[kind, outcome]).inc();
     }
 
+    /// Counts a finished request of a workspace.
+    pub fn count_workspace_request(&self, workspace: &WorkspaceName, outcome: &str) {
+        self.workspace_requests.with_label_values(&[self.series_of(workspace), outcome]).inc();
+    }
+
+    /// Counts what is charged to the limit of a workspace.
+    pub fn count_workspace_tokens(&self, workspace: &WorkspaceName, tokens: u64) {
+        self.workspace_tokens.with_label_values(&[self.series_of(workspace)]).inc_by(tokens);
+    }
+
+    /// Returns the label of a workspace: its name, or that of all beyond the first ones.
+    fn series_of<'a>(&self, workspace: &'a WorkspaceName) -> &'a str {
+        let mut named = self.workspaces.borrow_mut();
+        if named.len() < MAX_NAMED_WORKSPACES && !named.contains(workspace) {
+            named.insert(workspace.clone());
+        }
+        if named.contains(workspace) { workspace.as_str() } else { OTHER_WORKSPACES }
+    }
+
     /// Counts a refusal by the gateway.
     pub fn count_refusal(&self, refusal: Refusal) {
         self.refusals.with_label_values(&[refusal.to_string().as_str()]).inc();
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use magnoliaspar_limit::LimitReport;
 use magnoliaspar_retry::{CrashId, PartId, Refusal};
 use rand::RngCore;
 use rand::seq::IteratorRandom;
@@ -42,6 +43,7 @@
 use crate::revisions::{FeedRevisions, revisions};
 use crate::route::{Routing, ServiceName};
 use crate::settings::GatewaySettings;
+use crate::shared_limits::{self, Charge};
 
 /// Interval at which an instance reports all its reservations.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(800);
@@ -112,6 +114,9 @@
         /// Fingerprint of the limits of servers that the sender knows.
         #[serde(default)]
         limits_digest: u64,
+        /// What the sender has let pass of the limits of workspaces.
+        #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
+        limits: LimitReport,
     },
     /// The members that the sender knows, including itself.
     Members {
@@ -131,6 +136,9 @@
         /// The parts that the sender suspects of crashing servers.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         suspected: Vec<SuspectedParts>,
+        /// Limits of workspaces that are used up.
+        #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
+        limits: LimitReport,
     },
     /// Changes of the list of servers, from an instance of the same zone that follows the store.
     ServerChanges(Changes<ServerRecord>),
@@ -263,6 +271,9 @@
     /// Time until the first token is expected, in milliseconds; 0 if the expected time has passed.
     starts_in_ms: u64,
     progress: Option<ProgressEntry>,
+    /// What the completion was charged, in the first message about it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) charge: Option<Charge>,
 }
 
 /// Progress of a completion in a message.
@@ -297,6 +308,7 @@
             max_tokens: reservation.max_tokens,
             starts_in_ms: starts_in.as_millis() as u64,
             progress,
+            charge: None,
         }
     }
 
@@ -495,6 +507,7 @@
                     refused,
                     limits_digest: 0,
                     suspected: Vec::new(),
+                    limits: LimitReport::default(),
                 }
             }
         };
@@ -667,8 +680,8 @@
         }
     }
 
-    /// Reports all reservations to the coordinators.
-    fn send_state(&self, gateway: &Gateway, to_seeds: bool) {
+    /// Returns the state of this instance as an encoded message.
+    fn encode_state(&self, gateway: &Gateway) -> Option<Vec<u8>> {
         let now = gateway.clock.now();
         let mut reservations = Vec::new();
         for (id, reservation) in gateway.reservations.borrow().of_instance(&self.instance) {
@@ -680,9 +693,23 @@
             revisions: FeedRevisions { question: ask(gateway), ..revisions(gateway) },
             refused: reported_refusals(gateway, now),
             limits_digest: limits_digest(gateway),
+            limits: shared_limits::report_usage(gateway),
         };
-        let message = Message { from: self.instance.clone(), payload };
-        let Some(bytes) = encode(&message) else { return };
+        encode(&Message { from: self.instance.clone(), payload })
+    }
+
+    /// Sends the state to all known instances, which answer.
+    pub(crate) fn send_state_to_all(&self, gateway: &Gateway) {
+        let Some(bytes) = self.encode_state(gateway) else { return };
+        for peer in self.peers.borrow().values() {
+            self.send(peer.address, &bytes);
+        }
+    }
+
+    /// Reports all reservations to the coordinators.
+    fn send_state(&self, gateway: &Gateway, to_seeds: bool) {
+        let now = gateway.clock.now();
+        let Some(bytes) = self.encode_state(gateway) else { return };
         let mut addresses: Vec<SocketAddr> =
             self.coordinators(now).into_iter().map(|coordinator| coordinator.address).collect();
         if to_seeds || addresses.is_empty() {
@@ -840,6 +867,7 @@
         }
         let now = gateway.clock.now();
         let sender = message.from;
+        shared_limits::hear(gateway, &sender);
         if let Some(age_ms) = message.payload.store_age_ms() {
             gateway.store_contact.observe_remote(Duration::from_millis(age_ms), now);
         }
@@ -850,8 +878,10 @@
                 revisions: peer_revisions,
                 refused,
                 limits_digest: peer_digest,
+                limits,
             } => {
                 merge_refused(gateway, &sender, refused, now);
+                shared_limits::receive_usage(gateway, &sender, &limits);
                 let address = member.address;
                 let zone = member.zone.clone();
                 self.observe_member(member, now);
@@ -878,6 +908,7 @@
                         refused: reported_refusals(gateway, now),
                         limits_digest: limits_digest(gateway),
                         suspected: suspected_parts(gateway, now),
+                        limits: shared_limits::report_exhausted(gateway),
                     },
                 );
                 self.reconcile_limits(gateway, address, peer_digest);
@@ -889,7 +920,9 @@
                 refused,
                 limits_digest: peer_digest,
                 suspected,
+                limits,
             } => {
+                shared_limits::receive_exhausted(gateway, &sender, &limits);
                 // An instance that announces its end sends no fingerprint.
                 if live > 1 {
                     self.reconcile_limits(gateway, from, peer_digest);
@@ -919,6 +952,10 @@
             Payload::RoutingChanges(changes) => receive_routing(gateway, changes),
             Payload::Decision(id, decision) => gateway.receive_decision(id, decision),
             Payload::Reserved(id, entry) => {
+                let is_new = gateway.reservations.borrow().reservation(&sender, id).is_none();
+                if let Some(charge) = entry.charge.as_ref().filter(|_| is_new) {
+                    shared_limits::charge(gateway, charge);
+                }
                 gateway.reservations.borrow_mut().reserve(&sender, id, entry.into_reservation(now));
             }
             Payload::Limits(entries) => merge_limits(gateway, &sender, entries),
@@ -1076,9 +1113,11 @@
         for instance in peers.expire(now) {
             log::info!(peer = &*instance; "peer_lost");
             gateway.queue.remove_instance(&instance);
+            shared_limits::forget(&gateway, &instance);
             gateway.servers_position.forget_peer(&instance);
         }
         gateway.check_version();
+        shared_limits::observe(&gateway);
         gateway.reservations.borrow_mut().expire(now);
         serve_queue(&gateway);
     }
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -39,6 +39,8 @@
     NoServer,
     /// no_capacity
     NoCapacity,
+    /// over_limit
+    OverLimit,
     /// server_limit
     ServerLimit,
     /// servers_resting
@@ -69,6 +71,7 @@
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             // An instance takes it for the response of another server than the intended one.
             Self::SentByInstance => StatusCode::MISDIRECTED_REQUEST,
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
             | Self::ConfigurationOutdated
--- a/crates/magnoliaspar-gateway/src/shutdown.rs
+++ b/crates/magnoliaspar-gateway/src/shutdown.rs
@@ -105,6 +105,10 @@
     pub server: RefCell<Box<str>>,
     /// Whether the head of the response has been handed to the connection.
     pub has_responded: Cell<bool>,
+    /// Whether the request was charged to the limit of its workspace.
+    pub is_charged: Cell<bool>,
+    /// Time until the request is within the limit of its workspace, if it was refused as beyond it.
+    pub over_limit_for: Cell<Duration>,
     /// Number of times that the request was sent and has not been proven not to have run.
     possible_runs: Cell<u32>,
 }
@@ -117,6 +121,8 @@
             received,
             server: RefCell::default(),
             has_responded: Cell::new(false),
+            is_charged: Cell::new(false),
+            over_limit_for: Cell::default(),
             possible_runs: Cell::new(0),
         }
     }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::{CalledProcess, admit_call, may_repeat_call, report_answer};
 use crate::refusal::Refusal;
 use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
+use crate::shared_limits;
 
 /// Maximum length of a response that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
@@ -43,6 +44,9 @@
     if let Err(refusal) = admit_call(gateway, req).await {
         return Outcome::Refused(refusal);
     }
+    if let Err(refusal) = shared_limits::admit_call(gateway, req) {
+        return Outcome::Refused(refusal);
+    }
     let in_flight = InFlightAttempts::default();
     let mut attempts = FuturesUnordered::new();
     let mut tally = Tally::default();
