Derive no fingerprint of a call from a key on a route that needs none

The parts by which calls that crash servers are recognized are sent to other instances and shown on /quarantine. On an anonymous route they included Authorization, which may hold the key of a workspace. Where the configuration has workspaces, it is left out on every route.

the_parts_of_a_call_do_not_depend_on_a_key failed before.

--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -253,6 +253,7 @@
     };
     // The configuration may have changed while the body was received.
     let routing = gateway.routing().ok_or(unconfigured)?;
+    let has_keys = routing.workspaces.is_some();
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
@@ -264,14 +265,14 @@
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
-    if routing.workspaces.is_some() {
+    if has_keys {
         head.headers.remove(header::AUTHORIZATION);
     }
     let received = cx.received;
     let parts = match route.kind {
         RouteKind::Stream { .. } => parts_of(&facts, req.head(), &body),
         RouteKind::Idempotent | RouteKind::AtMostOnce => {
-            parts_of_call(req.head(), workspace.as_deref(), &body)
+            parts_of_call(req.head(), has_keys, workspace.as_deref(), &body)
         }
     };
     cx.parts.clone_from(&parts);
--- a/crates/magnoliaspar-gateway/src/quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/quarantine.rs
@@ -54,12 +54,13 @@
 }
 
 /// Returns the parts of a plain call by which it is recognized when it is sent again: what it asks for, and the
-/// same with the caller that asks.
+/// same with the caller that asks. `has_keys` tells whether `Authorization` holds the keys of workspaces.
 ///
 /// Calls that differ in the caller only may differ in whether they crash a server, and the address of a caller may
 /// change between two attempts.
 pub fn parts_of_call(
     head: &RequestHead,
+    has_keys: bool,
     workspace: Option<&Workspace>,
     body: &[u8],
 ) -> Box<[PartId]> {
@@ -70,13 +71,14 @@
     if let Some(peer) = head.peer_addr {
         push_part(&mut content, peer.ip().to_string().as_bytes());
     }
-    // The name of the workspace stands for the key, from which nothing is derived.
-    let names = match workspace {
-        Some(workspace) => {
-            push_part(&mut content, workspace.name.as_str().as_bytes());
-            &[header::COOKIE][..]
-        }
-        None => &[header::AUTHORIZATION, header::COOKIE],
+    if let Some(workspace) = workspace {
+        push_part(&mut content, workspace.name.as_str().as_bytes());
+    }
+    // The parts are sent to other instances and shown to operators, and nothing of them is derived from a key. A caller
+    // may send one on a route that needs none.
+    let names = match has_keys {
+        true => &[header::COOKIE][..],
+        false => &[header::AUTHORIZATION, header::COOKIE],
     };
     for name in names {
         for value in head.headers().get_all(name) {
@@ -204,3 +206,23 @@
         (lifetime.as_secs_f64() / run_time.max(MIN_RUN_TIME).as_secs_f64()) as u32
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use actix_http::RequestHead;
+    use actix_http::header::{AUTHORIZATION, HeaderValue};
+
+    use super::parts_of_call;
+
+    /// Guards against what is derived from a key and sent to other instances, on a route that needs none.
+    #[test]
+    fn the_parts_of_a_call_do_not_depend_on_a_key() {
+        let parts = |value: &'static str, has_keys: bool| {
+            let mut head = RequestHead::default();
+            head.headers.insert(AUTHORIZATION, HeaderValue::from_static(value));
+            parts_of_call(&head, has_keys, None, b"body")
+        };
+        assert_eq!(parts("Bearer k1", true), parts("Bearer k2", true));
+        assert_ne!(parts("Bearer k1", false), parts("Bearer k2", false), "no keys of workspaces");
+    }
+}
