Keep a key from servers when workspaces are removed meanwhile

Whether Authorization holds a key was decided by the configuration in force when the request had arrived. If its workspaces had been removed since the head was checked, the key was forwarded.

a_key_stays_one_when_the_workspaces_are_removed_meanwhile failed before.

--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -251,9 +251,10 @@
         body = read_body(req, &routing.limits) => body?,
         () = gateway.wait_until(body_due_at) => return Err(Refusal::BodyLate),
     };
-    // The configuration may have changed while the body was received.
+    let had_keys = routing.workspaces.is_some();
+    // The configuration may have changed while the body was received. What was sent as a key stays one.
     let routing = gateway.routing().ok_or(unconfigured)?;
-    let has_keys = routing.workspaces.is_some();
+    let has_keys = had_keys || routing.workspaces.is_some();
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
