Require a key for a path that a server may read as that of another route

A request to /order/%2e%2e/lookup/1 belonged to the anonymous route of /order/, and its server, which gets the path as sent, may run it as /lookup/1. A path with a parent segment in any spelling needs a key where the configuration has workspaces.

--- a/crates/magnoliaspar-access/src/lib.rs
+++ b/crates/magnoliaspar-access/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod credentials;
 mod freshness;
+mod path;
 mod workspace;
 
 pub use self::credentials::Credentials;
 pub use self::freshness::{ConfigurationMark, Freshness, ProofReport, Revocation};
+pub use self::path::has_parent_segment;
 pub use self::workspace::{LimitUnit, TokenLimit, Workspace, WorkspaceError, Workspaces};
--- a/crates/magnoliaspar-gateway/src/access.rs
+++ b/crates/magnoliaspar-gateway/src/access.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use magnoliaspar_access::{ConfigurationMark, Credentials, ProofReport, Workspace};
+use magnoliaspar_access::{
+    ConfigurationMark, Credentials, ProofReport, Workspace, has_parent_segment,
+};
 
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
@@ -21,14 +23,17 @@
 
 /// Returns the workspace that a caller belongs to; `None` on a route that needs no key.
 ///
-/// The request has to have arrived whole: what its caller sent before a key was revoked may run.
+/// The request has to have arrived whole: what its caller sent before a key was revoked may run. On a route that needs
+/// no key, a path needs one that the server may read as that of another route.
 pub fn authenticate(
     gateway: &Gateway,
     routing: &Routing,
     route: &Route,
+    path: &str,
     credentials: Credentials,
 ) -> Result<Option<Rc<Workspace>>, Refusal> {
-    let Some(workspaces) = routing.workspaces.as_ref().filter(|_| !route.is_anonymous) else {
+    let is_anonymous = route.is_anonymous && !has_parent_segment(path);
+    let Some(workspaces) = routing.workspaces.as_ref().filter(|_| !is_anonymous) else {
         return Ok(None);
     };
     let Credentials::Key(digest) = credentials else { return Err(Refusal::NoKey) };
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -241,7 +241,7 @@
     }
     let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
     cx.route = Some(route.clone());
-    authenticate(gateway, &routing, &route, facts.credentials)?;
+    authenticate(gateway, &routing, &route, req.path(), facts.credentials)?;
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     // A caller that still sends would lose an answer over an unread body, and a late body costs no server anything.
     let body_timeout = routing.limits.head_timeout.max(timeout);
@@ -258,7 +258,7 @@
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
-    let workspace = authenticate(gateway, &routing, &route, facts.credentials)?;
+    let workspace = authenticate(gateway, &routing, &route, req.path(), facts.credentials)?;
     cx.workspace.clone_from(&workspace);
     let service =
         route.choose_service(gateway.random_fraction()).cloned().ok_or(Refusal::NoServer)?;
