Round the time until a request is within its limit up

Retry-After and the answer of the coordinator were rounded down, by up to 5 ms and 1 ms. A caller that waited so long was early and was refused again.

the_time_until_a_retry_is_not_rounded_down failed before.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -213,7 +213,7 @@
     match shared_limits::judge(gateway, &request) {
         Verdict::Within => {}
         Verdict::Beyond(wait) => {
-            return Decision::OverLimit { retry_after_ms: wait.as_millis() as u64 };
+            return Decision::OverLimit { retry_after_ms: wait.as_millis() as u64 + 1 };
         }
         // The instance asks again shortly, as it does for a queued completion.
         Verdict::Unknown => return Decision::Queued,
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -97,7 +97,8 @@
     pub fn response(self, retry_after: Option<Duration>) -> Response<BoxBody> {
         let mut response = Response::new(self.status());
         if let Some(wait) = retry_after {
-            let text = format!("{:.2}", wait.as_secs_f64());
+            // Rounded up, so that a caller that waits so long does not come too early.
+            let text = format!("{:.2}", wait.as_millis().div_ceil(10) as f64 / 100.0);
             let value = HeaderValue::try_from(text).expect("a number is a header value");
             response.headers_mut().insert(RETRY_AFTER, value);
         }
@@ -108,3 +109,21 @@
         response
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use actix_http::header::RETRY_AFTER;
+
+    use super::Refusal;
+
+    /// Guards against callers that return before their request is within the limit, and are refused again.
+    #[test]
+    fn the_time_until_a_retry_is_not_rounded_down() {
+        for (wait_ms, expected) in [(0, "0.00"), (1, "0.01"), (10, "0.01"), (1_234, "1.24")] {
+            let response = Refusal::OverLimit.response(Some(Duration::from_millis(wait_ms)));
+            assert_eq!(response.headers().get(RETRY_AFTER).unwrap(), expected);
+        }
+    }
+}
