--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -241,7 +241,7 @@
     }
     let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
     cx.route = Some(route.clone());
-    authenticate(gateway, &routing, &route, facts.credentials)?;
+    authenticate(gateway, &routing, &route, req.path(), facts.credentials)?;
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     // A caller that still sends would lose an answer over an unread body, and a late body costs no server anything.
     let body_timeout = routing.limits.head_timeout.max(timeout);
@@ -251,12 +251,14 @@
         body = read_body(req, &routing.limits) => body?,
         () = gateway.wait_until(body_due_at) => return Err(Refusal::BodyLate),
     };
-    // The configuration may have changed while the body was received.
+    let had_keys = routing.workspaces.is_some();
+    // The configuration may have changed while the body was received. What was sent as a key stays one.
     let routing = gateway.routing().ok_or(unconfigured)?;
+    let has_keys = had_keys || routing.workspaces.is_some();
     let route = find_route(&routing, req.head()).unwrap_or(route);
     cx.version = routing.version;
     cx.route = Some(route.clone());
-    let workspace = authenticate(gateway, &routing, &route, facts.credentials)?;
+    let workspace = authenticate(gateway, &routing, &route, req.path(), facts.credentials)?;
     cx.workspace.clone_from(&workspace);
     let service =
         route.choose_service(gateway.random_fraction()).cloned().ok_or(Refusal::NoServer)?;
@@ -264,14 +266,14 @@
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let mut head = copy_request_head(req.head());
     strip_connection_headers(&mut head.headers);
-    if routing.workspaces.is_some() {
+    if has_keys {
         head.headers.remove(header::AUTHORIZATION);
     }
     let received = cx.received;
     let parts = match route.kind {
         RouteKind::Stream { .. } => parts_of(&facts, req.head(), &body),
         RouteKind::Idempotent | RouteKind::AtMostOnce => {
-            parts_of_call(req.head(), workspace.as_deref(), &body)
+            parts_of_call(req.head(), has_keys, workspace.as_deref(), &body)
         }
     };
     cx.parts.clone_from(&parts);
