Admit waiting completions by priority and fairly between workspaces

A workspace that sent several times its usual took most of the engines: waiting completions went newest first, whoever sent them. One decision, admission_order.rs, now orders them: resumptions, then priorities, then what can be in time, then workspaces by FairOrder, then the newest. It applies where the configuration has workspaces; without them the order is by time, as before. A completion that comes after one that waits for any engine of its service no longer takes room first. A service without room no longer stops the queue of the others.

A completion was refused when more waited than would end in its time, counting also those that come after it, so that at three times the load the newest were refused for those that waited in vain. What stands before a completion counts now, for each one that waits, so that the last ones are refused at once and the newest are served. The rate is that of the engines of the service.

--- a/crates/magnoliaspar-fair/src/lib.rs
+++ b/crates/magnoliaspar-fair/src/lib.rs
@@ -74,6 +74,11 @@
 
     /// Returns the position of a waiting request.
     pub fn rank(&self, entry: Entry<'_, P>) -> Rank<P> {
+        self.rank_behind(entry, 0)
+    }
+
+    /// Returns the position of a waiting request once its workspace has been charged with `tokens` more.
+    pub fn rank_behind(&self, entry: Entry<'_, P>, tokens: u64) -> Rank<P> {
         let Entry { priority, workspace, is_in_time } = entry;
         let level = self.levels.get(&priority);
         let passed_over = level.map_or(0, |level| level.passed_over);
@@ -83,6 +88,7 @@
             false => u32::MAX - passed_over,
         };
         let start_tag = level.map_or(0, |level| level.start_tag(workspace));
+        let start_tag = start_tag.saturating_add(tokens / self.weight(workspace));
         Rank { due, priority, is_late: !is_in_time, start_tag }
     }
 
@@ -96,10 +102,10 @@
         cost: u64,
         waiting: impl IntoIterator<Item = P>,
     ) {
-        let weight = workspace.as_ref().and_then(|name| self.weights.get(name)).copied();
+        let weight = self.weight(workspace);
         let level = self.levels.entry(priority).or_default();
         let start_tag = level.start_tag(workspace);
-        let finish_tag = start_tag.saturating_add(cost / u64::from(weight.unwrap_or(1)));
+        let finish_tag = start_tag.saturating_add(cost / weight);
         // A workspace that was idle starts here, and gains nothing from the time before.
         level.virtual_time = start_tag;
         level.finish_tags.insert(workspace.clone(), finish_tag);
@@ -107,6 +113,11 @@
         self.count_passed_over(priority, waiting);
     }
 
+    fn weight(&self, workspace: &Option<WorkspaceName>) -> u64 {
+        let weight = workspace.as_ref().and_then(|name| self.weights.get(name));
+        u64::from(weight.copied().unwrap_or(1))
+    }
+
     fn count_passed_over(&mut self, served: P, waiting: impl IntoIterator<Item = P>) {
         let mut before = BTreeMap::new();
         for (priority, level) in &mut self.levels {
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -14,6 +14,7 @@
 use magnoliaspar_retry::{CallRun, Crash, PartId};
 use serde::{Deserialize, Serialize};
 
+use crate::admission_order::{AdmissionOrder, Waiting};
 use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
 use crate::permits::issue_permits;
@@ -112,6 +113,7 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiters: RefCell<BTreeMap<(InstanceId, ReservationId), Waiter>>,
+    order: RefCell<AdmissionOrder>,
     is_wake_scheduled: Cell<bool>,
 }
 
@@ -124,6 +126,13 @@
     expires_at: Instant,
 }
 
+impl Waiter {
+    fn waiting(&self) -> Waiting<'_> {
+        let Self { request, arrived_at, expires_at } = self;
+        Waiting { request, arrived_at: *arrived_at, expires_at: *expires_at }
+    }
+}
+
 impl Queue {
     /// Returns the number of queued completions.
     pub fn len(&self) -> usize {
@@ -158,34 +167,76 @@
         self.waiters.borrow_mut().retain(|(owner, _), _| &**owner != instance);
     }
 
-    /// Returns the next completion to admit, except those in `passed_over`: resumptions first, then the newest that can still meet
-    /// its latency target, then the oldest of the rest.
-    ///
-    /// In a burst, serving in order of arrival would delay all completions until none meets its
-    /// target.
+    /// Returns the next completion to admit, except those in `passed_over`.
     fn next(
         &self,
-        passed_over: &BTreeSet<(InstanceId, ReservationId)>,
+        passed_over: &PassedOver,
         now: Instant,
     ) -> Option<((InstanceId, ReservationId), AdmissionRequest)> {
         let mut waiters = self.waiters.borrow_mut();
         waiters.retain(|_, waiter| now < waiter.expires_at);
-        let left = waiters.iter().filter(|(key, _)| !passed_over.contains(key));
-        let next = left.min_by_key(|(_, waiter)| queue_priority(waiter, now));
+        let order = self.order.borrow();
+        let left = waiters.iter().filter(|(key, waiter)| !passed_over.contains(key, waiter));
+        let next = left.min_by_key(|(_, waiter)| order.position(waiter.waiting(), now));
         next.map(|(key, waiter)| (key.clone(), waiter.request.clone()))
     }
-}
 
-/// Returns the sort key of a queued completion; the lowest one is admitted first.
-fn queue_priority(waiter: &Waiter, now: Instant) -> (u8, i128) {
-    let waited = now.saturating_duration_since(waiter.arrived_at);
-    let waited_us = waited.as_micros() as i128;
-    if waiter.request.is_resumption {
-        return (0, -waited_us);
+    /// Returns whether a completion comes after one that waits already for any engine of its service.
+    fn is_preceded(&self, waiter: &Waiter, now: Instant) -> bool {
+        let order = self.order.borrow();
+        if !order.has_workspaces {
+            return false;
+        }
+        let position = order.position(waiter.waiting(), now);
+        let waiters = self.waiters.borrow();
+        waiters.values().any(|other| {
+            let is_same = other.request.service == waiter.request.service;
+            let may_use_any = other.request.only.is_empty() && now < other.expires_at;
+            is_same && may_use_any && order.position(other.waiting(), now) < position
+        })
     }
-    match waited + START_LATENCY <= Duration::from_millis(waiter.request.target_ms) {
-        true => (1, waited_us),
-        false => (2, -waited_us),
+
+    /// Removes and returns the completions of a service that would leave the queue before their turn, if there is room
+    /// for `rate` completions per second.
+    fn take_hopeless(
+        &self,
+        service: &str,
+        rate: f64,
+        now: Instant,
+    ) -> Vec<(InstanceId, ReservationId)> {
+        let mut waiters = self.waiters.borrow_mut();
+        let mut waiting = Vec::new();
+        for (key, waiter) in &*waiters {
+            if &*waiter.request.service == service && now < waiter.expires_at {
+                waiting.push((key.clone(), waiter.waiting()));
+            }
+        }
+        let hopeless = self.order.borrow().hopeless(&waiting, rate, now);
+        for key in &hopeless {
+            waiters.remove(key);
+        }
+        hopeless
+    }
+
+    /// Records that a completion is granted engines.
+    fn charge(&self, request: &AdmissionRequest) {
+        let waiters = self.waiters.borrow();
+        let waiting = waiters.values().map(|waiter| &waiter.request);
+        self.order.borrow_mut().charge(request, waiting);
+    }
+}
+
+/// Queued completions for which there is no room now.
+#[derive(Debug, Default)]
+struct PassedOver {
+    completions: BTreeSet<(InstanceId, ReservationId)>,
+    /// Services whose first completion that may use any engine has no room.
+    services: BTreeSet<ServiceName>,
+}
+
+impl PassedOver {
+    fn contains(&self, key: &(InstanceId, ReservationId), waiter: &Waiter) -> bool {
+        self.services.contains(&waiter.request.service) || self.completions.contains(key)
     }
 }
 
@@ -218,11 +269,20 @@
         // The instance asks again shortly, as it does for a queued completion.
         Verdict::Unknown => return Decision::Queued,
     }
+    follow_configuration(gateway);
     let charge = Charge::of(&request);
-    let granted = grant(gateway, instance, id, &request);
+    let limit = Duration::from_millis(request.limit_ms);
+    let arrived_at = now.checked_sub(Duration::from_millis(request.waited_ms)).unwrap_or(now);
+    let waiter = Waiter { request, arrived_at, expires_at: now + limit };
+    let is_preceded = gateway.queue.is_preceded(&waiter, now);
+    let request = &waiter.request;
+    let granted = match is_preceded {
+        true => Err(PlanError::NoCapacity),
+        false => grant(gateway, instance, id, request),
+    };
     if granted != Err(PlanError::NoEngine) {
         // A stream that has begun asks again and again while no engine can be used.
-        gateway.record_sizes(&request);
+        gateway.record_sizes(request);
     }
     match granted {
         Ok(grant) => {
@@ -233,29 +293,55 @@
         Err(PlanError::Quarantined) => return Decision::Quarantined,
         Err(PlanError::NoCapacity) => {}
     }
-    schedule_wake(gateway, &request.service);
-    let limit = Duration::from_millis(request.limit_ms);
-    let completion_rate = {
-        let reservations = gateway.reservations.borrow();
-        let rate = reservations.completion_rate(now);
-        rate.max(reservations.expected_completion_rate(START_LATENCY))
-    };
-    let completion_rate = completion_rate.min(gateway.decode_rate_limit(&request.service));
-    // The number of completions that are expected to end, and so to free memory, within the limit.
-    let places = completion_rate * limit.as_secs_f64();
-    let waiting = gateway.queue.len();
-    let is_hopeless = waiting as f64 > places && !request.is_resumption;
-    log::debug!(asker = instance, id, waiting, places, is_hopeless; "no_room");
-    if is_hopeless {
+    let service = request.service.clone();
+    schedule_wake(gateway, &service);
+    gateway.queue.waiters.borrow_mut().insert(key.clone(), waiter);
+    if is_preceded {
+        // Room that has become free without a message is for the first in the order.
+        serve_queue(gateway);
+    }
+    if refuse_hopeless(gateway, &service, &key) {
         return Decision::Hopeless;
     }
-    let arrived_at = now.checked_sub(Duration::from_millis(request.waited_ms)).unwrap_or(now);
-    let waiter = Waiter { request, arrived_at, expires_at: now + limit };
-    gateway.queue.waiters.borrow_mut().insert(key, waiter);
     charge_admitted(gateway, charge);
     Decision::Queued
 }
 
+/// Applies to the queue whether the configuration has workspaces.
+fn follow_configuration(gateway: &Gateway) {
+    let routing = gateway.routing();
+    let has_workspaces = routing.is_some_and(|routing| routing.workspaces.is_some());
+    gateway.queue.order.borrow_mut().has_workspaces = has_workspaces;
+}
+
+/// Refuses the queued completions of a service that would leave the queue before their turn. Returns whether `arrived`,
+/// whose instance waits for this decision, is one of them.
+fn refuse_hopeless(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    arrived: &(InstanceId, ReservationId),
+) -> bool {
+    let now = gateway.clock.now();
+    let rate = {
+        let engines = gateway.engine_names(service);
+        let is_of_service = |engine: &str| engines.contains(engine);
+        let reservations = gateway.reservations.borrow();
+        let rate = reservations.completion_rate(is_of_service, now);
+        rate.max(reservations.expected_completion_rate(is_of_service, START_LATENCY))
+    };
+    let rate = rate.min(gateway.decode_rate_limit(service));
+    let hopeless = gateway.queue.take_hopeless(service, rate, now);
+    let (asker, id, waiting) = (&*arrived.0, arrived.1, gateway.queue.len());
+    let (refused, is_hopeless) = (hopeless.len(), hopeless.contains(arrived));
+    log::debug!(asker, id, waiting, rate, refused, is_hopeless; "no_room");
+    for (instance, id) in hopeless {
+        if (&instance, id) != (&arrived.0, arrived.1) {
+            gateway.deliver_decision(&instance, id, Decision::Hopeless);
+        }
+    }
+    is_hopeless
+}
+
 /// Charges a completion once, also if it is granted an engine after it was queued.
 fn charge_admitted(gateway: &Gateway, charge: Option<Charge>) {
     if let Some(charge) = charge {
@@ -280,7 +366,8 @@
 
 /// Admits queued completions while there is free engine memory.
 pub fn serve_queue(gateway: &Rc<Gateway>) {
-    let mut passed_over = BTreeSet::new();
+    let mut passed_over = PassedOver::default();
+    follow_configuration(gateway);
     loop {
         let next = gateway.queue.next(&passed_over, gateway.clock.now());
         let Some(((instance, id), request)) = next else { return };
@@ -291,12 +378,13 @@
                 Ok(grant) => Decision::Granted(grant),
                 // Engines that it may not use can have room for others.
                 Err(PlanError::NoCapacity) if !request.only.is_empty() => {
-                    passed_over.insert((instance, id));
+                    passed_over.completions.insert((instance, id));
                     continue;
                 }
                 Err(PlanError::NoCapacity) => {
                     schedule_wake(gateway, &request.service);
-                    return;
+                    passed_over.services.insert(request.service);
+                    continue;
                 }
                 Err(PlanError::NoEngine) => Decision::NoEngine,
                 Err(PlanError::Quarantined) => Decision::Quarantined,
@@ -379,6 +467,8 @@
         progress: None,
     };
     gateway.reservations.borrow_mut().reserve(instance, id, reservation);
+    gateway.queue.remove(instance, id);
+    gateway.queue.charge(request);
     Ok(Grant { decode, prefill, tokens_ahead })
 }
 
@@ -462,12 +552,11 @@
 
 #[cfg(test)]
 mod tests {
-    use std::collections::BTreeSet;
     use std::time::{Duration, Instant};
 
     use crate::route::Priority;
 
-    use super::{AdmissionRequest, Queue, Waiter};
+    use super::{AdmissionRequest, PassedOver, Queue, Waiter};
 
     const SECOND: Duration = Duration::from_secs(1);
 
@@ -503,9 +592,10 @@
         resumption.request.only = vec!["d1".into()];
         queue.waiters.borrow_mut().insert(("limited".into(), 0), resumption);
         queue.waiters.borrow_mut().insert(("other".into(), 0), waiter(now, SECOND));
-        let (first, _) = queue.next(&BTreeSet::new(), now).unwrap();
+        let (first, _) = queue.next(&PassedOver::default(), now).unwrap();
         assert_eq!(&*first.0, "limited");
-        let (second, _) = queue.next(&[first].into(), now).unwrap();
+        let passed_over = PassedOver { completions: [first].into(), ..PassedOver::default() };
+        let (second, _) = queue.next(&passed_over, now).unwrap();
         assert_eq!(&*second.0, "other");
     }
 
@@ -521,7 +611,7 @@
         put("in time", Duration::from_millis(100));
         put("newest", Duration::from_millis(20));
         let mut order = Vec::new();
-        while let Some(((name, id), _)) = queue.next(&BTreeSet::new(), now) {
+        while let Some(((name, id), _)) = queue.next(&PassedOver::default(), now) {
             queue.remove(&name, id);
             order.push(name);
         }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -35,7 +35,7 @@
 use crate::pool::{MAX_IDLE, Pool};
 use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
-use crate::reservations::{EngineLoad, ReservationId, Reservations};
+use crate::reservations::{ReservationId, Reservations};
 use crate::response_memory::ResponseMemory;
 use crate::retry_lending::{RetryLending, borrow_retry};
 use crate::roles::Sizes;
@@ -627,44 +627,6 @@
         candidates
     }
 
-    /// Returns the engines that could run a completion, with their reserved load.
-    pub fn engines(&self, request: &AdmissionRequest) -> Vec<Candidate> {
-        let now = self.clock.now();
-        let spec = self.last_engine_spec(&request.service);
-        let capacity = spec.map_or(0, |engine| engine.kv_capacity);
-        let mut candidates = self.candidates(&request.service, &[]);
-        let is_limited = candidates.iter().any(|candidate| candidate.permit_wait.is_some());
-        let share = if is_limited { self.limit_share() } else { 1.0 };
-        let mut directory = self.directory.borrow_mut();
-        let loads = self.reservations.borrow().loads(now);
-        let failing_engines = self.failing_engines.borrow();
-        let idle = EngineLoad::default();
-        candidates.retain_mut(|candidate| {
-            if candidate.permit_wait.is_some() {
-                candidate.permit_wait = directory.permit_due_in(candidate.key, share, now);
-            }
-            let Some(server) = directory.get(candidate.key) else { return false };
-            let id = &server.record.id;
-            let is_decode = candidate.role == Some(EngineRole::Decode);
-            let is_left_out = is_decode && !request.only.is_empty() && !request.only.contains(id);
-            if is_left_out || request.excluded.contains(id) {
-                return false;
-            }
-            let load = loads.get(id).unwrap_or(&idle);
-            candidate.is_local = server.record.zone == request.zone;
-            candidate.is_avoided |= failing_engines.is_avoided(id, now);
-            candidate.queued_prefill_tokens = load.queued_prefill_tokens;
-            // An idle engine counts as empty, so that it receives even a request that exceeds its
-            // memory and can refuse it.
-            if is_decode && load.running() > 0 {
-                let (prompt, expected) = (request.prompt_tokens, request.expected_tokens);
-                candidate.fill = load.predicted_fill(capacity, prompt, expected);
-            }
-            true
-        });
-        candidates
-    }
-
     /// Returns the mean sizes of the completions requested here, by service.
     pub fn sizes(&self) -> Vec<(ServiceName, Sizes)> {
         self.sizes.borrow().iter().map(|(service, sizes)| (service.clone(), *sizes)).collect()
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod access;
 mod admission;
+pub mod admission_order;
 mod blocks;
 pub mod call;
 mod configuration_age;
@@ -16,6 +17,7 @@
 pub mod dialect;
 pub mod directory;
 mod engine_stream;
+mod engines;
 pub mod entry_age;
 pub mod events;
 pub mod evidence;
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -93,8 +93,8 @@
     /// Time of the last report of each other instance.
     last_report: BTreeMap<InstanceId, Instant>,
     own_instance: InstanceId,
-    /// Times of the releases within the last `RATE_WINDOW`.
-    release_times: Vec<Instant>,
+    /// Times of the releases within the last `RATE_WINDOW`, and the decode engines.
+    releases: Vec<(Instant, Box<str>)>,
     /// Decode speed of all streams, assumed for new ones.
     speed: DecodeSpeed,
 }
@@ -157,7 +157,7 @@
             reservations: BTreeMap::new(),
             last_report: BTreeMap::new(),
             own_instance,
-            release_times: Vec::new(),
+            releases: Vec::new(),
             speed: DecodeSpeed::default(),
         }
     }
@@ -205,8 +205,8 @@
 
     /// Removes the reservation of a completion that has ended.
     pub fn release(&mut self, instance: &str, id: ReservationId, now: Instant) {
-        if self.reservations.remove(&(instance.into(), id)).is_some() {
-            self.release_times.push(now);
+        if let Some(reservation) = self.reservations.remove(&(instance.into(), id)) {
+            self.releases.push((now, reservation.decode));
         }
     }
 
@@ -245,8 +245,8 @@
                 || last_report.contains_key(owner)
                 || !is_old(reservation.reserved_at)
         });
-        self.release_times
-            .retain(|released_at| now.saturating_duration_since(*released_at) < RATE_WINDOW);
+        self.releases
+            .retain(|(released_at, _)| now.saturating_duration_since(*released_at) < RATE_WINDOW);
     }
 
     /// Returns a reservation.
@@ -278,24 +278,35 @@
         )
     }
 
-    /// Returns the predicted number of completions that end per second, from the expected durations
-    /// of the reserved completions.
+    /// Returns the predicted number of completions that end per second on the decode engines of which `is_included` holds,
+    /// from the expected durations of the reserved completions.
     ///
     /// `start` is the time to the first token.
-    pub fn expected_completion_rate(&self, start: Duration) -> f64 {
+    pub fn expected_completion_rate(
+        &self,
+        is_included: impl Fn(&str) -> bool,
+        start: Duration,
+    ) -> f64 {
         let mut rate = 0.0;
         for reservation in self.reservations.values() {
+            if !is_included(&reservation.decode) {
+                continue;
+            }
             let duration = start + self.expected_duration(reservation.expected_tokens);
             rate += 1.0 / duration.as_secs_f64();
         }
         rate
     }
 
-    /// Returns the number of completions that ended per second over `RATE_WINDOW`.
-    pub fn completion_rate(&self, now: Instant) -> f64 {
-        let is_recent =
-            |released_at: &&Instant| now.saturating_duration_since(**released_at) < RATE_WINDOW;
-        self.release_times.iter().filter(is_recent).count() as f64 / RATE_WINDOW.as_secs_f64()
+    /// Returns the number of completions that ended per second over `RATE_WINDOW` on the decode engines of which
+    /// `is_included` holds.
+    pub fn completion_rate(&self, is_included: impl Fn(&str) -> bool, now: Instant) -> f64 {
+        let mut ended = 0_u32;
+        for (released_at, engine) in &self.releases {
+            let is_recent = now.saturating_duration_since(*released_at) < RATE_WINDOW;
+            ended += u32::from(is_recent && is_included(engine));
+        }
+        f64::from(ended) / RATE_WINDOW.as_secs_f64()
     }
 
     /// Returns the load of each engine.
