Prefill prompts only where a slot and the prefill engine are due

Prompts were prefilled without use in two ways. A decode engine with memory but without a free slot was granted, and refused the completion after its prompt had been prefilled; slots are counted now, besides memory. And the queue of a prefill engine had no bound: callers left while their prompts were in it, and the engine prefilled them all the same. The queue is served again when a prefill has finished or a completion has started.

A repeated grant says how much is queued ahead of the prompt, so that its prefill is not given up too early; it said nothing.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -361,7 +361,12 @@
     let reservations = gateway.reservations.borrow();
     let reservation = reservations.reservation(instance, id)?;
     let (decode, prefill) = (reservation.decode.clone(), reservation.prefill.clone());
-    Some(Grant { decode, prefill, tokens_ahead: 0 })
+    // Those that were granted later count, too, so that the prefill is not given up too early.
+    let loads = reservations.loads(gateway.clock.now());
+    let load = prefill.as_ref().and_then(|prefill| loads.get(prefill));
+    let queued = load.map_or(0, |load| load.queued_prefill_tokens);
+    let tokens_ahead = queued.saturating_sub(reservation.prompt_tokens);
+    Some(Grant { decode, prefill, tokens_ahead })
 }
 
 /// Admits queued completions while there is free engine memory.
@@ -477,7 +482,8 @@
     let now = gateway.clock.now();
     match payload {
         Payload::PrefillFinished(id) => {
-            gateway.reservations.borrow_mut().finish_prefill(from, *id, now)
+            gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
+            serve_queue(gateway);
         }
         Payload::Started(id, service, parts) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
@@ -485,6 +491,7 @@
                 gateway.failing_engines.borrow_mut().record_start(&reservation.decode);
             }
             record_start(gateway, from, service, parts);
+            serve_queue(gateway);
         }
         Payload::Answered(service, parts) => record_start(gateway, from, service, parts),
         Payload::Crashed(crash, service, parts) => {
--- a/crates/magnoliaspar-gateway/src/engines.rs
+++ b/crates/magnoliaspar-gateway/src/engines.rs
@@ -47,6 +47,7 @@
             candidate.is_local = server.record.zone == request.zone;
             candidate.is_avoided |= failing_engines.is_avoided(id, now);
             candidate.queued_prefill_tokens = load.queued_prefill_tokens;
+            candidate.running = load.running();
             // An idle engine counts as empty, so that it receives even a request that exceeds its
             // memory and can refuse it.
             if is_decode && load.running() > 0 {
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -619,6 +619,7 @@
                 queued_prefill_tokens: 0,
                 latency: server.latency(now),
                 fill: 0.0,
+                running: 0,
                 role: record.role,
                 permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
                 rest: server.wait_left(now),
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -316,8 +316,8 @@
             let load = loads.entry(reservation.decode.clone()).or_default();
             load.running.push(self.growth(reservation, now));
             if let Some(prefill) = &reservation.prefill {
-                loads.entry(prefill.clone()).or_default().queued_prefill_tokens +=
-                    reservation.prompt_tokens;
+                let queued = &mut loads.entry(prefill.clone()).or_default().queued_prefill_tokens;
+                *queued = queued.saturating_add(reservation.prompt_tokens);
             }
         }
         loads
