Simulate bursts of plain calls before servers that many instances share

What the choice of a server does at a whole fleet could not be tested: each instance sees a few calls a second, and a fault shows only where dozens of them choose without knowing of each other.

A test module of selection.rs plays servers (6 slots, a queue of 24, one call in 100 takes five times as long, some turn four times slower a second before the burst) and instances with directories of their own in virtual time. It calls list_candidates, which was part of Gateway::candidates, and choose_server. Uneven loads send half of the calls to one zone.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -23,7 +23,7 @@
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
 use crate::dialect::Dialect;
-use crate::directory::{Directory, EngineRole, Server, ServerRecord};
+use crate::directory::{Directory, EngineRole, ServerRecord};
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::FeedPosition;
@@ -40,7 +40,7 @@
 use crate::retry_lending::{RetryLending, borrow_retry};
 use crate::roles::Sizes;
 use crate::route::{EngineSpec, Route, RouteKind, Routing, Service, ServiceName};
-use crate::selection::{Candidate, without_resting};
+use crate::selection::{Candidate, effective_limit, list_candidates, without_resting};
 use crate::settings::GatewaySettings;
 use crate::shared_limits::{self, SharedLimits};
 use crate::shutdown::{DropCause, Extent, RequestState, Shutdown};
@@ -599,32 +599,8 @@
 
     /// Returns the servers of a service that accept requests, except those in `tried`.
     pub fn candidates(&self, service: &str, tried: &[ServerKey]) -> Vec<Candidate> {
-        let now = self.clock.now();
-        let settings = self.settings();
-        let directory = self.directory.borrow();
-        let mut candidates = Vec::new();
-        for (key, server) in directory.iter() {
-            let record = &server.record;
-            let is_leaving = record.is_draining && !is_disabled(Guarantee::Drain);
-            let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing();
-            if &*record.service != service || !is_usable || tried.contains(&key) {
-                continue;
-            }
-            candidates.push(Candidate {
-                key,
-                is_local: record.zone == settings.zone,
-                is_avoided: server.is_avoided(now),
-                in_flight: server.in_flight,
-                slots: record.slots,
-                queued_prefill_tokens: 0,
-                latency: server.latency(now),
-                fill: 0.0,
-                role: record.role,
-                permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
-                rest: server.wait_left(now),
-            });
-        }
-        candidates
+        let zone = &self.settings().zone;
+        list_candidates(&self.directory.borrow(), service, zone, tried, self.clock.now())
     }
 
     /// Returns the engines that could run a completion, with their reserved load.
@@ -1140,11 +1116,6 @@
     text.into()
 }
 
-/// Returns the limit of a server, unless limits are disabled.
-fn effective_limit(server: &Server) -> Option<RequestLimit> {
-    server.limit().filter(|_| !is_disabled(Guarantee::Limit))
-}
-
 /// A request in flight.
 pub struct InFlight {
     gateway: Rc<Gateway>,
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -1,13 +1,18 @@
 //! Selection of servers: pure decisions over a list of candidates.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
 use rand::Rng;
 
-use crate::directory::EngineRole;
+use crate::directory::{Directory, EngineRole, Server};
+use crate::guarantees::{Guarantee, is_disabled};
+use crate::request_limit::RequestLimit;
 use crate::reservations::Reservations;
 
+#[cfg(test)]
+mod simulation;
+
 /// Prefill speed of a prefill engine, in tokens per millisecond.
 pub const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 50.0;
 
@@ -68,6 +73,44 @@
     }
 }
 
+/// Returns the servers of a service that accept requests, except those in `tried`, for an instance in `zone`.
+pub fn list_candidates(
+    directory: &Directory,
+    service: &str,
+    zone: &str,
+    tried: &[ServerKey],
+    now: Instant,
+) -> Vec<Candidate> {
+    let mut candidates = Vec::new();
+    for (key, server) in directory.iter() {
+        let record = &server.record;
+        let is_leaving = record.is_draining && !is_disabled(Guarantee::Drain);
+        let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing();
+        if &*record.service != service || !is_usable || tried.contains(&key) {
+            continue;
+        }
+        candidates.push(Candidate {
+            key,
+            is_local: &*record.zone == zone,
+            is_avoided: server.is_avoided(now),
+            in_flight: server.in_flight,
+            slots: record.slots,
+            queued_prefill_tokens: 0,
+            latency: server.latency(now),
+            fill: 0.0,
+            role: record.role,
+            permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
+            rest: server.wait_left(now),
+        });
+    }
+    candidates
+}
+
+/// Returns the limit of a server, unless limits are disabled.
+pub fn effective_limit(server: &Server) -> Option<RequestLimit> {
+    server.limit().filter(|_| !is_disabled(Guarantee::Limit))
+}
+
 /// Chooses the server with the lowest expected latency, with a preference for the local
 /// availability zone.
 ///
