Share out plain calls by the load that all instances observe

Each instance chose by its own latencies, a few samples a second for all servers. It forgot a slow server after 1.5 s and tried it again, and hundreds of instances that did so filled its queue; the instances of a zone with much demand filled their zone's servers.

Each instance averages what it observes of a plain server: answers, time in progress, refusals, and calls without an answer for longer than twice the usual time. After a sign of load (a refusal, two slow answers in a row) it reports these with its heartbeats, and the coordinator asks the others for theirs. The coordinator estimates the capacity of each server by its slots, or by what is in progress if that is more, and the latency, and answers with shares of the calls. Instances draw two servers by their shares and take the one with fewer own calls. Without a sign of load nothing is reported, and the choice is as before.

--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -203,14 +203,17 @@
     gateway: Rc<Gateway>,
     /// The server.
     pub server: ServerKey,
+    started: Instant,
 }
 
 impl ServerGuard {
     fn new(gateway: &Rc<Gateway>, server: ServerKey) -> Self {
+        let started = gateway.clock.now();
         if let Some(server) = gateway.directory.borrow_mut().get_mut(server) {
             server.in_flight += 1;
+            server.load.start(started);
         }
-        Self { gateway: gateway.clone(), server }
+        Self { gateway: gateway.clone(), server, started }
     }
 }
 
@@ -218,6 +221,7 @@
     fn drop(&mut self) {
         if let Some(server) = self.gateway.directory.borrow_mut().get_mut(self.server) {
             server.in_flight -= 1;
+            server.load.end(self.started);
         }
     }
 }
--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -12,6 +12,7 @@
 use crate::departures::Departure;
 use crate::entry_age::{EntryAge, EntrySource, EntryStamp};
 use crate::notices::Notices;
+use crate::plain_load::ServerLoad;
 use crate::request_limit::{LimitState, PermitBucket, RequestLimit};
 use crate::route::ServiceName;
 
@@ -147,6 +148,8 @@
     /// Whether the process may have said so and has not responded to a request since. It gets one at a time, since
     /// a report need not tell.
     pub is_on_trial: bool,
+    /// The load of a plain server, as this instance observes it.
+    pub load: ServerLoad,
     limit: Option<LimitState>,
     permits: PermitBucket,
     /// The time before which the coordinator issues no permit for the server.
@@ -390,6 +393,7 @@
             is_unreachable: false,
             awaits_report: false,
             is_on_trial: false,
+            load: ServerLoad::default(),
             limit: None,
             permits: PermitBucket::default(),
             permit_due_at: None,
@@ -539,6 +543,14 @@
         server.latency = Some((smoothed, now));
     }
 
+    /// Records that a plain server answered a call after a time.
+    pub fn record_answer(&mut self, key: ServerKey, latency: Duration, now: Instant) {
+        self.record_latency(key, latency, now);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.load.record_answer(latency, now);
+        }
+    }
+
     /// Records that a call to a server failed; returns the duration for which the server is
     /// avoided.
     pub fn record_failure(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
@@ -644,5 +656,6 @@
     pub fn record_full(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else { return };
         server.full_until = Some(now + FULL_BACKOFF);
+        server.load.record_refusal(now);
     }
 }
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers, reported_refusals};
 use crate::permits::{Permits, mark_changed};
+use crate::plain_load::PlainLoads;
 use crate::pool::{MAX_IDLE, Pool};
 use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
@@ -106,6 +107,8 @@
     pub(crate) permits: Permits,
     /// Limits of workspaces that all instances share.
     pub(crate) limits: SharedLimits,
+    /// Load of plain services, as all instances observe it.
+    pub(crate) plain_loads: PlainLoads,
     /// Retries that this instance borrows and lends.
     pub(crate) retry_lending: RetryLending,
     /// Whether the instance has stopped.
@@ -197,6 +200,7 @@
             pending_admissions: RefCell::default(),
             permits: Permits::new(rand::rng().random()),
             limits: SharedLimits::new(rand::rng().random()),
+            plain_loads: PlainLoads::default(),
             retry_lending: RetryLending::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod notices;
 pub mod peers;
 mod permits;
+pub mod plain_load;
 mod pool;
 mod presence;
 pub mod quarantine;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub response_bytes: IntGauge,
     /// Responses that were given up as the memory for responses was used up.
     pub responses_given_up: IntCounter,
+    /// Plain services whose calls are shared out by the load that all instances observe.
+    pub shared_services: IntGauge,
     /// Completions queued here for engine memory.
     pub queued: IntGauge,
     /// Retries left in the budget, by service.
@@ -195,6 +197,10 @@
                 "gateway_responses_given_up_total",
                 "Responses given up for lack of memory.",
             ),
+            shared_services: gauge(
+                "gateway_shared_services",
+                "Plain services whose calls are shared out by the load that all instances observe.",
+            ),
             queued: gauge("gateway_queued", "Completions that wait here for engine memory."),
             budget_left,
             log_lines_dropped: gauges("gateway_log_lines_dropped", "Dropped log lines.", "kind"),
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -35,6 +35,7 @@
     LimitEntry, PermitDecision, PermitId, PermitRequest, all_limits, decide_permit, limits_digest,
     merge_limits, record_issued,
 };
+use crate::plain_load::{self, ServiceReport, ServiceShares};
 use crate::presence::RecentMaximum;
 use crate::quarantine::{CallCrash, RunQuestion, decide_run};
 use crate::replies::RequestNumber;
@@ -117,6 +118,9 @@
         /// What the sender has let pass of the limits of workspaces.
         #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
         limits: LimitReport,
+        /// The load of plain services with a sign of load.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        loads: Vec<ServiceReport>,
     },
     /// The members that the sender knows, including itself.
     Members {
@@ -139,6 +143,9 @@
         /// Limits of workspaces that are used up.
         #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
         limits: LimitReport,
+        /// How calls to loaded plain services are to be shared out.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        shares: Vec<ServiceShares>,
     },
     /// Changes of the list of servers, from an instance of the same zone that follows the store.
     ServerChanges(Changes<ServerRecord>),
@@ -508,6 +515,7 @@
                     limits_digest: 0,
                     suspected: Vec::new(),
                     limits: LimitReport::default(),
+                    shares: Vec::new(),
                 }
             }
         };
@@ -694,6 +702,7 @@
             refused: reported_refusals(gateway, now),
             limits_digest: limits_digest(gateway),
             limits: shared_limits::report_usage(gateway),
+            loads: plain_load::report(gateway),
         };
         encode(&Message { from: self.instance.clone(), payload })
     }
@@ -879,7 +888,9 @@
                 refused,
                 limits_digest: peer_digest,
                 limits,
+                loads,
             } => {
+                plain_load::receive_report(gateway, &sender, loads);
                 merge_refused(gateway, &sender, refused, now);
                 shared_limits::receive_usage(gateway, &sender, &limits);
                 let address = member.address;
@@ -909,6 +920,7 @@
                         limits_digest: limits_digest(gateway),
                         suspected: suspected_parts(gateway, now),
                         limits: shared_limits::report_exhausted(gateway),
+                        shares: plain_load::answer(gateway),
                     },
                 );
                 self.reconcile_limits(gateway, address, peer_digest);
@@ -921,7 +933,9 @@
                 limits_digest: peer_digest,
                 suspected,
                 limits,
+                shares,
             } => {
+                plain_load::receive_answer(gateway, &sender, &shares);
                 shared_limits::receive_exhausted(gateway, &sender, &limits);
                 // An instance that announces its end sends no fingerprint.
                 if live > 1 {
@@ -1114,10 +1128,12 @@
             log::info!(peer = &*instance; "peer_lost");
             gateway.queue.remove_instance(&instance);
             shared_limits::forget(&gateway, &instance);
+            gateway.plain_loads.forget(&instance);
             gateway.servers_position.forget_peer(&instance);
         }
         gateway.check_version();
         shared_limits::observe(&gateway);
+        plain_load::observe(&gateway);
         gateway.reservations.borrow_mut().expire(now);
         serve_queue(&gateway);
     }
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -64,6 +64,8 @@
     pub permit_wait: Option<Duration>,
     /// Time for which the server gets no requests of this instance.
     pub rest: Duration,
+    /// Share of the calls of all instances that the server should get, if one is assigned.
+    pub share: Option<u16>,
 }
 
 impl Candidate {
@@ -101,6 +103,7 @@
             role: record.role,
             permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
             rest: server.wait_left(now),
+            share: server.load.share(now),
         });
     }
     candidates
@@ -111,12 +114,17 @@
     server.limit().filter(|_| !is_disabled(Guarantee::Limit))
 }
 
+/// Chooses a server for a plain call: by the assigned shares where there are some, otherwise by latency.
+pub fn choose_server(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+    choose_by_share(candidates, rng).or_else(|| choose_by_latency(candidates, rng))
+}
+
 /// Chooses the server with the lowest expected latency, with a preference for the local
 /// availability zone.
 ///
 /// Many instances share these servers. Measured latency reflects the load from all of them in a
 /// burst; the number of requests that this instance has in flight does not.
-pub fn choose_server(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+fn choose_by_latency(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
     let mean = mean_latency(candidates);
     choose_min(candidates, rng, |candidate| {
         let latency = candidate.latency.unwrap_or(mean);
@@ -128,6 +136,41 @@
     })
 }
 
+/// Draws two servers by their shares and chooses the one with fewer calls of this instance for its share; `None` if no
+/// share is assigned.
+///
+/// A server without a share is a new one, and gets the mean share.
+fn choose_by_share(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+    let mut usable = candidates.to_vec();
+    if candidates.iter().any(|candidate| !candidate.is_avoided) {
+        usable.retain(|candidate| !candidate.is_avoided);
+    }
+    let (mut sum, mut count) = (0, 0);
+    for candidate in &usable {
+        let Some(share) = candidate.share else { continue };
+        sum += u32::from(share);
+        count += 1;
+    }
+    if sum == 0 {
+        return None;
+    }
+    let share = |candidate: &Candidate| candidate.share.map_or(sum / count, u32::from).max(1);
+    let total: u32 = usable.iter().map(share).sum();
+    let mut draw = || {
+        let mut point = rng.random_range(0..total);
+        for candidate in &usable {
+            match point.checked_sub(share(candidate)) {
+                Some(rest) => point = rest,
+                None => return *candidate,
+            }
+        }
+        usable[0]
+    };
+    let (first, second) = (draw(), draw());
+    let load = |candidate: &Candidate| f64::from(candidate.in_flight) / f64::from(share(candidate));
+    Some(if load(&second) < load(&first) { second.key } else { first.key })
+}
+
 /// Returns the candidates for which a permit may be due within `max_wait`, or that need none.
 pub fn within_limits(candidates: &[Candidate], max_wait: Duration) -> Vec<Candidate> {
     let mut within = candidates.to_vec();
@@ -328,6 +371,7 @@
             role: Some(EngineRole::Decode),
             permit_wait: None,
             rest: Duration::ZERO,
+            share: None,
         };
         let role = Some(EngineRole::Prefill);
         let prefill =
--- a/crates/magnoliaspar-gateway/src/selection/simulation.rs
+++ b/crates/magnoliaspar-gateway/src/selection/simulation.rs
@@ -11,6 +11,7 @@
 use super::{choose_server, list_candidates};
 use crate::directory::{Directory, ServerRecord};
 use crate::entry_age::EntrySource;
+use crate::plain_load::PlainLoads;
 use crate::route::ServiceName;
 
 /// Requests that a server runs concurrently.
@@ -20,6 +21,8 @@
 /// Servers that a call is sent to at most.
 const MAX_ATTEMPTS: usize = 3;
 const ZONES: usize = 3;
+/// Interval at which an instance reports.
+const HEARTBEAT: Duration = Duration::from_millis(800);
 /// Share of the calls of an uneven load that go to the first zone in any case; the others go to all zones.
 const LOCAL_BIAS: f64 = 0.25;
 /// Time of a round trip without work.
@@ -75,6 +78,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Sent,
+    Heartbeat(usize),
     Finished(usize),
     Answered(usize),
     Rejected(usize),
@@ -92,12 +96,14 @@
     now: Duration,
     rng: StdRng,
     events: BinaryHeap<Reverse<(Duration, Event)>>,
-    instances: Vec<Directory>,
+    instances: Vec<(Directory, PlainLoads)>,
     keys: Vec<ServerKey>,
     servers: Vec<SimulatedServer>,
     calls: Vec<Call>,
     /// Calls sent and those in time, by window.
     windows: Vec<(u32, u32)>,
+    /// Heartbeats with a report of load.
+    reports: u32,
     arrivals: u32,
     rejections: u32,
     /// Calls that were accepted by slow servers and by all.
@@ -128,12 +134,12 @@
             for index in 0..load.servers {
                 directory.put(record(index), EntrySource::List);
             }
-            instances.push(directory);
+            instances.push((directory, PlainLoads::default()));
         }
         let mut keys = Vec::new();
         let mut servers = Vec::new();
         for index in 0..load.servers {
-            keys.push(instances[0].key(&format!("s-{index}")).unwrap());
+            keys.push(instances[0].0.key(&format!("s-{index}")).unwrap());
             servers.push(SimulatedServer::default());
         }
         Self {
@@ -146,6 +152,7 @@
             keys,
             servers,
             calls: Vec::new(),
+            reports: 0,
             arrivals: 0,
             rejections: 0,
             accepted: (0, 0),
@@ -166,16 +173,25 @@
     }
 
     fn run(mut self) -> Outcome {
+        self.play();
+        self.outcome()
+    }
+
+    fn play(&mut self) {
+        for instance in 0..self.instances.len() {
+            let after = HEARTBEAT.mul_f64(self.rng.random());
+            self.schedule(after, Event::Heartbeat(instance));
+        }
         while let Some(Reverse((now, event))) = self.events.pop() {
             self.now = now;
             match event {
                 Event::Sent => self.send(),
+                Event::Heartbeat(instance) => self.report(instance),
                 Event::Finished(call) => self.finish(call),
                 Event::Answered(call) => self.answer(call),
                 Event::Rejected(call) => self.reject(call),
             }
         }
-        self.outcome()
     }
 
     /// Lets a caller send a call, and schedules the next one.
@@ -196,15 +212,34 @@
         self.attempt(self.calls.len() - 1);
     }
 
+    /// Lets an instance report to the coordinator, which is the first instance, and apply the answer.
+    fn report(&mut self, instance: usize) {
+        if self.now >= END {
+            return;
+        }
+        self.schedule(HEARTBEAT, Event::Heartbeat(instance));
+        let now = self.start + self.now;
+        let (directory, loads) = &self.instances[instance];
+        let report = loads.report(directory, now);
+        self.reports += u32::from(!report.is_empty());
+        let (directory, coordinator) = &self.instances[0];
+        coordinator.receive(&instance.to_string(), report, now);
+        let answer = coordinator.shares(directory, now);
+        let (directory, loads) = &mut self.instances[instance];
+        loads.apply(directory, &answer, now);
+    }
+
     /// Has the call's instance choose a server, which accepts or rejects the call.
     fn attempt(&mut self, number: usize) {
         let now = self.start + self.now;
         let call = &mut self.calls[number];
-        let directory = &mut self.instances[call.instance];
+        let directory = &mut self.instances[call.instance].0;
         let zone = format!("z-{}", call.instance % ZONES);
         let candidates = list_candidates(directory, "plain", &zone, &call.attempts, now);
         let Some(key) = choose_server(&candidates, &mut self.rng) else { return };
-        directory.get_mut(key).unwrap().in_flight += 1;
+        let server = directory.get_mut(key).unwrap();
+        server.in_flight += 1;
+        server.load.start(now);
         call.attempts.push(key);
         call.attempted_at = self.now;
         let server = self.keys.iter().position(|known| *known == key).unwrap();
@@ -248,10 +283,12 @@
     fn answer(&mut self, call: usize) {
         let call = &self.calls[call];
         let (key, now) = (self.keys[call.server], self.start + self.now);
-        let directory = &mut self.instances[call.instance];
-        directory.get_mut(key).unwrap().in_flight -= 1;
+        let directory = &mut self.instances[call.instance].0;
+        let server = directory.get_mut(key).unwrap();
+        server.in_flight -= 1;
+        server.load.end(self.start + call.attempted_at);
         directory.record_success(key, now);
-        directory.record_latency(key, self.now - call.attempted_at, now);
+        directory.record_answer(key, self.now - call.attempted_at, now);
         if self.now - call.sent_at <= self.load.target {
             self.windows[call.sent_at.div_duration_f64(WINDOW) as usize].1 += 1;
         }
@@ -260,8 +297,10 @@
     fn reject(&mut self, number: usize) {
         let call = &self.calls[number];
         let (key, now) = (self.keys[call.server], self.start + self.now);
-        let directory = &mut self.instances[call.instance];
-        directory.get_mut(key).unwrap().in_flight -= 1;
+        let directory = &mut self.instances[call.instance].0;
+        let server = directory.get_mut(key).unwrap();
+        server.in_flight -= 1;
+        server.load.end(self.start + call.attempted_at);
         directory.record_full(key, now);
         if call.attempts.len() < MAX_ATTEMPTS {
             self.attempt(number);
@@ -379,10 +418,25 @@
     mean
 }
 
-/// Prints what callers get under each load: `cargo test -p magnoliaspar-gateway simulation -- --nocapture`.
+/// Guards against instances that together send a server more than it can run: those that share its calls evenly
+/// while it is slow, and those that each try it again after a while.
 #[test]
-fn loads_are_reported() {
+fn servers_fill_by_their_speed_in_a_burst() {
     for (name, load) in loads() {
-        println!("{name}: {:.3?}", mean_outcome(load));
+        let outcome = mean_outcome(load);
+        println!("{name}: {outcome:.3?}");
+        assert!(outcome.rejected < 0.02, "{name}: {outcome:?}");
+        assert!(outcome.usual_after <= Duration::from_secs(2), "{name}: {outcome:?}");
+        let is_by_speed = (0.5..1.5).contains(&outcome.slow_share);
+        assert!(load.slow == 0 || is_by_speed, "{name}: {outcome:?}");
     }
 }
+
+/// Guards the local zone's preference: without a sign of load nothing is exchanged or shared out.
+#[test]
+fn nothing_is_exchanged_under_light_load() {
+    let mut simulation =
+        Simulation::new(Load { burst: 0.2, rate: 100.0, ..few_servers(0, 1.0) }, 1);
+    simulation.play();
+    assert_eq!(simulation.reports, 0);
+}
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -383,7 +383,7 @@
         gateway.directory.borrow_mut().record_failure(server, gateway.clock.now());
     })?;
     let now = gateway.clock.now();
-    gateway.directory.borrow_mut().record_latency(server, now - started, now);
+    gateway.directory.borrow_mut().record_answer(server, now - started, now);
     if reply.head.status.is_success() && !reply.is_sealed_success() {
         log::warn!(request = &*req.facts.id; "answer_without_seal");
         return Err(CallError::Malformed("a success response without the server's seal".into()));
