--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -23,7 +23,7 @@
     AdmissionRequest, Decision, Queue, START_LATENCY, apply_update, serve_queue,
 };
 use crate::dialect::Dialect;
-use crate::directory::{Directory, EngineRole, Server, ServerRecord};
+use crate::directory::{Directory, EngineRole, ServerRecord};
 use crate::exchange::{CallError, Connection};
 use crate::failing_engines::FailingEngines;
 use crate::feed::FeedPosition;
@@ -32,6 +32,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers, reported_refusals};
 use crate::permits::{Permits, mark_changed};
+use crate::plain_load::PlainLoads;
 use crate::pool::{MAX_IDLE, Pool};
 use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
@@ -40,7 +41,7 @@
 use crate::retry_lending::{RetryLending, borrow_retry};
 use crate::roles::Sizes;
 use crate::route::{EngineSpec, Route, RouteKind, Routing, Service, ServiceName};
-use crate::selection::{Candidate, without_resting};
+use crate::selection::{Candidate, effective_limit, list_candidates, without_resting};
 use crate::settings::GatewaySettings;
 use crate::shared_limits::{self, SharedLimits};
 use crate::shutdown::{DropCause, Extent, RequestState, Shutdown};
@@ -106,6 +107,8 @@
     pub(crate) permits: Permits,
     /// Limits of workspaces that all instances share.
     pub(crate) limits: SharedLimits,
+    /// Load of plain services, as all instances observe it.
+    pub(crate) plain_loads: PlainLoads,
     /// Retries that this instance borrows and lends.
     pub(crate) retry_lending: RetryLending,
     /// Whether the instance has stopped.
@@ -197,6 +200,7 @@
             pending_admissions: RefCell::default(),
             permits: Permits::new(rand::rng().random()),
             limits: SharedLimits::new(rand::rng().random()),
+            plain_loads: PlainLoads::default(),
             retry_lending: RetryLending::default(),
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
@@ -599,33 +603,8 @@
 
     /// Returns the servers of a service that accept requests, except those in `tried`.
     pub fn candidates(&self, service: &str, tried: &[ServerKey]) -> Vec<Candidate> {
-        let now = self.clock.now();
-        let settings = self.settings();
-        let directory = self.directory.borrow();
-        let mut candidates = Vec::new();
-        for (key, server) in directory.iter() {
-            let record = &server.record;
-            let is_leaving = record.is_draining && !is_disabled(Guarantee::Drain);
-            let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing();
-            if &*record.service != service || !is_usable || tried.contains(&key) {
-                continue;
-            }
-            candidates.push(Candidate {
-                key,
-                is_local: record.zone == settings.zone,
-                is_avoided: server.is_avoided(now),
-                in_flight: server.in_flight,
-                slots: record.slots,
-                queued_prefill_tokens: 0,
-                latency: server.latency(now),
-                fill: 0.0,
-                running: 0,
-                role: record.role,
-                permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
-                rest: server.wait_left(now),
-            });
-        }
-        candidates
+        let zone = &self.settings().zone;
+        list_candidates(&self.directory.borrow(), service, zone, tried, self.clock.now())
     }
 
     /// Returns the mean sizes of the completions requested here, by service.
@@ -1103,11 +1082,6 @@
     text.into()
 }
 
-/// Returns the limit of a server, unless limits are disabled.
-fn effective_limit(server: &Server) -> Option<RequestLimit> {
-    server.limit().filter(|_| !is_disabled(Guarantee::Limit))
-}
-
 /// A request in flight.
 pub struct InFlight {
     gateway: Rc<Gateway>,
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -1,13 +1,18 @@
 //! Selection of servers: pure decisions over a list of candidates.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use magnoliaspar_core::ServerKey;
 use rand::Rng;
 
-use crate::directory::EngineRole;
+use crate::directory::{Directory, EngineRole, Server};
+use crate::guarantees::{Guarantee, is_disabled};
+use crate::request_limit::RequestLimit;
 use crate::reservations::Reservations;
 
+#[cfg(test)]
+mod simulation;
+
 /// Prefill speed of a prefill engine, in tokens per millisecond.
 pub const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 50.0;
 
@@ -69,6 +74,8 @@
     pub permit_wait: Option<Duration>,
     /// Time for which the server gets no requests of this instance.
     pub rest: Duration,
+    /// Share of the calls of all instances that the server should get, if one is assigned.
+    pub share: Option<u16>,
 }
 
 impl Candidate {
@@ -83,12 +90,57 @@
     }
 }
 
+/// Returns the servers of a service that accept requests, except those in `tried`, for an instance in `zone`.
+pub fn list_candidates(
+    directory: &Directory,
+    service: &str,
+    zone: &str,
+    tried: &[ServerKey],
+    now: Instant,
+) -> Vec<Candidate> {
+    let mut candidates = Vec::new();
+    for (key, server) in directory.iter() {
+        let record = &server.record;
+        let is_leaving = record.is_draining && !is_disabled(Guarantee::Drain);
+        let is_usable = !is_leaving && !server.is_unreachable && !server.is_changing();
+        if &*record.service != service || !is_usable || tried.contains(&key) {
+            continue;
+        }
+        candidates.push(Candidate {
+            key,
+            is_local: &*record.zone == zone,
+            is_avoided: server.is_avoided(now),
+            in_flight: server.in_flight,
+            slots: record.slots,
+            queued_prefill_tokens: 0,
+            latency: server.latency(now),
+            fill: 0.0,
+            running: 0,
+            role: record.role,
+            permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
+            rest: server.wait_left(now),
+            share: server.load.share(now),
+        });
+    }
+    candidates
+}
+
+/// Returns the limit of a server, unless limits are disabled.
+pub fn effective_limit(server: &Server) -> Option<RequestLimit> {
+    server.limit().filter(|_| !is_disabled(Guarantee::Limit))
+}
+
+/// Chooses a server for a plain call: by the assigned shares where there are some, otherwise by latency.
+pub fn choose_server(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+    choose_by_share(candidates, rng).or_else(|| choose_by_latency(candidates, rng))
+}
+
 /// Chooses the server with the lowest expected latency, with a preference for the local
 /// availability zone.
 ///
 /// Many instances share these servers. Measured latency reflects the load from all of them in a
 /// burst; the number of requests that this instance has in flight does not.
-pub fn choose_server(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+fn choose_by_latency(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
     let mean = mean_latency(candidates);
     choose_min(candidates, rng, |candidate| {
         let latency = candidate.latency.unwrap_or(mean);
@@ -100,6 +152,41 @@
     })
 }
 
+/// Draws two servers by their shares and chooses the one with fewer calls of this instance for its share; `None` if no
+/// share is assigned.
+///
+/// A server without a share is a new one, and gets the mean share.
+fn choose_by_share(candidates: &[Candidate], rng: &mut dyn rand::RngCore) -> Option<ServerKey> {
+    let mut usable = candidates.to_vec();
+    if candidates.iter().any(|candidate| !candidate.is_avoided) {
+        usable.retain(|candidate| !candidate.is_avoided);
+    }
+    let (mut sum, mut count) = (0, 0);
+    for candidate in &usable {
+        let Some(share) = candidate.share else { continue };
+        sum += u32::from(share);
+        count += 1;
+    }
+    if sum == 0 {
+        return None;
+    }
+    let share = |candidate: &Candidate| candidate.share.map_or(sum / count, u32::from).max(1);
+    let total: u32 = usable.iter().map(share).sum();
+    let mut draw = || {
+        let mut point = rng.random_range(0..total);
+        for candidate in &usable {
+            match point.checked_sub(share(candidate)) {
+                Some(rest) => point = rest,
+                None => return *candidate,
+            }
+        }
+        usable[0]
+    };
+    let (first, second) = (draw(), draw());
+    let load = |candidate: &Candidate| f64::from(candidate.in_flight) / f64::from(share(candidate));
+    Some(if load(&second) < load(&first) { second.key } else { first.key })
+}
+
 /// Returns the candidates for which a permit may be due within `max_wait`, or that need none.
 pub fn within_limits(candidates: &[Candidate], max_wait: Duration) -> Vec<Candidate> {
     let mut within = candidates.to_vec();
@@ -308,6 +395,7 @@
             role: Some(EngineRole::Decode),
             permit_wait: None,
             rest: Duration::ZERO,
+            share: None,
         };
         let role = Some(EngineRole::Prefill);
         let prefill =
