Place prompts by the speed of each prefill engine

All engines counted as equally fast, so that one at half the speed got as many prompts as the others and its queue grew. The coordinator now learns the prefill speed of each engine from its grants and PrefillFinished, and the decode speed from events and from the reservations in heartbeats. A prompt goes where its queue and itself take the least time, and the memory of a completion without events is predicted by the speed of its engine.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -415,6 +415,12 @@
             Some(prefill) => Plan::Split { prefill, decode },
             None => Plan::Decode(decode),
         };
+        let granted_at = {
+            // This instance has granted the engines itself if it is the coordinator.
+            let reservations = self.gateway.reservations.borrow();
+            let instance = &self.gateway.settings().instance;
+            reservations.reservation(instance, self.id).and_then(|own| own.granted_at)
+        };
         let reservation = Reservation {
             decode: grant.decode,
             prefill: grant.prefill,
@@ -423,6 +429,7 @@
             max_tokens: req.facts.max_tokens,
             starts_at: now + START_LATENCY,
             reserved_at: now,
+            granted_at,
             progress: None,
         };
         let mut entry = ReservationEntry::new(&reservation, now);
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -457,7 +457,9 @@
             fill = candidate.fill;
         }
         if matches!(plan, Plan::Split { prefill, .. } if prefill == candidate.key) {
-            tokens_ahead = candidate.queued_prefill_tokens;
+            // A slow engine has more ahead of the prompt, and of the prompt itself, than its tokens.
+            let queued = candidate.queued_prefill_tokens.saturating_add(request.prompt_tokens);
+            tokens_ahead = candidate.usual_tokens(queued).saturating_sub(request.prompt_tokens);
         }
     }
     log::debug!(asker = instance, id, decode = &*decode, prefill:?, fill, tokens_ahead, candidates = candidates.len(); "granted");
@@ -469,6 +471,7 @@
         max_tokens: request.max_tokens,
         starts_at: now + START_LATENCY,
         reserved_at: now,
+        granted_at: Some(now),
         progress: None,
     };
     gateway.reservations.borrow_mut().reserve(instance, id, reservation);
--- a/crates/magnoliaspar-gateway/src/engines.rs
+++ b/crates/magnoliaspar-gateway/src/engines.rs
@@ -29,7 +29,10 @@
         let is_limited = candidates.iter().any(|candidate| candidate.permit_wait.is_some());
         let share = if is_limited { self.limit_share() } else { 1.0 };
         let mut directory = self.directory.borrow_mut();
-        let loads = self.reservations.borrow().loads(now);
+        let (loads, prefill_speeds) = {
+            let reservations = self.reservations.borrow();
+            (reservations.loads(now), reservations.prefill_speeds(now))
+        };
         let failing_engines = self.failing_engines.borrow();
         let idle = EngineLoad::default();
         candidates.retain_mut(|candidate| {
@@ -47,6 +50,7 @@
             candidate.is_local = server.record.zone == request.zone;
             candidate.is_avoided |= failing_engines.is_avoided(id, now);
             candidate.queued_prefill_tokens = load.queued_prefill_tokens;
+            candidate.prefill_speed = prefill_speeds.of(id);
             candidate.running = load.running();
             // An idle engine counts as empty, so that it receives even a request that exceeds its
             // memory and can refuse it.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -619,6 +619,7 @@
                 queued_prefill_tokens: 0,
                 latency: server.latency(now),
                 fill: 0.0,
+                prefill_speed: 1.0,
                 running: 0,
                 role: record.role,
                 permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod departures;
 pub mod dialect;
 pub mod directory;
+pub mod engine_speeds;
 mod engine_stream;
 mod engines;
 pub mod entry_age;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -332,6 +332,7 @@
             max_tokens: self.max_tokens,
             starts_at: now + Duration::from_millis(self.starts_in_ms),
             reserved_at: now,
+            granted_at: None,
             progress,
         }
     }
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::engine_speeds::{EngineSpeeds, RelativeSpeeds};
+
 /// Maximum time until a grant appears in the report of the instance that requested it.
 const GRANT_DELIVERY_TIME: Duration = Duration::from_millis(1_500);
 
@@ -69,6 +71,8 @@
     pub starts_at: Instant,
     /// The time at which this instance recorded the reservation.
     pub reserved_at: Instant,
+    /// The time at which this instance granted the engines as coordinator; `None` if another one did.
+    pub granted_at: Option<Instant>,
     /// The last reported progress; `None` before the first output token.
     pub progress: Option<Progress>,
 }
@@ -97,6 +101,10 @@
     releases: Vec<(Instant, Box<str>)>,
     /// Decode speed of all streams, assumed for new ones.
     speed: DecodeSpeed,
+    /// Decode speeds of the engines.
+    decode_speeds: EngineSpeeds,
+    /// Prefill speeds of the engines.
+    prefill_speeds: EngineSpeeds,
 }
 
 /// Moving average of the decode speeds of all streams.
@@ -159,9 +167,16 @@
             own_instance,
             releases: Vec::new(),
             speed: DecodeSpeed::default(),
+            decode_speeds: EngineSpeeds::default(),
+            prefill_speeds: EngineSpeeds::default(),
         }
     }
 
+    /// Returns the speeds at which engines prefill prompts, relative to the usual one.
+    pub fn prefill_speeds(&self, now: Instant) -> RelativeSpeeds {
+        self.prefill_speeds.relative(now)
+    }
+
     /// Returns whether enough streams have contributed to the decode speed.
     pub fn knows_speed(&self) -> bool {
         self.speed.samples >= MIN_SPEED_SAMPLES
@@ -175,8 +190,12 @@
     /// Records that a prefill has finished, so that decoding starts at `now`.
     pub fn finish_prefill(&mut self, instance: &str, id: ReservationId, now: Instant) {
         if let Some(reservation) = self.reservations.get_mut(&(instance.into(), id)) {
-            reservation.prefill = None;
+            let prefill = reservation.prefill.take();
             reservation.starts_at = now;
+            if let (Some(prefill), Some(granted_at)) = (prefill, reservation.granted_at) {
+                let tokens = reservation.prompt_tokens;
+                self.prefill_speeds.add_prefill(&prefill, tokens, granted_at, now);
+            }
         }
     }
 
@@ -199,6 +218,7 @@
             progress.tokens_per_ms += STREAM_SPEED_SMOOTHING * (sample - before.tokens_per_ms);
             progress.is_own_speed = true;
             self.speed.add(sample);
+            self.decode_speeds.add(&reservation.decode, sample, now);
         }
         reservation.progress = Some(progress);
     }
@@ -222,12 +242,18 @@
         let is_fresh = |reservation: &Reservation| {
             now.saturating_duration_since(reservation.reserved_at) < GRANT_DELIVERY_TIME
         };
+        let mut granted = BTreeMap::new();
+        for (id, reservation) in self.of_instance(instance) {
+            granted.insert(id, reservation.granted_at);
+        }
         self.reservations
             .retain(|(owner, _), reservation| &**owner != instance || is_fresh(reservation));
-        for (id, reservation) in reservations {
+        for (id, mut reservation) in reservations {
+            reservation.granted_at = granted.get(&id).copied().flatten();
             // An instance sees only the streams of its own callers.
             if let Some(progress) = reservation.progress.filter(|progress| progress.is_own_speed) {
                 self.speed.add(progress.tokens_per_ms);
+                self.decode_speeds.add(&reservation.decode, progress.tokens_per_ms, now);
             }
             self.reserve(instance, id, reservation);
         }
@@ -238,6 +264,8 @@
     pub fn expire(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) >= PEER_TIMEOUT;
         self.last_report.retain(|_, last_report| !is_old(*last_report));
+        self.decode_speeds.expire(now);
+        self.prefill_speeds.expire(now);
         let last_report = &self.last_report;
         let own_instance = &self.own_instance;
         self.reservations.retain(|(owner, _), reservation| {
@@ -312,9 +340,10 @@
     /// Returns the load of each engine.
     pub fn loads(&self, now: Instant) -> BTreeMap<Box<str>, EngineLoad> {
         let mut loads: BTreeMap<Box<str>, EngineLoad> = BTreeMap::new();
+        let speeds = self.decode_speeds.relative(now);
         for reservation in self.reservations.values() {
             let load = loads.entry(reservation.decode.clone()).or_default();
-            load.running.push(self.growth(reservation, now));
+            load.running.push(self.growth(reservation, &speeds, now));
             if let Some(prefill) = &reservation.prefill {
                 let queued = &mut loads.entry(prefill.clone()).or_default().queued_prefill_tokens;
                 *queued = queued.saturating_add(reservation.prompt_tokens);
@@ -329,17 +358,20 @@
     }
 
     /// Estimates the number of output tokens that a completion has generated by `now`.
-    fn generated(&self, reservation: &Reservation, now: Instant) -> u64 {
+    fn generated(&self, reservation: &Reservation, speeds: &RelativeSpeeds, now: Instant) -> u64 {
         let (since, tokens, tokens_per_ms) = match reservation.progress {
             Some(progress) => (progress.at, progress.tokens, progress.tokens_per_ms),
-            None => (reservation.starts_at, 0, self.speed.tokens_per_ms),
+            None => {
+                let speed = self.speed.tokens_per_ms * speeds.of(&reservation.decode);
+                (reservation.starts_at, 0, speed)
+            }
         };
         let millis = now.saturating_duration_since(since).as_secs_f64() * 1_000.0;
         tokens + (millis * tokens_per_ms) as u64
     }
 
-    fn growth(&self, reservation: &Reservation, now: Instant) -> Growth {
-        let generated = self.generated(reservation, now);
+    fn growth(&self, reservation: &Reservation, speeds: &RelativeSpeeds, now: Instant) -> Growth {
+        let generated = self.generated(reservation, speeds, now);
         let max = reservation.max_tokens.saturating_sub(generated);
         let mean = (reservation.expected_tokens as f64 * MEAN_TO_MEDIAN) as u64;
         let min_remaining = (generated as f64 * MIN_REMAINING_RATIO) as u64;
@@ -389,6 +421,7 @@
             max_tokens: 9_000,
             starts_at,
             reserved_at: starts_at,
+            granted_at: None,
             progress: None,
         }
     }
@@ -459,4 +492,43 @@
         assert!(reservations.knows_speed());
         assert_eq!(reservations.duration_of(1_000), Duration::from_secs(4));
     }
+
+    /// A report of the instance replaces what the coordinator has granted, and used to lose the time of the grant.
+    #[test]
+    fn a_prefill_is_measured_from_its_grant_also_after_a_report() {
+        let start = Instant::now();
+        let at = |millis| start + Duration::from_millis(millis);
+        let mut reservations = Reservations::new("one".into());
+        for (id, prefill) in [(0, "slow"), (1, "usual"), (2, "usual")] {
+            let granted_at = Some(at(id * 100));
+            let prefill = Some(prefill.into());
+            let granted = Reservation { prefill, granted_at, ..reservation("a", start) };
+            reservations.reserve("two", id, granted);
+        }
+        let reported = Reservation { prefill: Some("slow".into()), ..reservation("a", at(150)) };
+        reservations.replace("two", vec![(0, reported)], at(150));
+        reservations.finish_prefill("two", 0, at(200));
+        reservations.finish_prefill("two", 1, at(200));
+        reservations.finish_prefill("two", 2, at(300));
+        let speeds = reservations.prefill_speeds(at(300));
+        assert!((0.45..0.55).contains(&speeds.of("slow")), "{speeds:?}");
+    }
+
+    /// Guards against placing completions on a slow engine as if its memory were free as early as that of others.
+    #[test]
+    fn a_new_completion_on_a_slow_engine_is_expected_to_hold_its_memory_for_longer() {
+        let start = Instant::now();
+        let mut reservations = Reservations::new("one".into());
+        for (id, engine, tokens_per_ms) in [(0, "a", 0.5), (1, "b", 1.0), (2, "c", 1.0)] {
+            let progress = Progress { at: start, tokens: 100, tokens_per_ms, is_own_speed: true };
+            let streaming = Reservation { progress: Some(progress), ..reservation(engine, start) };
+            reservations.replace(engine, vec![(id, streaming)], start);
+            reservations.release(engine, id, start);
+            reservations.reserve("one", id, reservation(engine, start));
+        }
+        let later = start + Duration::from_secs(3);
+        let loads = reservations.loads(later);
+        let fill = |engine: &str| loads[engine].predicted_fill(73_000, 5_000, 3_540);
+        assert!(fill("a") > fill("b"), "{} and {}", fill("a"), fill("b"));
+    }
 }
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -61,6 +61,8 @@
     pub latency: Option<Duration>,
     /// Predicted peak memory use of a decode engine with the request, as a share of its memory.
     pub fill: f64,
+    /// Speed of a prefill engine relative to the usual one.
+    pub prefill_speed: f64,
     /// Completions that run on a decode engine or are about to start there.
     pub running: usize,
     /// The stage of a completion that the engine runs; `None` for other servers.
@@ -72,6 +74,11 @@
 }
 
 impl Candidate {
+    /// Returns how many tokens a usual prefill engine would prefill in the time in which this one prefills `tokens`.
+    pub fn usual_tokens(&self, tokens: u64) -> u64 {
+        (tokens as f64 / self.prefill_speed) as u64
+    }
+
     /// Returns whether a decode engine has a free slot. One without a stated number of slots has.
     fn has_slot(&self) -> bool {
         self.slots == 0 || self.running < self.slots as usize
@@ -218,7 +225,8 @@
     let decode = decode.ok_or(PlanError::NoCapacity)?;
     let prefill = choose_min(&prefill_engines, rng, |candidate| {
         let penalty = if candidate.is_local { 0 } else { REMOTE_ZONE_TOKEN_PENALTY };
-        (candidate.is_avoided, candidate.queued_prefill_tokens.saturating_add(penalty))
+        let tokens = candidate.queued_prefill_tokens.saturating_add(prompt.tokens);
+        (candidate.is_avoided, candidate.usual_tokens(tokens).saturating_add(penalty))
     });
     let Some(prefill) =
         prefill.and_then(|key| prefill_engines.iter().find(|found| found.key == key))
@@ -226,7 +234,8 @@
         return Ok(Plan::Decode(decode));
     };
     let queued = prefill.queued_prefill_tokens;
-    let split_ms = prefill_ms(queued.saturating_add(prompt.tokens), prompt.prefill_tokens_per_ms);
+    let usual_tokens = prefill.usual_tokens(queued.saturating_add(prompt.tokens));
+    let split_ms = prefill_ms(usual_tokens, prompt.prefill_tokens_per_ms);
     let alone_ms =
         prefill_ms(prompt.tokens, prompt.prefill_tokens_per_ms / DECODE_PREFILL_SLOWDOWN);
     let limit_ms = prompt.target.as_secs_f64() * 1_000.0 * PREFILL_WAIT_SHARE;
@@ -238,7 +247,7 @@
     if prefill.is_avoided || (is_sooner && !delays_streams) {
         return Ok(Plan::Decode(decode));
     }
-    let queue_ms = prefill_ms(queued, prompt.prefill_tokens_per_ms);
+    let queue_ms = prefill_ms(prefill.usual_tokens(queued), prompt.prefill_tokens_per_ms);
     let max_queue = prompt.target.mul_f64(PREFILL_QUEUE_SHARE).max(MIN_PREFILL_QUEUE);
     if queue_ms > max_queue.as_secs_f64() * 1_000.0 {
         return Err(PlanError::NoCapacity);
@@ -304,6 +313,7 @@
             queued_prefill_tokens: 0,
             latency: None,
             fill,
+            prefill_speed: 1.0,
             running: 0,
             role: Some(EngineRole::Decode),
             permit_wait: None,
@@ -366,4 +376,36 @@
         decode.slots = 0;
         assert!(plan(&[decode, prefill], 5_200, 300).is_ok(), "it states no number of slots");
     }
+
+    /// An engine that slows down to half still prefills, and no prompt waits longer for it than for another one.
+    #[test]
+    fn an_engine_of_half_the_speed_gets_half_as_many_prompts() {
+        let [decode, mut slow] = engines(0.3, 0);
+        let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
+        for _ in 0..4 {
+            keys.insert(());
+        }
+        slow.prefill_speed = 0.5;
+        let mut usual = Candidate { key: keys.insert(()), prefill_speed: 1.0, ..slow };
+        let (mut of_slow, mut of_usual) = (0, 0);
+        for step in 0..300 {
+            match plan(&[decode, slow, usual], 2_500, 300) {
+                Ok(Plan::Split { prefill, .. }) if prefill == slow.key => {
+                    of_slow += 1;
+                    slow.queued_prefill_tokens += 2_500;
+                }
+                Ok(_) => {
+                    of_usual += 1;
+                    usual.queued_prefill_tokens += 2_500;
+                }
+                Err(_) => {}
+            }
+            // Prompts of 2,500 tokens come as fast as both together prefill them.
+            if step >= 8 {
+                slow.queued_prefill_tokens = slow.queued_prefill_tokens.saturating_sub(833);
+                usual.queued_prefill_tokens = usual.queued_prefill_tokens.saturating_sub(1_667);
+            }
+        }
+        assert!((80..=115).contains(&of_slow), "{of_slow} and {of_usual}");
+    }
 }
