Pace the grants of a coordinator without records

After all instances had lost power at once, several of them were coordinators with empty books until they knew each other, and filled engines that still ran their former completions. A coordinator that has run for less than 2 s, and that not all known instances have reported to, now lets each engine start from three completions, times the share of the instances it is in touch with. The queue is served again each 50 ms meanwhile, and nobody is refused as hopeless, since the rate is not known.

The log tells of paced grants and of engines that become slow. Further tests cover the queue of the coordinator: services beside each other, and arrivals that used to take room before those that wait.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission_order::{AdmissionOrder, Waiting};
+use crate::cold_start::Knowledge;
 use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
 use crate::permits::issue_permits;
@@ -115,6 +116,8 @@
     waiters: RefCell<BTreeMap<(InstanceId, ReservationId), Waiter>>,
     order: RefCell<AdmissionOrder>,
     is_wake_scheduled: Cell<bool>,
+    /// Whether the last completion without room found the grants paced.
+    is_paced: Cell<bool>,
 }
 
 /// A queued completion.
@@ -321,6 +324,10 @@
     service: &str,
     arrived: &(InstanceId, ReservationId),
 ) -> bool {
+    if Knowledge::of(gateway).is_cold() {
+        // The rate at which engines have room is not known yet.
+        return false;
+    }
     let now = gateway.clock.now();
     let rate = {
         let engines = gateway.engine_names(service);
@@ -406,9 +413,22 @@
 /// Minimum time until queued completions are looked at again.
 const MIN_WAKE_DELAY: Duration = Duration::from_millis(5);
 
-/// Serves the queue again once a permit for a limited decode engine is due.
+/// Time until queued completions are looked at again while the coordinator does not know what the engines run.
+const COLD_WAKE_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves the queue again once a permit for a limited decode engine is due, or the coordinator may know more.
 fn schedule_wake(gateway: &Rc<Gateway>, service: &str) {
-    let Some(wait) = gateway.decode_permit_wait(service) else { return };
+    let knowledge = Knowledge::of(gateway);
+    let is_paced = knowledge.is_cold();
+    if gateway.queue.is_paced.replace(is_paced) != is_paced {
+        let Knowledge { known, reported, .. } = knowledge;
+        log::info!(is_paced, known, reported; "grant_pace_changed");
+    }
+    let wait = match is_paced {
+        true => Some(COLD_WAKE_DELAY),
+        false => gateway.decode_permit_wait(service),
+    };
+    let Some(wait) = wait else { return };
     if gateway.queue.is_wake_scheduled.replace(true) {
         return;
     }
@@ -428,7 +448,8 @@
     request: &AdmissionRequest,
 ) -> Result<Grant, PlanError> {
     let now = gateway.clock.now();
-    let candidates = gateway.engines(request);
+    let mut candidates = gateway.engines(request);
+    Knowledge::of(gateway).restrict(&mut candidates);
     let prompt = Prompt {
         tokens: request.prompt_tokens,
         target: Duration::from_millis(request.target_ms),
@@ -628,4 +649,48 @@
         let order: Vec<&str> = order.iter().map(|name| &**name).collect();
         assert_eq!(order, ["newest", "in time", "oldest", "late"]);
     }
+
+    #[test]
+    fn a_service_without_room_does_not_keep_completions_of_others_waiting() {
+        let now = Instant::now();
+        let queue = Queue::default();
+        queue.waiters.borrow_mut().insert(("first".into(), 0), waiter(now, Duration::ZERO));
+        let mut other = waiter(now, SECOND);
+        other.request.service = "others".into();
+        queue.waiters.borrow_mut().insert(("second".into(), 0), other);
+        let services = ["engines".into()].into();
+        let passed_over = PassedOver { services, ..PassedOver::default() };
+        let (next, _) = queue.next(&passed_over, now).unwrap();
+        assert_eq!(&*next.0, "second");
+    }
+
+    /// Small completions took the room for which a larger one waited, and those of a low priority that of a higher one.
+    #[test]
+    fn an_arrival_takes_no_room_before_one_of_a_higher_priority_that_waits() {
+        let now = Instant::now();
+        let queue = Queue::default();
+        queue.waiters.borrow_mut().insert(("a".into(), 0), waiter(now, Duration::ZERO));
+        let mut arrival = waiter(now, Duration::ZERO);
+        arrival.request.priority.route = 1;
+        assert!(!queue.is_preceded(&arrival, now), "there are no workspaces");
+        queue.order.borrow_mut().has_workspaces = true;
+        assert!(queue.is_preceded(&arrival, now));
+        arrival.request.service = "others".into();
+        assert!(!queue.is_preceded(&arrival, now));
+    }
+
+    #[test]
+    fn only_completions_of_the_service_without_room_are_refused() {
+        let now = Instant::now();
+        let queue = Queue::default();
+        for id in 0..20 {
+            queue.waiters.borrow_mut().insert(("a".into(), id), waiter(now, SECOND));
+            let mut other = waiter(now, SECOND);
+            other.request.service = "others".into();
+            queue.waiters.borrow_mut().insert(("b".into(), id), other);
+        }
+        let refused = queue.take_hopeless("engines", 1.0, now);
+        assert!(!refused.is_empty() && refused.iter().all(|(instance, _)| &**instance == "a"));
+        assert_eq!(queue.len(), 40 - refused.len());
+    }
 }
--- a/crates/magnoliaspar-gateway/src/engine_speeds.rs
+++ b/crates/magnoliaspar-gateway/src/engine_speeds.rs
@@ -1,6 +1,6 @@
 //! Speeds of engines, learned from the completions that they run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// Weight of a new sample. A busy engine gives some ten a second, so that a change is known within a second.
@@ -24,10 +24,15 @@
 /// decide between engines that are idle.
 const NOISE: f64 = 0.1;
 
+/// Relative speed below which an engine is reported to be slow, and above which it is not any more.
+const SLOW_BOUNDS: (f64, f64) = (0.75, 0.85);
+
 /// Speeds of the engines at one stage of completions.
 #[derive(Debug, Default)]
 pub struct EngineSpeeds {
     engines: BTreeMap<Box<str>, Speed>,
+    /// Engines that are reported to be slow.
+    slow: BTreeSet<Box<str>>,
 }
 
 /// The speed of an engine.
@@ -64,6 +69,29 @@
         self.engines.retain(|_, speed| speed.is_recent(now));
     }
 
+    /// Returns the engines that have become slow since the last call, or are no longer, and their relative speeds.
+    pub fn take_changes(&mut self, now: Instant) -> Vec<(Box<str>, f64)> {
+        let (slow, usual) = SLOW_BOUNDS;
+        let relative = self.relative(now);
+        let mut changes = Vec::new();
+        for engine in self.slow.iter().chain(relative.engines.keys()) {
+            let speed = relative.of(engine);
+            let was_slow = self.slow.contains(engine);
+            if speed < slow && !was_slow || speed > usual && was_slow {
+                changes.push((engine.clone(), speed));
+            }
+        }
+        changes.sort_by(|(one, _), (other, _)| one.cmp(other));
+        changes.dedup();
+        for (engine, speed) in &changes {
+            match *speed < slow {
+                true => self.slow.insert(engine.clone()),
+                false => self.slow.remove(engine),
+            };
+        }
+        changes
+    }
+
     /// Returns the speed of each engine with recent samples relative to the usual one, which is their median.
     ///
     /// All samples include the time of messages, and so are comparable, though too low.
@@ -132,9 +160,13 @@
         }
         let relative = speeds.relative(start + Duration::from_secs(3));
         assert!((0.45..0.65).contains(&relative.of("slow")), "{relative:?}");
+        let changes = speeds.take_changes(start + Duration::from_secs(3));
+        assert!(matches!(&*changes, [(engine, _)] if &**engine == "slow"), "{changes:?}");
+        assert!(speeds.take_changes(start + Duration::from_secs(3)).is_empty());
         assert_eq!(relative.of("without samples"), 1.0);
         let later = speeds.relative(start + Duration::from_secs(9));
         assert_eq!(later.of("slow"), 1.0, "it is tried again");
+        assert_eq!(speeds.take_changes(start + Duration::from_secs(9)), [("slow".into(), 1.0)]);
     }
 
     #[test]
--- a/crates/magnoliaspar-gateway/src/engines.rs
+++ b/crates/magnoliaspar-gateway/src/engines.rs
@@ -9,6 +9,17 @@
 use crate::selection::Candidate;
 
 impl Gateway {
+    /// Logs, as coordinator, the engines that have become slow or are no longer.
+    pub fn log_engine_speeds(&self) {
+        if self.coordinator().is_some() {
+            return;
+        }
+        let changes = self.reservations.borrow_mut().take_speed_changes(self.clock.now());
+        for (server, stage, relative_speed) in changes {
+            log::info!(server = &*server, stage, relative_speed; "engine_speed_changed");
+        }
+    }
+
     /// Returns the names of the listed engines of a service.
     pub fn engine_names(&self, service: &str) -> BTreeSet<Box<str>> {
         let mut names = BTreeSet::new();
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -1074,6 +1074,7 @@
         }
         self.update_max_instances();
         report_proof_state(self);
+        self.log_engine_speeds();
         if let Some(peers) = self.peers() {
             let sent = peers.sent();
             let metrics = &self.metrics;
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission_order;
 mod blocks;
 pub mod call;
+pub mod cold_start;
 mod configuration_age;
 pub mod coordinator;
 mod copy;
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -172,6 +172,24 @@
         }
     }
 
+    /// Returns the number of other instances that have reported their reservations.
+    pub fn reporting_instances(&self) -> usize {
+        self.last_report.len()
+    }
+
+    /// Returns the engines that have become slow since the last call, or are no longer: the stage and the relative speed.
+    pub fn take_speed_changes(&mut self, now: Instant) -> Vec<(Box<str>, &'static str, f64)> {
+        let mut changes = Vec::new();
+        for (stage, speeds) in
+            [("prefill", &mut self.prefill_speeds), ("decode", &mut self.decode_speeds)]
+        {
+            for (engine, speed) in speeds.take_changes(now) {
+                changes.push((engine, stage, speed));
+            }
+        }
+        changes
+    }
+
     /// Returns the speeds at which engines prefill prompts, relative to the usual one.
     pub fn prefill_speeds(&self, now: Instant) -> RelativeSpeeds {
         self.prefill_speeds.relative(now)
