Test the signs of load and the shares of plain servers

Calls without an answer count as slow ones, a single slow answer is no sign of load, and slow or full servers keep a part of the calls by their speed.

--- a/crates/magnoliaspar-gateway/src/plain_load.rs
+++ b/crates/magnoliaspar-gateway/src/plain_load.rs
@@ -568,3 +568,70 @@
     }
     gateway.metrics.shared_services.set(gateway.plain_loads.shared_services() as i64);
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use super::{LoadSample, ReportedServer, ServerLoad, ServiceReport, split};
+
+    const MS: Duration = Duration::from_millis(1);
+
+    /// Guards against a server that answers nothing and so looks as fast as before.
+    #[test]
+    fn calls_without_an_answer_count_as_slow_ones() {
+        let mut load = ServerLoad::default();
+        let start = Instant::now();
+        load.record_answer(30 * MS, start);
+        load.start(start);
+        load.start(start + MS);
+        assert!(!load.has_sign(start + 50 * MS));
+        let later = start + 500 * MS;
+        assert!(load.has_sign(later));
+        assert!(load.sample(later).latency().unwrap() > 0.3);
+        load.end(start);
+        load.end(start + MS);
+        assert!(!load.has_sign(later));
+    }
+
+    /// Guards against a single call that takes long, which is ordinary, being taken for load.
+    #[test]
+    fn one_slow_answer_is_no_sign_of_load() {
+        let mut load = ServerLoad::default();
+        let now = Instant::now();
+        for latency in [30, 30, 150, 30, 150, 30] {
+            load.record_answer(latency * MS, now);
+            assert!(!load.has_sign(now));
+        }
+        load.record_refusal(now);
+        assert!(load.has_sign(now));
+    }
+
+    /// Guards against a slow or full server getting nothing, by which its recovery would stay unknown.
+    #[test]
+    fn slow_and_full_servers_get_a_part_by_their_speed() {
+        let server = |answered, latency_s: f64| {
+            let sample = LoadSample { answered, in_progress: answered * latency_s, refused: 0.0 };
+            ReportedServer { slots: 6, sample }
+        };
+        let (utilization, shares) =
+            split(&[server(80.0, 0.06), server(80.0, 0.06), server(15.0, 0.24)]).unwrap();
+        assert_eq!(utilization, 777);
+        assert_eq!(shares[0], shares[1]);
+        assert!((100..=250).contains(&shares[2]), "{shares:?}");
+        let (_, shares) = split(&[server(80.0, 0.06), server(25.0, 1.2)]).unwrap();
+        assert!((10..=100).contains(&shares[1]), "{shares:?}");
+        assert_eq!(split(&[server(1.0, 0.06), server(1.0, 0.06)]), None);
+    }
+
+    #[test]
+    fn a_report_takes_a_few_bytes_for_each_server() {
+        let sample = LoadSample { answered: 1.25, in_progress: 0.0375, refused: 0.0 };
+        let servers = vec![("s-1".into(), sample)];
+        let report = ServiceReport { service: "plain".into(), has_sign: true, servers };
+        let text = serde_json::to_string(&report).unwrap();
+        assert_eq!(text, r#"{"service":"plain","has_sign":true,"servers":[["s-1",[1250,37,0]]]}"#);
+        let parsed: ServiceReport = serde_json::from_str(&text).unwrap();
+        assert_eq!(parsed.servers[0].1.answered, 1.25);
+    }
+}
