Let plain calls wait while all servers have just refused calls

A call was sent to a server that had refused another one as full within the last 60 ms, if all had. It was refused at each of them, at the cost of retries, and got 503.

Such a call now waits for the end of the shortest of these periods and up to half of it more, at random, so that those that wait do not return together. It waits only if it can still be sent within 0.6 of the latency target, the share that waits for permits have; otherwise it is sent at once as before. The order by priority and the fairness between workspaces are not part of this.

--- a/crates/magnoliaspar-gateway/src/directory.rs
+++ b/crates/magnoliaspar-gateway/src/directory.rs
@@ -185,6 +185,12 @@
         wait.max(self.rest_left(now))
     }
 
+    /// Returns the time for which the server is taken for full, since it has refused a request.
+    pub fn full_left(&self, now: Instant) -> Duration {
+        let left = |until: Instant| until.saturating_duration_since(now);
+        self.full_until.map_or(Duration::ZERO, left)
+    }
+
     /// Returns whether recent calls failed, so that other servers are preferred.
     pub fn is_avoided(&self, now: Instant) -> bool {
         let is_after = |until: Option<Instant>| until.is_some_and(|until| now < until);
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -64,6 +64,8 @@
     pub permit_wait: Option<Duration>,
     /// Time for which the server gets no requests of this instance.
     pub rest: Duration,
+    /// Time for which the server is taken for full.
+    pub full: Duration,
     /// Share of the calls of all instances that the server should get, if one is assigned.
     pub share: Option<u16>,
 }
@@ -103,6 +105,7 @@
             role: record.role,
             permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
             rest: server.wait_left(now),
+            full: server.full_left(now),
             share: server.load.share(now),
         });
     }
@@ -186,6 +189,12 @@
     if usable.is_empty() { Err(shortest.unwrap_or_default()) } else { Ok(usable) }
 }
 
+/// Returns the time until the first server is no longer taken for full; `None` if one of them is not full now.
+pub fn time_until_room(candidates: &[Candidate]) -> Option<Duration> {
+    let shortest = candidates.iter().map(|candidate| candidate.full).min();
+    shortest.filter(|wait| !wait.is_zero())
+}
+
 /// Returns whether a server without a limit can take a request at once.
 pub fn has_unlimited(candidates: &[Candidate]) -> bool {
     candidates.iter().any(|candidate| candidate.permit_wait.is_none() && !candidate.is_avoided)
@@ -353,7 +362,7 @@
     use rand::rngs::StdRng;
     use slotmap::SlotMap;
 
-    use super::{Candidate, Plan, Prompt, choose_engines};
+    use super::{Candidate, Plan, Prompt, choose_engines, time_until_room};
     use crate::directory::EngineRole;
 
     /// A decode engine with this fill and a prefill engine with so many tokens in its queue.
@@ -371,6 +380,7 @@
             role: Some(EngineRole::Decode),
             permit_wait: None,
             rest: Duration::ZERO,
+            full: Duration::ZERO,
             share: None,
         };
         let role = Some(EngineRole::Prefill);
@@ -406,4 +416,15 @@
         assert!(is_prefilled_apart(&engines(0.5, 0), 11_000, 300));
         assert!(is_prefilled_apart(&engines(0.0, 10_000), 5_200, 300));
     }
+
+    /// Guards against calls that are sent to servers which will reject them, and against waits while one has room.
+    #[test]
+    fn calls_wait_for_room_only_while_all_servers_are_full() {
+        let [one, two] = engines(0.0, 0);
+        let full = |candidate, ms| Candidate { full: Duration::from_millis(ms), ..candidate };
+        let wait = time_until_room(&[full(one, 50), full(two, 20)]);
+        assert_eq!(wait, Some(Duration::from_millis(20)));
+        assert_eq!(time_until_room(&[full(one, 50), two]), None);
+        assert_eq!(time_until_room(&[]), None);
+    }
 }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -21,7 +21,9 @@
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::quarantine::{CalledProcess, admit_call, may_repeat_call, report_answer};
 use crate::refusal::Refusal;
-use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
+use crate::selection::{
+    Candidate, choose_server, has_unlimited, time_until_room, within_limits, without_resting,
+};
 use crate::shared_limits;
 
 /// Maximum length of a response that is buffered before it is forwarded, in bytes.
@@ -250,6 +252,13 @@
             }
             Err(_) => return Err(Refusal::ServersResting),
         };
+        if let Some(wait) = time_until_room(&candidates)
+            && let Some(wait) = useful_wait(gateway, req, wait)
+        {
+            gateway.metrics.count_call("awaited_room");
+            tokio::time::sleep(wait).await;
+            continue;
+        }
         let has_alternative = candidates.len() > 1;
         let now = gateway.clock.now();
         let (max_wait, decision_due_at) = match has_unlimited(&candidates) {
@@ -275,6 +284,19 @@
     }
 }
 
+/// Maximum part by which a wait for full servers is extended at random, so that the calls that wait do not all go to
+/// the first server that has room.
+const ROOM_WAIT_SPREAD: f64 = 0.5;
+
+/// Returns for how long a call waits while all servers are full for `wait`; `None` if it would be late then, and is
+/// sent at once.
+fn useful_wait(gateway: &Gateway, req: &Incoming, wait: Duration) -> Option<Duration> {
+    let wait = wait.mul_f64(1.0 + ROOM_WAIT_SPREAD * gateway.random_fraction());
+    let now = gateway.clock.now();
+    let target = req.received + req.route.target_latency.mul_f64(START_WAIT_SHARE);
+    (now + wait <= target.min(req.deadline)).then_some(wait)
+}
+
 /// Returns the maximum wait for a permit or for the end of a rest with which a response can still be in time.
 fn max_start_wait(gateway: &Gateway, req: &Incoming) -> Duration {
     let routing = gateway.routing();
