Spend second tries of plain calls where they can help

The retry budget was spent on any call that may be tried again: also on one whose deadline no server could meet, and, while the servers had no capacity left, on calls that a server had answered with a failure of its own.

A failure that a server has answered is not repeated while the servers use 0.9 of the capacity that all instances observe. At-most-once calls are treated as before.

A unit test covers the decision by latency.

--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -195,6 +195,17 @@
     shortest.filter(|wait| !wait.is_zero())
 }
 
+/// Part of its recent latency within which a server may still respond.
+const SOONEST_RESPONSE_SHARE: f64 = 0.5;
+
+/// Returns whether a server may respond within the time that is left, by its recent latency.
+pub fn may_respond_within(candidates: &[Candidate], remaining: Duration) -> bool {
+    candidates.iter().any(|candidate| {
+        let latency = candidate.latency.unwrap_or_default();
+        latency.mul_f64(SOONEST_RESPONSE_SHARE) < remaining
+    })
+}
+
 /// Returns whether a server without a limit can take a request at once.
 pub fn has_unlimited(candidates: &[Candidate]) -> bool {
     candidates.iter().any(|candidate| candidate.permit_wait.is_none() && !candidate.is_avoided)
@@ -362,7 +373,7 @@
     use rand::rngs::StdRng;
     use slotmap::SlotMap;
 
-    use super::{Candidate, Plan, Prompt, choose_engines, time_until_room};
+    use super::{Candidate, Plan, Prompt, choose_engines, may_respond_within, time_until_room};
     use crate::directory::EngineRole;
 
     /// A decode engine with this fill and a prefill engine with so many tokens in its queue.
@@ -427,4 +438,15 @@
         assert_eq!(time_until_room(&[full(one, 50), two]), None);
         assert_eq!(time_until_room(&[]), None);
     }
+
+    /// Guards the retry budget against tries that cannot end before the deadline.
+    #[test]
+    fn a_server_that_cannot_respond_in_time_gets_no_second_try() {
+        let [one, two] = engines(0.0, 0);
+        let slow = |candidate| Candidate { latency: Some(Duration::from_secs(1)), ..candidate };
+        let left = Duration::from_millis(400);
+        assert!(!may_respond_within(&[slow(one), slow(two)], left));
+        assert!(may_respond_within(&[slow(one), two], left), "the latency is unknown");
+        assert!(may_respond_within(&[slow(one)], 2 * left));
+    }
 }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -22,7 +22,8 @@
 use crate::quarantine::{CalledProcess, admit_call, may_repeat_call, report_answer};
 use crate::refusal::Refusal;
 use crate::selection::{
-    Candidate, choose_server, has_unlimited, time_until_room, within_limits, without_resting,
+    Candidate, choose_server, has_unlimited, may_respond_within, time_until_room, within_limits,
+    without_resting,
 };
 use crate::shared_limits;
 
@@ -74,6 +75,10 @@
             if has_crashed && !may_repeat_call(gateway, req).await {
                 break last_error;
             }
+            if tally.dispatches > 0 && is_too_late(gateway, req, &in_flight) {
+                gateway.metrics.count_call("retry_too_late");
+                break if tally.runs == 0 { Refusal::NoCapacity } else { last_error };
+            }
             // The budget is checked first, so that no permit is obtained for a retry that is not made.
             let Ok(retry) = obtain_retry(gateway, req, tally).await else {
                 break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
@@ -116,7 +121,9 @@
             Ended::NotSent => tally.take_back(),
             Ended::NotRun => tally.refuse(),
             Ended::Answered { response, server, has_alternative } => {
-                let may_improve = has_alternative && tally.allows_attempt(&req.route);
+                let may_improve = has_alternative
+                    && tally.allows_attempt(&req.route)
+                    && may_repeat_failure(gateway, req);
                 let name = gateway.server_name(server);
                 let is_final = attempts.is_empty() && !may_improve;
                 if !response.status().is_server_error() || is_final {
@@ -140,6 +147,23 @@
     }
 }
 
+/// Returns whether no server that has not been tried can respond before the deadline, by their recent latencies.
+fn is_too_late(gateway: &Gateway, req: &Incoming, in_flight: &InFlightAttempts) -> bool {
+    let candidates = gateway.candidates(&req.service, &in_flight.tried.borrow());
+    let remaining = req.remaining(gateway.clock.now());
+    !candidates.is_empty() && !may_respond_within(&candidates, remaining)
+}
+
+/// Utilization of a service from which a failure that a server reports itself is not repeated: another run would take
+/// the place of a call that has had none.
+const MAX_REPEAT_UTILIZATION: f64 = 0.9;
+
+/// Returns whether the servers have room for another run of a call that a server has answered with a failure.
+fn may_repeat_failure(gateway: &Gateway, req: &Incoming) -> bool {
+    let utilization = gateway.plain_loads.utilization(&req.service, gateway.clock.now());
+    utilization.is_none_or(|utilization| utilization < MAX_REPEAT_UTILIZATION)
+}
+
 /// The retry budget of a service is used up.
 struct BudgetUsedUp;
 
