Send few calls to a plain server that refuses them

A server that refuses every call has no answers, so its capacity was taken for the mean of the others and it was assigned a full share. Its share is reduced by the part of the calls that it refuses, down to a tenth of its capacity.

The extended unit test gave the shares 1000 and 1000 before.

--- a/crates/magnoliaspar-gateway/src/plain_load.rs
+++ b/crates/magnoliaspar-gateway/src/plain_load.rs
@@ -61,7 +61,7 @@
 /// Time within which a queue is to be worked off, in seconds.
 const DRAIN_TIME_S: f64 = 1.0;
 
-/// Minimum share of the capacity of a server that is used while its queue is long. Without calls its recovery would not
+/// Minimum share of the capacity of a server that is used while its queue is long or it refuses calls. Without calls its recovery would not
 /// be seen.
 const MIN_SPARE_SHARE: f64 = 0.1;
 
@@ -456,10 +456,14 @@
         Some(in_progress / self.sample.latency()?)
     }
 
-    /// Returns the calls a second that the server of this capacity can run besides those that wait there.
+    /// Returns the calls a second that the server of this capacity can run besides those that wait there. A server that
+    /// refuses calls has less capacity than its answers show.
     fn spare(&self, capacity: f64) -> f64 {
-        let waiting = (self.sample.in_progress - f64::from(self.slots)).max(0.0);
-        (capacity - waiting / DRAIN_TIME_S).max(capacity * MIN_SPARE_SHARE)
+        let LoadSample { answered, in_progress, refused } = self.sample;
+        let waiting = (in_progress - f64::from(self.slots)).max(0.0);
+        let accepted = if refused > 0.0 { answered / (answered + refused) } else { 1.0 };
+        let spare = (capacity - waiting / DRAIN_TIME_S) * accepted;
+        spare.max(capacity * MIN_SPARE_SHARE)
     }
 }
 
@@ -622,6 +626,10 @@
         let (_, shares) = split(&[server(80.0, 0.06), server(25.0, 1.2)]).unwrap();
         assert!((10..=100).contains(&shares[1]), "{shares:?}");
         assert_eq!(split(&[server(1.0, 0.06), server(1.0, 0.06)]), None);
+        let sample = LoadSample { answered: 0.0, in_progress: 0.0, refused: 10.0 };
+        let refusing = ReportedServer { slots: 6, sample };
+        let (_, shares) = split(&[server(80.0, 0.06), refusing]).unwrap();
+        assert!((10..=100).contains(&shares[1]), "{shares:?}");
     }
 
     #[test]
