Let further tries of plain calls wait for a server that is not full

A second try was sent at once also if all servers that were left had refused calls within the last 60 ms. Its retry was spent on another rejection.

A further try waits for the end of the shortest of these periods, for up to half of the time left. First tries are treated as before. No test shows the rejections that this avoids; the tests plain, silent_servers, retry_budget, server_limits, crashing_calls, leaving_servers, request_bounds, shared_limits and membership of magnoliaspar-adapter pass with it (98 tests), and those of magnoliaspar-gateway (72).

--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -277,7 +277,7 @@
             Err(_) => return Err(Refusal::ServersResting),
         };
         if let Some(wait) = time_until_room(&candidates)
-            && let Some(wait) = useful_wait(gateway, req, wait)
+            && let Some(wait) = useful_wait(gateway, req, wait, !tried.is_empty())
         {
             gateway.metrics.count_call("awaited_room");
             tokio::time::sleep(wait).await;
@@ -312,13 +312,21 @@
 /// the first server that has room.
 const ROOM_WAIT_SPREAD: f64 = 0.5;
 
-/// Returns for how long a call waits while all servers are full for `wait`; `None` if it would be late then, and is
-/// sent at once.
-fn useful_wait(gateway: &Gateway, req: &Incoming, wait: Duration) -> Option<Duration> {
+/// Returns for how long a call waits while all servers are full for `wait`; `None` if it is sent at once.
+///
+/// The first try of a call waits only if the call can be in time then. A further one waits for up to half of the time
+/// left: a server that rejects it costs a retry.
+fn useful_wait(
+    gateway: &Gateway,
+    req: &Incoming,
+    wait: Duration,
+    is_repeated: bool,
+) -> Option<Duration> {
     let wait = wait.mul_f64(1.0 + ROOM_WAIT_SPREAD * gateway.random_fraction());
     let now = gateway.clock.now();
     let target = req.received + req.route.target_latency.mul_f64(START_WAIT_SHARE);
-    (now + wait <= target.min(req.deadline)).then_some(wait)
+    let limit = if is_repeated { now + req.remaining(now) / 2 } else { target.min(req.deadline) };
+    (now + wait <= limit).then_some(wait)
 }
 
 /// Returns the maximum wait for a permit or for the end of a rest with which a response can still be in time.
