--- a/crates/magnoliaspar-gateway/src/plain_load.rs
+++ b/crates/magnoliaspar-gateway/src/plain_load.rs
@@ -61,7 +61,7 @@
 /// Time within which a queue is to be worked off, in seconds.
 const DRAIN_TIME_S: f64 = 1.0;
 
-/// Minimum share of the capacity of a server that is used while its queue is long. Without calls its recovery would not
+/// Minimum share of the capacity of a server that is used while its queue is long or it refuses calls. Without calls its recovery would not
 /// be seen.
 const MIN_SPARE_SHARE: f64 = 0.1;
 
@@ -456,10 +456,14 @@
         Some(in_progress / self.sample.latency()?)
     }
 
-    /// Returns the calls a second that the server of this capacity can run besides those that wait there.
+    /// Returns the calls a second that the server of this capacity can run besides those that wait there. A server that
+    /// refuses calls has less capacity than its answers show.
     fn spare(&self, capacity: f64) -> f64 {
-        let waiting = (self.sample.in_progress - f64::from(self.slots)).max(0.0);
-        (capacity - waiting / DRAIN_TIME_S).max(capacity * MIN_SPARE_SHARE)
+        let LoadSample { answered, in_progress, refused } = self.sample;
+        let waiting = (in_progress - f64::from(self.slots)).max(0.0);
+        let accepted = if refused > 0.0 { answered / (answered + refused) } else { 1.0 };
+        let spare = (capacity - waiting / DRAIN_TIME_S) * accepted;
+        spare.max(capacity * MIN_SPARE_SHARE)
     }
 }
 
@@ -568,3 +572,74 @@
     }
     gateway.metrics.shared_services.set(gateway.plain_loads.shared_services() as i64);
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use super::{LoadSample, ReportedServer, ServerLoad, ServiceReport, split};
+
+    const MS: Duration = Duration::from_millis(1);
+
+    /// Guards against a server that answers nothing and so looks as fast as before.
+    #[test]
+    fn calls_without_an_answer_count_as_slow_ones() {
+        let mut load = ServerLoad::default();
+        let start = Instant::now();
+        load.record_answer(30 * MS, start);
+        load.start(start);
+        load.start(start + MS);
+        assert!(!load.has_sign(start + 50 * MS));
+        let later = start + 500 * MS;
+        assert!(load.has_sign(later));
+        assert!(load.sample(later).latency().unwrap() > 0.3);
+        load.end(start);
+        load.end(start + MS);
+        assert!(!load.has_sign(later));
+    }
+
+    /// Guards against a single call that takes long, which is ordinary, being taken for load.
+    #[test]
+    fn one_slow_answer_is_no_sign_of_load() {
+        let mut load = ServerLoad::default();
+        let now = Instant::now();
+        for latency in [30, 30, 150, 30, 150, 30] {
+            load.record_answer(latency * MS, now);
+            assert!(!load.has_sign(now));
+        }
+        load.record_refusal(now);
+        assert!(load.has_sign(now));
+    }
+
+    /// Guards against a slow or full server getting nothing, by which its recovery would stay unknown.
+    #[test]
+    fn slow_and_full_servers_get_a_part_by_their_speed() {
+        let server = |answered, latency_s: f64| {
+            let sample = LoadSample { answered, in_progress: answered * latency_s, refused: 0.0 };
+            ReportedServer { slots: 6, sample }
+        };
+        let (utilization, shares) =
+            split(&[server(80.0, 0.06), server(80.0, 0.06), server(15.0, 0.24)]).unwrap();
+        assert_eq!(utilization, 777);
+        assert_eq!(shares[0], shares[1]);
+        assert!((100..=250).contains(&shares[2]), "{shares:?}");
+        let (_, shares) = split(&[server(80.0, 0.06), server(25.0, 1.2)]).unwrap();
+        assert!((10..=100).contains(&shares[1]), "{shares:?}");
+        assert_eq!(split(&[server(1.0, 0.06), server(1.0, 0.06)]), None);
+        let sample = LoadSample { answered: 0.0, in_progress: 0.0, refused: 10.0 };
+        let refusing = ReportedServer { slots: 6, sample };
+        let (_, shares) = split(&[server(80.0, 0.06), refusing]).unwrap();
+        assert!((10..=100).contains(&shares[1]), "{shares:?}");
+    }
+
+    #[test]
+    fn a_report_takes_a_few_bytes_for_each_server() {
+        let sample = LoadSample { answered: 1.25, in_progress: 0.0375, refused: 0.0 };
+        let servers = vec![("s-1".into(), sample)];
+        let report = ServiceReport { service: "plain".into(), has_sign: true, servers };
+        let text = serde_json::to_string(&report).unwrap();
+        assert_eq!(text, r#"{"service":"plain","has_sign":true,"servers":[["s-1",[1250,37,0]]]}"#);
+        let parsed: ServiceReport = serde_json::from_str(&text).unwrap();
+        assert_eq!(parsed.servers[0].1.answered, 1.25);
+    }
+}
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -76,6 +76,8 @@
     pub permit_wait: Option<Duration>,
     /// Time for which the server gets no requests of this instance.
     pub rest: Duration,
+    /// Time for which the server is taken for full.
+    pub full: Duration,
     /// Share of the calls of all instances that the server should get, if one is assigned.
     pub share: Option<u16>,
 }
@@ -127,6 +129,7 @@
             role: record.role,
             permit_wait: effective_limit(server).map(|_| server.permit_wait(now)),
             rest: server.wait_left(now),
+            full: server.full_left(now),
             share: server.load.share(now),
         });
     }
@@ -210,6 +213,23 @@
     if usable.is_empty() { Err(shortest.unwrap_or_default()) } else { Ok(usable) }
 }
 
+/// Returns the time until the first server is no longer taken for full; `None` if one of them is not full now.
+pub fn time_until_room(candidates: &[Candidate]) -> Option<Duration> {
+    let shortest = candidates.iter().map(|candidate| candidate.full).min();
+    shortest.filter(|wait| !wait.is_zero())
+}
+
+/// Part of its recent latency within which a server may still respond.
+const SOONEST_RESPONSE_SHARE: f64 = 0.5;
+
+/// Returns whether a server may respond within the time that is left, by its recent latency.
+pub fn may_respond_within(candidates: &[Candidate], remaining: Duration) -> bool {
+    candidates.iter().any(|candidate| {
+        let latency = candidate.latency.unwrap_or_default();
+        latency.mul_f64(SOONEST_RESPONSE_SHARE) < remaining
+    })
+}
+
 /// Returns whether a server without a limit can take a request at once.
 pub fn has_unlimited(candidates: &[Candidate]) -> bool {
     candidates.iter().any(|candidate| candidate.permit_wait.is_none() && !candidate.is_avoided)
@@ -386,7 +406,9 @@
     use rand::rngs::StdRng;
     use slotmap::SlotMap;
 
-    use super::{Candidate, Plan, PlanError, Prompt, choose_engines};
+    use super::{
+        Candidate, Plan, PlanError, Prompt, choose_engines, may_respond_within, time_until_room,
+    };
     use crate::directory::EngineRole;
 
     /// A decode engine with this fill and a prefill engine with so many tokens in its queue.
@@ -406,6 +428,7 @@
             role: Some(EngineRole::Decode),
             permit_wait: None,
             rest: Duration::ZERO,
+            full: Duration::ZERO,
             share: None,
         };
         let role = Some(EngineRole::Prefill);
@@ -497,4 +520,26 @@
         }
         assert!((80..=115).contains(&of_slow), "{of_slow} and {of_usual}");
     }
+
+    /// Guards against calls that are sent to servers which will reject them, and against waits while one has room.
+    #[test]
+    fn calls_wait_for_room_only_while_all_servers_are_full() {
+        let [one, two] = engines(0.0, 0);
+        let full = |candidate, ms| Candidate { full: Duration::from_millis(ms), ..candidate };
+        let wait = time_until_room(&[full(one, 50), full(two, 20)]);
+        assert_eq!(wait, Some(Duration::from_millis(20)));
+        assert_eq!(time_until_room(&[full(one, 50), two]), None);
+        assert_eq!(time_until_room(&[]), None);
+    }
+
+    /// Guards the retry budget against tries that cannot end before the deadline.
+    #[test]
+    fn a_server_that_cannot_respond_in_time_gets_no_second_try() {
+        let [one, two] = engines(0.0, 0);
+        let slow = |candidate| Candidate { latency: Some(Duration::from_secs(1)), ..candidate };
+        let left = Duration::from_millis(400);
+        assert!(!may_respond_within(&[slow(one), slow(two)], left));
+        assert!(may_respond_within(&[slow(one), two], left), "the latency is unknown");
+        assert!(may_respond_within(&[slow(one)], 2 * left));
+    }
 }
--- a/crates/magnoliaspar-gateway/src/unary.rs
+++ b/crates/magnoliaspar-gateway/src/unary.rs
@@ -21,7 +21,10 @@
 use crate::permits::{PERMIT_TIMEOUT, obtain_permit};
 use crate::quarantine::{CalledProcess, admit_call, may_repeat_call, report_answer};
 use crate::refusal::Refusal;
-use crate::selection::{Candidate, choose_server, has_unlimited, within_limits, without_resting};
+use crate::selection::{
+    Candidate, choose_server, has_unlimited, may_respond_within, time_until_room, within_limits,
+    without_resting,
+};
 use crate::shared_limits;
 
 /// Maximum length of a response that is buffered before it is forwarded, in bytes.
@@ -72,6 +75,10 @@
             if has_crashed && !may_repeat_call(gateway, req).await {
                 break last_error;
             }
+            if tally.dispatches > 0 && is_too_late(gateway, req, &in_flight) {
+                gateway.metrics.count_call("retry_too_late");
+                break if tally.runs == 0 { Refusal::NoCapacity } else { last_error };
+            }
             // The budget is checked first, so that no permit is obtained for a retry that is not made.
             let Ok(retry) = obtain_retry(gateway, req, tally).await else {
                 break if tally.runs == 0 { Refusal::NoCapacity } else { Refusal::MayHaveRun };
@@ -114,7 +121,9 @@
             Ended::NotSent => tally.take_back(),
             Ended::NotRun => tally.refuse(),
             Ended::Answered { response, server, has_alternative } => {
-                let may_improve = has_alternative && tally.allows_attempt(&req.route);
+                let may_improve = has_alternative
+                    && tally.allows_attempt(&req.route)
+                    && may_repeat_failure(gateway, req);
                 let name = gateway.server_name(server);
                 let is_final = attempts.is_empty() && !may_improve;
                 if !response.status().is_server_error() || is_final {
@@ -138,6 +147,23 @@
     }
 }
 
+/// Returns whether no server that has not been tried can respond before the deadline, by their recent latencies.
+fn is_too_late(gateway: &Gateway, req: &Incoming, in_flight: &InFlightAttempts) -> bool {
+    let candidates = gateway.candidates(&req.service, &in_flight.tried.borrow());
+    let remaining = req.remaining(gateway.clock.now());
+    !candidates.is_empty() && !may_respond_within(&candidates, remaining)
+}
+
+/// Utilization of a service from which a failure that a server reports itself is not repeated: another run would take
+/// the place of a call that has had none.
+const MAX_REPEAT_UTILIZATION: f64 = 0.9;
+
+/// Returns whether the servers have room for another run of a call that a server has answered with a failure.
+fn may_repeat_failure(gateway: &Gateway, req: &Incoming) -> bool {
+    let utilization = gateway.plain_loads.utilization(&req.service, gateway.clock.now());
+    utilization.is_none_or(|utilization| utilization < MAX_REPEAT_UTILIZATION)
+}
+
 /// The retry budget of a service is used up.
 struct BudgetUsedUp;
 
@@ -250,6 +276,13 @@
             }
             Err(_) => return Err(Refusal::ServersResting),
         };
+        if let Some(wait) = time_until_room(&candidates)
+            && let Some(wait) = useful_wait(gateway, req, wait, !tried.is_empty())
+        {
+            gateway.metrics.count_call("awaited_room");
+            tokio::time::sleep(wait).await;
+            continue;
+        }
         let has_alternative = candidates.len() > 1;
         let now = gateway.clock.now();
         let (max_wait, decision_due_at) = match has_unlimited(&candidates) {
@@ -275,6 +308,27 @@
     }
 }
 
+/// Maximum part by which a wait for full servers is extended at random, so that the calls that wait do not all go to
+/// the first server that has room.
+const ROOM_WAIT_SPREAD: f64 = 0.5;
+
+/// Returns for how long a call waits while all servers are full for `wait`; `None` if it is sent at once.
+///
+/// The first try of a call waits only if the call can be in time then. A further one waits for up to half of the time
+/// left: a server that rejects it costs a retry.
+fn useful_wait(
+    gateway: &Gateway,
+    req: &Incoming,
+    wait: Duration,
+    is_repeated: bool,
+) -> Option<Duration> {
+    let wait = wait.mul_f64(1.0 + ROOM_WAIT_SPREAD * gateway.random_fraction());
+    let now = gateway.clock.now();
+    let target = req.received + req.route.target_latency.mul_f64(START_WAIT_SHARE);
+    let limit = if is_repeated { now + req.remaining(now) / 2 } else { target.min(req.deadline) };
+    (now + wait <= limit).then_some(wait)
+}
+
 /// Returns the maximum wait for a permit or for the end of a rest with which a response can still be in time.
 fn max_start_wait(gateway: &Gateway, req: &Incoming) -> Duration {
     let routing = gateway.routing();
