Read the maximum number of descriptors from the settings

The limits of connections depend on how many descriptors the machine allows, and on its memory. Without it the limit of the process applies, so earlier settings stay valid. The value has no effect yet.

--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -44,6 +44,9 @@
 /// Number of bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 
+/// Valid numbers of open descriptors.
+const DESCRIPTORS: RangeInclusive<u64> = 256..=10_000_000;
+
 /// Number of cores if the settings have none.
 const DEFAULT_CORES: f64 = 1.0;
 
@@ -68,8 +71,12 @@
     pub store: SocketAddr,
     /// Capacity of the instance, in thousandths of a core.
     pub capacity: u32,
+    /// Memory of the machine, in bytes.
+    pub memory: usize,
     /// Memory for responses, in bytes.
     pub response_memory: usize,
+    /// Maximum number of open descriptors; `None` for the limit that the system sets.
+    pub max_descriptors: Option<usize>,
     /// Retry budget of each service, shared by all instances.
     pub budget: SharedBudget,
     /// How keys become unusable that a configuration revokes.
@@ -99,7 +106,12 @@
     let seeds = object.with_default("seeds", [].into(), |field| field.list(Cursor::address));
     let store = object.required("store").and_then(|field| field.address());
     let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
-    let response_memory = read_response_memory(&object);
+    let memory_mb =
+        object.with_default("memory_mb", DEFAULT_MEMORY_MB, |field| field.number(MEGABYTES));
+    let response_memory = memory_mb.and_then(|memory_mb| read_response_memory(&object, memory_mb));
+    let max_descriptors = object.with_default("max_descriptors", None, |field| {
+        Some(Some(field.integer(DESCRIPTORS)? as usize))
+    });
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let revocation =
         object.with_default("revocation", Revocation::default(), |field| read_revocation(field));
@@ -116,7 +128,9 @@
         seeds: seeds?,
         store: store?,
         capacity: (cores? * 1_000.0) as u32,
+        memory: (memory_mb? * BYTES_PER_MB) as usize,
         response_memory: response_memory?,
+        max_descriptors: max_descriptors?,
         budget: budget?,
         revocation: revocation?,
         grace: Duration::from_secs_f64(grace?),
@@ -124,10 +138,8 @@
     })
 }
 
-/// Reads the memory of the machine and the part of it that is for responses; returns the latter in bytes.
-fn read_response_memory(object: &Object) -> Option<usize> {
-    let memory_mb =
-        object.with_default("memory_mb", DEFAULT_MEMORY_MB, |field| field.number(MEGABYTES))?;
+/// Reads the part of the machine's memory that is for responses, in bytes.
+fn read_response_memory(object: &Object, memory_mb: f64) -> Option<usize> {
     let (least, most) = (*MEGABYTES.start(), (memory_mb * MAX_RESPONSE_SHARE).max(1.0));
     let default_mb = (memory_mb * DEFAULT_RESPONSE_SHARE).max(least);
     let response_mb = object
