Bound the memory for bodies of requests and for what is read ahead

Bodies were collected without an account, in buffers that grow, and copied once more for each call. The HTTP library read up to 128 KiB ahead of each connection and decoded all requests in it. And a request counted as ended once the library had taken the last part of its answer, so a stop could end the process before that was written.

Bodies and responses now share one account, whose limit follows from memory_mb. A body is held once, in blocks; one that can't be held is refused with 503 and Retry-After, before it is read where its length is announced. Callers that are silent within their body for a second give way first. The connection gives the library a bounded number of bytes, and keeps a request in flight until its answer has been written. The three parts meet in the connection's state, so they are one commit.

--- a/crates/magnoliaspar-gateway/src/blocks.rs
+++ b/crates/magnoliaspar-gateway/src/blocks.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// Returns the memory that a number of bytes takes, with the spare capacity of the last block.
+    pub fn cost_of(length: usize) -> usize {
+        match length {
+            0 => 0,
+            1..BLOCK_BYTES => length.next_power_of_two(),
+            _ => (length / BLOCK_BYTES + 1) * BLOCK_BYTES,
+        }
+    }
+
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
         self.full.len() * BLOCK_BYTES + self.last.len()
--- a/crates/magnoliaspar-gateway/src/call.rs
+++ b/crates/magnoliaspar-gateway/src/call.rs
@@ -6,7 +6,6 @@
 
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
-use bytes::Bytes;
 use magnoliaspar_access::Workspace;
 use magnoliaspar_core::ServerKey;
 use magnoliaspar_retry::{Backoff, PartId};
@@ -19,6 +18,7 @@
 use crate::held_body::HeldBody;
 use crate::liveness::{Witness, ask_before_use};
 use crate::notices::Notices;
+use crate::request_body::RequestBody;
 use crate::request_limit::{LimitNotice, LimitState};
 use crate::route::{Priority, Route, ServiceName};
 use crate::shutdown::RequestState;
@@ -56,7 +56,7 @@
     /// The head without hop-by-hop headers.
     pub head: RequestHead,
     /// The complete body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// The time at which the head was read.
     pub received: Instant,
     /// The end of the caller's or of the route's timeout, whichever is earlier.
@@ -391,7 +391,7 @@
     if !spec.is_prefill {
         req.state.record_sent(&id);
     }
-    let sent = connection.send(head, &req.body, examine).await;
+    let sent = connection.send(head, req.body.blocks(), examine).await;
     if !spec.is_prefill && matches!(&sent, Err(error) if error.is_not_sent()) {
         req.state.record_not_run();
     }
@@ -635,7 +635,7 @@
     count_limited(gateway, server);
     let called_at = gateway.clock.now();
     let examine = |head: &ResponseHead, is_first| examine(gateway, server, None, head, is_first);
-    let (head, mut body) = connection.send(head, &Bytes::new(), examine).await?;
+    let (head, mut body) = connection.send(head, &[], examine).await?;
     let facts = gateway.dialect.read_response(&head);
     observe_limit(gateway, server, head.status, &facts, called_at);
     body.discard(MAX_REFUSAL_BYTES).await?;
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -240,7 +240,7 @@
     head.uri = Uri::try_from(path).map_err(|error| malformed(error.to_string()))?;
     let host = header::HeaderValue::try_from(address.to_string());
     head.headers.insert(header::HOST, host.expect("an address is a header value"));
-    let (head, mut body) = connection.send(head, &Bytes::new(), |_, _| Owner::Own).await?;
+    let (head, mut body) = connection.send(head, &[], |_, _| Owner::Own).await?;
     if head.status != StatusCode::OK {
         return Err(malformed(format!("status {}", head.status)));
     }
--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode, Version};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -166,12 +166,12 @@
     pub async fn send(
         mut self,
         head: RequestHead,
-        body: &Bytes,
+        body: &[Bytes],
         examine: impl Fn(&ResponseHead, bool) -> Owner,
     ) -> Result<(ResponseHead, ResponseBody), CallError> {
         let mut codec = ClientCodec::default();
         let mut out = BytesMut::new();
-        let size = match body.len() {
+        let size = match body.iter().map(Bytes::len).sum() {
             0 if !head.headers.contains_key(header::CONTENT_LENGTH) => BodySize::None,
             length => BodySize::Sized(length as u64),
         };
@@ -180,11 +180,17 @@
         codec
             .encode(message, &mut out)
             .map_err(|error| CallError::NotSent(error.to_string().into()))?;
-        out.extend_from_slice(body);
+        let mut rest = body;
+        if let Some((first, others)) = body.split_first() {
+            // A short body leaves in one segment with the head; the rest of a long one is not copied.
+            out.extend_from_slice(first);
+            rest = others;
+        }
+        let mut out = Outgoing { next: out.freeze(), rest };
         let mut strays = 0;
         let mut is_ambiguous = false;
         let mut decoder = HeadDecoder::new(codec);
-        let (mut response, was_sent) = self.exchange_head(&mut decoder, &out).await?;
+        let (mut response, was_sent) = self.exchange_head(&mut decoder, &mut out).await?;
         loop {
             let codec = decoder.codec;
             let owner = examine(&response, self.responses == 0);
@@ -221,16 +227,15 @@
     async fn exchange_head(
         &mut self,
         decoder: &mut HeadDecoder,
-        out: &[u8],
+        out: &mut Outgoing<'_>,
     ) -> Result<(ResponseHead, bool), CallError> {
         let (mut reader, mut writer) = self.stream.split();
-        let mut written = 0;
         loop {
             tokio::select! {
                 biased;
-                write = write_some(&mut writer, &out[written..]), if written < out.len() => {
+                write = write_some(&mut writer, &out.next), if !out.next.is_empty() => {
                     match write {
-                        Ok(count) => written += count,
+                        Ok(count) => out.advance(count),
                         // The server may have responded before it closed the connection.
                         Err(error) => {
                             drain_reader(&mut reader, &mut self.buf).await;
@@ -246,7 +251,7 @@
                         return Err(CallError::Broken(CLOSED_BY_SERVER.into()));
                     }
                     if let Some(head) = decoder.decode(&mut self.buf)? {
-                        return Ok((head, written == out.len()));
+                        return Ok((head, out.next.is_empty()));
                     }
                 }
             }
@@ -266,6 +271,23 @@
     }
 }
 
+/// The part of a request that has not been written.
+struct Outgoing<'a> {
+    /// Empty only if everything has been written.
+    next: Bytes,
+    rest: &'a [Bytes],
+}
+
+impl Outgoing<'_> {
+    fn advance(&mut self, count: usize) {
+        self.next.advance(count);
+        if let (true, Some((next, rest))) = (self.next.is_empty(), self.rest.split_first()) {
+            self.next = next.clone();
+            self.rest = rest;
+        }
+    }
+}
+
 /// The rest of a response on its connection.
 pub struct ResponseBody {
     connection: Connection,
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::feed::FeedPosition;
 use crate::following::StoreContact;
 use crate::guarantees::{Guarantee, is_disabled};
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::peers::{Coordinator, Payload, Peers, reported_refusals};
 use crate::permits::{Permits, mark_changed};
@@ -168,7 +169,7 @@
             directory: RefCell::default(),
             pool: RefCell::default(),
             sent_copies: Rc::default(),
-            response_memory: ResponseMemory::new(settings.response_memory),
+            response_memory: memory::create(&settings),
             routing: RefCell::default(),
             last_services: RefCell::default(),
             configuration_epoch: Cell::default(),
@@ -1101,10 +1102,7 @@
     pub fn sweep(&self) {
         let now = self.clock.now();
         self.metrics.queued.set(self.queue.len() as i64);
-        self.response_memory.set_limit(self.settings().response_memory);
-        self.metrics.response_bytes.set(self.response_memory.used() as i64);
-        let given_up = &self.metrics.responses_given_up;
-        given_up.inc_by(self.response_memory.given_up() - given_up.get());
+        memory::report(self);
         for (service, budget) in &*self.budgets.borrow() {
             self.metrics.set_budget_left(service, budget.left());
         }
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -10,12 +10,12 @@
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header;
 use actix_http::{ConnectionType, Request, RequestHead, Response, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use futures_util::{FutureExt, StreamExt};
 use magnoliaspar_access::Workspace;
 use magnoliaspar_http::CallerEnd;
-use magnoliaspar_retry::PartId;
+use magnoliaspar_retry::{PartHasher, PartId};
 
 use crate::access::authenticate;
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
@@ -23,7 +23,8 @@
 use crate::gateway::{Gateway, InFlight};
 use crate::quarantine::parts_of_call;
 use crate::refusal::Refusal;
-use crate::route::{CallerLimits, Route, RouteKind, Routing, ServiceName};
+use crate::request_body::RequestBody;
+use crate::route::{Route, RouteKind, Routing, ServiceName};
 use crate::shutdown::RequestState;
 use crate::stream;
 use crate::unary::{self, Outcome};
@@ -55,7 +56,7 @@
         () = gateway.final_responses_due() => Outcome::Refused(state.final_refusal()),
     };
     let mut response = finish(&gateway, &cx, outcome);
-    if gateway.is_stopping() {
+    if gateway.is_stopping() || end.closes_after_response() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     state.has_responded.set(true);
@@ -248,7 +249,7 @@
     let body_due_at = cx.received + body_timeout;
     let body = tokio::select! {
         biased;
-        body = read_body(req, &routing.limits) => body?,
+        body = RequestBody::read(gateway, req, &facts.id, routing.limits.max_body) => body?,
         () = gateway.wait_until(body_due_at) => return Err(Refusal::BodyLate),
     };
     // The configuration may have changed while the body was received.
@@ -269,9 +270,9 @@
     }
     let received = cx.received;
     let parts = match route.kind {
-        RouteKind::Stream { .. } => parts_of(&facts, req.head(), &body),
+        RouteKind::Stream { .. } => parts_of(&facts, req.head(), body.blocks()),
         RouteKind::Idempotent | RouteKind::AtMostOnce => {
-            parts_of_call(req.head(), workspace.as_deref(), &body)
+            parts_of_call(req.head(), workspace.as_deref(), body.blocks())
         }
     };
     cx.parts.clone_from(&parts);
@@ -288,12 +289,15 @@
 
 /// Returns the shared parts of a completion's prompt and a fingerprint, by which a request that is sent again is
 /// recognized.
-fn parts_of(facts: &RequestFacts, head: &RequestHead, body: &[u8]) -> Box<[PartId]> {
-    let mut content = head.uri.path().as_bytes().to_vec();
-    content.push(0);
-    content.extend_from_slice(body);
+fn parts_of(facts: &RequestFacts, head: &RequestHead, body: &[Bytes]) -> Box<[PartId]> {
+    let mut content = PartHasher::default();
+    content.add(head.uri.path().as_bytes());
+    content.add(&[0]);
+    for block in body {
+        content.add(block);
+    }
     let mut parts = facts.shared_parts.to_vec();
-    parts.push(PartId::of(&content));
+    parts.push(content.part());
     parts.into()
 }
 
@@ -302,19 +306,6 @@
     routing.find(host, head.uri.path())
 }
 
-async fn read_body(req: &mut Request, limits: &CallerLimits) -> Result<Bytes, Refusal> {
-    let mut payload = req.take_payload();
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let Ok(chunk) = chunk else { return Err(Refusal::BodyIncomplete) };
-        if whole.len() + chunk.len() > limits.max_body {
-            return Err(Refusal::BodyTooLarge);
-        }
-        whole.extend_from_slice(&chunk);
-    }
-    Ok(whole.freeze())
-}
-
 /// Logs and counts the result of a request, and builds the response.
 fn finish(gateway: &Gateway, cx: &RequestContext, outcome: Outcome) -> Response<BoxBody> {
     let elapsed = gateway.clock.now() - cx.received;
--- a/crates/magnoliaspar-gateway/src/liveness.rs
+++ b/crates/magnoliaspar-gateway/src/liveness.rs
@@ -159,7 +159,7 @@
     let host = HeaderValue::try_from(address.to_string()).expect("an address is a header value");
     head.headers.insert(header::HOST, host);
     let examine = |head: &ResponseHead, is_first| examine(gateway, server, None, head, is_first);
-    let (head, mut body) = connection.send(head, &Bytes::new(), examine).await?;
+    let (head, mut body) = connection.send(head, &[], examine).await?;
     body.hold_in(&gateway.response_memory);
     let facts = gateway.dialect.read_response(&head);
     let text = body.read_whole(MAX_REPORT_BYTES).await?;
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use magnoliaspar_core::WorkspaceName;
+use magnoliaspar_http::{MemoryKind, MemoryUsage};
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -70,6 +71,10 @@
     pub response_bytes: IntGauge,
     /// Responses that were given up as the memory for responses was used up.
     pub responses_given_up: IntCounter,
+    memory_bytes: IntGaugeVec,
+    memory_room_bytes: IntGaugeVec,
+    memory_refused: IntGaugeVec,
+    memory_evicted: IntGaugeVec,
     /// Completions queued here for engine memory.
     pub queued: IntGauge,
     /// Retries left in the budget, by service.
@@ -195,6 +200,22 @@
                 "gateway_responses_given_up_total",
                 "Responses given up for lack of memory.",
             ),
+            memory_bytes: gauges("gateway_memory_bytes", "Memory held by kind.", "kind"),
+            memory_room_bytes: gauges(
+                "gateway_memory_limit_bytes",
+                "Memory that a kind may hold now.",
+                "kind",
+            ),
+            memory_refused: gauges(
+                "gateway_memory_refused",
+                "Refusals for lack of memory by kind since the start.",
+                "kind",
+            ),
+            memory_evicted: gauges(
+                "gateway_memory_evicted",
+                "Callers and responses evicted for memory by kind since the start.",
+                "kind",
+            ),
             queued: gauge("gateway_queued", "Completions that wait here for engine memory."),
             budget_left,
             log_lines_dropped: gauges("gateway_log_lines_dropped", "Dropped log lines.", "kind"),
@@ -270,6 +291,15 @@
         self.budget_left.with_label_values(&[service]).set(left);
     }
 
+    /// Sets what is known of a kind of memory, and what it may hold.
+    pub fn set_memory(&self, kind: MemoryKind, usage: MemoryUsage, room: usize) {
+        let labels = [kind.as_str()];
+        self.memory_bytes.with_label_values(&labels).set(usage.held as i64);
+        self.memory_room_bytes.with_label_values(&labels).set(room as i64);
+        self.memory_refused.with_label_values(&labels).set(usage.refused as i64);
+        self.memory_evicted.with_label_values(&labels).set(usage.evicted as i64);
+    }
+
     /// Counts a call to the store.
     pub fn count_feed(&self, feed: &str, result: &str) {
         self.feeds.with_label_values(&[feed, result]).inc();
--- a/crates/magnoliaspar-gateway/src/quarantine.rs
+++ b/crates/magnoliaspar-gateway/src/quarantine.rs
@@ -9,9 +9,10 @@
 
 use actix_http::RequestHead;
 use actix_http::header;
+use bytes::Bytes;
 use magnoliaspar_access::Workspace;
 use magnoliaspar_core::ServerKey;
-use magnoliaspar_retry::{CrashId, PartId};
+use magnoliaspar_retry::{CrashId, PartHasher, PartId};
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Incoming, can_connect};
@@ -61,12 +62,17 @@
 pub fn parts_of_call(
     head: &RequestHead,
     workspace: Option<&Workspace>,
-    body: &[u8],
+    body: &[Bytes],
 ) -> Box<[PartId]> {
-    let mut content = head.method.as_str().as_bytes().to_vec();
+    let mut content = PartHasher::default();
+    content.add(head.method.as_str().as_bytes());
     push_part(&mut content, head.uri.to_string().as_bytes());
-    push_part(&mut content, body);
-    let requested = PartId::of(&content);
+    let length: usize = body.iter().map(Bytes::len).sum();
+    content.add(&(length as u64).to_le_bytes());
+    for block in body {
+        content.add(block);
+    }
+    let requested = content.part();
     if let Some(peer) = head.peer_addr {
         push_part(&mut content, peer.ip().to_string().as_bytes());
     }
@@ -83,13 +89,13 @@
             push_part(&mut content, value.as_bytes());
         }
     }
-    [requested, PartId::of(&content)].into()
+    [requested, content.part()].into()
 }
 
 /// Appends a part of a request with its length, so that no other sequence of parts has the same bytes.
-fn push_part(content: &mut Vec<u8>, part: &[u8]) {
-    content.extend_from_slice(&(part.len() as u64).to_le_bytes());
-    content.extend_from_slice(part);
+fn push_part(content: &mut PartHasher, part: &[u8]) {
+    content.add(&(part.len() as u64).to_le_bytes());
+    content.add(part);
 }
 
 /// Returns an error if a plain call is refused since it crashes servers.
--- a/crates/magnoliaspar-gateway/src/refusal.rs
+++ b/crates/magnoliaspar-gateway/src/refusal.rs
@@ -31,6 +31,8 @@
     BodyLate,
     /// body_incomplete
     BodyIncomplete,
+    /// no_memory
+    NoMemory,
     /// no_configuration
     NoConfiguration,
     /// sent_by_instance
@@ -73,7 +75,8 @@
             Self::SentByInstance => StatusCode::MISDIRECTED_REQUEST,
             Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoConfiguration
+            Self::NoMemory
+            | Self::NoConfiguration
             | Self::ConfigurationOutdated
             | Self::ConfigurationUnproven
             | Self::NoServer
--- a/crates/magnoliaspar-gateway/src/response_memory.rs
+++ b/crates/magnoliaspar-gateway/src/response_memory.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliaspar_http::{Memory, MemoryKind};
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::Notify;
 
@@ -29,6 +30,8 @@
 /// The bytes that all calls of a process hold for responses.
 #[derive(Debug)]
 pub struct ResponseMemory {
+    /// The account of all memory, of which responses are a part.
+    account: Rc<Memory>,
     limit: Cell<usize>,
     used: Cell<usize>,
     given_up: Cell<u64>,
@@ -60,9 +63,10 @@
 }
 
 impl ResponseMemory {
-    /// Creates the memory of a process, in bytes.
-    pub fn new(limit: usize) -> Rc<Self> {
+    /// Creates the memory of a process, in bytes, as a part of an account.
+    pub fn new(limit: usize, account: Rc<Memory>) -> Rc<Self> {
         Rc::new(Self {
+            account,
             limit: Cell::new(limit),
             used: Cell::new(0),
             given_up: Cell::new(0),
@@ -73,6 +77,11 @@
         })
     }
 
+    /// Returns the account of all memory.
+    pub fn account(&self) -> &Rc<Memory> {
+        &self.account
+    }
+
     /// Sets the limit in bytes, which applies from the next reservation on.
     pub fn set_limit(&self, limit: usize) {
         self.limit.set(limit);
@@ -99,10 +108,12 @@
         let mut calls = self.calls.borrow_mut();
         let usage = &mut calls[key];
         let is_free = usage.held + bytes <= FREE_BYTES || is_disabled(Guarantee::ResponseMemory);
-        if !is_free && self.used.get() + bytes > self.limit.get() {
+        let room = self.account.room(MemoryKind::Responses).min(self.limit.get());
+        if !is_free && self.used.get() + bytes > room {
             return false;
         }
         usage.held += bytes;
+        self.account.add(MemoryKind::Responses, bytes);
         self.used.set(self.used.get() + bytes);
         true
     }
@@ -112,6 +123,7 @@
         let usage = &mut calls[key];
         let bytes = bytes.min(usage.held);
         usage.held -= bytes;
+        self.account.remove(MemoryKind::Responses, bytes);
         self.used.set(self.used.get() - bytes);
         if bytes > 0 {
             self.releases.set(self.releases.get() + 1);
@@ -127,6 +139,7 @@
         }
         for key in yielding(&calls, self.limit.get() / FREED_PART) {
             calls[key].gives_way = true;
+            self.account.count_evicted(MemoryKind::Responses);
             self.given_up.set(self.given_up.get() + 1);
         }
         self.gave_way.notify_waiters();
@@ -251,13 +264,21 @@
 
 #[cfg(test)]
 mod tests {
+    use std::rc::Rc;
+
+    use magnoliaspar_http::Memory;
+
     use super::{FREE_BYTES, ResponseMemory};
 
     const MIB: usize = 1 << 20;
 
+    fn memory(limit: usize) -> Rc<ResponseMemory> {
+        ResponseMemory::new(limit, Memory::new(100 * MIB))
+    }
+
     #[actix_rt::test]
     async fn short_responses_do_not_wait_for_long_ones() {
-        let memory = ResponseMemory::new(MIB);
+        let memory = memory(MIB);
         let long = memory.share();
         long.hold(MIB).await.unwrap();
         let short = memory.share();
@@ -269,7 +290,7 @@
 
     #[actix_rt::test]
     async fn a_call_waits_for_the_memory_that_others_release() {
-        let memory = ResponseMemory::new(MIB);
+        let memory = memory(MIB);
         let (first, second) = (memory.share(), memory.share());
         first.hold(MIB).await.unwrap();
         let (held, ()) = tokio::join!(second.hold(MIB / 2), async { first.release(MIB / 2) });
@@ -279,7 +300,7 @@
 
     #[actix_rt::test]
     async fn a_response_without_end_gives_way_to_one_that_is_nearly_whole() {
-        let memory = ResponseMemory::new(4 * MIB);
+        let memory = memory(4 * MIB);
         let (endless, nearly_whole) = (memory.share(), memory.share());
         endless.hold(MIB).await.unwrap();
         nearly_whole.announce(Some(MIB as u64 / 2));
@@ -299,7 +320,7 @@
 
     #[actix_rt::test]
     async fn only_as_many_calls_give_way_as_are_needed() {
-        let memory = ResponseMemory::new(8 * MIB);
+        let memory = memory(8 * MIB);
         let mut calls = Vec::new();
         for _ in 0..8 {
             let call = memory.share();
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -41,6 +41,17 @@
 /// Maximum share of the machine's memory for responses.
 const MAX_RESPONSE_SHARE: f64 = 0.5;
 
+/// Share of the machine's memory that the account may use together with the process at rest. The allocator needs
+/// the remainder, as blocks that are released leave holes.
+const USABLE_SHARE: f64 = 0.8;
+
+/// Memory of the process at rest, in bytes: 9 MiB in the smallest deployment, and what the largest configuration
+/// and list of servers add.
+const REST_BYTES: usize = 14_000_000;
+
+/// Part of the machine's memory that the account has at least.
+const MIN_LIMIT_PART: usize = 4;
+
 /// Number of bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 
@@ -88,6 +99,12 @@
 }
 
 impl GatewaySettings {
+    /// Returns the limit of the account of memory, in bytes: what the process does not need at rest.
+    pub fn memory_limit(&self) -> usize {
+        let usable = (self.memory as f64 * USABLE_SHARE) as usize;
+        usable.saturating_sub(REST_BYTES).max(self.memory / MIN_LIMIT_PART)
+    }
+
     /// Parses settings from JSON, or returns all findings with their locations.
     pub fn read(text: &str, file: &str) -> Result<Self, Findings> {
         let source = Source::parse(text, file)?;
--- a/crates/magnoliaspar-http/src/connection.rs
+++ b/crates/magnoliaspar-http/src/connection.rs
@@ -2,10 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use actix_http::Request;
@@ -23,7 +24,17 @@
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
 /// Length of the buffer for bytes that are dropped.
-const LINGER_BUFFER_BYTES: usize = 16 << 10;
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+
+/// Bytes that are read at once while no request is in hand. Requests in them are decoded, and a decoded request takes
+/// many times its length.
+const IDLE_READ_BYTES: usize = 2 << 10;
+
+/// Bytes that are read ahead while a request is in hand and its body is not read.
+const AHEAD_READ_BYTES: usize = 1 << 10;
+
+/// Bytes that are read at once of the body of a request.
+const BODY_READ_BYTES: usize = 16 << 10;
 
 /// The connection of a caller, whose end is visible to the handlers of its requests.
 ///
@@ -37,6 +48,7 @@
 impl Connection {
     /// Creates a connection for an accepted stream.
     pub(crate) fn new(stream: Rc<RefCell<TcpStream>>, end: CallerEnd) -> Self {
+        end.0.allowance.set(IDLE_READ_BYTES);
         Self { stream, end }
     }
 
@@ -52,13 +64,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled = buf.filled().len();
-        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
-        if buf.filled().len() > filled {
-            self.end.record_activity();
-        } else if buf.remaining() > 0 {
-            self.end.close();
+        if buf.remaining() == 0 {
+            return Poll::Ready(Ok(()));
         }
+        let allowed = ready!(self.end.poll_allowance(cx)).min(buf.remaining());
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(allowed));
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut part))?;
+        let count = part.filled().len();
+        buf.advance(count);
+        self.end.record_read(count);
         Poll::Ready(Ok(()))
     }
 }
@@ -77,7 +91,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+        // The library flushes the stream only if everything has been written to it.
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx))?;
+        self.end.record_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -85,6 +102,13 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.end.0.is_gone.set(true);
+        drop(self.end.0.unwritten.take());
+    }
+}
+
 /// Closes the sending side of a stream, and drops what the caller still sends, within bounds.
 ///
 /// A close over unread bytes resets the connection, and the caller may lose the last response.
@@ -109,12 +133,30 @@
 /// The caller's end of a connection.
 ///
 /// A request stays in hand when its caller closes the sending side. The handler decides how long it goes on.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct CallerEnd(Rc<EndState>);
 
-#[derive(Debug, Default)]
+impl fmt::Debug for CallerEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerEnd").field("is_closed", &self.0.is_closed).finish_non_exhaustive()
+    }
+}
+
+#[derive(Default)]
 struct EndState {
     is_closed: Cell<bool>,
+    /// Whether the connection has been dropped.
+    is_gone: Cell<bool>,
+    /// Whether the connection is closed once its responses have been written.
+    closes_after_response: Cell<bool>,
+    /// Bytes that may still be read at once.
+    allowance: Cell<usize>,
+    /// Whether a request was received since everything was answered.
+    has_requests: Cell<bool>,
+    /// Wakes the task of the connection once more may be read.
+    reader: Cell<Option<Waker>>,
+    /// Bodies that have been handed over and not written. What they hold is released when they are.
+    unwritten: RefCell<Vec<BoxBody>>,
     changed: Notify,
     /// Number of requests that were received and whose responses have not been written.
     in_hand: Cell<u32>,
@@ -148,9 +190,90 @@
     pub(crate) fn take_in_hand(&self) -> InHand {
         self.0.in_hand.set(self.0.in_hand.get() + 1);
         self.0.active_at.set(Some(Instant::now()));
+        if !self.0.has_requests.replace(true) {
+            // What was read so far is the head of this request at most.
+            self.0.allowance.set(AHEAD_READ_BYTES);
+        }
         InHand(self.clone())
     }
 
+    /// Allows more to be read of the body of the request in hand, as all that was read has been taken.
+    pub fn take_more(&self) {
+        self.allow(BODY_READ_BYTES);
+    }
+
+    /// Closes the connection once the response to the request in hand has been written. What the caller still sends
+    /// is dropped.
+    pub fn close_after_response(&self) {
+        self.0.closes_after_response.set(true);
+    }
+
+    /// Returns whether the connection is closed once the response has been written.
+    pub fn closes_after_response(&self) -> bool {
+        self.0.closes_after_response.get()
+    }
+
+    /// Waits until the connection has to be closed, and its responses have been written.
+    pub(crate) async fn closing(&self) {
+        loop {
+            let changed = self.0.changed.notified();
+            if self.closes_after_response() && self.is_answered() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Returns whether all requests were answered, and the responses written.
+    fn is_answered(&self) -> bool {
+        self.0.in_hand.get() == 0 && self.0.unwritten.borrow().is_empty()
+    }
+
+    fn allow(&self, bytes: usize) {
+        self.0.allowance.set(bytes);
+        if let Some(reader) = self.0.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Returns the number of bytes that may be read.
+    fn poll_allowance(&self, cx: &Context<'_>) -> Poll<usize> {
+        let allowance = self.0.allowance.get();
+        if allowance > 0 {
+            return Poll::Ready(allowance);
+        }
+        self.0.reader.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    fn record_read(&self, count: usize) {
+        if count == 0 {
+            return self.close();
+        }
+        self.0.allowance.set(self.0.allowance.get() - count);
+        self.record_activity();
+    }
+
+    /// Records that all that was answered so far has been written.
+    fn record_written(&self) {
+        drop(self.0.unwritten.take());
+        if self.0.in_hand.get() > 0 {
+            return;
+        }
+        self.0.has_requests.set(false);
+        self.allow(IDLE_READ_BYTES);
+        if self.closes_after_response() {
+            self.0.changed.notify_waiters();
+        }
+    }
+
+    /// Keeps a body that has been handed over until it has been written.
+    fn keep_unwritten(&self, body: BoxBody) {
+        if !self.0.is_gone.get() {
+            self.0.unwritten.borrow_mut().push(body);
+        }
+    }
+
     /// Returns the time since which the connection is idle; `None` with a request in hand or before the first one.
     pub(crate) fn idle_since(&self) -> Option<Instant> {
         if self.0.in_hand.get() > 0 { None } else { self.0.active_at.get() }
@@ -182,14 +305,23 @@
 
 /// The body of a response to a request that is in hand until the body has been written.
 pub(crate) struct HeldBody {
-    body: BoxBody,
-    _in_hand: InHand,
+    /// `None` once it has been handed over.
+    body: Option<BoxBody>,
+    in_hand: InHand,
 }
 
 impl HeldBody {
     /// Creates the body of the response to a request in hand.
     pub(crate) fn new(body: BoxBody, in_hand: InHand) -> Self {
-        Self { body, _in_hand: in_hand }
+        Self { body: Some(body), in_hand }
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        if let Some(body) = self.body.take() {
+            self.in_hand.0.keep_unwritten(body);
+        }
     }
 }
 
@@ -197,13 +329,16 @@
     type Error = Box<dyn Error>;
 
     fn size(&self) -> BodySize {
-        self.body.size()
+        self.body.as_ref().map_or(BodySize::None, |body| body.size())
     }
 
     fn poll_next(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(cx)
+        match &mut self.body {
+            Some(body) => Pin::new(body).poll_next(cx),
+            None => Poll::Ready(None),
+        }
     }
 }
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -203,6 +203,7 @@
             _ = service.call(accepted) => {}
             () = stop.aborted() => return,
             () = limits.idle_timeout(&end) => {}
+            () = end.closing() => {}
         }
         drop(service);
         if end.is_closed() {
--- a/crates/magnoliaspar-http/tests/pipelining.rs
+++ b/crates/magnoliaspar-http/tests/pipelining.rs
@@ -53,3 +53,30 @@
     let head = format!("GET / HTTP/1.1\r\nFiller: {}", "x".repeat(TOO_LARGE_HEAD));
     check(head.as_bytes(), "HTTP/1.1 431").await;
 }
+
+/// Number of requests that are sent ahead.
+const AHEAD: usize = 20_000;
+
+/// Bytes that the buffers of both systems may take beside those that the server reads.
+const SYSTEM_BUFFERS: usize = 64 << 10;
+
+#[actix_rt::test]
+async fn requests_are_not_read_while_an_earlier_one_is_in_hand() {
+    let handler: Handler = Rc::new(|_: Request| Box::pin(std::future::pending()));
+    let listener = tokio::net::TcpSocket::new_v4().unwrap();
+    listener.set_recv_buffer_size(4 << 10).unwrap();
+    listener.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let server = Server::from_listener(listener.listen(1).unwrap(), handler);
+    let client = tokio::net::TcpSocket::new_v4().unwrap();
+    client.set_send_buffer_size(4 << 10).unwrap();
+    let address = server.address();
+    actix_rt::spawn(server.run());
+    let mut connection = client.connect(address).await.unwrap();
+    let requests = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(AHEAD);
+    let mut sent = 0;
+    while let Ok(count) = tokio::time::timeout(DURATION, connection.write(&requests[sent..])).await
+    {
+        sent += count.unwrap();
+        assert!(sent < SYSTEM_BUFFERS, "{sent} bytes were read ahead");
+    }
+}
--- a/crates/magnoliaspar-retry/src/lib.rs
+++ b/crates/magnoliaspar-retry/src/lib.rs
@@ -14,7 +14,7 @@
 pub use self::budget::{RetryBudget, RetryBudgetConfig};
 pub use self::hedge::{HedgeConfig, HedgePolicy};
 pub use self::outlier::{Ejection, EjectionCause, OutlierConfig, OutlierDetector};
-pub use self::part::PartId;
+pub use self::part::{PartHasher, PartId};
 pub use self::quarantine::{
     Admission, Fingerprint, Quarantine, QuarantineConfig, QuarantineDelta, QuarantineEntry,
 };
