--- a/crates/magnoliaspar-gateway/src/cold_start.rs
+++ b/crates/magnoliaspar-gateway/src/cold_start.rs
@@ -100,6 +100,8 @@
                     role: Some(EngineRole::Decode),
                     permit_wait: None,
                     rest: Duration::ZERO,
+                    full: Duration::ZERO,
+                    share: None,
                 });
             }
             knowledge.restrict(&mut candidates);
--- a/crates/magnoliaspar-gateway/src/settings.rs
+++ b/crates/magnoliaspar-gateway/src/settings.rs
@@ -41,9 +41,23 @@
 /// Maximum share of the machine's memory for responses.
 const MAX_RESPONSE_SHARE: f64 = 0.5;
 
+/// Share of the machine's memory that the account may use together with the process at rest. The allocator needs
+/// the remainder, as blocks that are released leave holes.
+const USABLE_SHARE: f64 = 0.8;
+
+/// Memory of the process at rest, in bytes: 9 MiB in the smallest deployment, and what the largest configuration
+/// and list of servers add.
+const REST_BYTES: usize = 14_000_000;
+
+/// Part of the machine's memory that the account has at least.
+const MIN_LIMIT_PART: usize = 4;
+
 /// Number of bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 
+/// Valid numbers of open descriptors.
+const DESCRIPTORS: RangeInclusive<u64> = 256..=10_000_000;
+
 /// Number of cores if the settings have none.
 const DEFAULT_CORES: f64 = 1.0;
 
@@ -68,8 +82,12 @@
     pub store: SocketAddr,
     /// Capacity of the instance, in thousandths of a core.
     pub capacity: u32,
+    /// Memory of the machine, in bytes.
+    pub memory: usize,
     /// Memory for responses, in bytes.
     pub response_memory: usize,
+    /// Maximum number of open descriptors; `None` for the limit that the system sets.
+    pub max_descriptors: Option<usize>,
     /// Retry budget of each service, shared by all instances.
     pub budget: SharedBudget,
     /// How keys become unusable that a configuration revokes.
@@ -81,6 +99,12 @@
 }
 
 impl GatewaySettings {
+    /// Returns the limit of the account of memory, in bytes: what the process does not need at rest.
+    pub fn memory_limit(&self) -> usize {
+        let usable = (self.memory as f64 * USABLE_SHARE) as usize;
+        usable.saturating_sub(REST_BYTES).max(self.memory / MIN_LIMIT_PART)
+    }
+
     /// Parses settings from JSON, or returns all findings with their locations.
     pub fn read(text: &str, file: &str) -> Result<Self, Findings> {
         let source = Source::parse(text, file)?;
@@ -99,7 +123,12 @@
     let seeds = object.with_default("seeds", [].into(), |field| field.list(Cursor::address));
     let store = object.required("store").and_then(|field| field.address());
     let cores = object.with_default("cores", DEFAULT_CORES, |field| field.number(CORES));
-    let response_memory = read_response_memory(&object);
+    let memory_mb =
+        object.with_default("memory_mb", DEFAULT_MEMORY_MB, |field| field.number(MEGABYTES));
+    let response_memory = memory_mb.and_then(|memory_mb| read_response_memory(&object, memory_mb));
+    let max_descriptors = object.with_default("max_descriptors", None, |field| {
+        Some(Some(field.integer(DESCRIPTORS)? as usize))
+    });
     let budget = object.required("retries").and_then(|field| read_budget(&field));
     let revocation =
         object.with_default("revocation", Revocation::default(), |field| read_revocation(field));
@@ -116,7 +145,9 @@
         seeds: seeds?,
         store: store?,
         capacity: (cores? * 1_000.0) as u32,
+        memory: (memory_mb? * BYTES_PER_MB) as usize,
         response_memory: response_memory?,
+        max_descriptors: max_descriptors?,
         budget: budget?,
         revocation: revocation?,
         grace: Duration::from_secs_f64(grace?),
@@ -124,10 +155,8 @@
     })
 }
 
-/// Reads the memory of the machine and the part of it that is for responses; returns the latter in bytes.
-fn read_response_memory(object: &Object) -> Option<usize> {
-    let memory_mb =
-        object.with_default("memory_mb", DEFAULT_MEMORY_MB, |field| field.number(MEGABYTES))?;
+/// Reads the part of the machine's memory that is for responses, in bytes.
+fn read_response_memory(object: &Object, memory_mb: f64) -> Option<usize> {
     let (least, most) = (*MEGABYTES.start(), (memory_mb * MAX_RESPONSE_SHARE).max(1.0));
     let default_mb = (memory_mb * DEFAULT_RESPONSE_SHARE).max(least);
     let response_mb = object
