Weigh what prefill engines hold of a prompt

Prompts with a long shared part went to any prefill engine, which read it again. The cost of a prefill engine is now its queue and the part of the prompt that it does not hold, by its speed. What it holds follows from what was sent there: sequences of parts from the start of a prompt, until so much has been prefilled since that the engine may have dropped them, and until its process restarts. Requests for admission tell the tokens of the parts, and grants what is held; both default to none. Less than a tenth of a prompt does not count, so that prompts that share 200 of 5,200 tokens are placed exactly as before.

--- a/crates/magnoliaspar-gateway/src/admission.rs
+++ b/crates/magnoliaspar-gateway/src/admission.rs
@@ -264,6 +264,7 @@
             max_tokens: req.facts.max_tokens,
             is_resumption: history.is_resumption,
             parts: req.parts.clone(),
+            part_tokens: req.facts.part_tokens.clone(),
             has_crashed: history.has_crashed,
             workspace: req.workspace.as_ref().map(|workspace| workspace.name.clone()),
             priority: req.priority(),
@@ -374,8 +375,8 @@
                 Err(Refusal::OverLimit)
             }
             Some(Decision::Granted(grant)) => {
-                let Grant { decode, prefill, tokens_ahead } = &grant;
-                log::info!(request, home = &*coordinator, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead; "placed");
+                let Grant { decode, prefill, tokens_ahead, held_tokens } = &grant;
+                log::info!(request, home = &*coordinator, waited_ms, decode = &**decode, prefill = prefill.as_deref().unwrap_or("none"), tokens_ahead, held_tokens; "placed");
                 self.accept(grant, req)
             }
             Some(Decision::NoEngine) => Err(Refusal::NoServer),
@@ -430,6 +431,7 @@
             starts_at: now + START_LATENCY,
             reserved_at: now,
             granted_at,
+            prefill_tokens: req.facts.prompt_tokens.saturating_sub(grant.held_tokens),
             progress: None,
         };
         let mut entry = ReservationEntry::new(&reservation, now);
--- a/crates/magnoliaspar-gateway/src/admission_order.rs
+++ b/crates/magnoliaspar-gateway/src/admission_order.rs
@@ -196,6 +196,7 @@
             excluded: Vec::new(),
             only: Vec::new(),
             parts: Box::default(),
+            part_tokens: Box::default(),
             has_crashed: false,
             workspace: WorkspaceName::try_from(&*format!("workspace-{workspace}")).ok(),
             priority: Priority { workspace: 0, route: priority },
--- a/crates/magnoliaspar-gateway/src/cold_start.rs
+++ b/crates/magnoliaspar-gateway/src/cold_start.rs
@@ -93,6 +93,7 @@
                     in_flight: 0,
                     slots: 12,
                     queued_prefill_tokens: 0,
+                    held_prompt_tokens: 0,
                     latency: None,
                     fill: 0.0,
                     prefill_speed: 1.0,
--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -19,6 +19,7 @@
 use crate::gateway::{Gateway, display_parts};
 use crate::peers::Payload;
 use crate::permits::issue_permits;
+use crate::prompt_cache::PromptPart;
 use crate::quarantine::CallCrash;
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::{Priority, ServiceName};
@@ -63,6 +64,9 @@
     /// The shared parts of the prompt, and a fingerprint of the whole request.
     #[serde(default)]
     pub parts: Box<[PartId]>,
+    /// Numbers of tokens of the shared parts; former versions of the gateway do not send them.
+    #[serde(default, skip_serializing_if = "<[u64]>::is_empty")]
+    pub part_tokens: Box<[u64]>,
     /// Whether an engine crashed before the completion had started on it.
     #[serde(default)]
     pub has_crashed: bool,
@@ -77,6 +81,14 @@
     pub limit_cost: u64,
 }
 
+impl AdmissionRequest {
+    /// Returns the parts of the prompt that others may share.
+    pub fn prompt_parts(&self) -> Vec<PromptPart> {
+        let parts = self.parts.iter().zip(&self.part_tokens);
+        parts.map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect()
+    }
+}
+
 /// Decision of the coordinator on an admission request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -108,6 +120,9 @@
     pub prefill: Option<Box<str>>,
     /// Prompt tokens that are queued at the prefill engine before this prompt.
     pub tokens_ahead: u64,
+    /// Tokens of the prompt that the prefill engine is expected to hold.
+    #[serde(default)]
+    pub held_tokens: u64,
 }
 
 /// Completions that are queued at the coordinator for engine memory.
@@ -372,8 +387,9 @@
     let loads = reservations.loads(gateway.clock.now());
     let load = prefill.as_ref().and_then(|prefill| loads.get(prefill));
     let queued = load.map_or(0, |load| load.queued_prefill_tokens);
-    let tokens_ahead = queued.saturating_sub(reservation.prompt_tokens);
-    Some(Grant { decode, prefill, tokens_ahead })
+    let tokens_ahead = queued.saturating_sub(reservation.prefill_tokens);
+    let held_tokens = reservation.prompt_tokens.saturating_sub(reservation.prefill_tokens);
+    Some(Grant { decode, prefill, tokens_ahead, held_tokens })
 }
 
 /// Admits queued completions while there is free engine memory.
@@ -462,10 +478,12 @@
     }
     let decode = gateway.server_name(plan.decode());
     let mut tokens_ahead = 0;
+    let mut held_tokens = 0;
     let mut fill = 0.0;
     let prefill = match plan {
         Plan::Split { prefill, .. } => {
             issue_permits(gateway, &[prefill, plan.decode()]);
+            gateway.record_prompt(prefill, request);
             Some(gateway.server_name(prefill))
         }
         Plan::Decode(_) => {
@@ -479,11 +497,12 @@
         }
         if matches!(plan, Plan::Split { prefill, .. } if prefill == candidate.key) {
             // A slow engine has more ahead of the prompt, and of the prompt itself, than its tokens.
-            let queued = candidate.queued_prefill_tokens.saturating_add(request.prompt_tokens);
-            tokens_ahead = candidate.usual_tokens(queued).saturating_sub(request.prompt_tokens);
+            let tokens = candidate.tokens_to_prefill(request.prompt_tokens);
+            tokens_ahead = candidate.usual_tokens(tokens).saturating_sub(request.prompt_tokens);
+            held_tokens = candidate.held_prompt_tokens;
         }
     }
-    log::debug!(asker = instance, id, decode = &*decode, prefill:?, fill, tokens_ahead, candidates = candidates.len(); "granted");
+    log::debug!(asker = instance, id, decode = &*decode, prefill:?, fill, tokens_ahead, held_tokens, candidates = candidates.len(); "granted");
     let reservation = Reservation {
         decode: decode.clone(),
         prefill: prefill.clone(),
@@ -493,12 +512,13 @@
         starts_at: now + START_LATENCY,
         reserved_at: now,
         granted_at: Some(now),
+        prefill_tokens: request.prompt_tokens.saturating_sub(held_tokens),
         progress: None,
     };
     gateway.reservations.borrow_mut().reserve(instance, id, reservation);
     gateway.queue.remove(instance, id);
     gateway.queue.charge(request);
-    Ok(Grant { decode, prefill, tokens_ahead })
+    Ok(Grant { decode, prefill, tokens_ahead, held_tokens })
 }
 
 /// Applies an update from an instance about its own completions or about an engine.
@@ -606,6 +626,7 @@
             excluded: Vec::new(),
             only: Vec::new(),
             parts: Box::default(),
+            part_tokens: Box::default(),
             has_crashed: false,
             workspace: None,
             priority: Priority::default(),
--- a/crates/magnoliaspar-gateway/src/dialect.rs
+++ b/crates/magnoliaspar-gateway/src/dialect.rs
@@ -68,6 +68,8 @@
     pub resume_after: Option<u64>,
     /// The parts of the prompt that other requests may share, in order.
     pub shared_parts: Box<[PartId]>,
+    /// Numbers of tokens of the shared parts, in order; zero for one without a number.
+    pub part_tokens: Box<[u64]>,
     /// What the request says about its caller.
     pub credentials: Credentials,
     /// Identifier of the server that the request is meant for; instances set it on what they send.
--- a/crates/magnoliaspar-gateway/src/engines.rs
+++ b/crates/magnoliaspar-gateway/src/engines.rs
@@ -2,13 +2,29 @@
 
 use std::collections::BTreeSet;
 
+use magnoliaspar_core::ServerKey;
+
 use crate::coordinator::AdmissionRequest;
 use crate::directory::EngineRole;
 use crate::gateway::Gateway;
+use crate::prompt_cache::EngineProcess;
 use crate::reservations::EngineLoad;
 use crate::selection::Candidate;
 
 impl Gateway {
+    /// Records that the prompt of a completion is granted a prefill engine.
+    pub fn record_prompt(&self, prefill: ServerKey, request: &AdmissionRequest) {
+        let spec = self.last_engine_spec(&request.service);
+        let capacity = spec.map_or(0, |engine| engine.kv_capacity);
+        let directory = self.directory.borrow();
+        let Some(server) = directory.get(prefill) else { return };
+        let (engine, started_ms) = (&*server.record.id, server.record.started_ms);
+        let process = EngineProcess { engine, started_ms, capacity };
+        let mut prompt_caches = self.prompt_caches.borrow_mut();
+        prompt_caches.record(process, &request.prompt_parts(), request.prompt_tokens);
+        prompt_caches.retain(|engine| directory.key(engine).is_some());
+    }
+
     /// Logs, as coordinator, the engines that have become slow or are no longer.
     pub fn log_engine_speeds(&self) {
         if self.coordinator().is_some() {
@@ -44,6 +60,8 @@
             let reservations = self.reservations.borrow();
             (reservations.loads(now), reservations.prefill_speeds(now))
         };
+        let prompt_caches = self.prompt_caches.borrow();
+        let parts = request.prompt_parts();
         let failing_engines = self.failing_engines.borrow();
         let idle = EngineLoad::default();
         candidates.retain_mut(|candidate| {
@@ -62,6 +80,12 @@
             candidate.is_avoided |= failing_engines.is_avoided(id, now);
             candidate.queued_prefill_tokens = load.queued_prefill_tokens;
             candidate.prefill_speed = prefill_speeds.of(id);
+            if candidate.role == Some(EngineRole::Prefill) {
+                let started_ms = server.record.started_ms;
+                let process = EngineProcess { engine: id, started_ms, capacity };
+                candidate.held_prompt_tokens =
+                    prompt_caches.expected(process, &parts, request.prompt_tokens);
+            }
             candidate.running = load.running();
             // An idle engine counts as empty, so that it receives even a request that exceeds its
             // memory and can refuse it.
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::peers::{Coordinator, Payload, Peers, reported_refusals};
 use crate::permits::{Permits, mark_changed};
 use crate::pool::{MAX_IDLE, Pool};
+use crate::prompt_cache::PromptCaches;
 use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{ReservationId, Reservations};
@@ -90,6 +91,8 @@
     pub response_memory: Rc<ResponseMemory>,
     /// Engine memory reserved by all instances.
     pub reservations: RefCell<Reservations>,
+    /// What prefill engines hold of prompts.
+    pub(crate) prompt_caches: RefCell<PromptCaches>,
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
     /// Requests that crash servers, by service: the servers of one may fail for reasons of their own.
@@ -189,6 +192,7 @@
             lacks_proof: Cell::new(false),
             freshness: RefCell::new(Freshness::new(rand::rng().random())),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
+            prompt_caches: RefCell::default(),
             failing_engines: RefCell::default(),
             quarantines: RefCell::default(),
             refusals_changed: Notify::new(),
@@ -617,6 +621,7 @@
                 in_flight: server.in_flight,
                 slots: record.slots,
                 queued_prefill_tokens: 0,
+                held_prompt_tokens: 0,
                 latency: server.latency(now),
                 fill: 0.0,
                 prefill_speed: 1.0,
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod permits;
 mod pool;
 mod presence;
+pub mod prompt_cache;
 pub mod quarantine;
 mod quarantine_page;
 pub mod refusal;
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -265,6 +265,9 @@
     decode: Box<str>,
     prefill: Option<Box<str>>,
     prompt_tokens: u64,
+    /// Prompt tokens that the prefill engine is expected not to hold; `None` for all, and from former versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    prefill_tokens: Option<u64>,
     expected_tokens: u64,
     #[serde(rename = "most_tokens")]
     max_tokens: u64,
@@ -304,6 +307,8 @@
             decode: reservation.decode.clone(),
             prefill: reservation.prefill.clone(),
             prompt_tokens: reservation.prompt_tokens,
+            prefill_tokens: Some(reservation.prefill_tokens)
+                .filter(|tokens| *tokens != reservation.prompt_tokens),
             expected_tokens: reservation.expected_tokens,
             max_tokens: reservation.max_tokens,
             starts_in_ms: starts_in.as_millis() as u64,
@@ -328,6 +333,7 @@
             decode: self.decode,
             prefill: self.prefill,
             prompt_tokens: self.prompt_tokens,
+            prefill_tokens: self.prefill_tokens.unwrap_or(self.prompt_tokens),
             expected_tokens: self.expected_tokens,
             max_tokens: self.max_tokens,
             starts_at: now + Duration::from_millis(self.starts_in_ms),
--- a/crates/magnoliaspar-gateway/src/reservations.rs
+++ b/crates/magnoliaspar-gateway/src/reservations.rs
@@ -63,6 +63,8 @@
     pub prefill: Option<Box<str>>,
     /// Number of prompt tokens.
     pub prompt_tokens: u64,
+    /// Prompt tokens that the prefill engine is expected not to hold.
+    pub prefill_tokens: u64,
     /// Expected number of output tokens.
     pub expected_tokens: u64,
     /// Maximum number of output tokens.
@@ -211,7 +213,7 @@
             let prefill = reservation.prefill.take();
             reservation.starts_at = now;
             if let (Some(prefill), Some(granted_at)) = (prefill, reservation.granted_at) {
-                let tokens = reservation.prompt_tokens;
+                let tokens = reservation.prefill_tokens;
                 self.prefill_speeds.add_prefill(&prefill, tokens, granted_at, now);
             }
         }
@@ -364,7 +366,7 @@
             load.running.push(self.growth(reservation, &speeds, now));
             if let Some(prefill) = &reservation.prefill {
                 let queued = &mut loads.entry(prefill.clone()).or_default().queued_prefill_tokens;
-                *queued = queued.saturating_add(reservation.prompt_tokens);
+                *queued = queued.saturating_add(reservation.prefill_tokens);
             }
         }
         loads
@@ -435,6 +437,7 @@
             decode: engine.into(),
             prefill: None,
             prompt_tokens: 5_000,
+            prefill_tokens: 5_000,
             expected_tokens: 3_540,
             max_tokens: 9_000,
             starts_at,
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -57,6 +57,8 @@
     pub slots: u32,
     /// Prompt tokens that the engine has yet to prefill.
     pub queued_prefill_tokens: u64,
+    /// Tokens of the prompt that the engine is expected to hold already.
+    pub held_prompt_tokens: u64,
     /// Recent latency of the server, if there are samples.
     pub latency: Option<Duration>,
     /// Predicted peak memory use of a decode engine with the request, as a share of its memory.
@@ -74,6 +76,12 @@
 }
 
 impl Candidate {
+    /// Returns how many tokens a prefill engine prefills until a prompt of `tokens` tokens is done.
+    pub fn tokens_to_prefill(&self, tokens: u64) -> u64 {
+        let rest = tokens.saturating_sub(self.held_prompt_tokens);
+        self.queued_prefill_tokens.saturating_add(rest)
+    }
+
     /// Returns how many tokens a usual prefill engine would prefill in the time in which this one prefills `tokens`.
     pub fn usual_tokens(&self, tokens: u64) -> u64 {
         (tokens as f64 / self.prefill_speed) as u64
@@ -225,7 +233,7 @@
     let decode = decode.ok_or(PlanError::NoCapacity)?;
     let prefill = choose_min(&prefill_engines, rng, |candidate| {
         let penalty = if candidate.is_local { 0 } else { REMOTE_ZONE_TOKEN_PENALTY };
-        let tokens = candidate.queued_prefill_tokens.saturating_add(prompt.tokens);
+        let tokens = candidate.tokens_to_prefill(prompt.tokens);
         (candidate.is_avoided, candidate.usual_tokens(tokens).saturating_add(penalty))
     });
     let Some(prefill) =
@@ -234,7 +242,7 @@
         return Ok(Plan::Decode(decode));
     };
     let queued = prefill.queued_prefill_tokens;
-    let usual_tokens = prefill.usual_tokens(queued.saturating_add(prompt.tokens));
+    let usual_tokens = prefill.usual_tokens(prefill.tokens_to_prefill(prompt.tokens));
     let split_ms = prefill_ms(usual_tokens, prompt.prefill_tokens_per_ms);
     let alone_ms =
         prefill_ms(prompt.tokens, prompt.prefill_tokens_per_ms / DECODE_PREFILL_SLOWDOWN);
@@ -311,6 +319,7 @@
             in_flight: 0,
             slots: 24,
             queued_prefill_tokens: 0,
+            held_prompt_tokens: 0,
             latency: None,
             fill,
             prefill_speed: 1.0,
