Keep the limits of workspaces through cuts and changes of the coordinator

It broke the bound with these schedules, each mended here: - A coordinator began with a bucket that was full though the former one, cut off alone, went on for a second with a full bucket: it begins with 30,000 - 0.1 rate at most. - A successor did not know the debt of a limit: it takes it from the answers of the coordinator. - A debt of more than one burst was forgiven, so that plain calls passed again after a second: it is kept up to 8 s. - Each instance let plain calls pass without end until the next answer: it passes the whole limit at most, reports 0.1 s of a limit at once, lowers its part as far as the limit was overdrawn, and takes the share of the coordinator. - An instance that nobody answered let plain calls pass for 3.5 s: after 1.2 s it passes its own part. - After a cut, the coordinator charged what the other side had issued, and refused for seconds: it does not. - A completion that was queued here and admitted by another coordinator, or a late copy of its message, was charged twice: charges are known by their numbers, which now differ between processes of an instance. - Totals of a workspace that was removed and added again fell, and were not counted; with more than 256 workspaces, some were never reported: those used last are.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use magnoliaspar_core::WorkspaceName;
+use magnoliaspar_limit::Verdict;
 use magnoliaspar_retry::{CallRun, Crash, PartId};
 use serde::{Deserialize, Serialize};
 
@@ -21,7 +22,7 @@
 use crate::reservations::{InstanceId, Reservation, ReservationId};
 use crate::route::{Priority, ServiceName};
 use crate::selection::{DEFAULT_PREFILL_TOKENS_PER_MS, Plan, PlanError, Prompt, choose_engines};
-use crate::shared_limits::{self, Charge, Verdict};
+use crate::shared_limits::{self, Charge};
 
 /// Assumed time from the admission of a completion to its first event, until the event arrives.
 pub const START_LATENCY: Duration = Duration::from_millis(250);
@@ -210,7 +211,7 @@
         }
         return Decision::Queued;
     }
-    match shared_limits::judge(gateway, &request) {
+    match shared_limits::judge(gateway, instance, id, &request) {
         Verdict::Within => {}
         Verdict::Beyond(wait) => {
             return Decision::OverLimit { retry_after_ms: wait.as_millis() as u64 + 1 };
@@ -226,7 +227,7 @@
     }
     match granted {
         Ok(grant) => {
-            charge_admitted(gateway, charge);
+            charge_admitted(gateway, instance, id, charge);
             return Decision::Granted(grant);
         }
         Err(PlanError::NoEngine) => return Decision::NoEngine,
@@ -252,14 +253,14 @@
     let arrived_at = now.checked_sub(Duration::from_millis(request.waited_ms)).unwrap_or(now);
     let waiter = Waiter { request, arrived_at, expires_at: now + limit };
     gateway.queue.waiters.borrow_mut().insert(key, waiter);
-    charge_admitted(gateway, charge);
+    charge_admitted(gateway, instance, id, charge);
     Decision::Queued
 }
 
 /// Charges a completion once, also if it is granted an engine after it was queued.
-fn charge_admitted(gateway: &Gateway, charge: Option<Charge>) {
+fn charge_admitted(gateway: &Gateway, instance: &str, id: ReservationId, charge: Option<Charge>) {
     if let Some(charge) = charge {
-        shared_limits::charge(gateway, &charge);
+        shared_limits::charge(gateway, instance, id, &charge);
     }
 }
 
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -201,7 +201,8 @@
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
             sizes: RefCell::default(),
-            next_reservation_id: Cell::new(0),
+            // Numbers of a former process are known to others as charged.
+            next_reservation_id: Cell::new(u64::from(rand::rng().random::<u32>()) << 20),
             max_instances: Cell::new(1),
             store_contact: StoreContact::default(),
             routing_position: FeedPosition::default(),
--- a/crates/magnoliaspar-gateway/src/peers.rs
+++ b/crates/magnoliaspar-gateway/src/peers.rs
@@ -707,7 +707,7 @@
     }
 
     /// Reports all reservations to the coordinators.
-    fn send_state(&self, gateway: &Gateway, to_seeds: bool) {
+    pub(crate) fn send_state(&self, gateway: &Gateway, to_seeds: bool) {
         let now = gateway.clock.now();
         let Some(bytes) = self.encode_state(gateway) else { return };
         let mut addresses: Vec<SocketAddr> =
@@ -952,9 +952,8 @@
             Payload::RoutingChanges(changes) => receive_routing(gateway, changes),
             Payload::Decision(id, decision) => gateway.receive_decision(id, decision),
             Payload::Reserved(id, entry) => {
-                let is_new = gateway.reservations.borrow().reservation(&sender, id).is_none();
-                if let Some(charge) = entry.charge.as_ref().filter(|_| is_new) {
-                    shared_limits::charge(gateway, charge);
+                if let Some(charge) = &entry.charge {
+                    shared_limits::charge(gateway, &sender, id, charge);
                 }
                 gateway.reservations.borrow_mut().reserve(&sender, id, entry.into_reservation(now));
             }
--- a/crates/magnoliaspar-gateway/src/shared_limits.rs
+++ b/crates/magnoliaspar-gateway/src/shared_limits.rs
@@ -6,39 +6,27 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use magnoliaspar_access::Workspace;
 use magnoliaspar_core::WorkspaceName;
-use magnoliaspar_limit::{Buckets, Demand, Exhausted, LimitReport, Tenure, Usage, UsageTotals};
+use magnoliaspar_limit::{Demand, Ledger, LimitReport, Verdict};
 use serde::{Deserialize, Serialize};
 
 use crate::call::Incoming;
 use crate::coordinator::AdmissionRequest;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
+use crate::reservations::ReservationId;
 use crate::route::Routing;
 
 /// State of the limits that all instances share.
 #[derive(Debug)]
-pub struct SharedLimits {
-    buckets: RefCell<Buckets>,
-    tenure: RefCell<Tenure>,
-    usage: RefCell<Usage>,
-    totals: RefCell<UsageTotals>,
-    exhausted: RefCell<Exhausted>,
-}
+pub struct SharedLimits(RefCell<Ledger>);
 
 impl SharedLimits {
     /// Creates the state of a process, whose number tells it from former processes of the instance.
     pub fn new(process: u64) -> Self {
-        Self {
-            buckets: RefCell::default(),
-            tenure: RefCell::default(),
-            usage: RefCell::new(Usage::new(process)),
-            totals: RefCell::default(),
-            exhausted: RefCell::default(),
-        }
+        Self(RefCell::new(Ledger::new(process)))
     }
 }
 
@@ -62,50 +50,38 @@
     }
 }
 
-/// Whether a completion is within the limit of its workspace.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is.
-    Within,
-    /// It is not before this time.
-    Beyond(Duration),
-    /// This instance has just begun to decide and does not know yet.
-    Unknown,
-}
-
 /// Sets the limits of a configuration.
 pub fn configure(gateway: &Gateway, routing: &Routing) {
-    let now = gateway.clock.now();
     let mut workspaces: Vec<&Workspace> = Vec::new();
     if let Some(declared) = &routing.workspaces {
         workspaces.extend(declared.iter().map(Rc::as_ref));
     }
-    gateway
-        .limits
-        .usage
-        .borrow_mut()
-        .retain(|name| workspaces.iter().any(|workspace| workspace.name == *name));
-    gateway.limits.buckets.borrow_mut().configure(workspaces, now);
+    gateway.limits.0.borrow_mut().configure(workspaces, gateway.clock.now());
 }
 
 /// Judges a completion as coordinator, without charging it.
-pub fn judge(gateway: &Gateway, request: &AdmissionRequest) -> Verdict {
+pub fn judge(
+    gateway: &Gateway,
+    instance: &str,
+    id: ReservationId,
+    request: &AdmissionRequest,
+) -> Verdict {
     let Some(charge) = Charge::of(request) else { return Verdict::Within };
-    let now = gateway.clock.now();
-    if gateway.limits.tenure.borrow_mut().decide(now) {
+    let (known, now) = (gateway.known_instances(), gateway.clock.now());
+    if gateway.limits.0.borrow_mut().decide(now) {
         ask_all(gateway);
     }
-    let Some(share) = share(gateway) else { return Verdict::Unknown };
-    let wait = gateway.limits.buckets.borrow_mut().wait_for(charge.demand(), share, now);
-    if wait.is_zero() { Verdict::Within } else { Verdict::Beyond(wait) }
+    let number = (instance.into(), id);
+    gateway.limits.0.borrow_mut().judge(&number, charge.demand(), known, now)
 }
 
-/// Charges a completion that is admitted or queued, or that another coordinator has admitted.
-pub fn charge(gateway: &Gateway, charge: &Charge) {
-    let share = share(gateway).unwrap_or(1.0);
-    let now = gateway.clock.now();
-    gateway.limits.buckets.borrow_mut().charge(charge.demand(), share, now);
-    gateway.metrics.count_workspace_tokens(&charge.workspace, charge.cost);
+/// Charges a completion of an instance that is admitted or queued here, or that another coordinator has admitted.
+pub fn charge(gateway: &Gateway, instance: &str, id: ReservationId, charge: &Charge) {
+    let (known, now) = (gateway.known_instances(), gateway.clock.now());
+    let number = (instance.into(), id);
+    if gateway.limits.0.borrow_mut().charge(number, charge.demand(), known, now) {
+        gateway.metrics.count_workspace_tokens(&charge.workspace, charge.cost);
+    }
 }
 
 /// Lets a plain call pass, unless the limit of its workspace is used up.
@@ -114,34 +90,23 @@
     if workspace.limit.is_none() {
         return Ok(());
     }
-    let now = gateway.clock.now();
+    let (known, now) = (gateway.known_instances(), gateway.clock.now());
     let cost = workspace.cost(req.facts.size());
-    let wait = match gateway.coordinator() {
-        Some(_) => gateway.limits.exhausted.borrow().wait(&workspace.name, now),
-        None => {
-            let exhausted = exhausted(gateway);
-            exhausted.into_iter().find(|(name, _)| *name == workspace.name).map(|(_, wait)| wait)
-        }
-    };
-    if let Some(wait) = wait {
+    let demand = Demand { workspace: &workspace.name, cost };
+    let coordinator = gateway.coordinator();
+    let coordinator = coordinator.as_ref().map(|coordinator| &*coordinator.instance);
+    if let Err(wait) = gateway.limits.0.borrow_mut().admit_call(demand, coordinator, known, now) {
         req.state.over_limit_for.set(wait);
         return Err(Refusal::OverLimit);
     }
-    gateway.limits.usage.borrow_mut().record(&workspace.name, cost);
-    // The own use is told to others, and counts here, too.
-    let demand = Demand { workspace: &workspace.name, cost };
-    let share = share(gateway).unwrap_or(1.0);
-    gateway.limits.buckets.borrow_mut().charge(demand, share, now);
     gateway.metrics.count_workspace_tokens(&workspace.name, cost);
+    let is_report_due = gateway.limits.0.borrow().is_report_due(now);
+    if let Some(peers) = gateway.peers().filter(|_| is_report_due) {
+        peers.send_state(gateway, false);
+    }
     Ok(())
 }
 
-/// Returns the part of the limits that this instance issues; `None` if it does not decide, or does not know it yet.
-fn share(gateway: &Gateway) -> Option<f64> {
-    let known = gateway.known_instances();
-    gateway.limits.tenure.borrow_mut().share(known, gateway.clock.now())
-}
-
 /// Asks all other instances for an answer, by which this one knows that they are in reach.
 fn ask_all(gateway: &Gateway) {
     log::info!(known = gateway.known_instances(); "limits_taken_over");
@@ -152,51 +117,43 @@
 
 /// Records a message from another instance.
 pub fn hear(gateway: &Gateway, instance: &str) {
-    gateway.limits.tenure.borrow_mut().hear(instance, gateway.clock.now());
+    gateway.limits.0.borrow_mut().hear(instance, gateway.clock.now());
 }
 
 /// Records, with each heartbeat, whether this instance is the coordinator.
 pub fn observe(gateway: &Gateway) {
     let is_coordinator = gateway.coordinator().is_none();
-    if gateway.limits.tenure.borrow_mut().observe(is_coordinator, gateway.clock.now()) {
+    if gateway.limits.0.borrow_mut().observe(is_coordinator, gateway.clock.now()) {
         ask_all(gateway);
     }
 }
 
 /// Returns what this instance has let pass, for its heartbeat.
 pub fn report_usage(gateway: &Gateway) -> LimitReport {
-    gateway.limits.usage.borrow().report()
+    gateway.limits.0.borrow_mut().report_usage(gateway.clock.now())
 }
 
 /// Returns the limits that are used up, for the answer to a heartbeat.
 pub fn report_exhausted(gateway: &Gateway) -> LimitReport {
-    LimitReport::of_exhausted(exhausted(gateway))
-}
-
-fn exhausted(gateway: &Gateway) -> Vec<(WorkspaceName, Duration)> {
-    let Some(share) = share(gateway) else { return Vec::new() };
-    gateway.limits.buckets.borrow_mut().exhausted(share, gateway.clock.now())
+    let (known, now) = (gateway.known_instances(), gateway.clock.now());
+    gateway.limits.0.borrow_mut().report_exhausted(known, now)
 }
 
 /// Charges what another instance has let pass.
 pub fn receive_usage(gateway: &Gateway, instance: &str, report: &LimitReport) {
-    let used = gateway.limits.totals.borrow_mut().apply(instance, report);
-    let share = share(gateway).unwrap_or(1.0);
-    let now = gateway.clock.now();
-    for (workspace, cost) in used {
-        let demand = Demand { workspace: &workspace, cost };
-        gateway.limits.buckets.borrow_mut().charge(demand, share, now);
-    }
+    let (known, now) = (gateway.known_instances(), gateway.clock.now());
+    gateway.limits.0.borrow_mut().receive_usage(instance, report, known, now);
 }
 
-/// Applies what the coordinator reports of the limits that are used up.
+/// Applies what another instance knows of the limits that are used up.
 pub fn receive_exhausted(gateway: &Gateway, instance: &str, report: &LimitReport) {
-    if gateway.coordinator().is_some_and(|coordinator| &*coordinator.instance == instance) {
-        gateway.limits.exhausted.borrow_mut().apply(report, gateway.clock.now());
-    }
+    let coordinator = gateway.coordinator();
+    let coordinator = coordinator.as_ref().map(|coordinator| &*coordinator.instance);
+    let now = gateway.clock.now();
+    gateway.limits.0.borrow_mut().receive_exhausted(instance, report, coordinator, now);
 }
 
 /// Forgets an instance that is gone.
 pub fn forget(gateway: &Gateway, instance: &str) {
-    gateway.limits.totals.borrow_mut().forget(instance);
+    gateway.limits.0.borrow_mut().forget(instance);
 }
--- a/crates/magnoliaspar-limit/src/bucket.rs
+++ b/crates/magnoliaspar-limit/src/bucket.rs
@@ -15,6 +15,16 @@
 /// Maximum time until a request fits that is told to a caller, for a limit that is close to zero.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// Units that a bucket holds at most when an instance begins to decide, less a tenth of what it gains in a second.
+///
+/// The former coordinator may go on for a second without knowing of the new one, with a full bucket before that. The bound
+/// leaves 0.9 of that second and 120,000 units, of which three quarters are for what passes unasked, single requests and a
+/// second change of the coordinator.
+const TAKEOVER_LEVEL: f64 = 30_000.0;
+
+/// Time for which a workspace may be refused at most after it has used more than its limit.
+const MAX_DEBT: Duration = Duration::from_secs(8);
+
 /// The buckets of all limited workspaces.
 #[derive(Debug, Default)]
 pub struct Buckets {
@@ -65,6 +75,18 @@
     }
 }
 
+impl Bucket {
+    /// Returns the time until small requests pass that do not ask.
+    fn overdrawn_for(&mut self, share: f64, now: Instant) -> Duration {
+        self.fill(share, now);
+        // A limit of zero holds nothing and gains nothing.
+        if self.limit.per_second <= 0.0 && self.level <= 0.0 {
+            return MAX_WAIT;
+        }
+        self.wait_for(-OVERDRAFT * share, share)
+    }
+}
+
 impl Buckets {
     /// Sets the limits of a configuration. What is left of a limit stays, up to the new burst.
     pub fn configure<'a>(
@@ -99,21 +121,51 @@
     pub fn charge(&mut self, demand: Demand<'_>, share: f64, now: Instant) {
         let Some(bucket) = self.buckets.get_mut(demand.workspace) else { return };
         bucket.fill(share, now);
-        let lowest = -bucket.limit.burst.max(demand.cost as f64);
+        let max_debt = bucket.limit.per_second * MAX_DEBT.as_secs_f64() + bucket.limit.burst;
+        let lowest = -max_debt.max(demand.cost as f64);
         bucket.level = (bucket.level - demand.cost as f64).max(lowest);
     }
 
+    /// Lowers the levels to what an instance may issue that begins to decide.
+    pub fn take_over(&mut self, now: Instant) {
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(1.0, now);
+            let max = (TAKEOVER_LEVEL - 0.1 * bucket.limit.per_second).max(0.0);
+            bucket.level = bucket.level.min(max);
+        }
+    }
+
+    /// Lowers the level of a workspace to one that is used up for this time.
+    pub fn lower(&mut self, workspace: &WorkspaceName, wait: Duration, share: f64, now: Instant) {
+        let Some(bucket) = self.buckets.get_mut(workspace) else { return };
+        bucket.fill(share, now);
+        let debt = bucket.limit.per_second * wait.min(MAX_DEBT).as_secs_f64();
+        bucket.level = bucket.level.min((-OVERDRAFT - debt) * share);
+    }
+
+    /// Returns the time until requests of a workspace pass that do not ask; zero if they do.
+    pub fn overdrawn_for(
+        &mut self,
+        workspace: &WorkspaceName,
+        share: f64,
+        now: Instant,
+    ) -> Duration {
+        let Some(bucket) = self.buckets.get_mut(workspace) else { return Duration::ZERO };
+        bucket.overdrawn_for(share, now)
+    }
+
+    /// Returns the time in which a workspace gains what a request counts as, in seconds.
+    pub fn seconds_of(&self, demand: Demand<'_>) -> f64 {
+        let Some(bucket) = self.buckets.get(demand.workspace) else { return 0.0 };
+        (demand.cost as f64 / bucket.limit.per_second.max(f64::MIN_POSITIVE)).min(1.0)
+    }
+
     /// Returns the workspaces whose limit is used up also for requests that do not ask, and the time until it is not.
     pub fn exhausted(&mut self, share: f64, now: Instant) -> Vec<(WorkspaceName, Duration)> {
         let mut exhausted = Vec::new();
         for (workspace, bucket) in &mut self.buckets {
-            bucket.fill(share, now);
-            // A limit of zero holds nothing and gains nothing.
-            let is_closed = bucket.limit.per_second <= 0.0 && bucket.level <= 0.0;
-            let wait = bucket.wait_for(-OVERDRAFT * share, share);
-            if is_closed {
-                exhausted.push((workspace.clone(), MAX_WAIT));
-            } else if !wait.is_zero() {
+            let wait = bucket.overdrawn_for(share, now);
+            if !wait.is_zero() {
                 exhausted.push((workspace.clone(), wait));
             }
         }
--- a/crates/magnoliaspar-limit/src/tenure.rs
+++ b/crates/magnoliaspar-limit/src/tenure.rs
@@ -66,6 +66,13 @@
         self.began_at.is_some()
     }
 
+    /// Returns the ratio of the instances that this one has heard from lately, with itself, to `known`.
+    pub fn presence(&self, known: usize, now: Instant) -> f64 {
+        let is_present = |at: &&Instant| now.saturating_duration_since(**at) < PRESENCE_WINDOW;
+        let present = self.heard_at.values().filter(is_present).count() + 1;
+        (present as f64 / known.max(1) as f64).min(1.0)
+    }
+
     /// Returns the share of the limits that this instance may issue, among `known` instances with itself; `None` while
     /// the others have had no time to answer.
     pub fn share(&mut self, known: usize, now: Instant) -> Option<f64> {
