--- a/crates/magnoliaspar-gateway/src/prompt_cache.rs
+++ b/crates/magnoliaspar-gateway/src/prompt_cache.rs
@@ -252,6 +252,8 @@
                         role: Some(EngineRole::Prefill),
                         permit_wait: None,
                         rest: Duration::ZERO,
+                        full: Duration::ZERO,
+                        share: None,
                     });
                 }
                 let role = Some(EngineRole::Decode);
