Bound the connections of callers by descriptors and memory

Connections had no maximum: each takes a descriptor, a second one while a request is in hand, and up to 55 KiB. They now take part in the account of memory, and in max_descriptors less those reserved for servers, the store, other instances and readiness. At the maximum the connection that has been silent for longest gives way, and without one a new connection is closed. What a connection holds is freed when its task ends, however its caller left.

--- a/crates/magnoliaspar-gateway/src/instance.rs
+++ b/crates/magnoliaspar-gateway/src/instance.rs
@@ -26,7 +26,7 @@
 use crate::roles::{RoleController, RoleOrders};
 use crate::route::{CallerLimits, Routing};
 use crate::stored_quarantine::keep_quarantine;
-use crate::{copy, handler};
+use crate::{copy, handler, memory};
 
 /// Interval at which idle connections and removed servers are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -98,7 +98,8 @@
     /// Opens the listeners in the settings; port 0 selects a free port.
     pub async fn bind(gateway: Rc<Gateway>) -> Result<Self, ServerError> {
         let settings = gateway.settings();
-        let limits = Rc::new(Limits::new(connection_limits(&CallerLimits::default())));
+        let limits = Limits::new(connection_limits(&CallerLimits::default()));
+        let limits = Rc::new(limits.with_connections(memory::create_connections(&gateway)));
         let requests = Server::bind(settings.requests, request_handler(&gateway)).await?;
         let requests = requests.with_limits(limits.clone());
         let readiness = Server::bind(settings.readiness, readiness_handler(&gateway)).await?;
@@ -174,6 +175,9 @@
         sweep.tick().await;
         gateway.sweep();
         reload(gateway);
+        if let Some(connections) = limits.connections() {
+            memory::report_connections(gateway, connections);
+        }
         if let Some(routing) = gateway.routing() {
             limits.set(connection_limits(&routing.limits));
         }
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -71,6 +71,8 @@
     pub response_bytes: IntGauge,
     /// Responses that were given up as the memory for responses was used up.
     pub responses_given_up: IntCounter,
+    /// Open connections of callers.
+    pub open_connections: IntGauge,
     memory_bytes: IntGaugeVec,
     memory_room_bytes: IntGaugeVec,
     memory_refused: IntGaugeVec,
@@ -200,6 +202,7 @@
                 "gateway_responses_given_up_total",
                 "Responses given up for lack of memory.",
             ),
+            open_connections: gauge("gateway_open_connections", "Open connections of callers."),
             memory_bytes: gauges("gateway_memory_bytes", "Memory held by kind.", "kind"),
             memory_room_bytes: gauges(
                 "gateway_memory_limit_bytes",
--- a/crates/magnoliaspar-http/src/connection.rs
+++ b/crates/magnoliaspar-http/src/connection.rs
@@ -17,6 +17,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::connections::OpenConnection;
+
 /// Time for which bytes are read and dropped after the last response of a connection.
 const LINGER_TIME: Duration = Duration::from_secs(2);
 
@@ -49,6 +51,7 @@
     /// Creates a connection for an accepted stream.
     pub(crate) fn new(stream: Rc<RefCell<TcpStream>>, end: CallerEnd) -> Self {
         end.0.allowance.set(IDLE_READ_BYTES);
+        end.0.touched_at.set(Some(Instant::now()));
         Self { stream, end }
     }
 
@@ -155,6 +158,12 @@
     has_requests: Cell<bool>,
     /// Wakes the task of the connection once more may be read.
     reader: Cell<Option<Waker>>,
+    /// Whether the connection gives way to others.
+    is_evicted: Cell<bool>,
+    /// The place among the open connections, if they have a maximum.
+    place: RefCell<Option<OpenConnection>>,
+    /// The time of the last activity, or of the start.
+    touched_at: Cell<Option<Instant>>,
     /// Bodies that have been handed over and not written. What they hold is released when they are.
     unwritten: RefCell<Vec<BoxBody>>,
     changed: Notify,
@@ -190,6 +199,9 @@
     pub(crate) fn take_in_hand(&self) -> InHand {
         self.0.in_hand.set(self.0.in_hand.get() + 1);
         self.0.active_at.set(Some(Instant::now()));
+        if let Some(place) = &*self.0.place.borrow() {
+            place.set_busy(true);
+        }
         if !self.0.has_requests.replace(true) {
             // What was read so far is the head of this request at most.
             self.0.allowance.set(AHEAD_READ_BYTES);
@@ -213,11 +225,49 @@
         self.0.closes_after_response.get()
     }
 
+    /// Sets the place of the connection among the open ones.
+    pub(crate) fn set_place(&self, place: OpenConnection) {
+        self.0.place.replace(Some(place));
+    }
+
+    /// Gives back the place of the connection among the open ones.
+    pub(crate) fn leave(&self) {
+        drop(self.0.place.take());
+    }
+
+    /// Returns the time since which nothing was sent or read, if no request is in hand.
+    pub(crate) fn silent_since(&self) -> Option<Instant> {
+        if self.is_answered() { self.0.touched_at.get() } else { None }
+    }
+
+    /// Closes the connection, which gives way to others.
+    pub(crate) fn evict(&self) {
+        self.0.is_evicted.set(true);
+        self.0.changed.notify_waiters();
+    }
+
+    /// Returns whether the connection gives way to others.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.0.is_evicted.get()
+    }
+
+    /// Waits until the connection gives way to others.
+    pub(crate) async fn evicted(&self) {
+        loop {
+            let changed = self.0.changed.notified();
+            if self.is_evicted() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits until the connection has to be closed, and its responses have been written.
     pub(crate) async fn closing(&self) {
         loop {
             let changed = self.0.changed.notified();
-            if self.closes_after_response() && self.is_answered() {
+            let is_due = self.closes_after_response() || self.0.is_evicted.get();
+            if is_due && self.is_answered() {
                 return;
             }
             changed.await;
@@ -260,7 +310,11 @@
         if self.0.in_hand.get() > 0 {
             return;
         }
-        self.0.has_requests.set(false);
+        if self.0.has_requests.replace(false)
+            && let Some(place) = &*self.0.place.borrow()
+        {
+            place.set_busy(false);
+        }
         self.allow(IDLE_READ_BYTES);
         if self.closes_after_response() {
             self.0.changed.notify_waiters();
@@ -280,6 +334,7 @@
     }
 
     fn record_activity(&self) {
+        self.0.touched_at.set(Some(Instant::now()));
         if self.0.active_at.get().is_some() {
             self.0.active_at.set(Some(Instant::now()));
         }
--- a/crates/magnoliaspar-http/src/lib.rs
+++ b/crates/magnoliaspar-http/src/lib.rs
@@ -2,11 +2,13 @@
 //! into those that were never sent and those that may have taken effect.
 
 mod connection;
+mod connections;
 mod memory;
 mod sent;
 mod server;
 
 pub use self::connection::CallerEnd;
+pub use self::connections::Connections;
 pub use self::memory::{BodyShare, MIN_SILENCE, Memory, MemoryKind, MemoryUsage, NoMemory};
 pub use self::sent::is_never_sent;
 pub use self::server::{ConnectionLimits, Handler, Limits, Server, ServerError, StopHandle};
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{CallerEnd, Connection, HeldBody, linger};
+use crate::connections::Connections;
 
 /// A function that answers one request.
 pub type Handler =
@@ -47,13 +48,25 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     current: Cell<ConnectionLimits>,
+    connections: Option<Rc<Connections>>,
     changed: Notify,
 }
 
 impl Limits {
     /// Creates the limits of a listener.
     pub fn new(limits: ConnectionLimits) -> Self {
-        Self { current: Cell::new(limits), changed: Notify::new() }
+        Self { current: Cell::new(limits), connections: None, changed: Notify::new() }
+    }
+
+    /// Sets a maximum of open connections.
+    pub fn with_connections(mut self, connections: Rc<Connections>) -> Self {
+        self.connections = Some(connections);
+        self
+    }
+
+    /// Returns the open connections, if they have a maximum.
+    pub fn connections(&self) -> Option<&Rc<Connections>> {
+        self.connections.as_ref()
     }
 
     /// Returns the limits in force.
@@ -193,10 +206,17 @@
     let _ = stream.set_nodelay(true);
     let peer = stream.peer_addr().ok();
     let end = CallerEnd::default();
+    if let Some(connections) = limits.connections() {
+        // Without room, the connection is closed.
+        let Some(place) = connections.admit(&end) else { return };
+        end.set_place(place);
+    }
     let stream = Rc::new(RefCell::new(stream));
     let connection = Connection::new(stream.clone(), end.clone());
     let accepted = (connection, Protocol::Http1, peer);
+    let place = PlaceGuard(end.clone());
     actix_rt::spawn(async move {
+        let _place = place;
         tokio::select! {
             // A request that has arrived goes before the idle timeout.
             biased;
@@ -206,17 +226,28 @@
             () = end.closing() => {}
         }
         drop(service);
-        if end.is_closed() {
+        // A connection that gives way has nothing left to be read by its caller.
+        if end.is_closed() || end.is_evicted() {
             return;
         }
         let Some(stream) = Rc::into_inner(stream) else { return };
         tokio::select! {
             () = linger(stream.into_inner()) => {}
+            () = end.evicted() => {}
             () = stop.aborted() => {}
         }
     });
 }
 
+/// Gives back the place of a connection when its task ends: the place and the connection's state hold each other.
+struct PlaceGuard(CallerEnd);
+
+impl Drop for PlaceGuard {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
+
 /// A handle that stops a server.
 #[derive(Debug, Clone, Default)]
 pub struct StopHandle(Rc<StopState>);
