--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub responses_given_up: IntCounter,
     /// Plain services whose calls are shared out by the load that all instances observe.
     pub shared_services: IntGauge,
+    /// Open connections of callers.
+    pub open_connections: IntGauge,
     memory_bytes: IntGaugeVec,
     memory_room_bytes: IntGaugeVec,
     memory_refused: IntGaugeVec,
@@ -206,6 +208,7 @@
                 "gateway_shared_services",
                 "Plain services whose calls are shared out by the load that all instances observe.",
             ),
+            open_connections: gauge("gateway_open_connections", "Open connections of callers."),
             memory_bytes: gauges("gateway_memory_bytes", "Memory held by kind.", "kind"),
             memory_room_bytes: gauges(
                 "gateway_memory_limit_bytes",
