Ask other instances for their answers only where a workspace has a limit

Cause: each process asked all instances that it knew when it took itself for the coordinator, also without workspaces: 59 processes that started together sent up to 59 messages each. Change: without limits nothing is decided and nobody is asked.

--- a/crates/magnoliaspar-gateway/src/shared_limits.rs
+++ b/crates/magnoliaspar-gateway/src/shared_limits.rs
@@ -122,6 +122,10 @@
 
 /// Records, with each heartbeat, whether this instance is the coordinator.
 pub fn observe(gateway: &Gateway) {
+    // Without limits there is nothing to decide, and no reason to ask others.
+    if !gateway.limits.0.borrow().has_limits() {
+        return;
+    }
     let is_coordinator = gateway.coordinator().is_none();
     if gateway.limits.0.borrow_mut().observe(is_coordinator, gateway.clock.now()) {
         ask_all(gateway);
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpMessage, HttpService, KeepAlive, Payload, Protocol, Request, Response};
+use actix_http::{HttpService, KeepAlive, Payload, Protocol, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use displaydoc::Display;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/magnoliaspar-http/tests/pipelining.rs
+++ b/crates/magnoliaspar-http/tests/pipelining.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{HttpMessage, Request, Response, StatusCode};
+use actix_http::{Request, Response, StatusCode};
 use futures_util::StreamExt;
 use magnoliaspar_http::{Handler, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/magnoliaspar-limit/src/bucket.rs
+++ b/crates/magnoliaspar-limit/src/bucket.rs
@@ -172,6 +172,11 @@
         exhausted
     }
 
+    /// Returns whether no workspace has a limit.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
     /// Returns what the bucket of a workspace holds; negative if it is overdrawn, `None` without a limit.
     pub fn level(&self, workspace: &WorkspaceName) -> Option<f64> {
         self.buckets.get(workspace).map(|bucket| bucket.level)
--- a/crates/magnoliaspar-limit/src/ledger.rs
+++ b/crates/magnoliaspar-limit/src/ledger.rs
@@ -93,6 +93,11 @@
         self.unasked.configure(workspaces, now);
     }
 
+    /// Returns whether a workspace has a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.buckets.is_empty()
+    }
+
     /// Records that this instance is about to decide as coordinator. Returns whether it begins to, so that all others
     /// have to be asked for an answer.
     pub fn decide(&mut self, now: Instant) -> bool {
