--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::permits::{Permits, mark_changed};
 use crate::plain_load::PlainLoads;
 use crate::pool::{MAX_IDLE, Pool};
+use crate::prompt_cache::PromptCaches;
 use crate::replies::Replies;
 use crate::request_limit::{LimitState, RequestLimit};
 use crate::reservations::{ReservationId, Reservations};
@@ -92,6 +93,8 @@
     pub response_memory: Rc<ResponseMemory>,
     /// Engine memory reserved by all instances.
     pub reservations: RefCell<Reservations>,
+    /// What prefill engines hold of prompts.
+    pub(crate) prompt_caches: RefCell<PromptCaches>,
     /// Engines that several instances failed to use.
     pub failing_engines: RefCell<FailingEngines>,
     /// Requests that crash servers, by service: the servers of one may fail for reasons of their own.
@@ -193,6 +196,7 @@
             lacks_proof: Cell::new(false),
             freshness: RefCell::new(Freshness::new(rand::rng().random())),
             reservations: RefCell::new(Reservations::new(settings.instance.clone())),
+            prompt_caches: RefCell::default(),
             failing_engines: RefCell::default(),
             quarantines: RefCell::default(),
             refusals_changed: Notify::new(),
@@ -206,7 +210,8 @@
             is_stopped: Cell::new(false),
             peers: RefCell::default(),
             sizes: RefCell::default(),
-            next_reservation_id: Cell::new(0),
+            // Numbers of a former process are known to others as charged.
+            next_reservation_id: Cell::new(u64::from(rand::rng().random::<u32>()) << 20),
             max_instances: Cell::new(1),
             store_contact: StoreContact::default(),
             routing_position: FeedPosition::default(),
--- a/crates/magnoliaspar-gateway/src/lib.rs
+++ b/crates/magnoliaspar-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod plain_load;
 mod pool;
 mod presence;
+pub mod prompt_cache;
 pub mod quarantine;
 mod quarantine_page;
 pub mod refusal;
