--- a/crates/magnoliaspar-gateway/src/request_body.rs
+++ b/crates/magnoliaspar-gateway/src/request_body.rs
@@ -1,11 +1,9 @@
 //! The body of a request, which is read into a part of the memory for requests and held once.
 
-use std::future::poll_fn;
-
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Payload, Request};
 use bytes::Bytes;
-use futures_util::{FutureExt, StreamExt};
+use futures_util::StreamExt;
 use magnoliaspar_http::{BodyShare, CallerEnd};
 
 use crate::blocks::Blocks;
@@ -33,7 +31,7 @@
         let end = CallerEnd::of(req);
         let announced = announced_length(req.head().headers());
         let mut payload = req.take_payload();
-        let read = read_blocks(gateway, &share, &end, &mut payload, announced, max_bytes);
+        let read = read_blocks(gateway, &share, &mut payload, announced, max_bytes);
         let blocks = tokio::select! {
             biased;
             blocks = read => blocks,
@@ -60,7 +58,6 @@
 async fn read_blocks(
     gateway: &Gateway,
     share: &BodyShare,
-    end: &CallerEnd,
     payload: &mut Payload,
     announced: usize,
     max_bytes: usize,
@@ -75,7 +72,7 @@
         if needed > share.held() {
             share.hold(needed - share.held(), now).await.map_err(|_| Refusal::NoMemory)?;
         }
-        let Some(chunk) = next_chunk(payload, end).await else { return Ok(blocks) };
+        let Some(chunk) = payload.next().await else { return Ok(blocks) };
         let Ok(chunk) = chunk else { return Err(Refusal::BodyIncomplete) };
         share.record_activity(gateway.clock.now());
         let length = blocks.len() + chunk.len();
@@ -87,21 +84,6 @@
     }
 }
 
-/// Returns the next bytes of a body. Records when there are no more of those that were read from the connection.
-async fn next_chunk(
-    payload: &mut Payload,
-    end: &CallerEnd,
-) -> Option<Result<Bytes, actix_http::error::PayloadError>> {
-    poll_fn(|cx| {
-        let chunk = payload.next().poll_unpin(cx);
-        if chunk.is_pending() {
-            end.take_more();
-        }
-        chunk
-    })
-    .await
-}
-
 /// Returns the length that the head announces; 0 if it announces none.
 fn announced_length(headers: &HeaderMap) -> usize {
     let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
--- a/crates/magnoliaspar-http/src/connection.rs
+++ b/crates/magnoliaspar-http/src/connection.rs
@@ -9,9 +9,11 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use actix_http::Request;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::PayloadError;
+use actix_http::{Request, h1};
 use bytes::Bytes;
+use futures_core::Stream;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -210,7 +212,7 @@
     }
 
     /// Allows more to be read of the body of the request in hand, as all that was read has been taken.
-    pub fn take_more(&self) {
+    fn take_more(&self) {
         self.allow(BODY_READ_BYTES);
     }
 
@@ -358,6 +360,26 @@
     }
 }
 
+/// The body of a request, as its handler reads it.
+///
+/// More is read from the connection once the handler has taken all that was.
+pub(crate) struct BodyReader {
+    pub(crate) payload: h1::Payload,
+    pub(crate) end: CallerEnd,
+}
+
+impl Stream for BodyReader {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let chunk = Pin::new(&mut self.payload).poll_next(cx);
+        if chunk.is_pending() {
+            self.end.take_more();
+        }
+        chunk
+    }
+}
+
 /// The body of a response to a request that is in hand until the body has been written.
 pub(crate) struct HeldBody {
     /// `None` once it has been handed over.
--- a/crates/magnoliaspar-http/src/server.rs
+++ b/crates/magnoliaspar-http/src/server.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
+use actix_http::{HttpService, KeepAlive, Payload, Protocol, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use displaydoc::Display;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::connection::{CallerEnd, Connection, HeldBody, linger};
+use crate::connection::{BodyReader, CallerEnd, Connection, HeldBody, linger};
 use crate::connections::Connections;
 
 /// A function that answers one request.
@@ -188,8 +188,12 @@
         .on_connect_ext(|connection: &Connection, data| {
             data.insert(connection.end().clone());
         })
-        .finish(fn_service(move |req: Request| {
-            let in_hand = CallerEnd::of(&req).take_in_hand();
+        .finish(fn_service(move |mut req: Request| {
+            let end = CallerEnd::of(&req);
+            let in_hand = end.take_in_hand();
+            if let Payload::H1 { payload } = req.take_payload() {
+                *req.payload() = Payload::Stream { payload: Box::pin(BodyReader { payload, end }) };
+            }
             let answer = handler(req);
             async move {
                 let response = answer.await.map_body(|_, body| HeldBody::new(body, in_hand));
--- a/crates/magnoliaspar-http/tests/pipelining.rs
+++ b/crates/magnoliaspar-http/tests/pipelining.rs
@@ -6,6 +6,7 @@
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{Request, Response, StatusCode};
+use futures_util::StreamExt;
 use magnoliaspar_http::{Handler, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -80,3 +81,32 @@
         assert!(sent < SYSTEM_BUFFERS, "{sent} bytes were read ahead");
     }
 }
+
+/// Length of a body beyond what is read ahead of a request in hand.
+const LONG_BODY: usize = 1 << 20;
+
+/// Guards against handlers that read a body themselves and wait for a rest that is never read from the connection.
+#[actix_rt::test]
+async fn a_handler_gets_a_whole_body_that_is_longer_than_what_is_read_ahead() {
+    let handler: Handler = Rc::new(|mut req: Request| {
+        Box::pin(async move {
+            let mut payload = req.take_payload();
+            let mut length = 0;
+            while let Some(chunk) = payload.next().await {
+                length += chunk.unwrap().len();
+            }
+            Response::<BoxBody>::new(StatusCode::OK).set_body(length.to_string().boxed())
+        })
+    });
+    let server = Server::bind(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await.unwrap();
+    let mut connection = TcpStream::connect(server.address()).await.unwrap();
+    actix_rt::spawn(server.run());
+    let head = format!(
+        "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: {LONG_BODY}\r\n\r\n"
+    );
+    connection.write_all(head.as_bytes()).await.unwrap();
+    connection.write_all(&vec![0; LONG_BODY]).await.unwrap();
+    let mut text = String::new();
+    connection.read_to_string(&mut text).await.unwrap();
+    assert!(text.ends_with(&LONG_BODY.to_string()), "{text:?}");
+}
