Count slots, prefill queues, speeds and cached prompts only with workspaces

Four tests of endless_responses failed, too: completions that came at once to a new process were refused as hopeless by a rate that it could not know yet. Change: without workspaces completions do not wait for the slots and queues of engines, none but the arriving one is judged as hopeless, grants are not paced after a start, and neither the speeds of prefill engines nor cached prompts count, as before. With workspaces nothing changes but that the queue is served at most each 10 ms after prefills. The test of a long shared part plays a configuration with a workspace, with the same bounds.

--- a/crates/magnoliaspar-gateway/src/coordinator.rs
+++ b/crates/magnoliaspar-gateway/src/coordinator.rs
@@ -132,6 +132,8 @@
     waiters: RefCell<BTreeMap<(InstanceId, ReservationId), Waiter>>,
     order: RefCell<AdmissionOrder>,
     is_wake_scheduled: Cell<bool>,
+    /// Whether a pass over the queue is due soon.
+    is_pass_scheduled: Cell<bool>,
     /// Whether the last completion without room found the grants paced.
     is_paced: Cell<bool>,
 }
@@ -215,6 +217,24 @@
         })
     }
 
+    /// Removes and returns the completion that arrived last if more others wait than end within its limit. Without
+    /// workspaces the order is by time alone, and those that wait are not judged again.
+    fn take_beyond_limit(
+        &self,
+        arrived: &(InstanceId, ReservationId),
+        rate: f64,
+    ) -> Vec<(InstanceId, ReservationId)> {
+        let mut waiters = self.waiters.borrow_mut();
+        let others = waiters.len().saturating_sub(1) as f64;
+        let Some(waiter) = waiters.get(arrived) else { return Vec::new() };
+        let limit = Duration::from_millis(waiter.request.limit_ms);
+        if waiter.request.is_resumption || others <= rate * limit.as_secs_f64() {
+            return Vec::new();
+        }
+        waiters.remove(arrived);
+        vec![arrived.clone()]
+    }
+
     /// Removes and returns the completions of a service that would leave the queue before their turn, if there is room
     /// for `rate` completions per second.
     fn take_hopeless(
@@ -340,7 +360,8 @@
     service: &str,
     arrived: &(InstanceId, ReservationId),
 ) -> bool {
-    if Knowledge::of(gateway).is_cold() {
+    let has_workspaces = gateway.queue.order.borrow().has_workspaces;
+    if has_workspaces && Knowledge::of(gateway).is_cold() {
         // The rate at which engines have room is not known yet.
         return false;
     }
@@ -353,7 +374,10 @@
         rate.max(reservations.expected_completion_rate(is_of_service, START_LATENCY))
     };
     let rate = rate.min(gateway.decode_rate_limit(service));
-    let hopeless = gateway.queue.take_hopeless(service, rate, now);
+    let hopeless = match has_workspaces {
+        true => gateway.queue.take_hopeless(service, rate, now),
+        false => gateway.queue.take_beyond_limit(arrived, rate),
+    };
     let (asker, id, waiting) = (&*arrived.0, arrived.1, gateway.queue.len());
     let (refused, is_hopeless) = (hopeless.len(), hopeless.contains(arrived));
     log::debug!(asker, id, waiting, rate, refused, is_hopeless; "no_room");
@@ -393,6 +417,25 @@
     Some(Grant { decode, prefill, tokens_ahead, held_tokens })
 }
 
+/// Time in which several prefills end before the queue is served. Each pass considers all engines, and the prefills of a
+/// large fleet end hundreds of times a second.
+const PASS_DELAY: Duration = Duration::from_millis(10);
+
+/// Serves the queue after a prefill has ended, together with those that end soon after.
+fn serve_queue_soon(gateway: &Rc<Gateway>) {
+    // Without workspaces completions do not wait for prefill engines.
+    let waits = gateway.queue.order.borrow().has_workspaces && !gateway.queue.is_empty();
+    if !waits || gateway.queue.is_pass_scheduled.replace(true) {
+        return;
+    }
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move {
+        tokio::time::sleep(PASS_DELAY).await;
+        gateway.queue.is_pass_scheduled.set(false);
+        serve_queue(&gateway);
+    });
+}
+
 /// Admits queued completions while there is free engine memory.
 pub fn serve_queue(gateway: &Rc<Gateway>) {
     let mut passed_over = PassedOver::default();
@@ -465,13 +508,17 @@
     request: &AdmissionRequest,
 ) -> Result<Grant, PlanError> {
     let now = gateway.clock.now();
-    let mut candidates = gateway.engines(request);
-    Knowledge::of(gateway).restrict(&mut candidates);
+    let has_workspaces = gateway.queue.order.borrow().has_workspaces;
+    let mut candidates = gateway.engines(request, has_workspaces);
+    if has_workspaces {
+        Knowledge::of(gateway).restrict(&mut candidates);
+    }
     let prompt = Prompt {
         tokens: request.prompt_tokens,
         target: Duration::from_millis(request.target_ms),
         max_gap: Duration::from_millis(request.max_gap_ms),
         prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
+        waits_for_queues: has_workspaces,
     };
     let plan = gateway.with_rng(|rng| choose_engines(&candidates, prompt, rng))?;
     if !gateway.allows_trial(&request.service, &request.parts) {
@@ -484,7 +531,9 @@
     let prefill = match plan {
         Plan::Split { prefill, .. } => {
             issue_permits(gateway, &[prefill, plan.decode()]);
-            gateway.record_prompt(prefill, request);
+            if has_workspaces {
+                gateway.record_prompt(prefill, request);
+            }
             Some(gateway.server_name(prefill))
         }
         Plan::Decode(_) => {
@@ -528,7 +577,7 @@
     match payload {
         Payload::PrefillFinished(id) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
-            serve_queue(gateway);
+            serve_queue_soon(gateway);
         }
         Payload::Started(id, service, parts) => {
             gateway.reservations.borrow_mut().finish_prefill(from, *id, now);
@@ -536,7 +585,7 @@
                 gateway.failing_engines.borrow_mut().record_start(&reservation.decode);
             }
             record_start(gateway, from, service, parts);
-            serve_queue(gateway);
+            serve_queue_soon(gateway);
         }
         Payload::Answered(service, parts) => record_start(gateway, from, service, parts),
         Payload::Crashed(crash, service, parts) => {
--- a/crates/magnoliaspar-gateway/src/engines.rs
+++ b/crates/magnoliaspar-gateway/src/engines.rs
@@ -48,7 +48,10 @@
     }
 
     /// Returns the engines that could run a completion, with their reserved load.
-    pub fn engines(&self, request: &AdmissionRequest) -> Vec<Candidate> {
+    ///
+    /// Their speeds and cached prompts count only with workspaces. Without them, a fleet of 140 engines was served worse
+    /// by the same weights.
+    pub fn engines(&self, request: &AdmissionRequest, has_workspaces: bool) -> Vec<Candidate> {
         let now = self.clock.now();
         let spec = self.last_engine_spec(&request.service);
         let capacity = spec.map_or(0, |engine| engine.kv_capacity);
@@ -58,7 +61,8 @@
         let mut directory = self.directory.borrow_mut();
         let (loads, prefill_speeds) = {
             let reservations = self.reservations.borrow();
-            (reservations.loads(now), reservations.prefill_speeds(now))
+            let prefill_speeds = has_workspaces.then(|| reservations.prefill_speeds(now));
+            (reservations.loads(now), prefill_speeds)
         };
         let prompt_caches = self.prompt_caches.borrow();
         let parts = request.prompt_parts();
@@ -79,8 +83,10 @@
             candidate.is_local = server.record.zone == request.zone;
             candidate.is_avoided |= failing_engines.is_avoided(id, now);
             candidate.queued_prefill_tokens = load.queued_prefill_tokens;
-            candidate.prefill_speed = prefill_speeds.of(id);
-            if candidate.role == Some(EngineRole::Prefill) {
+            if let Some(prefill_speeds) = &prefill_speeds {
+                candidate.prefill_speed = prefill_speeds.of(id);
+            }
+            if has_workspaces && candidate.role == Some(EngineRole::Prefill) {
                 let started_ms = server.record.started_ms;
                 let process = EngineProcess { engine: id, started_ms, capacity };
                 candidate.held_prompt_tokens =
--- a/crates/magnoliaspar-gateway/src/prompt_cache.rs
+++ b/crates/magnoliaspar-gateway/src/prompt_cache.rs
@@ -263,6 +263,7 @@
                     target: Duration::from_millis(800),
                     max_gap: Duration::from_millis(1),
                     prefill_tokens_per_ms: 50.0,
+                    waits_for_queues: true,
                 };
                 let plan = choose_engines(&candidates, prompt, &mut ties);
                 let Ok(Plan::Split { prefill, .. }) = plan else { break };
--- a/crates/magnoliaspar-gateway/src/selection.rs
+++ b/crates/magnoliaspar-gateway/src/selection.rs
@@ -304,6 +304,8 @@
     pub max_gap: Duration,
     /// Prefill speed of a prefill engine, in tokens per millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// Whether the prompt waits while all decode engines lack a slot or all prefill engines have a long queue.
+    pub waits_for_queues: bool,
 }
 
 /// Chooses engines for a completion.
@@ -333,7 +335,8 @@
         decode_engines.retain(|candidate| !candidate.is_avoided);
     }
     decode_engines.retain(|candidate| {
-        candidate.has_permit() && candidate.has_slot() && Reservations::fits(candidate.fill)
+        let has_slot = candidate.has_slot() || !prompt.waits_for_queues;
+        candidate.has_permit() && has_slot && Reservations::fits(candidate.fill)
     });
     let decode = choose_min(&decode_engines, rng, |candidate| {
         let penalty = if candidate.is_local { 0.0 } else { REMOTE_ZONE_FILL_PENALTY };
@@ -366,7 +369,7 @@
     }
     let queue_ms = prefill_ms(prefill.usual_tokens(queued), prompt.prefill_tokens_per_ms);
     let max_queue = prompt.target.mul_f64(PREFILL_QUEUE_SHARE).max(MIN_PREFILL_QUEUE);
-    if queue_ms > max_queue.as_secs_f64() * 1_000.0 {
+    if prompt.waits_for_queues && queue_ms > max_queue.as_secs_f64() * 1_000.0 {
         return Err(PlanError::NoCapacity);
     }
     Ok(Plan::Split { prefill: prefill.key, decode })
@@ -453,6 +456,7 @@
             target: Duration::from_millis(900),
             max_gap: Duration::from_millis(max_gap_ms),
             prefill_tokens_per_ms: 50.0,
+            waits_for_queues: true,
         };
         choose_engines(engines, prompt, &mut StdRng::seed_from_u64(1))
     }
