--- a/review/common-2/platform.rs
+++ b/review/common-2/platform.rs
@@ -286,8 +286,6 @@
 struct Load {
     running: usize,
     queued: usize,
-    /// The server reads and sends nothing before this time.
-    silent_until: Option<Instant>,
 }
 
 /// A sound plain server: it runs some requests at once, queues a few more and refuses all others as not run.
@@ -333,18 +331,6 @@
         server
     }
 
-    /// Reads and sends nothing for some time, and then goes on.
-    pub fn fall_silent(&self, time: Duration) {
-        self.load.0.lock().expect("no thread panics").silent_until = Some(Instant::now() + time);
-    }
-
-    fn wait_for_silence(&self) {
-        let until = self.load.0.lock().expect("no thread panics").silent_until;
-        if let Some(until) = until {
-            thread::sleep(until.saturating_duration_since(Instant::now()));
-        }
-    }
-
     /// Waits for a slot; returns whether there is one, or a place in the queue.
     fn enter(&self) -> bool {
         let (load, changed) = &*self.load;
@@ -374,9 +360,7 @@
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         loop {
-            self.wait_for_silence();
             let Some(request) = read_message(&mut reader, false)? else { return Ok(()) };
-            self.wait_for_silence();
             let id = request.get("request-id").unwrap_or_default().to_owned();
             let is_other = request.get("expect-instance").is_some_and(|known| known != self.id);
             let (status, notice, body) = if is_other {
@@ -392,7 +376,6 @@
             } else {
                 ("503 Service Unavailable", "Not-Executed: 1\r\n", "")
             };
-            self.wait_for_silence();
             let head = format!(
                 "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nServer-Seal: seal.{id}\r\nInstance-Id: {}\r\n{notice}Keep-Alive: timeout=30\r\nContent-Length: {}\r\n\r\n{body}",
                 self.id,
