--- a/review/common-2/platform.rs
+++ b/review/common-2/platform.rs
@@ -475,6 +475,11 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Sends a signal, such as `-TERM`, to the process.
+    pub fn signal(&self, signal: &str) {
+        let _ = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
