--- a/review/10/case.rs
+++ b/review/9/case.rs
@@ -143,14 +143,14 @@
 }
 
 fn main() {
-    let mut record = Record::create("review/10");
+    let mut record = Record::create("review/9");
     let store = Store::start();
     store.put("op", "config", &configuration());
     let runs: Runs = Arc::default();
     start_engine(&store, "i-engine-1", &runs);
     start_engine(&store, "i-engine-2", &runs);
     let machine = Machine { memory_mb: 110, cores: 0.25, descriptors: 4_100, revocation: "" };
-    let Some(mut gateway) = Gateway::start("review-10", &store, &machine) else {
+    let Some(mut gateway) = Gateway::start("review-9", &store, &machine) else {
         record.line("the gateway was not ready");
         exit(2);
     };
