--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -29,6 +29,11 @@
 }
 
 fn main() {
+    exit(run());
+}
+
+/// Runs the case and returns its exit status. What it started ends before.
+fn run() -> i32 {
     let mut record = Record::create("review/7");
     let store = Store::start();
     let before = r#"[{"name":"clinica-1","api_keys":["key-taken","key-kept"]}]"#;
@@ -43,7 +48,7 @@
     };
     let Some(gateway) = Gateway::start("review-7", &store, &machine) else {
         record.line("the gateway was not ready");
-        exit(2);
+        return 2;
     };
     let front = gateway.front;
     let send = |id: &str, key: &str| {
@@ -55,7 +60,7 @@
         record.line(&format!("{id} with {key}: answer {status:?}"));
         if status != Some(200) {
             record.line("the deployment does not serve");
-            exit(2);
+            return 2;
         }
     }
     let name = if has_trouble() { "Clinica Norte" } else { "clinica-norte" };
@@ -98,7 +103,8 @@
     }
     if broken > 0 {
         record.line(&format!("BROKEN: {broken} requests with a revoked key ran"));
-        exit(1);
+        return 1;
     }
     record.line("held");
+    0
 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -143,6 +143,11 @@
 }
 
 fn main() {
+    exit(run());
+}
+
+/// Runs the case and returns its exit status. What it started ends before.
+fn run() -> i32 {
     let mut record = Record::create("review/9");
     let store = Store::start();
     store.put("op", "config", &configuration());
@@ -152,19 +157,19 @@
     let machine = Machine { memory_mb: 110, cores: 0.25, descriptors: 4_100, revocation: "" };
     let Some(mut gateway) = Gateway::start("review-9", &store, &machine) else {
         record.line("the gateway was not ready");
-        exit(2);
+        return 2;
     };
     let mut connections = Vec::new();
     for index in 0..SENT_AFTER_MS.len() {
         let Ok((mut stream, mut reader)) = open(gateway.front) else {
             record.line("no connection");
-            exit(2);
+            return 2;
         };
         let sent = send(&mut stream, &format!("warm-{index}"));
         let answer = read_answer(&mut reader);
         if sent.is_err() || answer != (Some(200), EVENTS, true) {
             record.line(&format!("the deployment does not serve: {answer:?}"));
-            exit(2);
+            return 2;
         }
         connections.push((stream, reader));
     }
@@ -216,7 +221,8 @@
     }
     if lost > 0 {
         record.line(&format!("BROKEN: {lost} answers were cut by the stop"));
-        exit(1);
+        return 1;
     }
     record.line("held");
+    0
 }
