Take a configuration that cannot be read for a newer one

Cause: a row that cannot be decoded was passed on like a removed one, so that a configuration that is not understood looked like no change, and each answer of the store proved the one in force to be the newest. Instances that rely on others got the row without a value and could not tell either.

Change: a feed names the rows that exist and cannot be read. While the configuration is one of them nothing is a proof, neither an answer of the store nor that of another instance, and unknown keys and paths are refused with 503. An instance that gets such a row from another one reads it from the store itself. A store that was restored from an older copy ends this only with a newer configuration. Why this works: the proof is what keeps a key acceptable, and it can now only come from an answer whose configuration was understood. configuration_unreadable and gateway_configuration_unreadable tell operators.

--- a/crates/magnoliaspar-access/src/freshness.rs
+++ b/crates/magnoliaspar-access/src/freshness.rs
@@ -72,13 +72,40 @@
     /// Numbers of the last questions to other instances and the moments at which they were sent.
     questions: VecDeque<(u64, Duration)>,
     next_question: u64,
+    /// Epoch in which the store was found to hold a configuration that the instance cannot read, until it holds another.
+    unreadable: Option<Epoch>,
 }
 
 impl Freshness {
     /// Creates the state without a proof. The first number of a question should differ between processes of an
     /// instance, which may get answers to the former process.
     pub fn new(first_question: u64) -> Self {
-        Self { proven_at: None, questions: VecDeque::new(), next_question: first_question }
+        Self {
+            proven_at: None,
+            questions: VecDeque::new(),
+            next_question: first_question,
+            unreadable: None,
+        }
+    }
+
+    /// Records that the store holds a configuration that the instance cannot read. Which keys it revokes is unknown, so
+    /// nothing proves the one in force until the store holds another.
+    pub fn record_unreadable(&mut self, epoch: Epoch) {
+        self.unreadable = Some(epoch);
+    }
+
+    /// Records that the store holds no configuration that the instance cannot read; `is_newer` if the one that it holds
+    /// has replaced the one in force. A store that was restored from a copy may have lost the unreadable one, which
+    /// the operator writes again.
+    pub fn record_readable(&mut self, epoch: Epoch, is_newer: bool) {
+        if is_newer || self.unreadable == Some(epoch) {
+            self.unreadable = None;
+        }
+    }
+
+    /// Returns whether the store holds a configuration that the instance cannot read.
+    pub fn has_unreadable(&self) -> bool {
+        self.unreadable.is_some()
     }
 
     /// Records that `newest` was the newest configuration at a moment, while the instance has `own`. Returns whether
@@ -89,7 +116,7 @@
         newest: ConfigurationMark,
         at: Duration,
     ) -> bool {
-        if own < newest {
+        if own < newest || self.has_unreadable() {
             return false;
         }
         self.proven_at = self.proven_at.max(Some(at));
@@ -137,3 +164,47 @@
         Some(ProofReport { age_ms, configuration: own })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use magnoliaspar_core::Epoch;
+
+    use super::{ConfigurationMark, Freshness, ProofReport};
+
+    const MAX_AGE: Duration = Duration::from_secs(4);
+
+    fn mark(version: u64, epoch: u64) -> ConfigurationMark {
+        ConfigurationMark { version, epoch: Epoch(epoch) }
+    }
+
+    /// Guards against a proof for the configuration in force while a newer one cannot be read, by the store or by an
+    /// instance that does not know of it.
+    #[test]
+    fn an_unreadable_configuration_leaves_only_earlier_proofs() {
+        let second = Duration::from_secs(1);
+        let mut freshness = Freshness::new(0);
+        assert!(freshness.record(mark(7, 1), mark(7, 1), second));
+        freshness.record_unreadable(Epoch(1));
+        assert!(!freshness.record(mark(7, 1), mark(7, 1), 2 * second));
+        let question = freshness.ask(2 * second);
+        let report = ProofReport { age_ms: 10, configuration: mark(7, 1) };
+        assert!(!freshness.apply(mark(7, 1), question, report));
+        assert!(freshness.is_proven(5 * second, MAX_AGE));
+        assert!(!freshness.is_proven(5 * second + Duration::from_millis(1), MAX_AGE));
+        freshness.record_readable(Epoch(1), false);
+        assert!(freshness.record(mark(7, 1), mark(7, 1), 6 * second));
+    }
+
+    /// Guards against a proof from a store whose copy is older than the unreadable configuration.
+    #[test]
+    fn a_restored_store_without_the_unreadable_configuration_proves_nothing() {
+        let mut freshness = Freshness::new(0);
+        freshness.record_unreadable(Epoch(1));
+        freshness.record_readable(Epoch(2), false);
+        assert!(!freshness.record(mark(7, 2), mark(7, 2), MAX_AGE));
+        freshness.record_readable(Epoch(2), true);
+        assert!(freshness.record(mark(9, 2), mark(9, 2), MAX_AGE));
+    }
+}
--- a/crates/magnoliaspar-gateway/src/access.rs
+++ b/crates/magnoliaspar-gateway/src/access.rs
@@ -48,10 +48,21 @@
     }
 }
 
-/// Returns whether a peer has a newer configuration.
+/// Returns the refusal of a request that no route matches.
+pub fn refuse_unrouted(gateway: &Gateway) -> Refusal {
+    // The configuration that cannot be read may have a route.
+    match gateway.freshness.borrow().has_unreadable() {
+        true => Refusal::ConfigurationOutdated,
+        false => Refusal::NoRoute,
+    }
+}
+
+/// Returns whether there is a newer configuration: a peer has one, or the store holds one that this instance cannot
+/// read.
 fn is_behind(gateway: &Gateway, routing: &Routing) -> bool {
     let newest = gateway.peers().and_then(|peers| peers.newest_version());
-    newest.is_some_and(|(version, _)| version > routing.version)
+    let has_unreadable = gateway.freshness.borrow().has_unreadable();
+    has_unreadable || newest.is_some_and(|(version, _)| version > routing.version)
 }
 
 /// Returns whether callers are only served with a proof.
@@ -96,12 +107,14 @@
     gateway.freshness.borrow_mut().record(own, ConfigurationMark { version, ..own }, called);
 }
 
-/// Waits until a proof is needed soon that no other instance has passed on.
+/// Waits until a proof is needed soon that no other instance has passed on. While the store holds a configuration that
+/// cannot be read, no call brings one.
 pub async fn wait_until_unproven(gateway: &Gateway) {
     loop {
         let refresh_age = gateway.settings().revocation.refresh_age();
         let left = refresh_age.saturating_sub(proof_age(gateway).unwrap_or(refresh_age));
-        if left.is_zero() && needs_proof(gateway) {
+        let has_unreadable = gateway.freshness.borrow().has_unreadable();
+        if left.is_zero() && needs_proof(gateway) && !has_unreadable {
             return;
         }
         tokio::time::sleep(left.max(REFRESH_INTERVAL)).await;
--- a/crates/magnoliaspar-gateway/src/copy.rs
+++ b/crates/magnoliaspar-gateway/src/copy.rs
@@ -3,6 +3,7 @@
 //! An instance whose own calls to the store fail would keep what it knew before. It learns from
 //! heartbeats that peers are ahead, and fetches a copy from one of them over TCP.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -22,7 +23,7 @@
 use crate::evidence::Owner;
 use crate::exchange::{CallError, Connection};
 use crate::feed::{Batch, Follower};
-use crate::gateway::{Gateway, RoutingFollower};
+use crate::gateway::{Gateway, apply_routing};
 use crate::held_body::HeldBody;
 use crate::peers::{Peers, Source};
 use crate::revisions::{FeedRevisions, revisions};
@@ -153,7 +154,6 @@
 
 /// Copies newer configurations from peers for as long as the process runs.
 pub async fn copy_configuration(gateway: Rc<Gateway>, peers: Rc<Peers>) {
-    let follower = RoutingFollower(gateway.clone());
     let mark = FeedRevisions::configuration;
     loop {
         let source = wait_for_source(&gateway, &peers, mark, || mark(&revisions(&gateway))).await;
@@ -163,7 +163,7 @@
         let batch = to_batch(copy);
         let Position { epoch, revision } = batch.position;
         log::info!(peer = &*source.instance, epoch = epoch.0, revision; "configuration_copied");
-        follower.apply(batch, false);
+        apply_routing(&gateway, batch);
         if mark(&revisions(&gateway)) < mark(&source.reported) {
             peers.forget_revisions(&source.instance);
         }
@@ -251,5 +251,6 @@
 
 fn to_batch<T>(copy: Copy<T>) -> Batch<T> {
     let rows = copy.rows.into_iter().map(|(key, row)| (key, Some(row))).collect();
-    Batch { position: Position { epoch: copy.epoch, revision: copy.revision }, rows }
+    let position = Position { epoch: copy.epoch, revision: copy.revision };
+    Batch { position, rows, unreadable: BTreeSet::new() }
 }
--- a/crates/magnoliaspar-gateway/src/feed.rs
+++ b/crates/magnoliaspar-gateway/src/feed.rs
@@ -1,7 +1,7 @@
 //! Follows the feeds of the configuration and of the list of servers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,8 @@
     pub position: Position,
     /// The rows by key; `None` for a row that was removed or is not usable.
     pub rows: Vec<(Box<str>, Option<T>)>,
+    /// The keys of the rows that exist and are not usable.
+    pub unreadable: BTreeSet<Box<str>>,
 }
 
 /// Reason why there is no batch.
--- a/crates/magnoliaspar-gateway/src/following.rs
+++ b/crates/magnoliaspar-gateway/src/following.rs
@@ -4,6 +4,7 @@
 //! read as often as there are instances.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 
 use crate::directory::ServerRecord;
 use crate::feed::{Batch, FeedPosition, Follower};
-use crate::gateway::{Gateway, RoutingFollower};
+use crate::gateway::{Gateway, apply_routing};
 use crate::route::Routing;
 
 /// Number of instances up to which all follow the store.
@@ -102,7 +103,7 @@
     }
 
     fn into_batch(self) -> Batch<T> {
-        Batch { position: self.position, rows: self.rows }
+        Batch { position: self.position, rows: self.rows, unreadable: BTreeSet::new() }
     }
 }
 
@@ -123,12 +124,17 @@
 }
 
 /// Applies a configuration from another instance. Configurations are compared by version, so that one may be missing.
+///
+/// One that the sender could not read is read from the store: changes do not tell it from one that was removed.
 pub fn receive_routing(gateway: &Rc<Gateway>, changes: Changes<Routing>) {
     let position = &gateway.routing_position;
-    if changes.follow(position.applied()) {
+    let is_readable = changes.rows.iter().all(|(_, routing)| routing.is_some());
+    if !is_readable {
+        position.observe_remote(changes.position);
+    } else if changes.follow(position.applied()) {
         position.advance(changes.position, true);
     }
-    RoutingFollower(gateway.clone()).apply(changes.into_batch(), false);
+    apply_routing(gateway, changes.into_batch());
 }
 
 impl Gateway {
--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, mpsc};
 
 pub use self::followers::RoutingFollower;
+pub(crate) use self::followers::apply_routing;
 use crate::access::{is_isolated, report_proof_state};
 use crate::admission::Eligible;
 use crate::call::Incoming;
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -298,32 +298,67 @@
     }
 }
 
-/// Applies the configuration; one that is not newer than the current one is ignored.
+impl Gateway {
+    /// Records whether the configuration that the store holds can be read, and logs a change.
+    fn record_readability(&self, epoch: Epoch, is_unreadable: bool, is_newer: bool) {
+        let mut freshness = self.freshness.borrow_mut();
+        let was_unreadable = freshness.has_unreadable();
+        match is_unreadable {
+            true => freshness.record_unreadable(epoch),
+            false => freshness.record_readable(epoch, is_newer),
+        }
+        let is_unreadable = freshness.has_unreadable();
+        self.metrics.configuration_unreadable.set(i64::from(is_unreadable));
+        let (version, epoch) = (self.routing().map(|routing| routing.version), epoch.0);
+        match (was_unreadable, is_unreadable) {
+            (false, true) => log::warn!(version:?, epoch; "configuration_unreadable"),
+            (true, false) => log::info!(version:?, epoch; "configuration_readable"),
+            _ => {}
+        }
+    }
+}
+
+/// Applies configurations, from the store or from another instance; one that is not newer than the current one is
+/// ignored. Returns whether the current one was replaced.
+pub(crate) fn apply_routing(gateway: &Gateway, batch: Batch<Routing>) -> bool {
+    gateway.metrics.count_feed("configuration", "ok");
+    let epoch = batch.position.epoch;
+    let mut is_replaced = false;
+    for (_, routing) in batch.rows {
+        let Some(routing) = routing else { continue };
+        let current = gateway.routing();
+        let current = current.as_deref().map(|current| (current, gateway.configuration_epoch()));
+        let age = ConfigurationAge::of(current, (&routing, epoch));
+        let previous = current.map(|(current, _)| current.version);
+        let version = routing.version;
+        if age != ConfigurationAge::NotNewer {
+            gateway.configuration_epoch.set(epoch);
+        }
+        if !age.replaces() && !is_disabled(Guarantee::Configuration) {
+            log::debug!(version, previous:?, epoch = epoch.0, age:?; "configuration_not_newer");
+            continue;
+        }
+        let routes = routing.len();
+        log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
+        gateway.metrics.configuration_version.set(version as i64);
+        gateway.set_routing(routing);
+        is_replaced = true;
+    }
+    is_replaced
+}
+
+/// Follows the configuration in the store.
 pub struct RoutingFollower(pub Rc<Gateway>);
 
 #[async_trait(?Send)]
 impl Follower<Routing> for RoutingFollower {
-    fn apply(&self, batch: Batch<Routing>, _: bool) {
-        self.0.metrics.count_feed("configuration", "ok");
+    fn apply(&self, batch: Batch<Routing>, is_complete: bool) {
         let epoch = batch.position.epoch;
-        for (_, routing) in batch.rows {
-            let Some(routing) = routing else { continue };
-            let current = self.0.routing();
-            let current = current.as_deref().map(|current| (current, self.0.configuration_epoch()));
-            let age = ConfigurationAge::of(current, (&routing, epoch));
-            let previous = current.map(|(current, _)| current.version);
-            let version = routing.version;
-            if age != ConfigurationAge::NotNewer {
-                self.0.configuration_epoch.set(epoch);
-            }
-            if !age.replaces() && !is_disabled(Guarantee::Configuration) {
-                log::debug!(version, previous:?, epoch = epoch.0, age:?; "configuration_not_newer");
-                continue;
-            }
-            let routes = routing.len();
-            log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
-            self.0.metrics.configuration_version.set(version as i64);
-            self.0.set_routing(routing);
+        let is_known = is_complete || !batch.rows.is_empty();
+        let is_unreadable = !batch.unreadable.is_empty();
+        let is_newer = apply_routing(&self.0, batch);
+        if is_known {
+            self.0.record_readability(epoch, is_unreadable, is_newer);
         }
     }
 
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -17,7 +17,7 @@
 use magnoliaspar_http::CallerEnd;
 use magnoliaspar_retry::{PartHasher, PartId};
 
-use crate::access::authenticate;
+use crate::access::{authenticate, refuse_unrouted};
 use crate::call::{Incoming, copy_request_head, strip_connection_headers};
 use crate::dialect::RequestFacts;
 use crate::gateway::{Gateway, InFlight};
@@ -240,7 +240,7 @@
     if facts.intended_server.as_deref().is_some_and(|server| gateway.has_address_of(server)) {
         return Err(Refusal::SentByInstance);
     }
-    let route = find_route(&routing, req.head()).ok_or(Refusal::NoRoute)?;
+    let route = find_route(&routing, req.head()).ok_or_else(|| refuse_unrouted(gateway))?;
     cx.route = Some(route.clone());
     authenticate(gateway, &routing, &route, req.path(), facts.credentials)?;
     let timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
--- a/crates/magnoliaspar-gateway/src/metrics.rs
+++ b/crates/magnoliaspar-gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub outdated_ms: IntGauge,
     /// Time since the configuration is known to have been the newest one, in milliseconds; -1 if it is not known.
     pub proof_age_ms: IntGauge,
+    /// Whether the store holds a configuration that cannot be read: 1 or 0.
+    pub configuration_unreadable: IntGauge,
     /// Number of known servers.
     pub servers: IntGauge,
     /// Epoch of the store in which the list of servers was read last.
@@ -170,6 +172,10 @@
                 "gateway_configuration_proof_age_ms",
                 "Time since the configuration is known to have been the newest one; -1 if it is not known.",
             ),
+            configuration_unreadable: gauge(
+                "gateway_configuration_unreadable",
+                "1 while the store holds a configuration that cannot be read.",
+            ),
             servers: gauge("gateway_servers", "Known backend servers."),
             store_epoch: gauge("gateway_store_epoch", "Epoch of the store by its list of servers."),
             limited_servers: gauge("gateway_limited_servers", "Servers that name a limit."),
