Accept any name of a workspace that fits into a header

These are only compared, sent in a header and logged.

Change: the name of a workspace is any text of up to 1,024 bytes without control characters and outer spaces, the name of a route any text. Declarations check their rules where they are read; keys of claims escape the percent sign, and reports of use are bounded by the length of the names in them.

--- a/crates/magnoliaspar-claim/src/row.rs
+++ b/crates/magnoliaspar-claim/src/row.rs
@@ -74,8 +74,8 @@
 
 /// Returns the key of a claim's row.
 pub(crate) fn row_key(workspace: &WorkspaceName, key: &IdempotencyKey) -> RowKey {
-    // Both names may contain slashes but no percent sign, so escaped workspaces are unambiguous.
-    let workspace = workspace.as_str().replace('/', "%2F");
+    // Both names may contain slashes.
+    let workspace = workspace.as_str().replace('%', "%25").replace('/', "%2F");
     RowKey(format!("{CLAIM_PREFIX}{workspace}/{key}").into())
 }
 
@@ -101,5 +101,14 @@
             &IdempotencyKey::try_from("b/c").unwrap(),
         );
         assert_ne!(one, other);
+        let slash = row_key(
+            &WorkspaceName::try_from("a/b").unwrap(),
+            &IdempotencyKey::try_from("c").unwrap(),
+        );
+        let escaped = row_key(
+            &WorkspaceName::try_from("a%2Fb").unwrap(),
+            &IdempotencyKey::try_from("c").unwrap(),
+        );
+        assert_ne!(slash, escaped);
     }
 }
--- a/crates/magnoliaspar-core/src/id.rs
+++ b/crates/magnoliaspar-core/src/id.rs
@@ -8,6 +8,10 @@
 /// Maximum length of a name or identifier in characters.
 const MAX_NAME_CHARS: usize = 128;
 
+/// Maximum length of the name of a workspace in bytes. It is a header of requests, and HTTP servers commonly accept heads
+/// of eight times this size.
+const MAX_WORKSPACE_NAME_BYTES: usize = 1_024;
+
 /// The reason why a text is not a valid name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(DisplayDoc)]
@@ -18,11 +22,19 @@
     TooLong,
     /// the name contains {0:?}; only letters, digits, '-', '_', '.', ':' and '/' are allowed
     Character(char),
+    /// the name is longer than 1024 bytes
+    TooManyBytes,
+    /// the name contains {0:?}, which a header cannot hold
+    ControlCharacter(char),
+    /// the name begins or ends with a space, which a header does not keep
+    OuterSpace,
 }
 
 impl std::error::Error for NameError {}
 
-fn check_name(text: &str) -> Result<(), NameError> {
+/// Checks that a text is a name of letters, digits and a few other characters, which commands and keys of rows can hold
+/// as it is.
+pub fn check_name(text: &str) -> Result<(), NameError> {
     if text.is_empty() {
         return Err(NameError::Empty);
     }
@@ -37,9 +49,29 @@
     Ok(())
 }
 
+/// Checks that a text can be the value of a header and stays as it is on the way. Bytes beyond ASCII can be in one.
+fn check_header_text(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAX_WORKSPACE_NAME_BYTES {
+        return Err(NameError::TooManyBytes);
+    }
+    if let Some(c) = text.chars().find(char::is_ascii_control) {
+        return Err(NameError::ControlCharacter(c));
+    }
+    if text.starts_with(' ') || text.ends_with(' ') {
+        return Err(NameError::OuterSpace);
+    }
+    Ok(())
+}
+
 /// Defines a string type that accepts only valid names.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
+        name_type! { $(#[$doc])* $name, check_name }
+    };
+    ($(#[$doc:meta])* $name:ident, $check:path) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[derive(Serialize, Deserialize)]
@@ -63,7 +95,7 @@
             type Error = NameError;
 
             fn try_from(text: &str) -> Result<Self, NameError> {
-                check_name(text)?;
+                $check(text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -72,7 +104,7 @@
             type Error = NameError;
 
             fn try_from(text: Box<str>) -> Result<Self, NameError> {
-                check_name(&text)?;
+                $check(&text)?;
                 Ok(Self(text))
             }
         }
@@ -98,8 +130,8 @@
     ZoneName
 }
 name_type! {
-    /// The name of a workspace, the tenant that a caller belongs to.
-    WorkspaceName
+    /// The name of a workspace, the tenant that a caller belongs to: any text that fits into the value of a header.
+    WorkspaceName, check_header_text
 }
 name_type! {
     /// The name of a route.
@@ -153,7 +185,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{NameError, RequestId};
+    use super::{NameError, RequestId, WorkspaceName};
 
     #[test]
     fn names_are_checked() {
@@ -162,4 +194,25 @@
         assert_eq!(RequestId::try_from("x".repeat(129).as_str()), Err(NameError::TooLong));
         assert_eq!(RequestId::try_from("pack-7/2").unwrap().as_str(), "pack-7/2");
     }
+
+    /// Guards against workspaces that are refused for their names, and against names that reach servers changed.
+    #[test]
+    fn the_name_of_a_workspace_is_any_text_that_fits_into_a_header() {
+        for text in
+            ["Clinica Norte", "Clínica \u{4e2d}", "a,b;c=\"d\\\" %20", "x".repeat(1_024).as_str()]
+        {
+            assert_eq!(WorkspaceName::try_from(text).unwrap().as_str(), text);
+        }
+        for (text, error) in [
+            ("", NameError::Empty),
+            ("a\r\nb", NameError::ControlCharacter('\r')),
+            ("a\0", NameError::ControlCharacter('\0')),
+            ("a\u{7f}", NameError::ControlCharacter('\u{7f}')),
+            (" a", NameError::OuterSpace),
+            ("a ", NameError::OuterSpace),
+            ("\u{e9}".repeat(513).as_str(), NameError::TooManyBytes),
+        ] {
+            assert_eq!(WorkspaceName::try_from(text), Err(error), "{text:?}");
+        }
+    }
 }
--- a/crates/magnoliaspar-core/src/lib.rs
+++ b/crates/magnoliaspar-core/src/lib.rs
@@ -14,7 +14,7 @@
 pub use self::finding::{Finding, Findings, Place};
 pub use self::id::{
     AttemptId, IdempotencyKey, Incarnation, InstanceName, ModelName, NameError, PoolName,
-    RequestId, RouteName, ServerName, WorkspaceName, ZoneName,
+    RequestId, RouteName, ServerName, WorkspaceName, ZoneName, check_name,
 };
 pub use self::key::{InstanceKey, JobKey, ServerKey, WorkspaceKey, ZoneKey};
 pub use self::outcome::{Outcome, Refusal, RefusalCode};
--- a/crates/magnoliaspar-declaration/src/files.rs
+++ b/crates/magnoliaspar-declaration/src/files.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Guards against names of workspaces that commands and keys of rows cannot hold as they are.
+    #[test]
+    fn the_name_of_a_declared_workspace_is_a_plain_one() {
+        let findings = Document::read("{\"workspaces\": {\"a b\": {}}}", "w.json").unwrap_err();
+        assert!(findings.to_string().contains("the name contains ' '"), "{findings}");
+    }
+
     #[test]
     fn several_files_make_one_document() {
         let mut files = DeclarationFiles::new();
--- a/crates/magnoliaspar-declaration/src/read.rs
+++ b/crates/magnoliaspar-declaration/src/read.rs
@@ -5,7 +5,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use magnoliaspar_core::{Finding, Findings, PoolName};
+use magnoliaspar_core::{Finding, Findings, PoolName, check_name};
 use magnoliaspar_json::{Cursor, ROOT, child_path, closest};
 
 use crate::{
@@ -140,6 +140,11 @@
     N::Error: std::fmt::Display,
 {
     let value = read(cursor);
+    // Commands and stored keys hold the names of all declared entities.
+    if let Err(err) = check_name(id.name()) {
+        cursor.report(err.to_string());
+        return;
+    }
     match (N::try_from(id.name()), value) {
         (Ok(name), Some(value)) => {
             map.insert(name, value);
--- a/crates/magnoliaspar-gateway/src/handler.rs
+++ b/crates/magnoliaspar-gateway/src/handler.rs
@@ -314,7 +314,7 @@
     let elapsed_ms = elapsed.as_millis() as u64;
     let request = cx.facts.as_ref().map_or("", |facts| &facts.id);
     let kind = cx.route.as_ref().map_or("unrouted", |route| route.kind.as_str());
-    let route = cx.route.as_ref().map_or("", |route| route.name.as_str());
+    let route = cx.route.as_ref().map_or("", |route| &*route.name);
     let service = cx.service.as_deref().unwrap_or_default();
     let version = cx.version;
     let servers_revision = gateway.servers_position.last_change().revision;
--- a/crates/magnoliaspar-gateway/src/hedge.rs
+++ b/crates/magnoliaspar-gateway/src/hedge.rs
@@ -181,14 +181,12 @@
 mod tests {
     use std::time::{Duration, Instant};
 
-    use magnoliaspar_core::RouteName;
-
     use super::{Course, MAX_OVERLAP, MAX_RETURNS, Patience, Tally};
     use crate::route::{Route, RouteKind};
 
     fn route(kind: RouteKind, max_attempts: u32) -> Route {
         Route {
-            name: RouteName::try_from("r").unwrap(),
+            name: "r".into(),
             path_prefix: "/".into(),
             kind,
             timeout: Duration::from_secs(5),
--- a/crates/magnoliaspar-gateway/src/route.rs
+++ b/crates/magnoliaspar-gateway/src/route.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use magnoliaspar_access::Workspaces;
-use magnoliaspar_core::RouteName;
 use serde::{Deserialize, Serialize};
 
 use crate::guarantees::{Guarantee, is_disabled};
@@ -87,8 +86,8 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Route {
-    /// Name of the route, for logs.
-    pub name: RouteName,
+    /// Name of the route, which is any text and only for logs.
+    pub name: Box<str>,
     /// Prefix of the paths that belong to the route.
     pub path_prefix: Box<str>,
     /// Rules for retries.
--- a/crates/magnoliaspar-limit/src/usage.rs
+++ b/crates/magnoliaspar-limit/src/usage.rs
@@ -10,6 +10,25 @@
 /// Maximum number of workspaces in a message.
 const MAX_REPORTED: usize = 256;
 
+/// Maximum length of the names of workspaces in a message, in bytes: half of a datagram, as a name may grow to twice its
+/// length where it is encoded.
+const MAX_REPORTED_NAME_BYTES: usize = 28_000;
+
+/// Returns the first workspaces that fit into a message, by their names.
+fn fit_message<T>(
+    workspaces: impl IntoIterator<Item = T>,
+    name: impl Fn(&T) -> &WorkspaceName,
+) -> Vec<T> {
+    let mut left = MAX_REPORTED_NAME_BYTES;
+    let mut fitting = Vec::new();
+    for workspace in workspaces.into_iter().take(MAX_REPORTED) {
+        let Some(rest) = left.checked_sub(name(&workspace).as_str().len()) else { break };
+        left = rest;
+        fitting.push(workspace);
+    }
+    fitting
+}
+
 /// What a message between instances says of the limits.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -33,7 +52,7 @@
     pub fn of_exhausted(workspaces: Vec<(WorkspaceName, Duration)>, share: f64) -> Self {
         let share_permille = (share < 1.0).then_some((share * 1_000.0) as u32);
         let mut exhausted = Vec::new();
-        for (workspace, wait) in workspaces.into_iter().take(MAX_REPORTED) {
+        for (workspace, wait) in fit_message(workspaces, |(workspace, _)| workspace) {
             exhausted.push((workspace, wait.as_millis() as u64));
         }
         Self { exhausted, share_permille, ..Self::default() }
@@ -89,7 +108,7 @@
         let mut totals: Vec<_> = self.totals.iter().collect();
         totals.sort_unstable_by_key(|(_, total)| Reverse(total.last_request));
         let mut used = Vec::new();
-        for (workspace, total) in totals.into_iter().take(MAX_REPORTED) {
+        for (workspace, total) in fit_message(totals, |(workspace, _)| *workspace) {
             used.push((workspace.clone(), total.units));
         }
         LimitReport { process: self.process, used, ..LimitReport::default() }
@@ -230,6 +249,18 @@
 
     use super::{Usage, UsageTotals};
 
+    /// Guards against reports that are too long for a datagram and never arrive.
+    #[test]
+    fn the_names_of_a_report_fit_into_a_datagram() {
+        let mut usage = Usage::new(1);
+        for index in 0..100 {
+            let name = format!("{}-{index}", "\"".repeat(1_000));
+            usage.record(&WorkspaceName::try_from(&*name).expect("the name is valid"), 200);
+        }
+        let report = serde_json::to_vec(&usage.report()).expect("a report can be encoded");
+        assert!((20_000..60_000).contains(&report.len()), "{} bytes", report.len());
+    }
+
     /// Guards against use that is lost with a message, or counted twice with a repeated one.
     #[test]
     fn each_use_is_counted_once() {
