Start requests only early in a stop if silences could prolong them

Cause: a stream was started if its longest duration and 3 s of silence in all fit before the end of the process. Nothing bounds how often an engine falls silent, and a second engine, at which the stream is resumed, may be silent, too.

Change: streams, and plain calls whose deadline is beyond the end, are started in the first 2.5 s of a stop only, in which balancers still send new connections. Later ones are refused at once as not run: their callers lose a kept connection, and other instances take them. Why this works: what is left of the grace period is for silences, and what is sent later is not begun at all. Bounds of the unit tests stay; the begin of the stop in them is set so that the bound on the duration applies.

--- a/crates/magnoliaspar-gateway/src/gateway.rs
+++ b/crates/magnoliaspar-gateway/src/gateway.rs
@@ -496,7 +496,7 @@
 
     /// Marks the instance as stopping, with `end` as the latest end of the process.
     pub fn stop(&self, end: Instant) {
-        self.shutdown.set(Some(Shutdown { end }));
+        self.shutdown.set(Some(Shutdown { begun: self.clock.now(), end }));
         self.stop_begun.notify_waiters();
     }
 
@@ -506,8 +506,8 @@
         Some(shutdown.end.saturating_duration_since(self.clock.now()))
     }
 
-    /// Returns whether a request may be sent to a server: it is sure to end before the process, or it may have run
-    /// and can no longer be refused as not run.
+    /// Returns whether a request may be sent to a server: the instance is not stopping, or has time for it, or the
+    /// request may have run and can no longer be refused as not run.
     pub fn may_start(&self, req: &Incoming) -> bool {
         let Some(shutdown) = self.shutdown.get() else { return true };
         req.state.may_have_run()
--- a/crates/magnoliaspar-gateway/src/shutdown.rs
+++ b/crates/magnoliaspar-gateway/src/shutdown.rs
@@ -1,16 +1,22 @@
 //! Decides which requests a stopping instance accepts, and records what is known of a request in flight.
 //!
-//! A stopping instance starts a request only if it is sure to end before the process does. Every other request is
-//! refused as not run, since another instance can take it at once. Shortly before the process ends, requests whose
-//! response has not begun get a response that is true for what has become of them.
+//! A stopping instance starts a request only if it ends before the process does, even if its server is silent for some
+//! time. As nothing bounds how often a server falls silent, such requests are only started as long as balancers send new
+//! connections. Every other request is refused as not run, since another instance can take it at once. Shortly before
+//! the process ends, requests whose response has not begun get a response that is true for what has become of them.
 
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
 use crate::refusal::Refusal;
 
-/// Maximum time for which a server is assumed to be silent within a response.
-const MAX_SILENCE: Duration = Duration::from_secs(3);
+/// Minimum time that is left for silences of the server within a response. It may fall silent more than once.
+const MIN_SILENCE_ALLOWANCE: Duration = Duration::from_secs(3);
+
+/// Time from the begin of the stop in which requests are started whose server could hold them beyond its end. Balancers
+/// check readiness once per second and send new connections elsewhere after two failures. A caller that sends later
+/// has only a kept connection to lose.
+const START_WINDOW: Duration = Duration::from_millis(2_500);
 
 /// Maximum duration of a plain call whose server is not silent. They take about ten milliseconds, the slowest a hundred.
 const MAX_PLAIN_DURATION: Duration = Duration::from_secs(1);
@@ -21,6 +27,8 @@
 /// The end of a stopping instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
+    /// The begin of the stop.
+    pub begun: Instant,
     /// The latest end of the process.
     pub end: Instant,
 }
@@ -31,16 +39,18 @@
         self.end.checked_sub(FINAL_RESPONSE_TIME).unwrap_or(self.end)
     }
 
-    /// Returns the time from which a request must not be started; `None` if it has ended by then in any case.
+    /// Returns the time from which a request must not be started; `None` if it has ended in any case before the process
+    /// does.
     pub fn closes_at(self, extent: Extent) -> Option<Instant> {
         let due = self.responses_due();
         if extent.latest_end.is_some_and(|latest_end| latest_end < due) {
             return None;
         }
-        Some(due.checked_sub(extent.duration).unwrap_or(extent.received))
+        let latest_start = due.checked_sub(extent.duration).unwrap_or(extent.received);
+        Some(latest_start.min(self.begun + START_WINDOW))
     }
 
-    /// Returns whether a request that is started now is sure to end before the process does.
+    /// Returns whether a request may be started now.
     pub fn can_finish(self, extent: Extent, now: Instant) -> bool {
         self.closes_at(extent).is_none_or(|closes_at| now < closes_at)
     }
@@ -53,14 +63,14 @@
     pub received: Instant,
     /// The time at which the request ends in any case, if there is one.
     pub latest_end: Option<Instant>,
-    /// Longest duration from the start, with a silence of the server.
+    /// Longest duration from the start, with some silence of the server.
     pub duration: Duration,
 }
 
 impl Extent {
     /// Returns the extent of a plain call, which ends at its deadline.
     pub fn of_call(received: Instant, deadline: Instant) -> Self {
-        let duration = MAX_PLAIN_DURATION + MAX_SILENCE;
+        let duration = MAX_PLAIN_DURATION + MIN_SILENCE_ALLOWANCE;
         Self { received, latest_end: Some(deadline), duration }
     }
 
@@ -68,7 +78,7 @@
     ///
     /// The deadline is left out: an engine that does not pause may send events after it.
     pub fn of_stream(received: Instant, longest: Duration) -> Self {
-        Self { received, latest_end: None, duration: longest + MAX_SILENCE }
+        Self { received, latest_end: None, duration: longest + MIN_SILENCE_ALLOWANCE }
     }
 }
 
@@ -166,7 +176,7 @@
     fn a_call_is_started_only_if_its_deadline_or_its_longest_duration_ends_before_the_process() {
         let start = Instant::now();
         let at = |ms| start + Duration::from_millis(ms);
-        let shutdown = Shutdown { end: at(8_000) };
+        let shutdown = Shutdown { begun: at(2_000), end: at(8_000) };
         let call =
             |now, deadline| shutdown.can_finish(Extent::of_call(at(now), at(deadline)), at(now));
         assert!(call(6_000, 7_500) && !call(6_500, 8_000) && !call(6_000, 60_000));
@@ -177,11 +187,26 @@
     fn a_stream_is_started_only_if_it_ends_in_time_at_its_longest_with_a_silence() {
         let start = Instant::now();
         let at = |ms| start + Duration::from_millis(ms);
-        let shutdown = Shutdown { end: at(8_000) };
+        let shutdown = Shutdown { begun: at(2_000), end: at(8_000) };
         let extent = Extent::of_stream(at(0), Duration::from_millis(1_500));
         assert!(shutdown.can_finish(extent, at(3_300)) && !shutdown.can_finish(extent, at(3_400)));
     }
 
+    /// Guards against requests that are started late in a stop, since their server is assumed to be silent for a bounded
+    /// time in all.
+    #[test]
+    fn a_request_that_silences_can_prolong_is_started_only_early_in_a_stop() {
+        let start = Instant::now();
+        let at = |ms| start + Duration::from_millis(ms);
+        let shutdown = Shutdown { begun: at(0), end: at(60_000) };
+        let stream = Extent::of_stream(at(0), Duration::ZERO);
+        for extent in [stream, Extent::of_call(at(0), at(70_000))] {
+            assert!(shutdown.can_finish(extent, at(2_400)), "{extent:?}");
+            assert!(!shutdown.can_finish(extent, at(2_500)), "{extent:?}");
+        }
+        assert!(shutdown.can_finish(Extent::of_call(at(0), at(50_000)), at(40_000)));
+    }
+
     #[test]
     fn a_request_without_a_response_may_have_run_unless_all_servers_proved_the_contrary() {
         let state = RequestState::new(Instant::now());
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -291,6 +291,43 @@
     assert_no_call_is_cut("long-silent", pause_in_responses(Duration::from_secs(2))).await;
 }
 
+/// Guards against streams that a stopping instance starts although their engine may fall silent more often than there is
+/// time for.
+#[actix_rt::test]
+async fn a_stop_cuts_no_stream_whose_engine_falls_silent_again_and_again() {
+    let deployment = Deployment::start("often-silent", 4 * GRACE).await;
+    let (at, framing, lasts) =
+        (BreakPoint::After(2), Framing::Chunks, Duration::from_millis(1_500));
+    let pauses = Fault::PausesOften(Pause { at, framing, lasts });
+    let mut kept = deployment.kept_connections(36).await;
+    deployment.servers.iter().for_each(|server| server.set_fault(pauses));
+    deployment.gateway.signal("-TERM");
+    let stopped_at = Instant::now();
+    // Before the first of them are slow, the instance takes the streams for short ones.
+    sleep(Duration::from_millis(1_900)).await;
+    let mut calls = Vec::new();
+    for (number, route) in ["summary", "review"].into_iter().cycle().enumerate().take(36) {
+        let mut call = deployment.call(route, &format!("{route}-{number}"));
+        call.caller = Caller::completion(HOST, &format!("/{route}/1"), &call.caller.id, 100, 20);
+        call.caller.timeout = 2 * GRACE;
+        call.kept = kept.pop();
+        calls.push(actix_rt::spawn(call.run(stopped_at)));
+        sleep(2 * CALL_INTERVAL).await;
+    }
+    let (mut findings, mut served) = (Vec::new(), 0);
+    for call in calls {
+        let result = call.await.expect("the call ends");
+        served += usize::from(result.status() == Some(200));
+        let has_run = deployment.runs().contains(&result.id);
+        if let Some(finding) = result.finding(has_run) {
+            let CallResult { id, sent, elapsed, .. } = result;
+            findings.push(format!("{id}: {finding}; sent after {sent:?}, ended {elapsed:?} later"));
+        }
+    }
+    assert!(findings.is_empty(), "{}", findings.join("\n"));
+    assert!(served > 0, "none is served");
+}
+
 #[actix_rt::test]
 async fn a_request_without_an_answer_at_the_end_of_a_stop_gets_a_true_one() {
     let deployment = Deployment::start("end", 4 * GRACE).await;
