Take no response for whole after a failed write of its request

A server that answered a long upload early, without a length, and reset the connection while the upload was still being written had the part that it had sent passed on as a complete answer, plain or as a stream.

Cause: the kernel reports the error of a connection once. If the write of the request meets the reset, the reads that follow return what has arrived and then the end of the stream, as after a graceful close, and the server, which lives, confirms it.

Change: a response whose head was read after a failed write is whole only if a length or chunks tell so. Why this works: no other call takes the error of a connection with a response in hand, so that the end of the stream is a graceful close otherwise.

--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -190,12 +190,12 @@
         let mut strays = 0;
         let mut is_ambiguous = false;
         let mut decoder = HeadDecoder::new(codec);
-        let (mut response, was_sent) = self.exchange_head(&mut decoder, &mut out).await?;
+        let (mut response, write) = self.exchange_head(&mut decoder, &mut out).await?;
         loop {
             let codec = decoder.codec;
             let owner = examine(&response, self.responses == 0);
             self.responses += 1;
-            let mut response_body = ResponseBody::new(self, codec, &response, is_head, was_sent);
+            let mut response_body = ResponseBody::new(self, codec, &response, is_head, write);
             if owner == Owner::Own {
                 return Ok((response, response_body));
             }
@@ -223,12 +223,12 @@
     }
 
     /// Writes the request and reads the head of the response, which may arrive before the request
-    /// is fully written; the flag is true if the request was.
+    /// is fully written.
     async fn exchange_head(
         &mut self,
         decoder: &mut HeadDecoder,
         out: &mut Outgoing<'_>,
-    ) -> Result<(ResponseHead, bool), CallError> {
+    ) -> Result<(ResponseHead, WriteState), CallError> {
         let (mut reader, mut writer) = self.stream.split();
         loop {
             tokio::select! {
@@ -240,7 +240,7 @@
                         Err(error) => {
                             drain_reader(&mut reader, &mut self.buf).await;
                             return match decoder.decode(&mut self.buf)? {
-                                Some(head) => Ok((head, false)),
+                                Some(head) => Ok((head, WriteState::Failed)),
                                 None => Err(CallError::from_io(&error)),
                             };
                         }
@@ -251,7 +251,9 @@
                         return Err(CallError::Broken(CLOSED_BY_SERVER.into()));
                     }
                     if let Some(head) = decoder.decode(&mut self.buf)? {
-                        return Ok((head, out.next.is_empty()));
+                        let is_whole = out.next.is_empty();
+                        let write = if is_whole { WriteState::Whole } else { WriteState::Partial };
+                        return Ok((head, write));
                     }
                 }
             }
@@ -271,6 +273,17 @@
     }
 }
 
+/// How much of a request was written when the head of its response had been read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteState {
+    /// All of it.
+    Whole,
+    /// A part; the rest is not written any more.
+    Partial,
+    /// A part, after which the connection failed.
+    Failed,
+}
+
 /// The part of a request that has not been written.
 struct Outgoing<'a> {
     /// Empty only if everything has been written.
@@ -294,6 +307,8 @@
     framing: Framing,
     is_reusable: bool,
     is_delimited: bool,
+    /// Whether the connection failed when the request was written.
+    has_failed: bool,
     /// The memory for what is held of the body, once there is some.
     share: Option<Share>,
 }
@@ -342,15 +357,16 @@
         codec: ClientCodec,
         head: &ResponseHead,
         is_head: bool,
-        was_sent: bool,
+        write: WriteState,
     ) -> Self {
         let has_no_body = is_head
             || head.status == StatusCode::NO_CONTENT
             || head.status == StatusCode::NOT_MODIFIED;
         let framing = if has_no_body { Framing::Complete } else { Framing::of(head, codec) };
         let is_delimited = !matches!(framing, Framing::UntilClose);
-        let is_reusable = was_sent && is_delimited && !is_closing(head.headers());
-        Self { connection, framing, is_reusable, is_delimited, share: None }
+        let is_reusable = write == WriteState::Whole && is_delimited && !is_closing(head.headers());
+        let has_failed = write == WriteState::Failed;
+        Self { connection, framing, is_reusable, is_delimited, has_failed, share: None }
     }
 
     /// Counts what is held of the body as a part of the memory for responses.
@@ -457,7 +473,11 @@
             if !matches!(self.framing, Framing::UntilClose) {
                 return Err(CallError::Broken(CLOSED_BY_SERVER.into()));
             }
-            // A reset is returned as an error above, so this is a graceful close.
+            // The kernel reports a reset once, to the write or to the read that meets it first. After a failed write the
+            // end of the stream does not tell a reset from a graceful close.
+            if self.has_failed {
+                return Err(CallError::Broken(RESET_BY_SERVER.into()));
+            }
             self.framing = Framing::Complete;
             return Ok(None);
         }
@@ -549,6 +569,9 @@
 /// Message for a connection that the server closed.
 const CLOSED_BY_SERVER: &str = "closed by the server";
 
+/// Message for a connection that failed when a request was written.
+const RESET_BY_SERVER: &str = "reset by the server before it had read the request";
+
 /// Reads the bytes that arrived before the connection ended.
 async fn drain_reader(reader: &mut ReadHalf<'_>, buf: &mut BytesMut) {
     while buf.len() < MAX_UNSOLICITED_BYTES
