Take a response with a status above 599 for malformed

A server in trouble that responded with the status 600 or 999 had this status, with its seal, passed on to callers as an answer, also where they had requested a stream. 000, 001 and 099 gave 502 before.

Cause: the codec takes any three digits from 100 on, and HTTP has statuses up to 599.

Change: a response with another status is malformed. It counts as a failure of the server, a request that may be repeated goes to another one, and the caller gets 502 otherwise. Plain services in the product's own mode are read alike. Statuses up to 599 are passed on, assigned or not.

--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode, Version};
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
+use magnoliaspar_http::is_valid_status;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -598,6 +599,9 @@
                 Ok(None) => return Ok(None),
                 Err(error) => return Err(CallError::Malformed(error.to_string().into())),
             };
+            if !is_valid_status(head.status) {
+                return Err(CallError::Malformed(format!("status {}", head.status).into()));
+            }
             if head.status == StatusCode::SWITCHING_PROTOCOLS {
                 return Err(CallError::Malformed("an upgrade that was not requested".into()));
             }
--- a/crates/magnoliaspar-serve/src/service.rs
+++ b/crates/magnoliaspar-serve/src/service.rs
@@ -9,7 +9,7 @@
 use displaydoc::Display;
 use futures_util::TryStreamExt;
 use magnoliaspar_core::RequestId;
-use magnoliaspar_http::is_never_sent;
+use magnoliaspar_http::{is_never_sent, is_valid_status};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -93,6 +93,9 @@
         req = req.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
         let sent = req.send_stream(call.body.map_err(|error| error.to_string()));
         match tokio::time::timeout(timeout, sent).await {
+            Ok(Ok(res)) if !is_valid_status(res.status()) => {
+                Err(ServiceError::Lost(format!("status {}", res.status()).into()))
+            }
             Ok(Ok(res)) if is_head || has_announced_end(&res) => Ok(res),
             Ok(Ok(_)) => Err(ServiceError::Lost(UNANNOUNCED_END.into())),
             Ok(Err(error)) if is_never_sent(&error) => {
@@ -181,6 +184,16 @@
         Ok(String::from_utf8_lossy(&body).into())
     }
 
+    /// Guards against a status that HTTP does not have reaching a caller.
+    #[actix_rt::test]
+    async fn an_answer_with_an_invalid_status_is_lost() {
+        for status in ["000", "099", "600", "999"] {
+            let head = format!("HTTP/1.1 {status} Status\r\nContent-Length: 4\r\n\r\nbody");
+            let result = call(head.leak()).await;
+            assert!(matches!(result, Err(ServiceError::Lost(_))), "{status}: {result:?}");
+        }
+    }
+
     #[actix_rt::test]
     async fn an_answer_that_only_the_end_of_its_connection_ends_is_lost() {
         for head in ["HTTP/1.1 200 OK\r\n\r\nbody", "HTTP/1.0 200 OK\r\n\r\nbody"] {
