--- a/crates/magnoliaspar-gateway/src/exchange.rs
+++ b/crates/magnoliaspar-gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 
 use crate::blocks::Blocks;
 use crate::evidence::Owner;
+use crate::guarantees::{Guarantee, is_disabled};
 use crate::response_memory::{GaveWay, ResponseMemory, Share};
 
 /// Time for which sent bytes may stay unacknowledged before the connection counts as broken.
@@ -476,7 +477,7 @@
             }
             // The kernel reports a reset once, to the write or to the read that meets it first. After a failed write the
             // end of the stream does not tell a reset from a graceful close.
-            if self.has_failed {
+            if self.has_failed && !is_disabled(Guarantee::FailedWrite) {
                 return Err(CallError::Broken(RESET_BY_SERVER.into()));
             }
             self.framing = Framing::Complete;
@@ -599,7 +600,7 @@
                 Ok(None) => return Ok(None),
                 Err(error) => return Err(CallError::Malformed(error.to_string().into())),
             };
-            if !is_valid_status(head.status) {
+            if !is_valid_status(head.status) && !is_disabled(Guarantee::ValidStatus) {
                 return Err(CallError::Malformed(format!("status {}", head.status).into()));
             }
             if head.status == StatusCode::SWITCHING_PROTOCOLS {
--- a/crates/magnoliaspar-gateway/src/guarantees.rs
+++ b/crates/magnoliaspar-gateway/src/guarantees.rs
@@ -11,6 +11,10 @@
     OwnAnswer,
     /// An answer that broke off does not look complete.
     WholeAnswer,
+    /// An answer whose request could not be written is whole only if a length or chunks tell so.
+    FailedWrite,
+    /// An answer has a status of HTTP.
+    ValidStatus,
     /// Events are delivered once and in order.
     EventOrder,
     /// A draining server receives no requests.
