Compare a readable configuration with the version in force before

After a restore of the store, an instance that had met an unreadable configuration could stay without proofs: if another instance passed the next configuration on first, the one that the store then returned was not newer than the one in force.

Cause: whether the configuration replaced the one in force was taken for whether it is newer than the unreadable one. Change: the version that was in force when the unreadable one was met is kept and compared.

--- a/crates/magnoliaspar-access/src/freshness.rs
+++ b/crates/magnoliaspar-access/src/freshness.rs
@@ -72,8 +72,9 @@
     /// Numbers of the last questions to other instances and the moments at which they were sent.
     questions: VecDeque<(u64, Duration)>,
     next_question: u64,
-    /// Epoch in which the store was found to hold a configuration that the instance cannot read, until it holds another.
-    unreadable: Option<Epoch>,
+    /// Version in force, and epoch of the store, when the store was found to hold a configuration that the instance
+    /// cannot read; `None` once it holds another.
+    unreadable_since: Option<ConfigurationMark>,
 }
 
 impl Freshness {
@@ -84,28 +85,31 @@
             proven_at: None,
             questions: VecDeque::new(),
             next_question: first_question,
-            unreadable: None,
+            unreadable_since: None,
         }
     }
 
-    /// Records that the store holds a configuration that the instance cannot read. Which keys it revokes is unknown, so
-    /// nothing proves the one in force until the store holds another.
-    pub fn record_unreadable(&mut self, epoch: Epoch) {
-        self.unreadable = Some(epoch);
+    /// Records that the store holds a configuration that the instance cannot read; `own` is the version in force and the
+    /// epoch of the store. Which keys the unreadable one revokes is unknown, so nothing proves the one in force until the
+    /// store holds another.
+    pub fn record_unreadable(&mut self, own: ConfigurationMark) {
+        self.unreadable_since = Some(own);
     }
 
-    /// Records that the store holds no configuration that the instance cannot read; `is_newer` if the one that it holds
-    /// has replaced the one in force. A store that was restored from a copy may have lost the unreadable one, which
-    /// the operator writes again.
-    pub fn record_readable(&mut self, epoch: Epoch, is_newer: bool) {
-        if is_newer || self.unreadable == Some(epoch) {
-            self.unreadable = None;
+    /// Records the configuration that the store holds and the instance can read, with version 0 for none.
+    ///
+    /// A store that was restored from a copy may have lost the unreadable one, which the operator writes again: in
+    /// another epoch only a version above the one that was in force tells that there is another.
+    pub fn record_readable(&mut self, read: ConfigurationMark) {
+        let Some(since) = self.unreadable_since else { return };
+        if read.epoch == since.epoch || read.version > since.version {
+            self.unreadable_since = None;
         }
     }
 
     /// Returns whether the store holds a configuration that the instance cannot read.
     pub fn has_unreadable(&self) -> bool {
-        self.unreadable.is_some()
+        self.unreadable_since.is_some()
     }
 
     /// Records that `newest` was the newest configuration at a moment, while the instance has `own`. Returns whether
@@ -186,14 +190,14 @@
         let second = Duration::from_secs(1);
         let mut freshness = Freshness::new(0);
         assert!(freshness.record(mark(7, 1), mark(7, 1), second));
-        freshness.record_unreadable(Epoch(1));
+        freshness.record_unreadable(mark(7, 1));
         assert!(!freshness.record(mark(7, 1), mark(7, 1), 2 * second));
         let question = freshness.ask(2 * second);
         let report = ProofReport { age_ms: 10, configuration: mark(7, 1) };
         assert!(!freshness.apply(mark(7, 1), question, report));
         assert!(freshness.is_proven(5 * second, MAX_AGE));
         assert!(!freshness.is_proven(5 * second + Duration::from_millis(1), MAX_AGE));
-        freshness.record_readable(Epoch(1), false);
+        freshness.record_readable(mark(7, 1));
         assert!(freshness.record(mark(7, 1), mark(7, 1), 6 * second));
     }
 
@@ -201,10 +205,11 @@
     #[test]
     fn a_restored_store_without_the_unreadable_configuration_proves_nothing() {
         let mut freshness = Freshness::new(0);
-        freshness.record_unreadable(Epoch(1));
-        freshness.record_readable(Epoch(2), false);
+        freshness.record_unreadable(mark(7, 1));
+        freshness.record_readable(mark(7, 2));
         assert!(!freshness.record(mark(7, 2), mark(7, 2), MAX_AGE));
-        freshness.record_readable(Epoch(2), true);
+        // Another instance may have passed it on before.
+        freshness.record_readable(mark(9, 2));
         assert!(freshness.record(mark(9, 2), mark(9, 2), MAX_AGE));
     }
 }
--- a/crates/magnoliaspar-gateway/src/gateway/followers.rs
+++ b/crates/magnoliaspar-gateway/src/gateway/followers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
+use magnoliaspar_access::ConfigurationMark;
 use magnoliaspar_core::{Epoch, Position, ServerKey};
 
 use super::Gateway;
@@ -299,31 +300,31 @@
 }
 
 impl Gateway {
-    /// Records whether the configuration that the store holds can be read, and logs a change.
-    fn record_readability(&self, epoch: Epoch, is_unreadable: bool, is_newer: bool) {
+    /// Records whether the configuration that the store holds can be read, and logs a change. `read` is its version,
+    /// or 0 for none; `None` if it cannot be read.
+    fn record_readability(&self, read: Option<u64>, epoch: Epoch) {
+        let own = self.routing().map_or(0, |routing| routing.version);
         let mut freshness = self.freshness.borrow_mut();
-        let was_unreadable = freshness.has_unreadable();
-        match is_unreadable {
-            true => freshness.record_unreadable(epoch),
-            false => freshness.record_readable(epoch, is_newer),
+        let had_unreadable = freshness.has_unreadable();
+        match read {
+            Some(version) => freshness.record_readable(ConfigurationMark { version, epoch }),
+            None => freshness.record_unreadable(ConfigurationMark { version: own, epoch }),
         }
-        let is_unreadable = freshness.has_unreadable();
-        self.metrics.configuration_unreadable.set(i64::from(is_unreadable));
-        let (version, epoch) = (self.routing().map(|routing| routing.version), epoch.0);
-        match (was_unreadable, is_unreadable) {
-            (false, true) => log::warn!(version:?, epoch; "configuration_unreadable"),
-            (true, false) => log::info!(version:?, epoch; "configuration_readable"),
+        let has_unreadable = freshness.has_unreadable();
+        self.metrics.configuration_unreadable.set(i64::from(has_unreadable));
+        match (had_unreadable, has_unreadable) {
+            (false, true) => log::warn!(version = own, epoch = epoch.0; "configuration_unreadable"),
+            (true, false) => log::info!(version = own, epoch = epoch.0; "configuration_readable"),
             _ => {}
         }
     }
 }
 
 /// Applies configurations, from the store or from another instance; one that is not newer than the current one is
-/// ignored. Returns whether the current one was replaced.
-pub(crate) fn apply_routing(gateway: &Gateway, batch: Batch<Routing>) -> bool {
+/// ignored.
+pub(crate) fn apply_routing(gateway: &Gateway, batch: Batch<Routing>) {
     gateway.metrics.count_feed("configuration", "ok");
     let epoch = batch.position.epoch;
-    let mut is_replaced = false;
     for (_, routing) in batch.rows {
         let Some(routing) = routing else { continue };
         let current = gateway.routing();
@@ -342,9 +343,7 @@
         log::info!(version, previous:?, epoch = epoch.0, age:?, routes; "configuration_taken");
         gateway.metrics.configuration_version.set(version as i64);
         gateway.set_routing(routing);
-        is_replaced = true;
     }
-    is_replaced
 }
 
 /// Follows the configuration in the store.
@@ -354,12 +353,14 @@
 impl Follower<Routing> for RoutingFollower {
     fn apply(&self, batch: Batch<Routing>, is_complete: bool) {
         let epoch = batch.position.epoch;
-        let is_known = is_complete || !batch.rows.is_empty();
-        let is_unreadable = !batch.unreadable.is_empty();
-        let is_newer = apply_routing(&self.0, batch);
-        if is_known {
-            self.0.record_readability(epoch, is_unreadable, is_newer);
+        // Changes without a row tell that the last one stays.
+        if is_complete || !batch.rows.is_empty() {
+            let last = batch.rows.last().and_then(|(_, routing)| routing.as_ref());
+            let version = last.map_or(0, |routing| routing.version);
+            let read = batch.unreadable.is_empty().then_some(version);
+            self.0.record_readability(read, epoch);
         }
+        apply_routing(&self.0, batch);
     }
 
     fn call_failed(&self, _: &FeedError) {
