End all processes of a case that cannot run

Cause: a case that gave up before its processes were ready left them and a temporary folder. Change: the stand-ins of the third review kill what they have started and remove the folder.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -29,12 +29,30 @@
     std::env::var("TROUBLE").is_ok_and(|value| value == "0")
 }
 
+/// The processes that were started and have not been waited for.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills a process that was started here, and waits for its end.
+fn end_process(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    PROCESSES.lock().unwrap().retain(|id| *id != child.id());
+}
+
 /// Ends the case because it cannot run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("cannot run: {reason}");
+    for id in &*PROCESSES.lock().unwrap() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+    let _ = fs::remove_dir_all(temporary_folder());
     std::process::exit(2);
 }
 
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-3-{}", std::process::id()))
+}
+
 /// The file `record.txt` of the case, with the time of each line.
 #[derive(Clone)]
 pub struct Record {
@@ -363,7 +381,7 @@
 impl Gateway {
     /// Starts the program of the deploy file with the settings of a machine of the small deployment.
     pub fn start(store: SocketAddr, memory_mb: u32) -> Self {
-        let directory = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        let directory = temporary_folder();
         fs::create_dir_all(&directory).unwrap_or_else(|_| cannot_run("no temporary folder"));
         let settings = directory.join("settings.json");
         let log = directory.join("gateway.out");
@@ -391,6 +409,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|_| cannot_run("the gateway does not start"));
+        PROCESSES.lock().unwrap().push(child.id());
         let gateway = Self { child, log, directory, requests, readiness };
         let end = Instant::now() + Duration::from_secs(10);
         while !gateway.is_ready() {
@@ -440,8 +459,7 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end_process(&mut self.child);
         let _ = fs::remove_dir_all(&self.directory);
     }
 }
@@ -519,7 +537,7 @@
 impl Machine {
     /// Starts the machines, whose processes know each other, and waits until they are ready.
     pub fn start_all(store: SocketAddr, record: &Record) -> Vec<Arc<Self>> {
-        let directory = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        let directory = temporary_folder();
         fs::create_dir_all(&directory).unwrap_or_else(|_| cannot_run("no temporary folder"));
         let mut ports = Vec::new();
         for _ in 0..4 * MACHINES {
@@ -575,6 +593,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|_| cannot_run("the gateway does not start"));
+        PROCESSES.lock().unwrap().push(child.id());
         *self.child.lock().unwrap() = Some(child);
     }
 
@@ -590,8 +609,7 @@
             if resident <= KILL_BYTES && !has_ended {
                 continue;
             }
-            let _ = child.kill();
-            let _ = child.wait();
+            end_process(child);
             drop(guard);
             let ends = self.ends.fetch_add(1, Ordering::SeqCst) + 1;
             record.line(&format!(
@@ -637,8 +655,7 @@
     pub fn stop(&self) {
         self.is_over.store(1, Ordering::SeqCst);
         if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
+            end_process(&mut child);
         }
         let _ = fs::remove_dir_all(&self.directory);
     }
